--- a/src/bin/irishold-simhost/main.rs
+++ b/src/bin/brackenledge-adapter/main.rs
@@ -1,4 +1,4 @@
-//! Hosts one irishold dispatcher per instance on the simulator's wire: batches on standard input, replies on
+//! Hosts one brackenledge dispatcher per instance on the simulator's wire: batches on standard input, replies on
 //! standard output. It translates and decides nothing.
 
 mod wire;
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use irishold::{Action, Dispatcher, Event, ListKind, Response, Settings, WorkerEntry, WorkerId};
+use brackenledge::{Action, Dispatcher, Event, ListKind, Response, Settings, WorkerEntry, WorkerId};
 use wire::{Batch, Happening, Member, Order, Reply};
 
 /// Directories are numbered from 0 to one less than this.
@@ -151,7 +151,7 @@
     match serve(io::stdin().lock(), output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("irishold-simhost: {message}");
+            eprintln!("brackenledge-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/irishold-simhost/wire.rs
+++ b/src/bin/brackenledge-adapter/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's wire: JSON lines to the module's terms and back. Names here are the wire's.
 
-use irishold::{
+use brackenledge::{
     Action, Class, Effect, Event, Group, ListKind, LoadReport, NewJob, Outcome, Readiness, Reports, Settings,
     Tenant, Weights, WorkerEntry, WorkerId,
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! clock: feed [`Dispatcher::handle`] what happened and when, and carry out the [`Action`]s it appends.
 //!
 //! ```
-//! use irishold::{Action, Dispatcher, Event, ListKind, Settings, WorkerEntry};
+//! use brackenledge::{Action, Dispatcher, Event, ListKind, Settings, WorkerEntry};
 //!
 //! let mut dispatcher = Dispatcher::new(0.0, Settings::default(), 7);
 //! let mut actions: Vec<Action> = Vec::new();
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -6,7 +6,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_irishold-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_brackenledge-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,11 +3,11 @@
 
 mod common;
 
-use common::{Driver, settings, worker};
-use irishold::{
+use brackenledge::{
     Action, Class, Dispatcher, Effect, Event, Group, ListKind, NewJob, Outcome, Readiness, Settings,
     WorkerEntry,
 };
+use common::{Driver, settings, worker};
 
 const SAFE: usize = 0;
 const KEYED_ZONE: usize = 1;
