--- a/src/bin/brackenledge-adapter/main.rs
+++ b/src/bin/brackenledge-adapter/main.rs
@@ -62,7 +62,7 @@
                 return Ok(());
             }
             Happening::Boot { dispatcher, seed, settings } => {
-                let fresh = Dispatcher::new(now, Settings::from(*settings), seed);
+                let fresh = Dispatcher::new(now, Settings::from(&*settings), seed);
                 let instance = Instance { dispatcher: fresh, ids: HashMap::new(), names: Vec::new() };
                 self.instances.insert(dispatcher, instance);
                 return Ok(());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 mod measure;
 mod peers;
 pub mod rules;
+pub mod settings;
 
 pub use interface::*;
 pub use rules::Dispatcher;
--- /dev/null
+++ b/src/net/backend.rs
@@ -0,0 +1,485 @@
+//! The backend servers' side: a pool of connections, and the dispatches and probes that travel on them.
+
+use super::Context;
+use super::core::{DispatchId, Request};
+use super::discovery::deregister;
+use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive, push_out};
+use super::http::{AnswerHead, BODY_MOST, HEAD_MOST, Link, take_answer_head};
+use brackenledge::{LoadReport, Outcome, WorkerId};
+use mio::net::TcpStream;
+use slab::Slab;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A line holds a body and little else; JSON may write one byte as six.
+const LINE_MOST: usize = 6 * BODY_MOST + 4 * 1024;
+/// Idle connections are closed this part of the stated limit after their last use, and this long before it at
+/// least: what is written to one that the other side closes meanwhile ends as a reset.
+const IDLE_PART: f64 = 0.8;
+const IDLE_MARGIN: Millis = 500.0;
+/// A probe that takes longer than this tells as much as one that fails.
+const PROBE_TIME: Millis = 1_000.0;
+
+/// A report's values, under the names that discovery and the settings use.
+#[derive(miniserde::Deserialize)]
+struct LoadDocument {
+    inflight: Option<f64>,
+    concurrent: Option<f64>,
+    queue: Option<f64>,
+    depth: Option<f64>,
+    util: Option<f64>,
+    load_share: Option<f64>,
+    eps: Option<f64>,
+    err_ps: Option<f64>,
+    x0: Option<f64>,
+    x1: Option<f64>,
+}
+
+impl From<LoadDocument> for LoadReport {
+    fn from(load: LoadDocument) -> LoadReport {
+        LoadReport {
+            held: load.inflight.or(load.concurrent),
+            waiting: load.queue.or(load.depth),
+            busy: load.util.or(load.load_share),
+            free_slots: load.x0,
+            free_memory: load.x1,
+            errors: load.eps.or(load.err_ps),
+        }
+    }
+}
+
+/// Reads the header form of a report: `TEXT name=value, name=value`. Values that are no numbers are skipped.
+fn read_load_header(text: &str) -> LoadReport {
+    let mut report = LoadReport::default();
+    let pairs = text.trim().trim_start_matches("TEXT").split(',');
+    for (name, value) in pairs.filter_map(|pair| pair.split_once('=')) {
+        let value = value.trim().parse().ok();
+        match name.trim() {
+            "inflight" | "concurrent" => report.held = value,
+            "queue" | "depth" => report.waiting = value,
+            "util" | "load_share" => report.busy = value,
+            "eps" | "err_ps" => report.errors = value,
+            "x0" => report.free_slots = value,
+            "x1" => report.free_memory = value,
+            _ => {}
+        }
+    }
+    report
+}
+
+/// One line of a worker's answer.
+#[derive(miniserde::Deserialize)]
+struct Line {
+    id: Option<String>,
+    state: String,
+    share: Option<f64>,
+    result: Option<String>,
+    load: Option<LoadDocument>,
+}
+
+#[derive(Clone)]
+enum Task {
+    Dispatch { id: DispatchId, request: Rc<Request>, deadline: Millis },
+    Probe,
+}
+
+/// A connection to a backend server. One request at a time travels on it.
+struct ServerConnection {
+    link: Link,
+    server: WorkerId,
+    address: SocketAddr,
+    serial: u64,
+    connecting: bool,
+    task: Option<Task>,
+    /// The request's last byte has been handed to the system.
+    written: bool,
+    head: Option<AnswerHead>,
+    idle_since: Millis,
+}
+
+impl ServerConnection {
+    /// Puts the request into the buffer. The backend server is told how long it is worth working.
+    fn start(&mut self, task: Task, now: Millis) {
+        self.written = false;
+        self.head = None;
+        match &task {
+            Task::Probe => {
+                let probe = format!("GET /metrics/load HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
+                self.link.buffer.push(probe.as_bytes());
+            }
+            Task::Dispatch { request, deadline, .. } => {
+                let mut head = format!(
+                    "POST {} HTTP/1.1\r\nHost: {}\r\nX-Trace-Id: {}\r\nX-Expires-In-Ms: {:.0}\r\nContent-Length: {}\r\n",
+                    request.target,
+                    self.address,
+                    request.id,
+                    (deadline - now).max(1.0),
+                    request.body.len()
+                );
+                for (name, value) in
+                    [("Idempotency-Key", &request.idempotency_key), ("Content-Type", &request.content_type)]
+                {
+                    if let Some(value) = value {
+                        head.extend([name, ": ", value, "\r\n"]);
+                    }
+                }
+                head.push_str("\r\n");
+                self.link.buffer.push(head.as_bytes());
+                self.link.buffer.push(&request.body);
+            }
+        }
+        self.task = Some(task);
+    }
+
+    /// Ends what travels here, if anything still does.
+    fn end(&mut self, outcome: Outcome, report: Option<LoadReport>, cx: &mut Context) {
+        match self.task.take() {
+            Some(Task::Dispatch { id, .. }) => cx.core.dispatch_ended(id, outcome, report),
+            Some(Task::Probe) => cx.core.probed(self.server, outcome, report),
+            None => {}
+        }
+    }
+
+    /// What a connection that ends now means for its request: before the last byte is out it can't have run.
+    fn broken(&self) -> Outcome {
+        if self.written { Outcome::Reset } else { Outcome::ConnectFailed }
+    }
+
+    /// Takes one line of an answer to a dispatch; `Close` where it makes no sense.
+    fn take_line(&mut self, line: &[u8], id: DispatchId, request_id: &str, cx: &mut Context) -> Flow {
+        let line =
+            std::str::from_utf8(line).ok().and_then(|text| miniserde::json::from_str::<Line>(text).ok());
+        let Some(line) = line.filter(|line| line.id.as_deref().is_none_or(|id| id == request_id)) else {
+            return Flow::Close;
+        };
+        let report = line.load.map(LoadReport::from);
+        match (line.state.as_str(), line.result) {
+            ("started", _) => cx.core.dispatch_started(id),
+            ("running", _) => cx.core.dispatch_progress(id, line.share.unwrap_or(0.0)),
+            ("done", Some(result)) => {
+                self.task = None;
+                cx.core.dispatch_served(id, result, report);
+            }
+            // An answer without its result can't be given to the client.
+            ("done" | "failed", _) => self.end(Outcome::Error, report, cx),
+            ("returned", _) => self.end(Outcome::Full, report, cx),
+            ("lost", _) => self.end(Outcome::Reset, report, cx),
+            // A state that later versions may add says nothing final.
+            _ => {}
+        }
+        Flow::Keep
+    }
+
+    /// An answer's message is complete.
+    fn on_answer(&mut self, cx: &mut Context) {
+        let Some(mut head) = self.head.take() else { return };
+        let body = head.body.take_all(&mut self.link.buffer);
+        let from_header = head.load.as_deref().map(read_load_header);
+        if let Some(Task::Probe) = self.task {
+            let text = std::str::from_utf8(&body).unwrap_or_default();
+            let report = miniserde::json::from_str::<LoadDocument>(text).ok().map(LoadReport::from);
+            let outcome = if head.status == 200 { Outcome::Ok } else { Outcome::Error };
+            self.end(outcome, from_header.or(report), cx);
+            return;
+        }
+        let outcome = match head.status {
+            // It ended without the last line.
+            200 => Outcome::Reset,
+            503 | 504 if head.never_ran => Outcome::Full,
+            _ => Outcome::Error,
+        };
+        self.end(outcome, from_header, cx);
+    }
+
+    /// Reads on; `Close` where the connection can't be used again.
+    fn read_answer(&mut self, cx: &mut Context) -> Flow {
+        if self.task.is_none() && self.head.is_none() {
+            // Nobody asked: it can't be told what later bytes would belong to.
+            return Flow::Close;
+        }
+        if self.head.is_none() {
+            match take_answer_head(&mut self.link.buffer, LINE_MOST) {
+                Ok(Some(head)) => self.head = Some(head),
+                Ok(None) => return Flow::Keep,
+                Err(_) => return Flow::Close,
+            }
+        }
+        let Some(head) = &mut self.head else { return Flow::Keep };
+        let Ok(ended) = head.body.advance(&mut self.link.buffer) else { return Flow::Close };
+        let closes = head.closes;
+        let lines = head.status == 200;
+        while lines && let Some(Task::Dispatch { id, request, .. }) = self.task.clone() {
+            let Some(head) = &mut self.head else { break };
+            let line = head.body.take_line(&mut self.link.buffer).or_else(|| {
+                // The last line may come without an end.
+                (ended && head.body.ready() > 0).then(|| head.body.take_all(&mut self.link.buffer))
+            });
+            let Some(line) = line else { break };
+            if !line.is_empty() && self.take_line(&line, id, &request.id, cx) == Flow::Close {
+                return Flow::Close;
+            }
+        }
+        if !ended {
+            return Flow::Keep;
+        }
+        self.on_answer(cx);
+        self.idle_since = cx.now;
+        // Bytes behind the answer belong to nothing, and a request not wholly written can't be followed.
+        let clean = self.link.buffer.input().is_empty() && self.written;
+        if closes || !clean { Flow::Close } else { Flow::Keep }
+    }
+}
+
+impl Connection<Context<'_>> for ServerConnection {
+    fn link(&mut self) -> &mut Link {
+        &mut self.link
+    }
+
+    fn connecting(&self) -> bool {
+        self.connecting
+    }
+
+    fn on_open(&mut self, cx: &mut Context) -> Flow {
+        self.connecting = false;
+        let Some(task) = self.task.take() else { return Flow::Close };
+        // Much may have changed since the connection was asked for: a server that has been told to drain
+        // meanwhile must get nothing new, and late work serves nobody. Nothing has been written: it is moot.
+        let late = matches!(&task, Task::Dispatch { deadline, .. } if cx.now >= *deadline);
+        if late || !cx.table.ready(self.server) {
+            self.task = Some(task);
+            self.end(Outcome::Moot, None, cx);
+            return Flow::Close;
+        }
+        self.start(task, cx.now);
+        Flow::Keep
+    }
+
+    fn on_written(&mut self, _: &mut Context) -> Flow {
+        self.written |= self.task.is_some() && !self.connecting;
+        Flow::Keep
+    }
+
+    fn on_input(&mut self, cx: &mut Context) -> Flow {
+        let flow = self.read_answer(cx);
+        if flow == Flow::Close {
+            // Bytes that make no sense end the exchange as a broken connection does.
+            self.end(self.broken(), None, cx);
+        }
+        flow
+    }
+
+    fn on_end(&mut self, cx: &mut Context) {
+        if self.head.as_ref().is_some_and(|head| head.body.until_end()) {
+            self.on_answer(cx);
+        }
+        self.end(self.broken(), None, cx);
+    }
+
+    fn input_most(&self) -> usize {
+        LINE_MOST + HEAD_MOST
+    }
+}
+
+/// All connections to backend servers.
+pub struct Backend {
+    connections: Slab<ServerConnection>,
+    /// Idle connections by server, the one used last at the end.
+    idle: HashMap<WorkerId, Vec<usize>>,
+    out: HashMap<DispatchId, usize>,
+    most: usize,
+    connect_timeout: Millis,
+    idle_time: Millis,
+}
+
+impl Backend {
+    /// `most`: connections held at most.
+    pub fn new(most: usize, connect_timeout: Millis, idle_limit: Millis) -> Self {
+        Backend {
+            connections: Slab::new(),
+            idle: HashMap::new(),
+            out: HashMap::new(),
+            most,
+            connect_timeout,
+            idle_time: (IDLE_PART * idle_limit).min(idle_limit - IDLE_MARGIN).max(0.0),
+        }
+    }
+
+    /// Starts a dispatch. It ends once, whatever happens.
+    pub fn dispatch(
+        &mut self,
+        id: DispatchId,
+        server: WorkerId,
+        request: Rc<Request>,
+        until: Millis,
+        deadline: Millis,
+        cx: &mut Context,
+    ) {
+        if !cx.table.ready(server) {
+            cx.core.dispatch_ended(id, Outcome::Moot, None);
+            return;
+        }
+        let task = Task::Dispatch { id, request, deadline };
+        match self.carry(task, server, cx) {
+            Some(at) => {
+                self.out.insert(id, at);
+                cx.event_loop.set_alarm(until, Alarm::Dispatch(id));
+                self.flush(at, cx);
+            }
+            None => cx.core.dispatch_ended(id, Outcome::ConnectFailed, None),
+        }
+    }
+
+    /// Asks a server for its load.
+    pub fn probe(&mut self, server: WorkerId, cx: &mut Context) {
+        match self.carry(Task::Probe, server, cx) {
+            Some(at) => {
+                let serial = self.connections[at].serial;
+                cx.event_loop.set_alarm(cx.now + PROBE_TIME, Alarm::Probe(serial));
+                self.flush(at, cx);
+            }
+            None => cx.core.probed(server, Outcome::ConnectFailed, None),
+        }
+    }
+
+    /// Gives up a dispatch by closing its connection.
+    pub fn cancel(&mut self, id: DispatchId, outcome: Outcome, cx: &mut Context) {
+        let Some(&at) = self.out.get(&id) else { return };
+        self.connections[at].end(outcome, None, cx);
+        self.remove(at, cx);
+    }
+
+    /// A dispatch has waited as long as it may.
+    pub fn on_dispatch_alarm(&mut self, id: DispatchId, cx: &mut Context) {
+        self.cancel(id, Outcome::Timeout, cx);
+    }
+
+    /// A connection should be up by now.
+    pub fn on_connect_alarm(&mut self, serial: u64, cx: &mut Context) {
+        let late = self.connections.iter_mut().find(|(_, c)| c.serial == serial && c.connecting);
+        if let Some((at, connection)) = late {
+            connection.end(Outcome::ConnectFailed, None, cx);
+            self.remove(at, cx);
+        }
+    }
+
+    /// A probe should be back by now.
+    pub fn on_probe_alarm(&mut self, serial: u64, cx: &mut Context) {
+        let probe = |c: &ServerConnection| c.serial == serial && matches!(c.task, Some(Task::Probe));
+        if let Some((at, connection)) = self.connections.iter_mut().find(|(_, c)| probe(c)) {
+            connection.end(Outcome::Timeout, None, cx);
+            self.remove(at, cx);
+        }
+    }
+
+    /// The poll has something for a connection.
+    pub fn on_ready(&mut self, at: usize, cx: &mut Context) {
+        let Some(connection) = self.connections.get_mut(at) else { return };
+        let busy = dispatch_of(connection);
+        let flow = drive(connection, cx);
+        self.after(at, busy, flow, cx);
+    }
+
+    /// Closes connections without a task that are old, or whose server is gone or has moved.
+    pub fn sweep(&mut self, cx: &mut Context) {
+        let (now, idle_time) = (cx.now, self.idle_time);
+        let stale = |c: &ServerConnection| {
+            now >= c.idle_since + idle_time
+                || !cx.table.ready(c.server)
+                || cx.table.address(c.server) != Some(c.address)
+        };
+        let free = self.connections.iter().filter(|(_, c)| c.task.is_none());
+        let stale: Vec<usize> = free.filter(|(_, c)| stale(c)).map(|(at, _)| at).collect();
+        stale.into_iter().for_each(|at| self.remove(at, cx));
+    }
+
+    /// Closes the idle connections to a server.
+    pub fn close_idle(&mut self, server: WorkerId, cx: &mut Context) {
+        for at in self.idle.remove(&server).unwrap_or_default() {
+            self.remove(at, cx);
+        }
+    }
+
+    /// Finds or opens a connection for a task; `None`: none can be had.
+    fn carry(&mut self, task: Task, server: WorkerId, cx: &mut Context) -> Option<usize> {
+        let address = cx.table.address(server)?;
+        while let Some(at) = self.idle.get_mut(&server).and_then(Vec::pop) {
+            let connection = &mut self.connections[at];
+            // The address may have changed, and what has been idle too long may be closed over there.
+            if connection.address == address && cx.now < connection.idle_since + self.idle_time {
+                connection.start(task, cx.now);
+                return Some(at);
+            }
+            self.remove(at, cx);
+        }
+        if self.connections.len() >= self.most {
+            let idle = self.idle.values().flatten().copied();
+            let oldest = idle
+                .min_by(|&a, &b| self.connections[a].idle_since.total_cmp(&self.connections[b].idle_since))?;
+            self.remove(oldest, cx);
+        }
+        let stream = TcpStream::connect(address).ok()?;
+        let serial = cx.event_loop.next_serial();
+        let at = self.connections.insert(ServerConnection {
+            link: Link::new(stream),
+            server,
+            address,
+            serial,
+            connecting: true,
+            task: Some(task),
+            written: false,
+            head: None,
+            idle_since: cx.now,
+        });
+        if cx.event_loop.watch(&mut self.connections[at].link.stream, Owner::Backend(at)).is_err() {
+            self.connections.remove(at);
+            return None;
+        }
+        cx.event_loop.set_alarm(cx.now + self.connect_timeout, Alarm::Connect(serial));
+        Some(at)
+    }
+
+    fn flush(&mut self, at: usize, cx: &mut Context) {
+        let connection = &mut self.connections[at];
+        if connection.connecting {
+            return;
+        }
+        let busy = dispatch_of(connection);
+        let flow = push_out(connection, cx);
+        self.after(at, busy, flow, cx);
+    }
+
+    /// Puts a connection where it belongs after a callback; `busy` is the dispatch it carried before.
+    fn after(&mut self, at: usize, busy: Option<DispatchId>, flow: Flow, cx: &mut Context) {
+        let connection = &self.connections[at];
+        let ended = busy.filter(|_| connection.task.is_none());
+        if let Some(id) = ended {
+            self.out.remove(&id);
+        }
+        if flow == Flow::Close {
+            self.remove(at, cx);
+            return;
+        }
+        let free = connection.task.is_none() && connection.head.is_none();
+        let pool = self.idle.entry(connection.server).or_default();
+        if free && !pool.contains(&at) {
+            pool.push(at);
+        }
+    }
+
+    fn remove(&mut self, at: usize, cx: &mut Context) {
+        let mut connection = self.connections.remove(at);
+        self.out.retain(|_, carrier| *carrier != at);
+        if let Some(pool) = self.idle.get_mut(&connection.server) {
+            pool.retain(|&other| other != at);
+        }
+        deregister(&mut connection.link, cx.event_loop);
+    }
+}
+
+fn dispatch_of(connection: &ServerConnection) -> Option<DispatchId> {
+    match &connection.task {
+        Some(Task::Dispatch { id, .. }) => Some(*id),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,165 @@
+//! What a scheduler is told: environment and command line first, then the JSON file.
+
+use super::event_loop::Millis;
+use brackenledge::settings::SettingsDocument;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// One line of discovery's list, as JSON has it.
+#[derive(Clone, Debug, miniserde::Deserialize)]
+pub struct Endpoint {
+    pub name: String,
+    pub address: String,
+    pub zone: Option<String>,
+    #[serde(rename = "type")]
+    pub kind: Option<String>,
+    pub group: Option<u32>,
+    pub status: Option<String>,
+    pub weight: Option<f64>,
+    pub since_ms: Option<f64>,
+}
+
+/// Discovery's list, or changes to it.
+#[derive(Clone, Debug, miniserde::Deserialize)]
+pub struct ServerList {
+    pub index: u64,
+    pub snapshot: bool,
+    pub endpoints: Vec<Endpoint>,
+}
+
+#[derive(Default, miniserde::Deserialize)]
+struct LimitsDocument {
+    memory_mb: Option<f64>,
+    sockets: Option<usize>,
+}
+
+#[derive(miniserde::Deserialize)]
+struct Document {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    limits: Option<LimitsDocument>,
+    peer_listen: Option<String>,
+    peers: Option<Vec<String>>,
+    peers_all: Option<String>,
+    known: Option<ServerList>,
+    settings: SettingsDocument,
+}
+
+/// What the command line and the environment say over the file.
+#[derive(Debug, Default)]
+pub struct Overrides {
+    pub name: Option<String>,
+    pub listen: Option<String>,
+    pub discovery: Option<String>,
+}
+
+/// How schedulers reach one another.
+#[derive(Clone, Debug)]
+pub struct PeerConfig {
+    pub listen: SocketAddr,
+    /// By their numbers in the settings.
+    pub peers: Vec<SocketAddr>,
+    pub all: Option<SocketAddr>,
+}
+
+/// The whole configuration.
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    pub peer: Option<PeerConfig>,
+    pub known: Option<ServerList>,
+    pub settings: SettingsDocument,
+}
+
+/// Descriptors assumed where no limit is stated.
+const SOCKETS: usize = 1_024;
+/// Fewer descriptors than this leave no room for clients and backend servers.
+const SOCKETS_LEAST: usize = 64;
+/// Memory, in megabytes, below which no scheduler runs; stated limits are checked for sense only.
+const MEMORY_LEAST: f64 = 16.0;
+/// Time after which idle connections to backend servers are closed where the settings state no limit.
+pub const IDLE_LIMIT: Millis = 10_000.0;
+
+impl Config {
+    /// Reads the file and lays the overrides over it. Every error is one line that names what is wrong.
+    pub fn load(path: Option<&PathBuf>, over: Overrides) -> Result<Config, String> {
+        let path = path.ok_or("no configuration: give --config FILE or set PROXY_CONFIG")?;
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Config::parse(path, &text, over)
+    }
+
+    fn parse(path: &Path, text: &str, over: Overrides) -> Result<Config, String> {
+        let bad = |what: &str| format!("{}: {what}", path.display());
+        let document: Document = miniserde::json::from_str(text).map_err(|_| {
+            bad("not a configuration: broken JSON, or `settings` lacks a field or has a wrong type")
+        })?;
+        let settings = document.settings;
+        if settings.class_names().is_empty() {
+            return Err(bad("settings.classes is empty"));
+        }
+        let limits = document.limits.unwrap_or_default();
+        let sockets = limits.sockets.unwrap_or(SOCKETS);
+        if sockets < SOCKETS_LEAST {
+            return Err(bad(&format!("limits.sockets is {sockets}; {SOCKETS_LEAST} at least")));
+        }
+        if limits.memory_mb.is_some_and(|memory| memory < MEMORY_LEAST) {
+            return Err(bad(&format!("limits.memory_mb is under {MEMORY_LEAST}")));
+        }
+        let seed = document.seed.unwrap_or_else(|| "0".into());
+        let peers = document.peers.unwrap_or_default();
+        let peer = match document.peer_listen {
+            None => None,
+            Some(listen) => Some(PeerConfig {
+                listen: address(&listen, "peer_listen").map_err(|e| bad(&e))?,
+                peers: peers
+                    .iter()
+                    .map(|p| address(p, "peers"))
+                    .collect::<Result<_, _>>()
+                    .map_err(|e| bad(&e))?,
+                all: (document.peers_all.as_deref().map(|all| address(all, "peers_all")).transpose())
+                    .map_err(|e| bad(&e))?,
+            }),
+        };
+        let listen = over.listen.or(document.listen).ok_or_else(|| bad("`listen` is missing"))?;
+        let discovery = over.discovery.or(document.discovery).ok_or_else(|| bad("`discovery` is missing"))?;
+        Ok(Config {
+            name: over.name.or(document.name).unwrap_or_else(|| "scheduler".into()),
+            listen: address(&listen, "listen").map_err(|e| bad(&e))?,
+            discovery: address(&discovery, "discovery").map_err(|e| bad(&e))?,
+            seed: u64::from_str_radix(&seed, 16)
+                .map_err(|_| bad(&format!("seed {seed:?} is not hexadecimal")))?,
+            sockets,
+            peer,
+            known: document.known,
+            settings,
+        })
+    }
+}
+
+fn address(text: &str, field: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{field} {text:?} is not an address with a port"))
+}
+
+impl std::fmt::Display for Config {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let (classes, tenants) = (self.settings.class_names(), self.settings.tenant_names());
+        write!(
+            f,
+            "{}: listens on {}, discovery at {}, {} peers, {} descriptors; classes {}; tenants {}",
+            self.name,
+            self.listen,
+            self.discovery,
+            self.peer.as_ref().map_or(0, |peer| peer.peers.len()),
+            self.sockets,
+            classes.join(", "),
+            tenants.join(", ")
+        )
+    }
+}
--- /dev/null
+++ b/src/net/core.rs
@@ -0,0 +1,289 @@
+//! The scheduler's core: it owns the decision module, the jobs and their dispatches, and one ordered queue of
+//! what is to be done. It knows no sockets and no HTTP, so that any front can bring jobs to it.
+//!
+//! A front tells it that a job arrived or that a client is gone, and is told the answer. Those who carry out
+//! dispatches, watch discovery or hear peers tell it what happened. Events are queued and played one at a
+//! time, each one's orders before the next event: the module is never re-entered.
+
+use super::event_loop::Millis;
+use brackenledge::{
+    Action, Dispatcher, Event, JobId, ListKind, LoadReport, NewJob, Outcome, Response, Settings, WorkerEntry,
+    WorkerId,
+};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// One dispatch: the job, and the attempt's number.
+pub type DispatchId = (JobId, usize);
+/// A client as its front knows it.
+pub type ClientId = usize;
+
+/// What a backend server needs to be told of a job; the core only passes it on.
+#[derive(Debug)]
+pub struct Request {
+    pub id: String,
+    pub target: String,
+    pub idempotency_key: Option<String>,
+    pub content_type: Option<String>,
+    pub body: Vec<u8>,
+}
+
+/// A job as a front brings it.
+pub struct Arrival {
+    pub client: ClientId,
+    pub class: usize,
+    pub tenant: usize,
+    pub key: Option<String>,
+    pub time_left: Millis,
+    pub effort: Option<Millis>,
+    pub slots: f64,
+    pub memory: f64,
+    pub is_retry: bool,
+    pub request: Request,
+}
+
+/// A job's final answer.
+#[derive(Debug)]
+pub enum Answer {
+    /// What the backend server made.
+    Served(String),
+    /// Refused: trying again is harmless.
+    Denied { retry_after: Option<Millis> },
+    /// Failed: nothing is promised.
+    Failed,
+}
+
+/// What is to be done, in order.
+pub enum Order {
+    Answer { client: ClientId, job: JobId, answer: Answer },
+    Dispatch { id: DispatchId, worker: WorkerId, request: Rc<Request>, until: Millis, deadline: Millis },
+    Cancel { id: DispatchId },
+    Wake { after: Millis },
+    Watch { on: bool },
+    FetchList,
+    Probe { worker: WorkerId },
+    Tell { to: Option<u32>, text: String },
+    CloseIdle { worker: WorkerId },
+    Log(String),
+}
+
+struct Job {
+    client: ClientId,
+    deadline: Millis,
+    answered: bool,
+    request: Rc<Request>,
+    /// Whether each dispatch is out.
+    out: Vec<bool>,
+}
+
+/// See the module's page.
+pub struct Core {
+    dispatcher: Dispatcher,
+    max_attempts: usize,
+    jobs: HashMap<JobId, Job>,
+    last_job: JobId,
+    owed: usize,
+    events: VecDeque<Event>,
+    orders: VecDeque<Order>,
+    actions: Vec<Action>,
+}
+
+impl Core {
+    pub fn new(now: Millis, settings: Settings, seed: u64) -> Self {
+        Core {
+            max_attempts: settings.max_attempts,
+            dispatcher: Dispatcher::new(now, settings, seed),
+            jobs: HashMap::new(),
+            last_job: 0,
+            owed: 0,
+            events: VecDeque::new(),
+            orders: VecDeque::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Jobs that are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.owed
+    }
+
+    /// A job arrived. It is given a number, by which its front can take it back and is told the answer.
+    pub fn job_arrived(&mut self, now: Millis, new: Arrival) -> JobId {
+        // Ids are never reused within a life, bar a wrap of the counter past jobs that still live.
+        loop {
+            self.last_job = self.last_job.wrapping_add(1);
+            if !self.jobs.contains_key(&self.last_job) {
+                break;
+            }
+        }
+        let id = self.last_job;
+        let job = Job {
+            client: new.client,
+            deadline: now + new.time_left,
+            answered: false,
+            request: Rc::new(new.request),
+            out: Vec::new(),
+        };
+        self.jobs.insert(id, job);
+        self.owed += 1;
+        self.events.push_back(Event::Job(NewJob {
+            id,
+            class: new.class,
+            tenant: new.tenant,
+            key: new.key,
+            time_left: new.time_left,
+            effort: new.effort,
+            slots: new.slots,
+            memory: new.memory,
+            is_retry: new.is_retry,
+        }));
+        id
+    }
+
+    /// A job's client is gone: nothing is owed for it any more.
+    pub fn client_gone(&mut self, id: JobId) {
+        if self.settle(id).is_some() {
+            self.events.push_back(Event::ClientGone { job: id });
+        }
+    }
+
+    /// A dispatch's job has started to run.
+    pub fn dispatch_started(&mut self, (job, attempt): DispatchId) {
+        self.events.push_back(Event::Started { job, attempt });
+    }
+
+    /// A dispatch's job has come this far, 0 to 1.
+    pub fn dispatch_progress(&mut self, (job, attempt): DispatchId, done: f64) {
+        self.events.push_back(Event::Progress { job, attempt, done });
+    }
+
+    /// A dispatch was served. The first of a job is its answer.
+    pub fn dispatch_served(&mut self, id: DispatchId, result: String, report: Option<LoadReport>) {
+        if let Some(client) = self.settle(id.0) {
+            self.orders.push_back(Order::Answer { client, job: id.0, answer: Answer::Served(result) });
+        }
+        self.dispatch_ended(id, Outcome::Ok, report);
+    }
+
+    /// A dispatch ended. Each one ends once: what is not out any more can't end again.
+    pub fn dispatch_ended(&mut self, id: DispatchId, outcome: Outcome, report: Option<LoadReport>) {
+        let Some(job) = self.jobs.get_mut(&id.0) else { return };
+        if !job.out.get_mut(id.1).is_some_and(std::mem::take) {
+            return;
+        }
+        let settled = job.answered;
+        self.events.push_back(Event::Response(Response {
+            job: id.0,
+            attempt: id.1,
+            outcome,
+            settled,
+            report,
+        }));
+    }
+
+    /// Word of the backend servers.
+    pub fn servers(&mut self, kind: ListKind, entries: Vec<WorkerEntry>) {
+        self.events.push_back(Event::Workers { kind, entries });
+    }
+
+    /// A probe ended.
+    pub fn probed(&mut self, worker: WorkerId, outcome: Outcome, report: Option<LoadReport>) {
+        self.events.push_back(Event::Probed { worker, outcome, report });
+    }
+
+    /// A message came from another scheduler.
+    pub fn message(&mut self, from: u32, text: String) {
+        self.events.push_back(Event::Message { from, text });
+    }
+
+    /// A timer has come due.
+    pub fn wake(&mut self) {
+        self.events.push_back(Event::Timer);
+    }
+
+    /// The next thing to do; events are played until there is one. `None`: all is done for now.
+    pub fn next_order(&mut self, now: Millis) -> Option<Order> {
+        loop {
+            if let Some(order) = self.orders.pop_front() {
+                return Some(order);
+            }
+            let event = self.events.pop_front()?;
+            let ended = match &event {
+                Event::Response(Response { job, .. }) | Event::ClientGone { job } => Some(*job),
+                _ => None,
+            };
+            let mut actions = std::mem::take(&mut self.actions);
+            self.dispatcher.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.order(now, action);
+            }
+            self.actions = actions;
+            if let Some(job) = ended {
+                self.forget_ended(job);
+            }
+        }
+    }
+
+    fn order(&mut self, now: Millis, action: Action) {
+        let order = match action {
+            Action::Send { job, worker, timeout } => {
+                self.dispatch(now, job, worker, timeout);
+                return;
+            }
+            Action::Refuse { job, retry_after } => {
+                self.answer(job, Answer::Denied { retry_after });
+                return;
+            }
+            Action::Fail { job } => {
+                self.answer(job, Answer::Failed);
+                return;
+            }
+            Action::Cancel { job, attempt } => Order::Cancel { id: (job, attempt) },
+            Action::Wake { after } => Order::Wake { after },
+            Action::Watch { on } => Order::Watch { on },
+            Action::FetchList => Order::FetchList,
+            Action::Probe { worker } => Order::Probe { worker },
+            Action::Tell { to, text } => Order::Tell { to, text },
+            Action::CloseIdle { worker } => Order::CloseIdle { worker },
+            Action::Log(text) => Order::Log(text),
+        };
+        self.orders.push_back(order);
+    }
+
+    /// Starts a dispatch, or ends it at once as moot: its job is finished, its time has run out, or it has
+    /// had all its attempts. Either way the module gets one response for it.
+    fn dispatch(&mut self, now: Millis, id: JobId, worker: WorkerId, timeout: Option<Millis>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let attempt = job.out.len();
+        job.out.push(true);
+        if job.answered || now >= job.deadline || attempt >= self.max_attempts {
+            self.dispatch_ended((id, attempt), Outcome::Moot, None);
+            return;
+        }
+        let until = timeout.filter(|&t| t != 0.0).map_or(job.deadline, |t| (now + t).min(job.deadline));
+        let (request, deadline) = (Rc::clone(&job.request), job.deadline);
+        self.orders.push_back(Order::Dispatch { id: (id, attempt), worker, request, until, deadline });
+    }
+
+    fn answer(&mut self, id: JobId, answer: Answer) {
+        if let Some(client) = self.settle(id) {
+            self.orders.push_back(Order::Answer { client, job: id, answer });
+        }
+        self.forget_ended(id);
+    }
+
+    /// Ends what is owed for a job; `None`: nothing was.
+    fn settle(&mut self, id: JobId) -> Option<ClientId> {
+        let job = self.jobs.get_mut(&id).filter(|job| !job.answered)?;
+        job.answered = true;
+        self.owed -= 1;
+        Some(job.client)
+    }
+
+    /// Forgets an answered job once none of its dispatches is out.
+    fn forget_ended(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_some_and(|job| job.answered && !job.out.contains(&true)) {
+            self.jobs.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,272 @@
+//! Discovery: the server table, and the calls that fill it.
+
+use super::Context;
+use super::config::{Endpoint, ServerList};
+use super::event_loop::{Alarm, Connection, EventLoop, Flow, Millis, Owner, drive};
+use super::http::{AnswerHead, Link, take_answer_head};
+use brackenledge::{ListKind, Readiness, WorkerEntry, WorkerId};
+use mio::net::TcpStream;
+use slab::Slab;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// A list, or one line of a watch, is no longer than this.
+const LIST_MOST: usize = 1024 * 1024;
+/// A watch sends at least an empty line every 2 s, and a call waits no longer than 3 s there: after this long
+/// without a byte the other machine is gone, which TCP alone would never tell.
+const SILENCE: Millis = 4_500.0;
+
+/// A backend server as the table has it.
+struct Server {
+    address: Option<SocketAddr>,
+    readiness: Readiness,
+}
+
+/// The server table: discovery's list, with servers numbered by first mention.
+pub struct ServerTable {
+    servers: Vec<Server>,
+    ids: HashMap<String, WorkerId>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    version: Option<u64>,
+}
+
+impl ServerTable {
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
+        ServerTable { servers: Vec::new(), ids: HashMap::new(), zones, kinds, version: None }
+    }
+
+    /// Whether any list has been heard.
+    pub fn heard(&self) -> bool {
+        self.version.is_some()
+    }
+
+    /// Where a server listens.
+    pub fn address(&self, id: WorkerId) -> Option<SocketAddr> {
+        self.servers.get(id)?.address
+    }
+
+    /// Whether a server takes new work, as far as told.
+    pub fn ready(&self, id: WorkerId) -> bool {
+        self.servers.get(id).is_some_and(|server| server.readiness == Readiness::Ready)
+    }
+
+    /// Takes a list in; gives what the module is to hear of it.
+    pub fn learn(&mut self, list: ServerList) -> Vec<WorkerEntry> {
+        if list.snapshot {
+            self.servers.iter_mut().for_each(|server| server.readiness = Readiness::Gone);
+        }
+        self.version = Some(list.index);
+        list.endpoints.into_iter().map(|endpoint| self.learn_one(endpoint)).collect()
+    }
+
+    fn learn_one(&mut self, endpoint: Endpoint) -> WorkerEntry {
+        let id = self.ids.get(&endpoint.name).copied().unwrap_or(self.servers.len());
+        if id == self.servers.len() {
+            self.ids.insert(endpoint.name.clone(), id);
+            self.servers.push(Server { address: None, readiness: Readiness::Gone });
+        }
+        // A state that the protocol does not name is no leave to send.
+        let readiness = match endpoint.status.as_deref() {
+            None | Some("ready") => Readiness::Ready,
+            Some("gone") => Readiness::Gone,
+            Some(_) => Readiness::Draining,
+        };
+        let server = &mut self.servers[id];
+        server.readiness = readiness;
+        if let Ok(address) = endpoint.address.parse() {
+            server.address = Some(address);
+        }
+        let place = |names: &[String], name: Option<&String>| {
+            let at = name.and_then(|name| names.iter().position(|known| known == name));
+            at.map_or(u32::MAX, |at| at as u32)
+        };
+        WorkerEntry {
+            id,
+            zone: place(&self.zones, endpoint.zone.as_ref()),
+            kind: place(&self.kinds, endpoint.kind.as_ref()),
+            cell: endpoint.group.unwrap_or(0),
+            readiness,
+            weight: endpoint.weight.unwrap_or(1.0),
+            launched: endpoint.since_ms.filter(|&since| since > 0.0),
+            name: endpoint.name,
+        }
+    }
+}
+
+/// One call: a watch, or the whole list once.
+struct Call {
+    link: Link,
+    watch: bool,
+    serial: u64,
+    connecting: bool,
+    head: Option<AnswerHead>,
+    heard_at: Millis,
+    /// A watch that broke, or a call that ended without its answer, has failed; one that is done has not.
+    done: bool,
+}
+
+impl Call {
+    fn take_list(&mut self, bytes: &[u8], cx: &mut Context) -> Flow {
+        let list = std::str::from_utf8(bytes).ok();
+        let Some(list) = list.and_then(|text| miniserde::json::from_str::<ServerList>(text).ok()) else {
+            // What makes no sense ends the call; the list held stays.
+            self.on_end(cx);
+            return Flow::Close;
+        };
+        let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
+        let entries = cx.table.learn(list);
+        cx.core.servers(kind, entries);
+        Flow::Keep
+    }
+}
+
+impl Connection<Context<'_>> for Call {
+    fn link(&mut self) -> &mut Link {
+        &mut self.link
+    }
+
+    fn connecting(&self) -> bool {
+        self.connecting
+    }
+
+    fn on_open(&mut self, _: &mut Context) -> Flow {
+        self.connecting = false;
+        Flow::Keep
+    }
+
+    fn on_input(&mut self, cx: &mut Context) -> Flow {
+        self.heard_at = cx.now;
+        if self.head.is_none() {
+            match take_answer_head(&mut self.link.buffer, LIST_MOST) {
+                Ok(Some(head)) if head.status == 200 => self.head = Some(head),
+                Ok(None) => return Flow::Keep,
+                _ => {
+                    self.on_end(cx);
+                    return Flow::Close;
+                }
+            }
+        }
+        let Some(head) = &mut self.head else { return Flow::Keep };
+        let Ok(ended) = head.body.advance(&mut self.link.buffer) else {
+            self.on_end(cx);
+            return Flow::Close;
+        };
+        if ended && !self.watch {
+            let all = head.body.take_all(&mut self.link.buffer);
+            self.done = self.take_list(&all, cx) == Flow::Keep;
+            return Flow::Close;
+        }
+        while self.watch
+            && let Some(line) = self.head.as_mut().and_then(|h| h.body.take_line(&mut self.link.buffer))
+        {
+            if !line.is_empty() && self.take_list(&line, cx) == Flow::Close {
+                return Flow::Close;
+            }
+        }
+        if ended {
+            self.on_end(cx);
+            return Flow::Close;
+        }
+        Flow::Keep
+    }
+
+    fn on_end(&mut self, cx: &mut Context) {
+        // A list that lasts until the connection ends is whole now.
+        if let Some(head) = self.head.as_mut().filter(|head| !self.watch && head.body.until_end()) {
+            let all = head.body.take_all(&mut self.link.buffer);
+            self.head = None;
+            if !all.is_empty() && self.take_list(&all, cx) == Flow::Keep {
+                self.done = true;
+            }
+        }
+        if !self.done {
+            self.done = true;
+            cx.core.servers(ListKind::Failed, Vec::new());
+        }
+    }
+
+    fn input_most(&self) -> usize {
+        LIST_MOST + super::http::HEAD_MOST
+    }
+}
+
+/// The client of the discovery service.
+pub struct Discovery {
+    address: SocketAddr,
+    calls: Slab<Call>,
+}
+
+impl Discovery {
+    pub fn new(address: SocketAddr) -> Self {
+        Discovery { address, calls: Slab::new() }
+    }
+
+    /// Subscribes to changes since the version held, or ends the subscription.
+    pub fn watch(&mut self, on: bool, cx: &mut Context) {
+        // Only one subscription is held: the new call answers for the old one too.
+        let old = self.calls.iter().find(|(_, call)| call.watch).map(|(at, _)| at);
+        if let Some(at) = old {
+            self.remove(at, cx);
+        }
+        if on {
+            let since = cx.table.version.unwrap_or(0);
+            self.call(true, &format!("/discovery/hosts?follow=1&since={since}"), cx);
+        }
+    }
+
+    /// Asks for the whole list once.
+    pub fn fetch(&mut self, cx: &mut Context) {
+        self.call(false, "/discovery/hosts", cx);
+    }
+
+    fn call(&mut self, watch: bool, target: &str, cx: &mut Context) {
+        let Ok(stream) = TcpStream::connect(self.address) else {
+            cx.core.servers(ListKind::Failed, Vec::new());
+            return;
+        };
+        let serial = cx.event_loop.next_serial();
+        let mut link = Link::new(stream);
+        let request =
+            format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
+        link.buffer.push(request.as_bytes());
+        let call = Call { link, watch, serial, connecting: true, head: None, heard_at: cx.now, done: false };
+        let at = self.calls.insert(call);
+        if cx.event_loop.watch(&mut self.calls[at].link.stream, Owner::Discovery(at)).is_err() {
+            self.calls.remove(at);
+            cx.core.servers(ListKind::Failed, Vec::new());
+            return;
+        }
+        cx.event_loop.set_alarm(cx.now + SILENCE, Alarm::Discovery(serial));
+    }
+
+    /// The poll has something for a call.
+    pub fn on_ready(&mut self, at: usize, cx: &mut Context) {
+        let Some(call) = self.calls.get_mut(at) else { return };
+        if drive(call, cx) == Flow::Close {
+            self.remove(at, cx);
+        }
+    }
+
+    /// A call's silence alarm has come due: it is dead if nothing came, else the alarm moves on.
+    pub fn on_alarm(&mut self, serial: u64, cx: &mut Context) {
+        let Some((at, call)) = self.calls.iter_mut().find(|(_, call)| call.serial == serial) else { return };
+        if cx.now < call.heard_at + SILENCE {
+            cx.event_loop.set_alarm(call.heard_at + SILENCE, Alarm::Discovery(serial));
+            return;
+        }
+        call.on_end(cx);
+        self.remove(at, cx);
+    }
+
+    fn remove(&mut self, at: usize, cx: &mut Context) {
+        let mut call = self.calls.remove(at);
+        deregister(&mut call.link, cx.event_loop);
+    }
+}
+
+/// Takes a socket off the poll before it is closed.
+pub fn deregister(link: &mut Link, event_loop: &EventLoop) {
+    // A socket that the poll does not know any more is closed all the same.
+    let _ = event_loop.registry().deregister(&mut link.stream);
+}
--- /dev/null
+++ b/src/net/event_loop.rs
@@ -0,0 +1,225 @@
+//! The event loop's parts: the poll, the one clock, the timers, and what a connection is.
+
+use super::http::{Filled, Link};
+use mio::{Events, Interest, Poll, Registry, Token, event::Source};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use super::core::DispatchId;
+
+/// A point in time in milliseconds.
+pub type Millis = f64;
+
+/// The one clock: Unix time when the program started, and from then on the monotonic clock. So it never runs
+/// backwards, and a Unix time told by others (a worker's start) is a point on it as it stands.
+pub struct Clock {
+    origin: Instant,
+    unix: Millis,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { origin: Instant::now(), unix: unix.as_secs_f64() * 1_000.0 }
+    }
+
+    pub fn now(&self) -> Millis {
+        self.unix + self.origin.elapsed().as_secs_f64() * 1_000.0
+    }
+}
+
+/// What a timer is for. None can be taken back: whoever gets one checks that it still means something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Alarm {
+    /// The decision module asked to be woken.
+    Wake,
+    /// A dispatch has waited as long as it may.
+    Dispatch(DispatchId),
+    /// A connection to a backend server has had the time that it may take to come up.
+    Connect(u64),
+    /// A probe has waited as long as it may.
+    Probe(u64),
+    /// A discovery call may have fallen silent.
+    Discovery(u64),
+    /// Accepting may work again.
+    Accept,
+    /// A look at idle connections.
+    Sweep,
+}
+
+/// Which part of the program owns a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    Listener,
+    Signal,
+    Peer,
+    Frontend(usize),
+    Backend(usize),
+    Discovery(usize),
+}
+
+impl Owner {
+    pub fn token(self) -> Token {
+        Token(match self {
+            Owner::Listener => 0,
+            Owner::Signal => 4,
+            Owner::Peer => 8,
+            Owner::Frontend(at) => at << 2 | 1,
+            Owner::Backend(at) => at << 2 | 2,
+            Owner::Discovery(at) => at << 2 | 3,
+        })
+    }
+
+    pub fn of(token: Token) -> Self {
+        let at = token.0 >> 2;
+        match (token.0 & 3, at) {
+            (1, _) => Owner::Frontend(at),
+            (2, _) => Owner::Backend(at),
+            (3, _) => Owner::Discovery(at),
+            (_, 0) => Owner::Listener,
+            (_, 1) => Owner::Signal,
+            _ => Owner::Peer,
+        }
+    }
+}
+
+/// The poll, the clock and the timers.
+pub struct EventLoop {
+    poll: Poll,
+    clock: Clock,
+    alarms: BinaryHeap<Reverse<(u64, u64, Alarm)>>,
+    serial: u64,
+}
+
+impl EventLoop {
+    pub fn new() -> io::Result<Self> {
+        Ok(EventLoop { poll: Poll::new()?, clock: Clock::new(), alarms: BinaryHeap::new(), serial: 0 })
+    }
+
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub fn registry(&self) -> &Registry {
+        self.poll.registry()
+    }
+
+    /// A number not given before.
+    pub fn next_serial(&mut self) -> u64 {
+        self.serial += 1;
+        self.serial
+    }
+
+    /// Lets the poll watch a source for everything.
+    pub fn watch(&self, source: &mut impl Source, owner: Owner) -> io::Result<()> {
+        self.registry().register(source, owner.token(), Interest::READABLE | Interest::WRITABLE)
+    }
+
+    /// Brings an alarm at a point in time.
+    pub fn set_alarm(&mut self, at: Millis, alarm: Alarm) {
+        let serial = self.next_serial();
+        self.alarms.push(Reverse(((at * 1_000.0).ceil().max(0.0) as u64, serial, alarm)));
+    }
+
+    /// The next alarm that has come due, in the order of their times.
+    pub fn due_alarm(&mut self) -> Option<Alarm> {
+        let now = self.now() * 1_000.0;
+        let &Reverse((at, _, alarm)) = self.alarms.peek()?;
+        (at as f64 <= now).then(|| {
+            self.alarms.pop();
+            alarm
+        })
+    }
+
+    /// Waits for events, until the next alarm at most.
+    pub fn wait(&mut self, events: &mut Events) -> io::Result<()> {
+        let until = self.alarms.peek().map(|&Reverse((at, _, _))| at as f64 / 1_000.0 - self.now());
+        let timeout = until.map(|left| Duration::from_secs_f64(left.max(0.0) / 1_000.0));
+        match self.poll.poll(events, timeout) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => Ok(()),
+            other => other,
+        }
+    }
+}
+
+/// What becomes of a connection after a callback.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flow {
+    Keep,
+    Close,
+}
+
+/// A connection: an object that is called back. What it hands on goes through `C`.
+pub trait Connection<C> {
+    /// Its socket and buffer.
+    fn link(&mut self) -> &mut Link;
+    /// Whether it waits to be connected.
+    fn connecting(&self) -> bool {
+        false
+    }
+    /// It is connected.
+    fn on_open(&mut self, _context: &mut C) -> Flow {
+        Flow::Keep
+    }
+    /// All output has been handed to the system.
+    fn on_written(&mut self, _context: &mut C) -> Flow {
+        Flow::Keep
+    }
+    /// Input came.
+    fn on_input(&mut self, context: &mut C) -> Flow;
+    /// The other side ended its sending, or the connection broke. Input that came before was shown.
+    fn on_end(&mut self, context: &mut C);
+    /// Input that it holds at most before it is asked.
+    fn input_most(&self) -> usize;
+}
+
+/// Calls a connection back for all that has happened to it.
+pub fn drive<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
+    if connection.connecting() {
+        let stream = &connection.link().stream;
+        if stream.take_error().ok().flatten().is_some() {
+            connection.on_end(context);
+            return Flow::Close;
+        }
+        if stream.peer_addr().is_err() {
+            return Flow::Keep;
+        }
+        if connection.on_open(context) == Flow::Close {
+            return Flow::Close;
+        }
+    }
+    // A write that fails does not mean that nothing came: an answer may wait to be read.
+    let broken = connection.link().flush().is_err();
+    loop {
+        let most = connection.input_most();
+        let before = connection.link().buffer.input().len();
+        let filled = connection.link().fill(most);
+        let held = connection.link().buffer.input().len();
+        if held > before && connection.on_input(context) == Flow::Close {
+            return Flow::Close;
+        }
+        if filled != Filled::Open || broken {
+            connection.on_end(context);
+            return Flow::Close;
+        }
+        // Once full, the poll won't tell of what is left: go on if room was made.
+        if held < most || connection.link().buffer.input().len() >= most {
+            break;
+        }
+    }
+    push_out(connection, context)
+}
+
+/// Writes what a connection has to write, and tells it when all is out.
+pub fn push_out<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
+    match connection.link().flush() {
+        Ok(true) => connection.on_written(context),
+        Ok(false) => Flow::Keep,
+        Err(_) => {
+            connection.on_end(context);
+            Flow::Close
+        }
+    }
+}
--- /dev/null
+++ b/src/net/frontend.rs
@@ -0,0 +1,467 @@
+//! The clients' side: the platform's protocol read into jobs, and answers written back.
+
+use super::Context;
+use super::core::{Answer, Arrival, ClientId, Request};
+use super::discovery::deregister;
+use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive};
+use super::http::{BODY_MOST, Body, HEAD_MOST, HEADERS_MOST, Link, Malformed, has_word, header};
+use brackenledge::JobId;
+use brackenledge::settings::SettingsDocument;
+use brackenledge::{Effect, Settings};
+use mio::net::TcpListener;
+use slab::Slab;
+use slog::warn;
+use std::io::ErrorKind;
+use std::rc::Rc;
+
+/// A request that is not complete after this long is given up.
+const REQUEST_TIME: Millis = 30_000.0;
+/// A connection that is being closed may still send for this long, so that it reads the last answer.
+const LINGER: Millis = 1_000.0;
+/// After an accept failed for want of descriptors, the next one is tried this much later.
+const ACCEPT_PAUSE: Millis = 20.0;
+/// Clients turned away because too many jobs are held are asked to stay away this long.
+const HELD_RETRY: Millis = 500.0;
+
+/// What the front knows of classes and tenants, to read requests by.
+pub struct Rules {
+    classes: Vec<String>,
+    deadlines: Vec<Millis>,
+    keyed: Vec<bool>,
+    tenants: Vec<String>,
+    most_held: usize,
+}
+
+impl Rules {
+    pub fn new(document: &SettingsDocument, settings: &Settings) -> Self {
+        Rules {
+            classes: document.class_names(),
+            deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
+            keyed: settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect(),
+            tenants: document.tenant_names(),
+            most_held: document.most_held().unwrap_or(usize::MAX),
+        }
+    }
+
+    /// The job that a request carries, or why it carries none: a status and a line for whoever sent it.
+    fn read(
+        &self,
+        client: ClientId,
+        method: &str,
+        target: &str,
+        headers: &[httparse::Header],
+    ) -> Result<Arrival, Reject> {
+        if method != "POST" {
+            return Err((405, "jobs arrive by POST"));
+        }
+        let mut parts = target.split('?').next().unwrap_or_default().split('/').skip(1);
+        let first = parts.next().unwrap_or_default();
+        let named = header(headers, "X-Qos").unwrap_or(first);
+        let class = self.classes.iter().position(|class| class == named).ok_or((404, "unknown class"))?;
+        if first != named {
+            return Err((400, "the path names another class than X-Qos"));
+        }
+        let id = header(headers, "X-Trace-Id")
+            .filter(|id| !id.is_empty())
+            .ok_or((400, "X-Trace-Id is missing"))?;
+        let tenant = match header(headers, "X-Customer") {
+            _ if self.tenants.is_empty() => 0,
+            None => return Err((400, "X-Customer is missing")),
+            Some(name) => self.tenants.iter().position(|t| t == name).ok_or((403, "unknown tenant"))?,
+        };
+        let figure = |text: &str| text.parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0);
+        let stated = |name, what: Reject| match header(headers, name) {
+            None => Ok(None),
+            Some(text) => figure(text).map(Some).ok_or(what),
+        };
+        let left = stated("X-Expires-In-Ms", (400, "X-Expires-In-Ms is no number"))?;
+        let hint = stated("X-Size-Hint", (400, "X-Size-Hint is no number"))?;
+        let idempotency_key = header(headers, "Idempotency-Key").map(str::to_owned);
+        if self.keyed[class] && idempotency_key.is_none() {
+            return Err((400, "Idempotency-Key is missing"));
+        }
+        let (mut slots, mut memory) = (1.0, 0.0);
+        let props = header(headers, "X-Props").unwrap_or_default().split(',');
+        for (name, value) in props.filter_map(|prop| prop.split_once('=')) {
+            let value = figure(value.trim()).ok_or((400, "X-Props holds what is no number"))?;
+            match name.trim() {
+                "slots" | "x1" => slots = value,
+                "mem" | "memory" | "x2" => memory = value,
+                _ => {}
+            }
+        }
+        Ok(Arrival {
+            client,
+            class,
+            tenant,
+            key: parts.last().filter(|key| !key.is_empty()).map(str::to_owned),
+            time_left: left.unwrap_or(self.deadlines[class]),
+            effort: hint.map(|micros| micros / 1_000.0),
+            slots,
+            memory,
+            is_retry: header(headers, "X-Second-Try") == Some("1"),
+            request: Request {
+                id: id.to_owned(),
+                target: target.to_owned(),
+                idempotency_key,
+                content_type: header(headers, "Content-Type").map(str::to_owned),
+                body: Vec::new(),
+            },
+        })
+    }
+}
+
+type Reject = (u16, &'static str);
+
+/// What a head announced.
+enum Awaited {
+    Job(Box<Arrival>),
+    Up,
+    Bad(Reject),
+}
+
+enum State {
+    /// Between requests, or in a request's head.
+    Head,
+    /// In its body.
+    Body(Awaited, Body),
+    /// The core has its job.
+    Job(JobId),
+    /// Nothing more is read; what is left to write goes out.
+    Closing,
+}
+
+/// A client's connection. It carries one request at a time.
+struct ClientConnection {
+    link: Link,
+    id: ClientId,
+    rules: Rc<Rules>,
+    state: State,
+    /// Its last answer came, or it was accepted; while a request comes in, when that began.
+    since: Millis,
+    keep_alive: bool,
+}
+
+impl ClientConnection {
+    fn answer(&mut self, status: u16, extra: &str, body: &[u8], cx: &Context) {
+        let reason = match status {
+            200 => "OK",
+            400 => "Bad Request",
+            403 => "Forbidden",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            413 => "Content Too Large",
+            431 => "Request Header Fields Too Large",
+            502 => "Bad Gateway",
+            _ => "Service Unavailable",
+        };
+        self.keep_alive &= cx.stopping.is_none();
+        let connection = if self.keep_alive { "" } else { "Connection: close\r\n" };
+        let head = format!(
+            "HTTP/1.1 {status} {reason}\r\nContent-Length: {}\r\n{connection}{extra}\r\n",
+            body.len()
+        );
+        self.link.buffer.push(head.as_bytes());
+        self.link.buffer.push(body);
+        self.state = if self.keep_alive { State::Head } else { State::Closing };
+        self.since = cx.now;
+    }
+
+    /// Refuses what can't be read, and reads nothing more: where the next request begins is anyone's guess.
+    fn reject(&mut self, (status, text): Reject, cx: &Context) {
+        self.keep_alive = false;
+        self.answer(status, "Content-Type: text/plain\r\n", format!("{text}\n").as_bytes(), cx);
+    }
+
+    /// Reads requests as far as they have come. It stops at a job: the next request waits for its answer.
+    fn read(&mut self, cx: &mut Context) {
+        loop {
+            match &mut self.state {
+                State::Head => {
+                    if !self.read_head(cx) {
+                        return;
+                    }
+                }
+                State::Body(_, body) => {
+                    match body.advance(&mut self.link.buffer) {
+                        Ok(false) => return,
+                        Ok(true) => self.take_request(cx),
+                        Err(Malformed::TooLarge) => self.reject((413, "the body is larger than 64 KiB"), cx),
+                        Err(Malformed::Framing) => self.reject((400, "the body's framing is broken"), cx),
+                    };
+                }
+                State::Job(_) => return,
+                State::Closing => {
+                    let rest = self.link.buffer.input().len();
+                    self.link.buffer.consume(rest);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Reads a head; tells whether there is more to do.
+    fn read_head(&mut self, cx: &mut Context) -> bool {
+        let input = self.link.buffer.input();
+        if input.is_empty() {
+            return false;
+        }
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut request = httparse::Request::new(&mut headers);
+        let used = match request.parse(input) {
+            Ok(httparse::Status::Complete(used)) if used <= HEAD_MOST => used,
+            Ok(httparse::Status::Partial) if input.len() <= HEAD_MOST => return false,
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => {
+                self.reject((431, "the head is too large"), cx);
+                return true;
+            }
+            Err(_) => {
+                self.reject((400, "not an HTTP request"), cx);
+                return true;
+            }
+        };
+        let (method, target) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
+        let headers = &*request.headers;
+        let connection = header(headers, "Connection");
+        self.keep_alive = match request.version {
+            Some(1) => !has_word(connection, "close"),
+            _ => has_word(connection, "keep-alive"),
+        };
+        let body = Body::announced(headers, false, BODY_MOST);
+        let path = target.split('?').next().unwrap_or_default();
+        let awaited = match path {
+            "/up" if method == "GET" => Awaited::Up,
+            _ => match self.rules.read(self.id, method, target, headers) {
+                Ok(arrival) => Awaited::Job(Box::new(arrival)),
+                Err(reject) => Awaited::Bad(reject),
+            },
+        };
+        let waits = has_word(header(headers, "Expect"), "100-continue");
+        self.link.buffer.consume(used);
+        match body {
+            Ok(body) => {
+                if waits && self.link.buffer.input().is_empty() {
+                    self.link.buffer.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+                }
+                self.state = State::Body(awaited, body);
+            }
+            Err(Malformed::TooLarge) => self.reject((413, "the body is larger than 64 KiB"), cx),
+            Err(Malformed::Framing) => self.reject((400, "the body's framing is broken"), cx),
+        }
+        true
+    }
+
+    /// A request is complete.
+    fn take_request(&mut self, cx: &mut Context) {
+        let State::Body(awaited, mut body) = std::mem::replace(&mut self.state, State::Head) else { return };
+        let body = body.take_all(&mut self.link.buffer);
+        match awaited {
+            Awaited::Up if cx.stopping.is_some() => self.answer(503, "", b"stopping\n", cx),
+            Awaited::Up if !cx.table.heard() => self.answer(503, "", b"no server table yet\n", cx),
+            Awaited::Up => self.answer(200, "", b"up\n", cx),
+            Awaited::Bad((status, text)) => {
+                // Its framing is sound, so the connection serves on.
+                self.answer(status, "Content-Type: text/plain\r\n", format!("{text}\n").as_bytes(), cx);
+            }
+            Awaited::Job(_) if cx.core.owed() >= self.rules.most_held => {
+                self.give(Answer::Denied { retry_after: Some(HELD_RETRY) }, cx);
+            }
+            Awaited::Job(mut arrival) => {
+                arrival.request.body = body;
+                self.state = State::Job(cx.core.job_arrived(cx.now, *arrival));
+            }
+        }
+    }
+
+    /// Writes a job's answer.
+    fn give(&mut self, answer: Answer, cx: &Context) {
+        match answer {
+            Answer::Served(result) => self.answer(200, "", result.as_bytes(), cx),
+            Answer::Denied { retry_after: Some(wait) } => {
+                self.answer(503, &format!("Retry-After: {:.3}\r\n", wait / 1_000.0), b"", cx);
+            }
+            Answer::Denied { retry_after: None } => self.answer(503, "", b"", cx),
+            Answer::Failed => self.answer(502, "", b"", cx),
+        }
+    }
+}
+
+impl Connection<Context<'_>> for ClientConnection {
+    fn link(&mut self) -> &mut Link {
+        &mut self.link
+    }
+
+    fn on_written(&mut self, cx: &mut Context) -> Flow {
+        if matches!(self.state, State::Closing) && self.link.buffer.output().is_empty() {
+            // Closing with input unread would reset the connection, maybe before the answer was read.
+            let _ = self.link.stream.shutdown(std::net::Shutdown::Write);
+            self.since = self.since.min(cx.now);
+        }
+        Flow::Keep
+    }
+
+    fn on_input(&mut self, cx: &mut Context) -> Flow {
+        if matches!(self.state, State::Head) && self.link.buffer.output().is_empty() {
+            self.since = cx.now;
+        }
+        self.read(cx);
+        Flow::Keep
+    }
+
+    fn on_end(&mut self, cx: &mut Context) {
+        if let State::Job(job) = self.state {
+            cx.core.client_gone(job);
+        }
+    }
+
+    fn input_most(&self) -> usize {
+        HEAD_MOST + 2 * BODY_MOST
+    }
+}
+
+/// The listener and all clients' connections.
+pub struct Frontend {
+    listener: TcpListener,
+    rules: Rc<Rules>,
+    clients: Slab<ClientConnection>,
+    most: usize,
+    accept_waits: bool,
+}
+
+impl Frontend {
+    /// `most`: connections held at most.
+    pub fn new(listener: TcpListener, rules: Rules, most: usize) -> Self {
+        Frontend { listener, rules: Rc::new(rules), clients: Slab::new(), most, accept_waits: false }
+    }
+
+    /// Takes the connections that wait.
+    pub fn accept(&mut self, cx: &mut Context) {
+        self.accept_waits = false;
+        loop {
+            if self.clients.len() >= self.most && !self.make_room(cx) {
+                self.accept_later(cx);
+                return;
+            }
+            match self.listener.accept() {
+                Ok((stream, _)) => self.take(Link::new(stream), cx),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // The connection was given up before it was taken.
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    // Out of descriptors, mostly. The poll won't tell of the ones that wait again, and trying
+                    // at once would spin.
+                    warn!(cx.log, "accept failed"; "error" => %e);
+                    self.make_room(cx);
+                    self.accept_later(cx);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn accept_later(&mut self, cx: &mut Context) {
+        if !std::mem::replace(&mut self.accept_waits, true) {
+            cx.event_loop.set_alarm(cx.now + ACCEPT_PAUSE, Alarm::Accept);
+        }
+    }
+
+    fn take(&mut self, link: Link, cx: &mut Context) {
+        let entry = self.clients.vacant_entry();
+        let id = entry.key();
+        let client = entry.insert(ClientConnection {
+            link,
+            id,
+            rules: Rc::clone(&self.rules),
+            state: State::Head,
+            since: cx.now,
+            keep_alive: true,
+        });
+        if cx.event_loop.watch(&mut client.link.stream, Owner::Frontend(id)).is_err() {
+            self.clients.remove(id);
+        }
+    }
+
+    /// Closes the client that has been idle longest; tells whether there was one.
+    fn make_room(&mut self, cx: &mut Context) -> bool {
+        let idle = self.clients.iter().filter(|(_, client)| is_idle(client));
+        let oldest = idle.min_by(|(_, a), (_, b)| a.since.total_cmp(&b.since)).map(|(at, _)| at);
+        oldest.is_some_and(|at| self.close_idle(at, cx))
+    }
+
+    /// Closes an idle client, unless a request of it has come meanwhile.
+    fn close_idle(&mut self, at: usize, cx: &mut Context) -> bool {
+        self.on_ready(at, cx);
+        let idle = self.clients.get(at).is_some_and(is_idle);
+        if idle {
+            self.remove(at, cx);
+        }
+        idle
+    }
+
+    /// The poll has something for a client.
+    pub fn on_ready(&mut self, at: usize, cx: &mut Context) {
+        let Some(client) = self.clients.get_mut(at) else { return };
+        if drive(client, cx) == Flow::Close {
+            self.remove(at, cx);
+        }
+    }
+
+    /// A job's answer. Its client may have gone, and another may have its place.
+    pub fn answer(&mut self, at: ClientId, job: JobId, answer: Answer, cx: &mut Context) {
+        let Some(client) = self.clients.get_mut(at) else { return };
+        if !matches!(client.state, State::Job(held) if held == job) {
+            return;
+        }
+        client.give(answer, cx);
+        // A next request may have come already, of which the poll won't tell again.
+        client.read(cx);
+        self.on_ready(at, cx);
+    }
+
+    /// Ends what has taken too long: requests that don't come to an end, and connections being closed.
+    pub fn sweep(&mut self, cx: &mut Context) {
+        let late = |client: &ClientConnection| match client.state {
+            State::Head if client.link.buffer.input().is_empty() => false,
+            State::Head | State::Body(..) => cx.now >= client.since + REQUEST_TIME,
+            State::Closing => cx.now >= client.since + LINGER && client.link.buffer.output().is_empty(),
+            State::Job(_) => false,
+        };
+        let late: Vec<usize> =
+            self.clients.iter().filter(|(_, client)| late(client)).map(|(at, _)| at).collect();
+        for at in late {
+            let client = &mut self.clients[at];
+            if matches!(client.state, State::Closing) {
+                self.remove(at, cx);
+            } else {
+                client.reject((408, "the request did not come to its end"), cx);
+                self.on_ready(at, cx);
+            }
+        }
+    }
+
+    /// Closes every client between requests.
+    pub fn close_all_idle(&mut self, cx: &mut Context) {
+        let idle: Vec<usize> = self.clients.iter().filter(|(_, c)| is_idle(c)).map(|(at, _)| at).collect();
+        for at in idle {
+            self.close_idle(at, cx);
+        }
+    }
+
+    /// Whether a client still has something to get or to say.
+    pub fn busy(&self) -> bool {
+        let closed =
+            |c: &ClientConnection| matches!(c.state, State::Closing) && c.link.buffer.output().is_empty();
+        self.clients.iter().any(|(_, client)| !is_idle(client) && !closed(client))
+    }
+
+    fn remove(&mut self, at: usize, cx: &mut Context) {
+        let mut client = self.clients.remove(at);
+        deregister(&mut client.link, cx.event_loop);
+    }
+}
+
+fn is_idle(client: &ClientConnection) -> bool {
+    let buffer = &client.link.buffer;
+    matches!(client.state, State::Head) && buffer.input().is_empty() && buffer.output().is_empty()
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,239 @@
+//! The real scheduler: sockets around the decision module.
+
+mod backend;
+pub mod config;
+mod core;
+mod discovery;
+mod event_loop;
+mod frontend;
+mod http;
+mod peer;
+
+use self::backend::Backend;
+use self::config::{Config, IDLE_LIMIT};
+use self::core::{Core, Order};
+use self::discovery::{Discovery, ServerTable};
+use self::event_loop::{Alarm, EventLoop, Millis, Owner};
+use self::frontend::{Frontend, Rules};
+use self::peer::Peer;
+use brackenledge::{ListKind, Settings};
+use mio::net::{TcpListener, UnixStream};
+use mio::{Events, Interest};
+use slog::{Logger, info};
+use std::io::Read;
+
+/// Descriptors kept for the poll, the listener, discovery, peers, logs and the signal.
+const RESERVED: usize = 32;
+/// Events taken from the poll at once.
+const EVENTS: usize = 256;
+/// Time between looks at idle connections.
+const SWEEP: Millis = 250.0;
+/// How long after SIGTERM clients may still come: until then nothing is closed but by its answer.
+const ARRIVALS: Millis = 500.0;
+/// How long after SIGTERM the program stays at least.
+const STAY: Millis = 700.0;
+
+/// What a callback may reach.
+pub struct Context<'a> {
+    now: Millis,
+    core: &'a mut Core,
+    table: &'a mut ServerTable,
+    event_loop: &'a mut EventLoop,
+    log: &'a Logger,
+    /// When SIGTERM came.
+    stopping: Option<Millis>,
+}
+
+struct Scheduler {
+    event_loop: EventLoop,
+    core: Core,
+    table: ServerTable,
+    frontend: Frontend,
+    backend: Backend,
+    discovery: Discovery,
+    peer: Option<Peer>,
+    signals: UnixStream,
+    stopping: Option<Millis>,
+    log: Logger,
+}
+
+/// Runs a scheduler until SIGTERM has come and nothing is owed any more.
+pub fn serve(config: Config, log: Logger) -> Result<(), String> {
+    let mut scheduler = Scheduler::new(config, log)?;
+    let mut events = Events::with_capacity(EVENTS);
+    loop {
+        scheduler.event_loop.wait(&mut events).map_err(|e| format!("poll: {e}"))?;
+        for event in &events {
+            scheduler.on_event(Owner::of(event.token()));
+            scheduler.settle();
+        }
+        while let Some(alarm) = scheduler.event_loop.due_alarm() {
+            scheduler.on_alarm(alarm);
+            scheduler.settle();
+        }
+        if scheduler.finished() {
+            info!(scheduler.log, "stopped, nothing is owed");
+            return Ok(());
+        }
+    }
+}
+
+/// The parts of a scheduler and its context, borrowed side by side.
+macro_rules! context {
+    ($scheduler:ident) => {
+        Context {
+            now: $scheduler.event_loop.now(),
+            core: &mut $scheduler.core,
+            table: &mut $scheduler.table,
+            event_loop: &mut $scheduler.event_loop,
+            log: &$scheduler.log,
+            stopping: $scheduler.stopping,
+        }
+    };
+}
+
+impl Scheduler {
+    fn new(config: Config, log: Logger) -> Result<Self, String> {
+        let document = &config.settings;
+        let settings = Settings::from(document);
+        let mut event_loop = EventLoop::new().map_err(|e| format!("poll: {e}"))?;
+        let mut listener =
+            TcpListener::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
+        let (signals, sender) = UnixStream::pair().map_err(|e| format!("signals: {e}"))?;
+        let mut signals = signals;
+        // signal-hook writes to the pipe from its handler; one descriptor serves both signals.
+        let sender = std::os::fd::OwnedFd::from(std::os::unix::net::UnixStream::from(sender));
+        let other = sender.try_clone().map_err(|e| format!("signals: {e}"))?;
+        for (signal, pipe) in [(signal_hook::consts::SIGTERM, sender), (signal_hook::consts::SIGINT, other)] {
+            signal_hook::low_level::pipe::register(signal, pipe).map_err(|e| format!("signals: {e}"))?;
+        }
+        let watched = "registering with the poll";
+        let registry = event_loop.registry();
+        registry
+            .register(&mut signals, Owner::Signal.token(), Interest::READABLE)
+            .map_err(|e| format!("{watched}: {e}"))?;
+        registry
+            .register(&mut listener, Owner::Listener.token(), Interest::READABLE)
+            .map_err(|e| format!("{watched}: {e}"))?;
+        let mut peer = None;
+        if let Some(known) = config.peer.filter(|_| settings.messages) {
+            let listen = known.listen;
+            let mut bound =
+                Peer::bind(known, settings.ordinal).map_err(|e| format!("peer_listen {listen}: {e}"))?;
+            let registered =
+                event_loop.registry().register(&mut bound.socket, Owner::Peer.token(), Interest::READABLE);
+            registered.map_err(|e| format!("{watched}: {e}"))?;
+            peer = Some(bound);
+        }
+        let table = ServerTable::new(document.zone_names(), document.kind_names());
+        let idle_limit = document.idle_limit().unwrap_or(IDLE_LIMIT);
+        let half = (config.sockets.saturating_sub(RESERVED)) / 2;
+        let now = event_loop.now();
+        event_loop.set_alarm(now + SWEEP, Alarm::Sweep);
+        info!(log, "serving"; "name" => config.name, "listen" => %listener.local_addr().unwrap_or(config.listen),
+            "discovery" => %config.discovery, "version" => env!("CARGO_PKG_VERSION"));
+        let mut scheduler = Scheduler {
+            frontend: Frontend::new(listener, Rules::new(document, &settings), half),
+            backend: Backend::new(half, settings.connect_timeout, idle_limit),
+            discovery: Discovery::new(config.discovery),
+            core: Core::new(now, settings, config.seed),
+            event_loop,
+            table,
+            peer,
+            signals,
+            stopping: None,
+            log,
+        };
+        // The list as this scheduler had it before it was restarted; maybe out of date.
+        if let Some(known) = config.known {
+            let entries = scheduler.table.learn(known);
+            scheduler.core.servers(ListKind::Cached, entries);
+        }
+        scheduler.core.wake();
+        scheduler.settle();
+        Ok(scheduler)
+    }
+
+    fn on_event(&mut self, owner: Owner) {
+        let cx = &mut context!(self);
+        match owner {
+            Owner::Listener => self.frontend.accept(cx),
+            Owner::Frontend(at) => self.frontend.on_ready(at, cx),
+            Owner::Backend(at) => self.backend.on_ready(at, cx),
+            Owner::Discovery(at) => self.discovery.on_ready(at, cx),
+            Owner::Peer => {
+                if let Some(peer) = &mut self.peer {
+                    peer.on_input(cx.core);
+                }
+            }
+            Owner::Signal => {
+                let mut bytes = [0; 64];
+                while matches!(self.signals.read(&mut bytes), Ok(count) if count > 0) {}
+                if self.stopping.is_none() {
+                    info!(self.log, "told to stop"; "owed" => cx.core.owed());
+                    self.stopping = Some(cx.now);
+                }
+            }
+        }
+    }
+
+    fn on_alarm(&mut self, alarm: Alarm) {
+        let cx = &mut context!(self);
+        match alarm {
+            Alarm::Wake => cx.core.wake(),
+            Alarm::Dispatch(id) => self.backend.on_dispatch_alarm(id, cx),
+            Alarm::Connect(serial) => self.backend.on_connect_alarm(serial, cx),
+            Alarm::Probe(serial) => self.backend.on_probe_alarm(serial, cx),
+            Alarm::Discovery(serial) => self.discovery.on_alarm(serial, cx),
+            Alarm::Accept => self.frontend.accept(cx),
+            Alarm::Sweep => {
+                self.backend.sweep(cx);
+                self.frontend.sweep(cx);
+                if self.stopping.is_some_and(|since| cx.now >= since + ARRIVALS) {
+                    self.frontend.accept(cx);
+                    self.frontend.close_all_idle(cx);
+                }
+                cx.event_loop.set_alarm(cx.now + SWEEP, Alarm::Sweep);
+            }
+        }
+    }
+
+    /// Plays events and carries out their orders until all is done for now.
+    fn settle(&mut self) {
+        while let Some(order) = self.core.next_order(self.event_loop.now()) {
+            let cx = &mut context!(self);
+            match order {
+                Order::Answer { client, job, answer } => self.frontend.answer(client, job, answer, cx),
+                Order::Dispatch { id, worker, request, until, deadline } => {
+                    self.backend.dispatch(id, worker, request, until, deadline, cx);
+                }
+                Order::Cancel { id } => self.backend.cancel(id, brackenledge::Outcome::Cancelled, cx),
+                Order::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
+                Order::Watch { on } => self.discovery.watch(on, cx),
+                Order::FetchList => self.discovery.fetch(cx),
+                Order::Probe { worker } => self.backend.probe(worker, cx),
+                Order::Tell { to, text } => {
+                    if let Some(peer) = &self.peer {
+                        peer.tell(to, &text);
+                    }
+                }
+                Order::CloseIdle { worker } => self.backend.close_idle(worker, cx),
+                Order::Log(text) => info!(self.log, "{}", text),
+            }
+        }
+    }
+
+    /// Whether the program may end: told to, long enough ago, and nothing is owed.
+    fn finished(&mut self) -> bool {
+        let Some(since) = self.stopping else { return false };
+        if self.event_loop.now() < since + STAY || self.core.owed() > 0 || self.frontend.busy() {
+            return false;
+        }
+        // What waits at the listener has been taken by this machine: answer it first.
+        let cx = &mut context!(self);
+        self.frontend.accept(cx);
+        self.frontend.close_all_idle(cx);
+        self.settle();
+        self.core.owed() == 0 && !self.frontend.busy()
+    }
+}
--- /dev/null
+++ b/src/net/peer.rs
@@ -0,0 +1,60 @@
+//! Short messages between schedulers, over UDP. They may come late or never.
+
+use super::config::PeerConfig;
+use super::core::Core;
+use mio::net::UdpSocket;
+use std::io::{self, ErrorKind};
+
+/// The longest message; a longer one must never be sent.
+const MESSAGE_MOST: usize = 256;
+
+pub struct Peer {
+    pub socket: UdpSocket,
+    config: PeerConfig,
+    ordinal: u32,
+}
+
+impl Peer {
+    pub fn bind(config: PeerConfig, ordinal: u32) -> io::Result<Self> {
+        Ok(Peer { socket: UdpSocket::bind(config.listen)?, config, ordinal })
+    }
+
+    /// Sends a message to one scheduler, or to all others. What the network does not take is lost.
+    pub fn tell(&self, to: Option<u32>, text: &str) {
+        if text.len() > MESSAGE_MOST {
+            return;
+        }
+        let send = |address| {
+            let _ = self.socket.send_to(text.as_bytes(), address);
+        };
+        match (to, self.config.all) {
+            (Some(to), _) => self.config.peers.get(to as usize).copied().into_iter().for_each(send),
+            (None, Some(all)) => send(all),
+            (None, None) => {
+                let others =
+                    self.config.peers.iter().enumerate().filter(|(at, _)| *at != self.ordinal as usize);
+                others.map(|(_, &address)| address).for_each(send);
+            }
+        }
+    }
+
+    /// Takes in what has come. Senders are known by their addresses; others, and what is no text, are ignored.
+    pub fn on_input(&mut self, core: &mut Core) {
+        let mut buffer = [0; MESSAGE_MOST + 1];
+        loop {
+            let (length, sender) = match self.socket.recv_from(&mut buffer) {
+                Ok(received) => received,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // Word that an earlier message met a closed port ends one read, not the socket.
+                Err(_) => continue,
+            };
+            let from = self.config.peers.iter().position(|&peer| peer == sender);
+            let text = std::str::from_utf8(&buffer[..length]).ok().filter(|_| length <= MESSAGE_MOST);
+            if let (Some(from), Some(text)) = (from, text)
+                && from != self.ordinal as usize
+            {
+                core.message(from as u32, text.to_owned());
+            }
+        }
+    }
+}
