Read off the buffer whether a request was written, and bound what clients can hold

Seen: a story with a worker's nonsense answer sent a job of the never-twice class again, now and then. Cause: backend.rs noted that a request was written only in on_written, which drive() calls after it has read; an answer read in the same turn found the note missing, counted as could-not-connect, and was resent. The new story fails without the fix at its first jobs and passes with it.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -80,7 +80,7 @@
 
 #[derive(Clone)]
 enum Task {
-    Dispatch { id: DispatchId, request: Rc<Request>, deadline: Millis },
+    Dispatch { id: DispatchId, request: Rc<Request>, until: Millis },
     Probe,
 }
 
@@ -92,8 +92,6 @@
     serial: u64,
     connecting: bool,
     task: Option<Task>,
-    /// The request's last byte has been handed to the system.
-    written: bool,
     head: Option<AnswerHead>,
     idle_since: Millis,
 }
@@ -101,20 +99,19 @@
 impl ServerConnection {
     /// Puts the request into the buffer. The backend server is told how long it is worth working.
     fn start(&mut self, task: Task, now: Millis) {
-        self.written = false;
         self.head = None;
         match &task {
             Task::Probe => {
                 let probe = format!("GET /metrics/load HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
                 self.link.buffer.push(probe.as_bytes());
             }
-            Task::Dispatch { request, deadline, .. } => {
+            Task::Dispatch { request, until, .. } => {
                 let mut head = format!(
                     "POST {} HTTP/1.1\r\nHost: {}\r\nX-Trace-Id: {}\r\nX-Expires-In-Ms: {:.0}\r\nContent-Length: {}\r\n",
                     request.target,
                     self.address,
                     request.id,
-                    (deadline - now).max(1.0),
+                    (until - now).max(1.0),
                     request.body.len()
                 );
                 for (name, value) in
@@ -141,9 +138,16 @@
         }
     }
 
+    /// Whether the request's last byte has been handed to the system. This must be read off the buffer: a note
+    /// taken when a write is reported comes too late for an answer that is read in the same turn, and a job
+    /// that may have run would pass for one that never did.
+    fn written(&self) -> bool {
+        !self.connecting && self.link.buffer.output().is_empty()
+    }
+
     /// What a connection that ends now means for its request: before the last byte is out it can't have run.
     fn broken(&self) -> Outcome {
-        if self.written { Outcome::Reset } else { Outcome::ConnectFailed }
+        if self.written() { Outcome::Reset } else { Outcome::ConnectFailed }
     }
 
     /// Takes one line of an answer to a dispatch; `Close` where it makes no sense.
@@ -226,7 +230,7 @@
         self.on_answer(cx);
         self.idle_since = cx.now;
         // Bytes behind the answer belong to nothing, and a request not wholly written can't be followed.
-        let clean = self.link.buffer.input().is_empty() && self.written;
+        let clean = self.link.buffer.input().is_empty() && self.written();
         if closes || !clean { Flow::Close } else { Flow::Keep }
     }
 }
@@ -245,7 +249,7 @@
         let Some(task) = self.task.take() else { return Flow::Close };
         // Much may have changed since the connection was asked for: a server that has been told to drain
         // meanwhile must get nothing new, and late work serves nobody. Nothing has been written: it is moot.
-        let late = matches!(&task, Task::Dispatch { deadline, .. } if cx.now >= *deadline);
+        let late = matches!(&task, Task::Dispatch { until, .. } if cx.now >= *until);
         if late || !cx.table.ready(self.server) {
             self.task = Some(task);
             self.end(Outcome::Moot, None, cx);
@@ -255,11 +259,6 @@
         Flow::Keep
     }
 
-    fn on_written(&mut self, _: &mut Context) -> Flow {
-        self.written |= self.task.is_some() && !self.connecting;
-        Flow::Keep
-    }
-
     fn on_input(&mut self, cx: &mut Context) -> Flow {
         let flow = self.read_answer(cx);
         if flow == Flow::Close {
@@ -312,14 +311,13 @@
         server: WorkerId,
         request: Rc<Request>,
         until: Millis,
-        deadline: Millis,
         cx: &mut Context,
     ) {
         if !cx.table.ready(server) {
             cx.core.dispatch_ended(id, Outcome::Moot, None);
             return;
         }
-        let task = Task::Dispatch { id, request, deadline };
+        let task = Task::Dispatch { id, request, until };
         match self.carry(task, server, cx) {
             Some(at) => {
                 self.out.insert(id, at);
@@ -427,7 +425,6 @@
             serial,
             connecting: true,
             task: Some(task),
-            written: false,
             head: None,
             idle_since: cx.now,
         });
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -56,7 +56,7 @@
 /// What is to be done, in order.
 pub enum Order {
     Answer { client: ClientId, job: JobId, answer: Answer },
-    Dispatch { id: DispatchId, worker: WorkerId, request: Rc<Request>, until: Millis, deadline: Millis },
+    Dispatch { id: DispatchId, worker: WorkerId, request: Rc<Request>, until: Millis },
     Cancel { id: DispatchId },
     Wake { after: Millis },
     Watch { on: bool },
@@ -261,8 +261,8 @@
             return;
         }
         let until = timeout.filter(|&t| t != 0.0).map_or(job.deadline, |t| (now + t).min(job.deadline));
-        let (request, deadline) = (Rc::clone(&job.request), job.deadline);
-        self.orders.push_back(Order::Dispatch { id: (id, attempt), worker, request, until, deadline });
+        let request = Rc::clone(&job.request);
+        self.orders.push_back(Order::Dispatch { id: (id, attempt), worker, request, until });
     }
 
     fn answer(&mut self, id: JobId, answer: Answer) {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,9 +12,12 @@
 
 /// A list, or one line of a watch, is no longer than this.
 const LIST_MOST: usize = 1024 * 1024;
-/// A watch sends at least an empty line every 2 s, and a call waits no longer than 3 s there: after this long
-/// without a byte the other machine is gone, which TCP alone would never tell.
-const SILENCE: Millis = 4_500.0;
+/// A call waits no longer than 3 s at discovery, and a watch sends at least an empty line every 2 s: after this
+/// long without a byte the other machine is gone, which TCP alone would never tell.
+const CALL_SILENCE: Millis = 4_500.0;
+const WATCH_SILENCE: Millis = 3_000.0;
+/// Wait before a watch that nobody asked for is opened again.
+const WATCH_AGAIN: Millis = 1_000.0;
 
 /// A backend server as the table has it.
 struct Server {
@@ -106,6 +109,17 @@
     heard_at: Millis,
     /// A watch that broke, or a call that ended without its answer, has failed; one that is done has not.
     done: bool,
+    pushed: bool,
+}
+
+/// A call has failed. Where the settings let changes arrive by themselves the module asks for nothing and is
+/// told nothing: the watch is opened again from here.
+fn fail(pushed: bool, cx: &mut Context) {
+    if pushed {
+        cx.event_loop.set_alarm(cx.now + WATCH_AGAIN, Alarm::Watch);
+    } else {
+        cx.core.servers(ListKind::Failed, Vec::new());
+    }
 }
 
 impl Call {
@@ -183,9 +197,8 @@
                 self.done = true;
             }
         }
-        if !self.done {
-            self.done = true;
-            cx.core.servers(ListKind::Failed, Vec::new());
+        if !std::mem::replace(&mut self.done, true) {
+            fail(self.pushed, cx);
         }
     }
 
@@ -198,11 +211,13 @@
 pub struct Discovery {
     address: SocketAddr,
     calls: Slab<Call>,
+    /// Changes arrive without the module's asking.
+    pushed: bool,
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr) -> Self {
-        Discovery { address, calls: Slab::new() }
+    pub fn new(address: SocketAddr, pushed: bool) -> Self {
+        Discovery { address, calls: Slab::new(), pushed }
     }
 
     /// Subscribes to changes since the version held, or ends the subscription.
@@ -225,7 +240,7 @@
 
     fn call(&mut self, watch: bool, target: &str, cx: &mut Context) {
         let Ok(stream) = TcpStream::connect(self.address) else {
-            cx.core.servers(ListKind::Failed, Vec::new());
+            fail(self.pushed, cx);
             return;
         };
         let serial = cx.event_loop.next_serial();
@@ -233,14 +248,16 @@
         let request =
             format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
         link.buffer.push(request.as_bytes());
-        let call = Call { link, watch, serial, connecting: true, head: None, heard_at: cx.now, done: false };
+        let pushed = self.pushed;
+        let call =
+            Call { link, watch, serial, connecting: true, head: None, heard_at: cx.now, done: false, pushed };
         let at = self.calls.insert(call);
         if cx.event_loop.watch(&mut self.calls[at].link.stream, Owner::Discovery(at)).is_err() {
             self.calls.remove(at);
-            cx.core.servers(ListKind::Failed, Vec::new());
+            fail(self.pushed, cx);
             return;
         }
-        cx.event_loop.set_alarm(cx.now + SILENCE, Alarm::Discovery(serial));
+        cx.event_loop.set_alarm(cx.now + WATCH_SILENCE, Alarm::Discovery(serial));
     }
 
     /// The poll has something for a call.
@@ -254,8 +271,10 @@
     /// A call's silence alarm has come due: it is dead if nothing came, else the alarm moves on.
     pub fn on_alarm(&mut self, serial: u64, cx: &mut Context) {
         let Some((at, call)) = self.calls.iter_mut().find(|(_, call)| call.serial == serial) else { return };
-        if cx.now < call.heard_at + SILENCE {
-            cx.event_loop.set_alarm(call.heard_at + SILENCE, Alarm::Discovery(serial));
+        let answered = call.watch && call.head.is_some();
+        let until = call.heard_at + if answered { WATCH_SILENCE } else { CALL_SILENCE };
+        if cx.now < until {
+            cx.event_loop.set_alarm(until, Alarm::Discovery(serial));
             return;
         }
         call.on_end(cx);
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -43,6 +43,8 @@
     Probe(u64),
     /// A discovery call may have fallen silent.
     Discovery(u64),
+    /// A watch that nobody asked for is to be opened.
+    Watch,
     /// Accepting may work again.
     Accept,
     /// A look at idle connections.
@@ -212,14 +214,17 @@
     push_out(connection, context)
 }
 
-/// Writes what a connection has to write, and tells it when all is out.
+/// Writes what a connection has to write, and tells it when all is out; it may have more to write then.
 pub fn push_out<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
-    match connection.link().flush() {
-        Ok(true) => connection.on_written(context),
-        Ok(false) => Flow::Keep,
-        Err(_) => {
-            connection.on_end(context);
-            Flow::Close
+    loop {
+        match connection.link().flush() {
+            Ok(true) if connection.on_written(context) == Flow::Close => return Flow::Close,
+            Ok(true) if !connection.link().buffer.output().is_empty() => {}
+            Ok(_) => return Flow::Keep,
+            Err(_) => {
+                connection.on_end(context);
+                return Flow::Close;
+            }
         }
     }
 }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -18,6 +18,12 @@
 const REQUEST_TIME: Millis = 30_000.0;
 /// A connection that is being closed may still send for this long, so that it reads the last answer.
 const LINGER: Millis = 1_000.0;
+/// Answers that wait to be written, in bytes, beyond which no further request is read.
+const OUTPUT_MOST: usize = 2 * BODY_MOST;
+/// Input that is held at most: a request with its framing, and some of the next.
+const INPUT_MOST: usize = HEAD_MOST + 2 * BODY_MOST;
+/// Bytes that are read and dropped at most before a connection is closed under its sender.
+const DISCARD_MOST: usize = 1024 * 1024;
 /// After an accept failed for want of descriptors, the next one is tried this much later.
 const ACCEPT_PAUSE: Millis = 20.0;
 /// Clients turned away because too many jobs are held are asked to stay away this long.
@@ -95,7 +101,8 @@
             class,
             tenant,
             key: parts.last().filter(|key| !key.is_empty()).map(str::to_owned),
-            time_left: left.unwrap_or(self.deadlines[class]),
+            // Nobody waits longer than the class's deadline, whatever figure is sent.
+            time_left: left.unwrap_or(f64::INFINITY).min(self.deadlines[class]),
             effort: hint.map(|micros| micros / 1_000.0),
             slots,
             memory,
@@ -137,8 +144,12 @@
     id: ClientId,
     rules: Rc<Rules>,
     state: State,
-    /// Its last answer came, or it was accepted; while a request comes in, when that began.
+    /// When its last answer was written, or it was accepted.
     since: Millis,
+    /// When the request that is coming in began.
+    begun: Option<Millis>,
+    /// Bytes read and dropped since its last answer.
+    discarded: usize,
     keep_alive: bool,
 }
 
@@ -166,6 +177,7 @@
         self.link.buffer.push(body);
         self.state = if self.keep_alive { State::Head } else { State::Closing };
         self.since = cx.now;
+        self.begun = None;
     }
 
     /// Refuses what can't be read, and reads nothing more: where the next request begins is anyone's guess.
@@ -204,9 +216,12 @@
     /// Reads a head; tells whether there is more to do.
     fn read_head(&mut self, cx: &mut Context) -> bool {
         let input = self.link.buffer.input();
-        if input.is_empty() {
+        // A client that sends on without reading its answers must not fill the memory with them.
+        if input.is_empty() || self.link.buffer.output().len() > OUTPUT_MOST {
             return false;
         }
+        // One byte now and then must not keep an unfinished request for ever: its time runs from the first.
+        self.begun.get_or_insert(cx.now);
         let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
         let mut request = httparse::Request::new(&mut headers);
         let used = match request.parse(input) {
@@ -256,6 +271,7 @@
     fn take_request(&mut self, cx: &mut Context) {
         let State::Body(awaited, mut body) = std::mem::replace(&mut self.state, State::Head) else { return };
         let body = body.take_all(&mut self.link.buffer);
+        self.begun = None;
         match awaited {
             Awaited::Up if cx.stopping.is_some() => self.answer(503, "", b"stopping\n", cx),
             Awaited::Up if !cx.table.serves() => self.answer(503, "", b"no server table yet\n", cx),
@@ -296,14 +312,19 @@
         if matches!(self.state, State::Closing) && self.link.buffer.output().is_empty() {
             // Closing with input unread would reset the connection, maybe before the answer was read.
             let _ = self.link.stream.shutdown(std::net::Shutdown::Write);
-            self.since = self.since.min(cx.now);
         }
+        // Room was made for the answers to requests that came already.
+        self.read(cx);
         Flow::Keep
     }
 
     fn on_input(&mut self, cx: &mut Context) -> Flow {
-        if matches!(self.state, State::Head) && self.link.buffer.output().is_empty() {
-            self.since = cx.now;
+        // What a client sends on after its last answer is read so that it sees that answer, but not for ever.
+        if matches!(self.state, State::Closing) {
+            self.discarded += self.link.buffer.input().len();
+            if self.discarded > DISCARD_MOST {
+                return Flow::Close;
+            }
         }
         self.read(cx);
         Flow::Keep
@@ -316,7 +337,7 @@
     }
 
     fn input_most(&self) -> usize {
-        HEAD_MOST + 2 * BODY_MOST
+        INPUT_MOST
     }
 }
 
@@ -375,6 +396,8 @@
             rules: Rc::clone(&self.rules),
             state: State::Head,
             since: cx.now,
+            begun: None,
+            discarded: 0,
             keep_alive: true,
         });
         if cx.event_loop.watch(&mut client.link.stream, Owner::Frontend(id)).is_err() {
@@ -422,8 +445,7 @@
     /// Ends what has taken too long: requests that don't come to an end, and connections being closed.
     pub fn sweep(&mut self, cx: &mut Context) {
         let late = |client: &ClientConnection| match client.state {
-            State::Head if client.link.buffer.input().is_empty() => false,
-            State::Head | State::Body(..) => cx.now >= client.since + REQUEST_TIME,
+            State::Head | State::Body(..) => client.begun.is_some_and(|begun| cx.now >= begun + REQUEST_TIME),
             State::Closing => cx.now >= client.since + LINGER && client.link.buffer.output().is_empty(),
             State::Job(_) => false,
         };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -130,12 +130,17 @@
         let half = (config.sockets.saturating_sub(RESERVED)) / 2;
         let now = event_loop.now();
         event_loop.set_alarm(now + SWEEP, Alarm::Sweep);
-        info!(log, "serving"; "name" => config.name, "listen" => %listener.local_addr().unwrap_or(config.listen),
-            "discovery" => %config.discovery, "version" => env!("CARGO_PKG_VERSION"));
+        if !settings.list_on_request {
+            event_loop.set_alarm(now, Alarm::Watch);
+        }
+        let peer_listen = peer.as_ref().and_then(|peer| peer.socket.local_addr().ok());
+        info!(log, "serving"; "version" => env!("CARGO_PKG_VERSION"), "discovery" => %config.discovery,
+            "peer_listen" => peer_listen.map_or("none".into(), |at| at.to_string()),
+            "listen" => %listener.local_addr().unwrap_or(config.listen), "name" => config.name);
         let mut scheduler = Scheduler {
             frontend: Frontend::new(listener, Rules::new(document, &settings), half),
             backend: Backend::new(half, settings.connect_timeout, idle_limit),
-            discovery: Discovery::new(config.discovery),
+            discovery: Discovery::new(config.discovery, !settings.list_on_request),
             core: Core::new(now, settings, config.seed),
             event_loop,
             table,
@@ -185,6 +190,7 @@
             Alarm::Connect(serial) => self.backend.on_connect_alarm(serial, cx),
             Alarm::Probe(serial) => self.backend.on_probe_alarm(serial, cx),
             Alarm::Discovery(serial) => self.discovery.on_alarm(serial, cx),
+            Alarm::Watch => self.discovery.watch(true, cx),
             Alarm::Accept => self.frontend.accept(cx),
             Alarm::Sweep => {
                 self.backend.sweep(cx);
@@ -204,8 +210,8 @@
             let cx = &mut context!(self);
             match order {
                 Order::Answer { client, job, answer } => self.frontend.answer(client, job, answer, cx),
-                Order::Dispatch { id, worker, request, until, deadline } => {
-                    self.backend.dispatch(id, worker, request, until, deadline, cx);
+                Order::Dispatch { id, worker, request, until } => {
+                    self.backend.dispatch(id, worker, request, until, cx);
                 }
                 Order::Cancel { id } => self.backend.cancel(id, brackenledge::Outcome::Cancelled, cx),
                 Order::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -46,7 +46,10 @@
                 Ok(received) => received,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 // Word that an earlier message met a closed port ends one read, not the socket.
-                Err(_) => continue,
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {
+                    continue;
+                }
+                Err(_) => return,
             };
             let from = self.config.peers.iter().position(|&peer| peer == sender);
             let text = std::str::from_utf8(&buffer[..length]).ok().filter(|_| length <= MESSAGE_MOST);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -5,8 +5,7 @@
 
 use serde_json::json;
 use stage::{
-    HEAD, PATIENCE, Stage, accept, chunk, done, endpoint, job, list, listener, read_message, run, send,
-    settings,
+    HEAD, Stage, accept, chunk, done, endpoint, job, list, listener, read_message, run, send, settings,
 };
 use std::io::Read;
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -97,9 +96,36 @@
     assert!(read_message(&mut client).ends_with("\r\n\r\nagain"));
 }
 
+#[test]
+fn an_answer_that_comes_at_once_still_finds_its_request_written() {
+    let (stage, worker) = one_worker();
+    // A server that answers nonsense before it has read: whatever it read, the job may run there.
+    let eager = std::thread::spawn(move || {
+        let answered = |_| {
+            let mut stream = accept(&worker);
+            send(&mut stream, "nonsense\r\n\r\n");
+            stream
+        };
+        (0..200).map(answered).map(|mut stream| read_message(&mut stream)).collect::<Vec<_>>()
+    });
+    for n in 0..200 {
+        let answer = read_message(&mut stage.ask(&job("sale", &format!("o{n}"), "")));
+        assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+    }
+    let requests = eager.join().expect("the server ends");
+    let sent = |n: usize| {
+        requests.iter().filter(|request| request.contains(&format!("X-Trace-Id: o{n}\r\n"))).count()
+    };
+    assert!((0..200).all(|n| sent(n) == 1));
+}
+
 #[test]
 fn a_job_refused_a_connection_goes_elsewhere() {
-    let (worker, closed) = (listener(), listener().local_addr().expect("an address"));
+    let worker = listener();
+    // Nobody listens at a client's end, and while it is held no other story is given its port.
+    let other = listener();
+    let held = TcpStream::connect(other.local_addr().expect("an address")).expect("connected");
+    let closed = held.local_addr().expect("an address");
     let alive = endpoint("s-a", worker.local_addr().expect("an address"), "ready");
     let stage = Stage::start(&[alive, endpoint("s-b", closed, "ready")]);
     let mut kept = None;
@@ -215,6 +241,34 @@
     assert!(read_message(&mut other).ends_with("\r\n\r\nsomebody"));
 }
 
+#[test]
+fn where_changes_arrive_by_themselves_the_watch_is_opened_unasked_and_again() {
+    let worker = listener();
+    let mut config = settings();
+    config["discovery"] = json!("pushed");
+    let stage = Stage::start_with(config, &[], None);
+    drop(stage.watch(&[]));
+    let known = endpoint("s-a", worker.local_addr().expect("an address"), "ready");
+    let (_, _watch) = stage.watch(&[list(2, true, &[known])]);
+    stage.until_up();
+    stage.serves(&worker, "m1");
+}
+
+#[test]
+fn a_client_that_never_reads_or_never_ends_cannot_fill_the_memory() {
+    let (stage, worker) = one_worker();
+    let mut flood = stage.connect();
+    flood.set_write_timeout(Some(Duration::from_millis(500))).expect("a time-out");
+    let many = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n".repeat(2_000);
+    // The scheduler stops reading once its answers pile up, so that this client can't write on.
+    let stuck = (0..2_000).any(|_| std::io::Write::write_all(&mut flood, many.as_bytes()).is_err());
+    assert!(stuck);
+    let mut endless = stage.ask("nonsense\r\n\r\n");
+    while std::io::Write::write_all(&mut endless, &[b'x'; 65_536]).is_ok() {}
+    stage.serves(&worker, "n1");
+    assert!(stage.memory_kb() < 64 * 1024);
+}
+
 #[test]
 fn without_servers_the_answer_is_a_prompt_denial() {
     let stage = Stage::start(&[]);
@@ -234,11 +288,7 @@
     assert!(read_message(&mut prober).starts_with("HTTP/1.1 503 "));
     let (_, _watch) =
         stage.watch(&[list(2, true, &[endpoint("s-a", worker.local_addr().expect("an address"), "ready")])]);
-    let since = Instant::now();
-    while !read_message(&mut stage.ask(up)).starts_with("HTTP/1.1 200 ") {
-        assert!(since.elapsed() < PATIENCE);
-        std::thread::sleep(Duration::from_millis(20));
-    }
+    stage.until_up();
 }
 
 #[test]
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -144,12 +144,11 @@
         let discovery = listener();
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port of the system's");
         peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        let other = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port");
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.local_addr().expect("an address").to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "peer_listen": other.to_string(),
-            "peers": [other.to_string(), peer.local_addr().expect("an address").to_string()],
+            "peer_listen": "127.0.0.1:0",
+            "peers": ["127.0.0.1:1", peer.local_addr().expect("an address").to_string()],
             "known": list(1, true, known), "settings": settings
         });
         let path = config_file(&config);
@@ -159,13 +158,15 @@
             Some(most) => command("sh", &["-c", &format!("ulimit -n {most} && exec {program} serve")]),
         };
         let mut child = command.env("PROXY_CONFIG", &path).spawn().expect("the scheduler starts");
-        // The log tells which port the system gave, and is read on so that it never fills.
-        let mut log = BufReader::new(child.stderr.take().expect("a pipe")).lines();
-        let port = |line: String| line.split("listen: ").nth(1)?.split([',', ' ']).next()?.parse().ok();
-        let address = log.by_ref().map_while(Result::ok).find_map(port).expect("a line that tells the port");
+        // The log tells which ports the system gave, and is read on so that it never fills.
+        let mut log = BufReader::new(child.stderr.take().expect("a pipe")).lines().map_while(Result::ok);
+        let first = log.find(|line| line.contains("listen: ")).expect("a line that tells the ports");
+        let port = |name: &str| first.split(name).nth(1)?.split([',', ' ']).next()?.parse().ok();
+        let (address, peer_address) = (port(" listen: "), port(" peer_listen: "));
         std::thread::spawn(move || log.for_each(drop));
         std::fs::remove_file(path).expect("the configuration is removed");
-        Stage { child, address, discovery, peer, peer_address: other }
+        let (address, peer_address) = (address.expect("a port"), peer_address.expect("a port"));
+        Stage { child, address, discovery, peer, peer_address }
     }
 
     pub fn connect(&self) -> TcpStream {
@@ -208,6 +209,23 @@
         assert!(sent.success());
     }
 
+    /// Waits until the scheduler says that it could serve.
+    pub fn until_up(&self) {
+        let since = Instant::now();
+        while !read_message(&mut self.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n")).starts_with("HTTP/1.1 200 ")
+        {
+            assert!(since.elapsed() < PATIENCE, "the scheduler is not up");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Memory held, in kilobytes.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a process");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a figure");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// Waits for the process to end by itself.
     pub fn ended(&mut self) -> ExitStatus {
         let since = Instant::now();
