Log counts and failed discovery calls; alarms due now can't keep the poll from its turn

Seen: a run's log had one line, the start; an operator could not tell a quiet scheduler from a deaf one. Probed: the requests' X-Props carry slots and memory, so the other names that were guessed are gone.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -67,6 +67,16 @@
     Log(String),
 }
 
+/// What became of the jobs since the start.
+#[derive(Clone, Copy, Default)]
+pub struct Counts {
+    pub served: u64,
+    pub denied: u64,
+    pub failed: u64,
+    /// Their clients left first.
+    pub gone: u64,
+}
+
 struct Job {
     client: ClientId,
     deadline: Millis,
@@ -83,6 +93,7 @@
     jobs: HashMap<JobId, Job>,
     last_job: JobId,
     owed: usize,
+    counts: Counts,
     events: VecDeque<Event>,
     orders: VecDeque<Order>,
     actions: Vec<Action>,
@@ -96,6 +107,7 @@
             jobs: HashMap::new(),
             last_job: 0,
             owed: 0,
+            counts: Counts::default(),
             events: VecDeque::new(),
             orders: VecDeque::new(),
             actions: Vec::new(),
@@ -107,6 +119,11 @@
         self.owed
     }
 
+    /// What became of the jobs so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
     /// A job arrived. It is given a number, by which its front can take it back and is told the answer.
     pub fn job_arrived(&mut self, now: Millis, new: Arrival) -> JobId {
         // Ids are never reused within a life, bar a wrap of the counter past jobs that still live.
@@ -143,6 +160,7 @@
     /// A job's client is gone: nothing is owed for it any more.
     pub fn client_gone(&mut self, id: JobId) {
         if self.settle(id).is_some() {
+            self.counts.gone += 1;
             self.events.push_back(Event::ClientGone { job: id });
         }
     }
@@ -160,6 +178,7 @@
     /// A dispatch was served. The first of a job is its answer.
     pub fn dispatch_served(&mut self, id: DispatchId, result: String, report: Option<LoadReport>) {
         if let Some(client) = self.settle(id.0) {
+            self.counts.served += 1;
             self.orders.push_back(Order::Answer { client, job: id.0, answer: Answer::Served(result) });
         }
         self.dispatch_ended(id, Outcome::Ok, report);
@@ -267,6 +286,8 @@
 
     fn answer(&mut self, id: JobId, answer: Answer) {
         if let Some(client) = self.settle(id) {
+            let denied = matches!(answer, Answer::Denied { .. });
+            *(if denied { &mut self.counts.denied } else { &mut self.counts.failed }) += 1;
             self.orders.push_back(Order::Answer { client, job: id, answer });
         }
         self.forget_ended(id);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,6 +7,7 @@
 use brackenledge::{ListKind, Readiness, WorkerEntry, WorkerId};
 use mio::net::TcpStream;
 use slab::Slab;
+use slog::warn;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -115,6 +116,7 @@
 /// A call has failed. Where the settings let changes arrive by themselves the module asks for nothing and is
 /// told nothing: the watch is opened again from here.
 fn fail(pushed: bool, cx: &mut Context) {
+    warn!(cx.log, "a discovery call failed, or its watch ended");
     if pushed {
         cx.event_loop.set_alarm(cx.now + WATCH_AGAIN, Alarm::Watch);
     } else {
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -49,6 +49,8 @@
     Accept,
     /// A look at idle connections.
     Sweep,
+    /// A line for the log on what was done.
+    Report,
 }
 
 /// Which part of the program owns a token.
@@ -125,11 +127,11 @@
         self.alarms.push(Reverse(((at * 1_000.0).ceil().max(0.0) as u64, serial, alarm)));
     }
 
-    /// The next alarm that has come due, in the order of their times.
-    pub fn due_alarm(&mut self) -> Option<Alarm> {
-        let now = self.now() * 1_000.0;
+    /// The next alarm that had come due by then, in the order of their times. Alarms that others set meanwhile
+    /// wait for the next turn, so that none of them keeps the poll from its turn.
+    pub fn due_alarm(&mut self, then: Millis) -> Option<Alarm> {
         let &Reverse((at, _, alarm)) = self.alarms.peek()?;
-        (at as f64 <= now).then(|| {
+        (at as f64 <= then * 1_000.0).then(|| {
             self.alarms.pop();
             alarm
         })
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -91,8 +91,8 @@
         for (name, value) in props.filter_map(|prop| prop.split_once('=')) {
             let value = figure(value.trim()).ok_or((400, "X-Props holds what is no number"))?;
             match name.trim() {
-                "slots" | "x1" => slots = value,
-                "mem" | "memory" | "x2" => memory = value,
+                "slots" => slots = value,
+                "memory" => memory = value,
                 _ => {}
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -28,6 +28,8 @@
 const EVENTS: usize = 256;
 /// Time between looks at idle connections.
 const SWEEP: Millis = 250.0;
+/// Time between lines for the log on what was done.
+const REPORT: Millis = 30_000.0;
 /// How long after SIGTERM clients may still come: until then nothing is closed but by its answer.
 const ARRIVALS: Millis = 500.0;
 /// How long after SIGTERM the program stays at least.
@@ -67,12 +69,13 @@
             scheduler.on_event(Owner::of(event.token()));
             scheduler.settle();
         }
-        while let Some(alarm) = scheduler.event_loop.due_alarm() {
+        let now = scheduler.event_loop.now();
+        while let Some(alarm) = scheduler.event_loop.due_alarm(now) {
             scheduler.on_alarm(alarm);
             scheduler.settle();
         }
         if scheduler.finished() {
-            info!(scheduler.log, "stopped, nothing is owed");
+            scheduler.report("stopped, nothing is owed");
             return Ok(());
         }
     }
@@ -130,6 +133,7 @@
         let half = (config.sockets.saturating_sub(RESERVED)) / 2;
         let now = event_loop.now();
         event_loop.set_alarm(now + SWEEP, Alarm::Sweep);
+        event_loop.set_alarm(now + REPORT, Alarm::Report);
         if !settings.list_on_request {
             event_loop.set_alarm(now, Alarm::Watch);
         }
@@ -192,6 +196,10 @@
             Alarm::Discovery(serial) => self.discovery.on_alarm(serial, cx),
             Alarm::Watch => self.discovery.watch(true, cx),
             Alarm::Accept => self.frontend.accept(cx),
+            Alarm::Report => {
+                cx.event_loop.set_alarm(cx.now + REPORT, Alarm::Report);
+                self.report("so far");
+            }
             Alarm::Sweep => {
                 self.backend.sweep(cx);
                 self.frontend.sweep(cx);
@@ -229,6 +237,13 @@
         }
     }
 
+    /// One line on what was done since the start.
+    fn report(&self, what: &'static str) {
+        let counts = self.core.counts();
+        info!(self.log, "{}", what; "owed" => self.core.owed(), "gone" => counts.gone,
+            "failed" => counts.failed, "denied" => counts.denied, "served" => counts.served);
+    }
+
     /// Whether the program may end: told to, long enough ago, and nothing is owed.
     fn finished(&mut self) -> bool {
         let Some(since) = self.stopping else { return false };
