Carry the module's own job in an arrival, and add stories of chunked and silent exchanges

Seen: the front's arrival repeated every field of the module's NewJob; one of them could be forgotten. Done: an arrival is a client, a NewJob and what the backend server is told; the core gives the id.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -28,17 +28,10 @@
     pub body: Vec<u8>,
 }
 
-/// A job as a front brings it.
+/// A job as a front brings it. The core gives it its id.
 pub struct Arrival {
     pub client: ClientId,
-    pub class: usize,
-    pub tenant: usize,
-    pub key: Option<String>,
-    pub time_left: Millis,
-    pub effort: Option<Millis>,
-    pub slots: f64,
-    pub memory: f64,
-    pub is_retry: bool,
+    pub job: NewJob,
     pub request: Request,
 }
 
@@ -134,26 +127,17 @@
             }
         }
         let id = self.last_job;
-        let job = Job {
-            client: new.client,
-            deadline: now + new.time_left,
+        let Arrival { client, job, request } = new;
+        let held = Job {
+            client,
+            deadline: now + job.time_left,
             answered: false,
-            request: Rc::new(new.request),
+            request: Rc::new(request),
             out: Vec::new(),
         };
-        self.jobs.insert(id, job);
+        self.jobs.insert(id, held);
         self.owed += 1;
-        self.events.push_back(Event::Job(NewJob {
-            id,
-            class: new.class,
-            tenant: new.tenant,
-            key: new.key,
-            time_left: new.time_left,
-            effort: new.effort,
-            slots: new.slots,
-            memory: new.memory,
-            is_retry: new.is_retry,
-        }));
+        self.events.push_back(Event::Job(NewJob { id, ..job }));
         id
     }
 
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -5,9 +5,8 @@
 use super::discovery::deregister;
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive};
 use super::http::{BODY_MOST, Body, HEAD_MOST, HEADERS_MOST, Link, Malformed, has_word, header};
-use brackenledge::JobId;
 use brackenledge::settings::SettingsDocument;
-use brackenledge::{Effect, Settings};
+use brackenledge::{Effect, JobId, NewJob, Settings};
 use mio::net::TcpListener;
 use slab::Slab;
 use slog::warn;
@@ -96,8 +95,8 @@
                 _ => {}
             }
         }
-        Ok(Arrival {
-            client,
+        let job = NewJob {
+            id: 0,
             class,
             tenant,
             key: parts.last().filter(|key| !key.is_empty()).map(str::to_owned),
@@ -107,6 +106,10 @@
             slots,
             memory,
             is_retry: header(headers, "X-Second-Try") == Some("1"),
+        };
+        Ok(Arrival {
+            client,
+            job,
             request: Request {
                 id: id.to_owned(),
                 target: target.to_owned(),
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -223,6 +223,36 @@
     stage.serves(&worker, "g2");
 }
 
+#[test]
+fn a_request_in_chunks_reaches_its_worker_whole() {
+    let (stage, worker) = one_worker();
+    let head = job("view", "p1", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    let wire = format!("{head}{}{}0;last\r\nTrailer: x\r\n\r\n", chunk("har"), chunk("vest"));
+    let mut client = stage.connect();
+    for part in wire.as_bytes().chunks(3) {
+        send(&mut client, std::str::from_utf8(part).expect("ASCII"));
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let mut served = accept(&worker);
+    assert!(read_message(&mut served).ends_with("\r\n\r\nharvest"));
+    send(&mut served, &done("p1", "whole"));
+    assert!(read_message(&mut client).ends_with("\r\n\r\nwhole"));
+}
+
+#[test]
+fn a_silent_worker_costs_a_job_its_time_and_no_more() {
+    let (stage, worker) = one_worker();
+    let since = Instant::now();
+    let mut client = stage.ask(&job("sale", "q1", "").replace("4000", "300"));
+    let mut served = accept(&worker);
+    read_message(&mut served);
+    assert!(read_message(&mut client).starts_with("HTTP/1.1 502 "));
+    assert!(since.elapsed() >= Duration::from_millis(300) && since.elapsed() < Duration::from_secs(5));
+    // Closing the connection is how a worker is told that the attempt was given up.
+    assert!(ended(&mut served));
+    stage.serves(&worker, "q2");
+}
+
 #[test]
 fn a_client_that_hangs_up_costs_nobody_else() {
     let (stage, worker) = one_worker();
