Tell the log once, not fifty times a second, that accepts fail

Seen: while descriptors were short, frontend.rs logged a line at each try, one every 20 ms. Done: one line when accepts begin to fail, and none until one has succeeded.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -351,12 +351,21 @@
     clients: Slab<ClientConnection>,
     most: usize,
     accept_waits: bool,
+    /// The last accept failed, which the log has been told.
+    accept_fails: bool,
 }
 
 impl Frontend {
     /// `most`: connections held at most.
     pub fn new(listener: TcpListener, rules: Rules, most: usize) -> Self {
-        Frontend { listener, rules: Rc::new(rules), clients: Slab::new(), most, accept_waits: false }
+        Frontend {
+            listener,
+            rules: Rc::new(rules),
+            clients: Slab::new(),
+            most,
+            accept_waits: false,
+            accept_fails: false,
+        }
     }
 
     /// Takes the connections that wait.
@@ -368,14 +377,19 @@
                 return;
             }
             match self.listener.accept() {
-                Ok((stream, _)) => self.take(Link::new(stream), cx),
+                Ok((stream, _)) => {
+                    self.accept_fails = false;
+                    self.take(Link::new(stream), cx);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 // The connection was given up before it was taken.
                 Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
                 Err(e) => {
                     // Out of descriptors, mostly. The poll won't tell of the ones that wait again, and trying
                     // at once would spin.
-                    warn!(cx.log, "accept failed"; "error" => %e);
+                    if !std::mem::replace(&mut self.accept_fails, true) {
+                        warn!(cx.log, "accept failed, trying on"; "error" => %e);
+                    }
                     self.make_room(cx);
                     self.accept_later(cx);
                     return;
