--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -51,6 +51,8 @@
     Sweep,
     /// A line for the log on what was done.
     Report,
+    /// A step of stopping is due.
+    Stop,
 }
 
 /// Which part of the program owns a token.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -180,6 +180,8 @@
                 while matches!(self.signals.read(&mut bytes), Ok(count) if count > 0) {}
                 if self.stopping.is_none() {
                     info!(self.log, "told to stop"; "owed" => cx.core.owed());
+                    cx.event_loop.set_alarm(cx.now + ARRIVALS, Alarm::Stop);
+                    cx.event_loop.set_alarm(cx.now + STAY, Alarm::Stop);
                     self.stopping = Some(cx.now);
                 }
             }
@@ -203,11 +205,16 @@
             Alarm::Sweep => {
                 self.backend.sweep(cx);
                 self.frontend.sweep(cx);
+                cx.event_loop.set_alarm(cx.now + SWEEP, Alarm::Sweep);
                 if self.stopping.is_some_and(|since| cx.now >= since + ARRIVALS) {
                     self.frontend.accept(cx);
                     self.frontend.close_all_idle(cx);
                 }
-                cx.event_loop.set_alarm(cx.now + SWEEP, Alarm::Sweep);
+            }
+            // On time, and not at the next sweep: what arrives later than this may meet SIGKILL.
+            Alarm::Stop => {
+                self.frontend.accept(cx);
+                self.frontend.close_all_idle(cx);
             }
         }
     }
