Ask for a broken watch again after 60 ms, not after 1 to 3 s

The change at 11.71 s was cut off after a few bytes at 11.92 s; the module was told that the call had failed and asked again (0.5 to 1.5) x 0.2 x ask-within later, 1 to 3 s, so that the list came at 14.31 s. Discovery counts the change as told 2.01 s after it was listed, and a job sent at 14.25 s was late.

The daemon opens a broken watch again by itself, after 60 ms and twice as long for each failure in a row.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -23,8 +23,10 @@
 /// A connection that is not up by then won't be soon: its machine is cut off, and TCP alone would try again after 1,
 /// 3 and 7 s only. Meanwhile it counts as not asked.
 const COME_UP: Millis = 400.0;
-/// Wait before a watch that nobody asked for is opened again.
-const WATCH_AGAIN: Millis = 1_000.0;
+/// Wait before a watch that broke is opened again: discovery counts what it has written to the broken one as told,
+/// so the first wait is short; each failure in a row doubles it, or an outage would end in a storm of calls.
+const WATCH_AGAIN: Millis = 60.0;
+const WATCH_AGAIN_MOST: Millis = 2_000.0;
 /// The same just after discovery has moved: what it has to tell must be known soon, and a call that fails
 /// now is no word of an outage.
 const MOVED_AGAIN: Millis = 250.0;
@@ -136,17 +138,6 @@
     Moved(Millis),
 }
 
-fn fail(again: Again, cx: &mut Context) {
-    warn!(cx.log, "a discovery call failed, or its watch ended");
-    match again {
-        Again::Pushed => cx.event_loop.set_alarm(cx.now + WATCH_AGAIN, Alarm::Watch),
-        Again::Moved(until) if cx.now < until => {
-            cx.event_loop.set_alarm(cx.now + MOVED_AGAIN, Alarm::Watch);
-        }
-        _ => cx.core.servers(ListKind::Failed, Vec::new()),
-    }
-}
-
 impl Call {
     fn take_list(&mut self, bytes: &[u8], cx: &mut Context) -> Flow {
         let list = std::str::from_utf8(bytes).ok();
@@ -223,12 +214,14 @@
     address: SocketAddr,
     calls: Slab<Call>,
     again: Again,
+    /// Calls that failed since the last one that answered.
+    failures: u32,
 }
 
 impl Discovery {
     pub fn new(address: SocketAddr, pushed: bool) -> Self {
         let again = if pushed { Again::Pushed } else { Again::Module };
-        Discovery { address, calls: Slab::new(), again }
+        Discovery { address, calls: Slab::new(), again, failures: 0 }
     }
 
     /// Discovery has a new address. The old one is about to end its calls, which would be no outage: the watch
@@ -275,7 +268,7 @@
 
     fn call(&mut self, watch: bool, target: &str, cx: &mut Context) {
         let Ok(stream) = TcpStream::connect(self.address) else {
-            fail(self.again, cx);
+            self.fail(watch, self.again, cx);
             return;
         };
         let serial = cx.event_loop.next_serial();
@@ -298,7 +291,7 @@
         let at = self.calls.insert(call);
         if cx.event_loop.watch(&mut self.calls[at].link.stream, Owner::Discovery(at)).is_err() {
             self.calls.remove(at);
-            fail(self.again, cx);
+            self.fail(watch, self.again, cx);
             return;
         }
         cx.event_loop.set_alarm(cx.now + COME_UP, Alarm::Discovery(serial));
@@ -310,6 +303,7 @@
         if drive(call, cx) == Flow::Close {
             self.end(at, cx);
         } else if call.watch && call.head.is_some() {
+            self.failures = 0;
             self.only_watch(Some(at), cx);
         }
     }
@@ -347,7 +341,20 @@
         self.remove(at, cx);
         let another = watch && self.calls.iter().any(|(_, call)| call.watch);
         if !done && !another {
-            fail(again, cx);
+            self.fail(watch, again, cx);
+        }
+    }
+
+    fn fail(&mut self, watch: bool, again: Again, cx: &mut Context) {
+        warn!(cx.log, "a discovery call failed, or its watch ended");
+        let wait = (WATCH_AGAIN * f64::from(1 << self.failures.min(6))).min(WATCH_AGAIN_MOST);
+        self.failures += 1;
+        match again {
+            Again::Moved(until) if cx.now < until => {
+                cx.event_loop.set_alarm(cx.now + MOVED_AGAIN, Alarm::Watch);
+            }
+            _ if watch => cx.event_loop.set_alarm(cx.now + wait, Alarm::Watch),
+            _ => cx.core.servers(ListKind::Failed, Vec::new()),
         }
     }
 
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -371,6 +371,23 @@
     stage.serves(&worker, "f1");
 }
 
+#[test]
+fn a_watch_cut_off_in_mid_line_is_asked_for_again_at_once() {
+    let mut config = settings();
+    // As in service: what the module waits after a failed call is a part of this.
+    config["obligations"]["ask-within"] = json!(60_000.0);
+    let worker = listener();
+    let at = worker.local_addr().expect("an address");
+    let stage = Stage::start_with(config, &[endpoint("s-a", at, "ready")], None);
+    let (_, mut watch) = stage.watch(&[list(2, false, &[])]);
+    let drains = list(3, false, &[endpoint("s-a", at, "draining")]).to_string();
+    send(&mut watch, &chunk(&drains[..drains.len() / 2]));
+    drop(watch);
+    let since = Instant::now();
+    let (request, _watch) = stage.watch(&[]);
+    assert!(request.contains("since=2") && since.elapsed() < Duration::from_secs(3), "{request}");
+}
+
 #[test]
 fn nonsense_from_workers_and_peers_ends_that_exchange_alone() {
     let (stage, worker) = one_worker();
