Add the roster: one place that believes, doubts and asks about the server table

Need: the daemon's table and calls knew a break, silence and a refusal as one failure, told the decision module, and waited for it; a list above 1 MiB was dropped whole; schedulers shared nothing of what they heard.

src/roster decides, without I/O or clock, which calls to discovery are out (graded doubt, a second watch beside one in doubt, a token bucket split by schedulers, a look beside a healthy watch every 20 s), what is believed of each server, what others are told and told again, and what is held back on servers' own word while discovery is silent. Lists are read as a stream, entry by entry; entries that take servers away count at once, even of a line that breaks off. The decision module gains a cost for doubt and takes numbers that come to stand for other servers.

--- a/src/bin/brackenledge-adapter/wire.rs
+++ b/src/bin/brackenledge-adapter/wire.rs
@@ -212,6 +212,7 @@
             },
             weight: self.weight,
             launched: (self.launched > 0.0).then_some(self.launched),
+            doubt: 0.0,
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -241,6 +241,8 @@
     pub weight: f64,
     /// When it last started; `None`: long ago.
     pub launched: Option<Millis>,
+    /// How likely it is that it drains unheard, 0 to 1: others go first.
+    pub doubt: f64,
 }
 
 /// What a list event holds.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod interface;
 mod measure;
 mod peers;
+pub mod roster;
 pub mod rules;
 pub mod settings;
 
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -5,6 +5,7 @@
 use super::discovery::deregister;
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive, push_out};
 use super::http::{AnswerHead, BODY_MOST, HEAD_MOST, Link, take_answer_head};
+use brackenledge::roster::ServerWord;
 use brackenledge::{LoadReport, Outcome, WorkerId};
 use mio::net::TcpStream;
 use slab::Slab;
@@ -156,7 +157,19 @@
     /// Ends what travels here, if anything still does.
     fn end(&mut self, outcome: Outcome, report: Option<LoadReport>, cx: &mut Context) {
         match self.task.take() {
-            Some(Task::Dispatch { id, .. }) => cx.core.dispatch_ended(id, outcome, report),
+            Some(Task::Dispatch { id, .. }) => {
+                let room = report.and_then(|report| report.free_slots).is_some_and(|free| free >= 1.0);
+                let word = match outcome {
+                    Outcome::Full if room => Some(ServerWord::ReturnedWithRoom),
+                    Outcome::Full => Some(ServerWord::Returned),
+                    Outcome::ConnectFailed if self.connecting => Some(ServerWord::Refused),
+                    _ => None,
+                };
+                if let Some(word) = word {
+                    cx.roster.server_says(cx.now, self.server, word);
+                }
+                cx.core.dispatch_ended(id, outcome, report);
+            }
             Some(Task::Probe) => cx.core.probed(self.server, outcome, report),
             None => {}
         }
@@ -190,6 +203,7 @@
             ("running", _) => cx.core.dispatch_progress(id, line.share.unwrap_or(0.0)),
             ("done", Some(result)) => {
                 self.task = None;
+                cx.roster.server_says(cx.now, self.server, ServerWord::Served);
                 cx.core.dispatch_served(id, result, report);
             }
             // An answer without its result can't be given to the client.
@@ -257,6 +271,10 @@
             return Flow::Keep;
         }
         self.on_answer(cx);
+        if closes && self.kept {
+            // It has kept this connection so far, and now wants it no longer.
+            cx.roster.server_says(cx.now, self.server, ServerWord::Closing);
+        }
         self.idle_since = cx.now;
         self.kept = true;
         // Bytes behind the answer belong to nothing, and a request not wholly written can't be followed.
@@ -280,7 +298,7 @@
         // Much may have changed since the connection was asked for: a server that has been told to drain
         // meanwhile must get nothing new, and late work serves nobody. Nothing has been written: it is moot.
         let late = matches!(&task, Task::Dispatch { until, .. } if cx.now >= *until);
-        if late || !cx.table.ready(self.server) {
+        if late || !cx.roster.ready(self.server) {
             self.task = Some(task);
             self.end(Outcome::Moot, None, cx);
             return Flow::Close;
@@ -345,7 +363,7 @@
         until: Millis,
         cx: &mut Context,
     ) {
-        if !cx.table.ready(server) {
+        if !cx.roster.ready(server) {
             cx.core.dispatch_ended(id, Outcome::Moot, None);
             return;
         }
@@ -423,8 +441,8 @@
         let (now, idle_time) = (cx.now, self.idle_time);
         let stale = |c: &ServerConnection| {
             now >= c.idle_since + idle_time
-                || !cx.table.ready(c.server)
-                || cx.table.address(c.server) != Some(c.address)
+                || !cx.roster.ready(c.server)
+                || cx.roster.address(c.server) != Some(c.address)
         };
         let free = self.connections.iter().filter(|(_, c)| c.task.is_none());
         let stale: Vec<usize> = free.filter(|(_, c)| stale(c)).map(|(at, _)| at).collect();
@@ -440,7 +458,7 @@
 
     /// Finds or opens a connection for a task; `None`: none can be had.
     fn carry(&mut self, task: Task, server: WorkerId, cx: &mut Context) -> Option<usize> {
-        let address = cx.table.address(server)?;
+        let address = cx.roster.address(server)?;
         while let Some(at) = self.idle.get_mut(&server).and_then(Vec::pop) {
             let connection = &mut self.connections[at];
             // The address may have changed, and what has been idle too long may be closed over there.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -19,11 +19,10 @@
     pub since_ms: Option<f64>,
 }
 
-/// Discovery's list, or changes to it.
+/// Discovery's list as it was last.
 #[derive(Clone, Debug, miniserde::Deserialize)]
 pub struct ServerList {
     pub index: u64,
-    pub snapshot: bool,
     pub endpoints: Vec<Endpoint>,
 }
 
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -43,10 +43,8 @@
     Held(u64),
     /// A probe has waited as long as it may.
     Probe(u64),
-    /// A discovery call may have fallen silent.
-    Discovery(u64),
-    /// A watch that nobody asked for is to be opened.
-    Watch,
+    /// The roster waits for something that is due: a call in doubt, a message to be sent again.
+    Roster,
     /// Accepting may work again.
     Accept,
     /// A look at idle connections.
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -308,7 +308,7 @@
         self.worked |= matches!(awaited, Awaited::Job(_));
         match awaited {
             Awaited::Up if cx.stopping.is_some() => self.answer(503, "", b"stopping\n", cx),
-            Awaited::Up if !cx.table.serves() => self.answer(503, "", b"no server table yet\n", cx),
+            Awaited::Up if !cx.roster.serves() => self.answer(503, "", b"no server table yet\n", cx),
             Awaited::Up => self.answer(200, "", b"up\n", cx),
             Awaited::Job(_) if cx.core.owed() >= self.rules.most_held => {
                 self.give(Answer::Denied { retry_after: Some(HELD_RETRY) }, cx);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,16 +7,18 @@
 mod event_loop;
 mod frontend;
 mod http;
+mod list_stream;
 mod peer;
 
 use self::backend::Backend;
 use self::config::{Config, IDLE_LIMIT};
 use self::core::{Core, Order};
-use self::discovery::{Discovery, ServerTable};
+use self::discovery::{Discovery, Places};
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
 use self::peer::Peer;
-use brackenledge::{ListKind, Settings};
+use brackenledge::Settings;
+use brackenledge::roster::{self, Roster, RosterSettings};
 use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -47,7 +49,8 @@
 pub struct Context<'a> {
     now: Millis,
     core: &'a mut Core,
-    table: &'a mut ServerTable,
+    roster: &'a mut Roster,
+    places: &'a Places,
     event_loop: &'a mut EventLoop,
     log: &'a Logger,
     /// Until when connections that were kept are not trusted.
@@ -71,7 +74,8 @@
 struct Scheduler<'a> {
     event_loop: EventLoop,
     core: Core,
-    table: ServerTable,
+    roster: Roster,
+    places: Places,
     frontend: Frontend,
     backend: Backend,
     discovery: Discovery,
@@ -138,7 +142,8 @@
         Context {
             now: $scheduler.event_loop.now(),
             core: &mut $scheduler.core,
-            table: &mut $scheduler.table,
+            roster: &mut $scheduler.roster,
+            places: &$scheduler.places,
             event_loop: &mut $scheduler.event_loop,
             log: &$scheduler.log,
             distrust_until: &mut $scheduler.distrust_until,
@@ -173,16 +178,20 @@
             registered.map_err(|e| format!("{watched}: {e}"))?;
             peer = Some(bound);
         }
-        let table = ServerTable::new(document.zone_names(), document.kind_names());
+        let places = Places { zones: document.zone_names(), kinds: document.kind_names() };
         let idle_limit = document.idle_limit().unwrap_or(IDLE_LIMIT);
         let shared = config.sockets.saturating_sub(RESERVED);
         let clients = (CLIENTS_PART * shared as f64) as usize;
         let now = event_loop.now();
         event_loop.set_alarm(now + SWEEP, Alarm::Sweep);
         event_loop.set_alarm(now + REPORT, Alarm::Report);
-        if !settings.list_on_request {
-            event_loop.set_alarm(now, Alarm::Watch);
-        }
+        let roster = RosterSettings {
+            ordinal: settings.ordinal,
+            schedulers: settings.dispatchers,
+            messages: peer.is_some(),
+            pushed: !settings.list_on_request,
+            seed: config.seed,
+        };
         let peer_listen = peer.as_ref().and_then(|peer| peer.socket.local_addr().ok());
         info!(log, "serving"; "version" => env!("CARGO_PKG_VERSION"), "discovery" => %config.discovery,
             "peer_listen" => peer_listen.map_or("none".into(), |at| at.to_string()),
@@ -190,10 +199,11 @@
         let mut scheduler = Scheduler {
             frontend: Frontend::new(listener, Rules::new(document, &settings), clients),
             backend: Backend::new(shared - clients, settings.connect_timeout, idle_limit),
-            discovery: Discovery::new(config.discovery, !settings.list_on_request),
+            discovery: Discovery::new(config.discovery),
             core: Core::new(now, settings, config.seed),
             event_loop,
-            table,
+            roster: Roster::new(now, roster),
+            places,
             peer,
             signals,
             reload,
@@ -204,9 +214,11 @@
         };
         // The list as this scheduler had it before it was restarted; maybe out of date.
         if let Some(known) = config.known {
-            let entries = scheduler.table.learn(known);
-            scheduler.core.servers(ListKind::Cached, entries);
+            let places = &scheduler.places;
+            let entries = known.endpoints.into_iter().map(|endpoint| places.listed(endpoint)).collect();
+            scheduler.roster.know(now, known.index, entries);
         }
+        scheduler.roster.on_time(now);
         scheduler.core.wake();
         scheduler.settle();
         Ok(scheduler)
@@ -221,7 +233,7 @@
             Owner::Discovery(at) => self.discovery.on_ready(at, cx),
             Owner::Peer => {
                 if let Some(peer) = &mut self.peer {
-                    peer.on_input(cx.core);
+                    peer.on_input(cx);
                 }
             }
             Owner::Signal => {
@@ -257,8 +269,7 @@
             Alarm::Connect(serial) => self.backend.on_connect_alarm(serial, cx),
             Alarm::Held(serial) => self.backend.on_held_alarm(serial, cx),
             Alarm::Probe(serial) => self.backend.on_probe_alarm(serial, cx),
-            Alarm::Discovery(serial) => self.discovery.on_alarm(serial, cx),
-            Alarm::Watch => self.discovery.watch_again(cx),
+            Alarm::Roster => self.discovery.on_alarm(cx),
             Alarm::Accept => self.frontend.accept(cx),
             Alarm::Report => {
                 cx.event_loop.set_alarm(cx.now + REPORT, Alarm::Report);
@@ -283,33 +294,64 @@
 
     /// Plays events and carries out their orders until all is done for now.
     fn settle(&mut self) {
-        while let Some(order) = self.core.next_order(self.event_loop.now()) {
-            let cx = &mut context!(self);
-            match order {
-                Order::Answer { client, job, answer } => self.frontend.answer(client, job, answer, cx),
-                Order::Dispatch { id, worker, request, until } => {
-                    self.backend.dispatch(id, worker, request, until, cx);
-                }
-                Order::Cancel { id } => self.backend.cancel(id, brackenledge::Outcome::Cancelled, cx),
-                Order::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
-                Order::Watch { on } => self.discovery.watch(on, cx),
-                Order::FetchList => self.discovery.fetch(cx),
-                Order::Probe { worker } => self.backend.probe(worker, cx),
-                Order::Tell { to, text } => {
-                    if let Some(peer) = &self.peer {
-                        peer.tell(to, &text);
-                    }
-                }
-                Order::CloseIdle { worker } => self.backend.close_idle(worker, cx),
-                Order::Log(text) => info!(self.log, "{}", text),
+        loop {
+            // What the roster has learned goes first: a job must not be sent by an older belief.
+            if let Some(order) = self.roster.next_order() {
+                self.carry_out_roster(order);
+            } else if let Some(order) = self.core.next_order(self.event_loop.now()) {
+                self.carry_out(order);
+            } else {
+                break;
             }
         }
+        let cx = &mut context!(self);
+        self.discovery.arm(cx);
+    }
+
+    fn carry_out_roster(&mut self, order: roster::Order) {
+        let cx = &mut context!(self);
+        match order {
+            roster::Order::Ask { call, kind, since } => self.discovery.ask(call, kind, since, cx),
+            roster::Order::Drop { call } => self.discovery.drop_call(call, cx),
+            roster::Order::Tell { to, text } => self.tell(Some(to), &text),
+            roster::Order::Learn { kind, entries } => {
+                cx.core.servers(kind, entries.into_iter().map(|learned| learned.0).collect());
+            }
+            roster::Order::Log(text) => info!(self.log, "{}", text),
+        }
+    }
+
+    fn carry_out(&mut self, order: Order) {
+        let cx = &mut context!(self);
+        match order {
+            Order::Answer { client, job, answer } => self.frontend.answer(client, job, answer, cx),
+            Order::Dispatch { id, worker, request, until } => {
+                self.backend.dispatch(id, worker, request, until, cx);
+            }
+            Order::Cancel { id } => self.backend.cancel(id, brackenledge::Outcome::Cancelled, cx),
+            Order::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
+            Order::Watch { on } => cx.roster.want(cx.now, on),
+            Order::FetchList => cx.roster.fetch(cx.now),
+            Order::Probe { worker } => self.backend.probe(worker, cx),
+            Order::Tell { to, text } => self.tell(to, &text),
+            Order::CloseIdle { worker } => self.backend.close_idle(worker, cx),
+            Order::Log(text) => info!(self.log, "{}", text),
+        }
+    }
+
+    fn tell(&self, to: Option<u32>, text: &str) {
+        if let Some(peer) = &self.peer {
+            peer.tell(to, text);
+        }
     }
 
     /// One line on what was done since the start.
     fn report(&self, what: &'static str) {
         let counts = self.core.counts();
-        info!(self.log, "{}", what; "owed" => self.core.owed(), "gone" => counts.gone,
+        let roster = self.roster.counts();
+        info!(self.log, "{}", what; "peers_first" => roster.heard_first, "told" => roster.told,
+            "calls_doubled" => roster.doubled, "calls_failed" => roster.failed, "calls" => roster.calls,
+            "servers" => self.roster.len(), "list" => self.roster.version().unwrap_or(0), "owed" => self.core.owed(), "gone" => counts.gone,
             "failed" => counts.failed, "denied" => counts.denied, "served" => counts.served);
     }
 
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -1,7 +1,7 @@
 //! Short messages between schedulers, over UDP. They may come late or never.
 
+use super::Context;
 use super::config::PeerConfig;
-use super::core::Core;
 use mio::net::UdpSocket;
 use std::io::{self, ErrorKind};
 
@@ -39,7 +39,7 @@
     }
 
     /// Takes in what has come. Senders are known by their addresses; others, and what is no text, are ignored.
-    pub fn on_input(&mut self, core: &mut Core) {
+    pub fn on_input(&mut self, cx: &mut Context) {
         let mut buffer = [0; MESSAGE_MOST + 1];
         loop {
             let (length, sender) = match self.socket.recv_from(&mut buffer) {
@@ -55,8 +55,9 @@
             let text = std::str::from_utf8(&buffer[..length]).ok().filter(|_| length <= MESSAGE_MOST);
             if let (Some(from), Some(text)) = (from, text)
                 && from != self.ordinal as usize
+                && !cx.roster.heard(cx.now, from as u32, text)
             {
-                core.message(from as u32, text.to_owned());
+                cx.core.message(from as u32, text.to_owned());
             }
         }
     }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -51,13 +51,23 @@
 pub(crate) struct Peers {
     heard: BTreeMap<u32, Heard>,
     tags: BTreeMap<u32, WorkerId>,
+    tag_of: Vec<Option<u32>>,
     loads: Vec<f64>,
 }
 
 impl Peers {
     /// Makes a worker known by its name's hash.
     pub(crate) fn know(&mut self, id: WorkerId, hash: u64) {
-        self.tags.insert(tag(hash), id);
+        if self.tags.get(&tag(hash)) != Some(&id) {
+            // A number may come to stand for another worker: what its old tag says is not meant for that one.
+            self.tag_of.resize(self.tag_of.len().max(id + 1), None);
+            if let Some(old) = self.tag_of[id].replace(tag(hash))
+                && self.tags.get(&old) == Some(&id)
+            {
+                self.tags.remove(&old);
+            }
+            self.tags.insert(tag(hash), id);
+        }
         self.loads.resize(self.loads.len().max(id + 1), 0.0);
     }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,6 +48,7 @@
 const SPEED_PART: (f64, f64) = (0.1, 2.0); // weight of a slower run: while in time, and beyond
 const TROUBLE_COST: f64 = 10.0; // aims that a worker sure to fail counts for
 const AWAY_COST: f64 = 0.05; // aims that another zone counts for
+const DOUBT_COST: f64 = 1.0; // aims that a server sure to drain unheard counts for
 const FETCH_COST: f64 = 5.0; // running times that fetching what a key needs counts for: it holds a slot
 const KEPT_PART: f64 = 0.2; // of that cost where the worker got a job with this key lately
 const KEPT: usize = 4; // keys that a worker is taken to keep of those we sent it
@@ -82,6 +83,7 @@
     readiness: Readiness,
     size: f64,
     launched: Option<Millis>,
+    doubt: f64,
     /// Slots that our attempts hold here, and those of them not known to have started.
     own: f64,
     unstarted: f64,
@@ -319,13 +321,19 @@
             worker.reported_at = 0.0;
             worker.keys.clear();
         }
-        worker.hash = hash(&entry.name);
+        let hash = hash(&entry.name);
+        if worker.hash != hash {
+            // The number of a server that was forgotten long ago serves another one.
+            let (allowance, allowance_at) = (worker.allowance, worker.allowance_at);
+            *worker = Worker { hash, size: 1.0, allowance, allowance_at, ..Worker::default() };
+        }
         self.peers.know(entry.id, worker.hash);
         worker.zone = entry.zone;
         worker.kind = entry.kind;
         worker.cell = entry.cell;
         worker.readiness = entry.readiness;
         worker.launched = entry.launched;
+        worker.doubt = entry.doubt;
         if self.settings.weights == Weights::Size && entry.weight > 0.0 {
             worker.size = entry.weight;
         }
@@ -628,7 +636,7 @@
         let slower = worker.excess(now) * run;
         let late = (slower - 0.5 * self.slack(job.class)).max(0.0);
         let slower = SPEED_PART.0 * slower + SPEED_PART.1 * late;
-        queue + waits + slower + TROUBLE_COST * aim * trouble + away + fetch
+        queue + waits + slower + (TROUBLE_COST * trouble + DOUBT_COST * worker.doubt) * aim + away + fetch
     }
 
     /// Tells the other dispatchers how many slots we hold where: an idle worker is one that nobody loads.
