Show the roster's failures on a virtual clock and on sockets; changes of one cost no look at all

They found: evidence that let go after a second, retries that kept a discovery busy with 40 schedulers for good (rates, waits after refusals and the doubt of waiting calls now follow the number of schedulers).

--- a/src/measure.rs
+++ b/src/measure.rs
@@ -1,6 +1,6 @@
-//! Small instruments of the decision module: a fading count, running times, hashes.
+//! Small instruments of the decision module: a fading count, running times, the ready workers, hashes.
 
-use crate::interface::Millis;
+use crate::interface::{Millis, WorkerId};
 
 /// A count that fades with time, so that it tells a rate.
 #[derive(Clone, Copy, Default)]
@@ -50,6 +50,32 @@
     }
 }
 
+/// The workers that take work, by their numbers, and beside them their names' hashes. A change costs no look at
+/// the others.
+#[derive(Default)]
+pub(crate) struct ReadySet {
+    pub(crate) ids: Vec<WorkerId>,
+    pub(crate) hashes: Vec<u64>,
+}
+
+impl ReadySet {
+    /// Takes a worker in or out.
+    pub(crate) fn set(&mut self, id: WorkerId, hash: u64, ready: bool) {
+        match (self.ids.binary_search(&id), ready) {
+            (Ok(at), true) => self.hashes[at] = hash,
+            (Err(at), true) => {
+                self.ids.insert(at, id);
+                self.hashes.insert(at, hash);
+            }
+            (Ok(at), false) => {
+                self.ids.remove(at);
+                self.hashes.remove(at);
+            }
+            (Err(_), false) => {}
+        }
+    }
+}
+
 pub(crate) fn micros(at: Millis) -> u64 {
     (at * 1_000.0).ceil().max(0.0) as u64
 }
--- a/src/roster/evidence.rs
+++ b/src/roster/evidence.rs
@@ -24,6 +24,8 @@
 const LIFE: Millis = 4_000.0;
 /// Evidence of this much holds new work back while nothing can be confirmed.
 pub(super) const ENOUGH: f64 = 1.0;
+/// And goes on doing so down to this much: some six seconds, then it is tried again.
+pub(super) const STILL: f64 = 0.25;
 /// Evidence of this much is not worth keeping.
 const NOTHING: f64 = 0.05;
 
--- a/src/roster/link.rs
+++ b/src/roster/link.rs
@@ -58,19 +58,24 @@
 /// A line that stands still in its middle for so long is doubted: its pieces come within 2 ms of one another.
 const LINE_LATE: Millis = 150.0;
 /// An answer that has not come is doubted: the call may wait its turn (3 s at most), or its connection may be dead.
-const ANSWER_LATE: Millis = 1_200.0;
+/// The more schedulers may be asking just now, the longer it is only waiting: a call takes some 0.3 s.
+const ANSWER_LATE: (Millis, Millis) = (1_200.0, 3_500.0);
+const ANSWER_EACH: Millis = 300.0;
 /// A call without a byte for so long is given up: its turn can't take longer, nor can two beats.
 const DEAD: Millis = 4_500.0;
 /// A connection not up by then won't be soon: TCP alone tries again after 1, 3 and 7 s only.
 const COME_UP: Millis = 400.0;
 /// First wait after a failure, and the longest. What was written to the broken watch counts as told.
 const RETRY: (Millis, Millis) = (60.0, 2_000.0);
+/// The same after a refusal: discovery has more to do than it can, and the more so the more schedulers ask it.
+const REFUSED: Millis = 500.0;
+const REFUSED_EACH: Millis = 200.0;
 /// Watches out at once where none of them is on time.
 const WATCHES: usize = 3;
 /// Calls a second that all schedulers together may keep up, for a discovery that handles 3 to 5, and the bounds of
 /// each one's part of it. Within the lower bound every scheduler asks as often as `ask-within` demands.
-const CALLS: f64 = 8.0;
-const CALLS_EACH: (f64, f64) = (0.1, 1.0);
+const CALLS: f64 = 4.0;
+const CALLS_EACH: (f64, f64) = (0.05, 1.0);
 /// Calls saved up for a bad moment.
 const BURST: f64 = 5.0;
 /// A healthy watch is replaced this often, and no more than so often for each scheduler: one that beats and tells
@@ -104,10 +109,10 @@
 
 impl State {
     /// When it is to be doubted, and when given up.
-    fn limits(&self) -> (Millis, Millis) {
+    fn limits(&self, answer_late: Millis) -> (Millis, Millis) {
         let (doubt, dead) = match self.phase {
             Phase::Connecting => (COME_UP, COME_UP),
-            Phase::Asked => (ANSWER_LATE, DEAD),
+            Phase::Asked => (answer_late, DEAD),
             Phase::Open if self.midway => (LINE_LATE, BEAT + BEAT_LATE),
             Phase::Open => (BEAT + BEAT_LATE, DEAD),
         };
@@ -136,6 +141,8 @@
     tokens_at: Millis,
     rate: f64,
     audit_every: Millis,
+    refused_most: Millis,
+    answer_late: Millis,
     rng: Rng,
     orders: VecDeque<LinkOrder>,
 }
@@ -157,6 +164,8 @@
             tokens_at: now,
             rate: (CALLS / each).clamp(CALLS_EACH.0, CALLS_EACH.1) / 1_000.0,
             audit_every: AUDIT.max(AUDIT_EACH * each),
+            answer_late: (ANSWER_EACH * each).clamp(ANSWER_LATE.0, ANSWER_LATE.1),
+            refused_most: RETRY.1.max(REFUSED_EACH * each),
             rng: Rng::with_seed(seed),
             orders: VecDeque::new(),
         }
@@ -261,12 +270,13 @@
             (_, Phase::Open) => "ended",
             _ => "ended without an answer",
         };
-        let wait = self.fail(now);
+        let wait = self.fail(now, ending == Ending::Refused);
         Some(format!("{what} of discovery {how}; the next call in {wait:.0} ms at the earliest"))
     }
 
-    fn fail(&mut self, now: Millis) -> Millis {
-        let wait = (RETRY.0 * f64::from(1 << self.failures.min(10))).min(RETRY.1);
+    fn fail(&mut self, now: Millis, refused: bool) -> Millis {
+        let (first, most) = if refused { (REFUSED, self.refused_most) } else { RETRY };
+        let wait = (first * f64::from(1 << self.failures.min(10))).min(most);
         self.failures += 1;
         let wait = wait * (0.5 + self.rng.f64());
         // While another watch works or is being asked for, nothing has to be retried; it may yet fail too.
@@ -277,7 +287,7 @@
     pub(super) fn freshness(&self, now: Millis) -> Freshness {
         let well =
             |state: &State| state.kind == CallKind::Watch && state.proven && !state.doubted && !state.suspect;
-        if self.states.iter().any(|state| well(state) && now < state.limits().0) {
+        if self.states.iter().any(|state| well(state) && now < state.limits(self.answer_late).0) {
             Freshness::Fresh
         } else if now < self.confirmed_at + STALE {
             Freshness::Late
@@ -287,7 +297,9 @@
     }
 
     pub(super) fn next_time(&self) -> Millis {
-        let limit = |state: &State| if state.doubted { state.limits().1 } else { state.limits().0 };
+        let limit = |state: &State| {
+            if state.doubted { state.limits(self.answer_late).1 } else { state.limits(self.answer_late).0 }
+        };
         let calls = self.states.iter().map(limit).fold(f64::INFINITY, f64::min);
         let stale = self.confirmed_at + STALE;
         let mut next = calls;
@@ -315,9 +327,9 @@
     }
 
     pub(super) fn on_time(&mut self, now: Millis) {
-        let mut dead = Vec::new();
+        let (mut dead, answer_late) = (Vec::new(), self.answer_late);
         for state in &mut self.states {
-            let (doubt, give_up) = state.limits();
+            let (doubt, give_up) = state.limits(answer_late);
             if now >= give_up {
                 dead.push((state.call, state.phase));
             } else if now >= doubt && !state.doubted {
@@ -329,7 +341,7 @@
             self.states.retain(|state| state.call != *call);
             self.orders.push_back(LinkOrder::Drop { call: *call });
             self.fetch_wanted |= kind == Some(CallKind::Fetch);
-            self.fail(now);
+            self.fail(now, false);
         }
         if now >= self.audit_at {
             self.audit_at = now + self.audit_every * (0.75 + 0.5 * self.rng.f64());
--- a/src/roster/table.rs
+++ b/src/roster/table.rs
@@ -4,7 +4,7 @@
 //! off, what a peer with a newer list says, and what the server's own behaviour lets one guess. Only the first can
 //! make a server ready.
 
-use super::evidence::{ENOUGH, Evidence, Group, Release, ServerWord};
+use super::evidence::{ENOUGH, Evidence, Group, Release, STILL, ServerWord};
 use super::gossip::{Change, tag};
 use super::link::Freshness;
 use crate::interface::{Millis, Readiness, WorkerEntry, WorkerId};
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Whether its own behaviour tells of a drain.
+    fn suspected(&self, now: Millis) -> bool {
+        self.evidence.now(now) >= if self.withheld { STILL } else { ENOUGH }
+    }
+
     fn group(&self) -> Group {
         (self.listed.zone, self.listed.kind)
     }
@@ -311,7 +316,7 @@
             return false;
         }
         self.marked.insert(id);
-        (server.evidence.now(now) >= ENOUGH) != server.withheld
+        server.suspected(now) != server.withheld
     }
 
     /// Weighs evidence and the release under way anew. While discovery's word is fresh neither counts.
@@ -319,8 +324,8 @@
         let unsure = fresh != Freshness::Fresh;
         let most = (HELD_BACK * self.ready as f64) as usize;
         let weight = |&id: &WorkerId| self.get(id).map_or(0.0, |server| server.evidence.now(now));
-        let mut suspects: Vec<WorkerId> =
-            self.marked.iter().copied().filter(|id| weight(id) >= ENOUGH).collect();
+        let suspected = |&id: &WorkerId| self.get(id).is_some_and(|server| server.suspected(now));
+        let mut suspects: Vec<WorkerId> = self.marked.iter().copied().filter(suspected).collect();
         suspects.sort_by(|a, b| weight(b).total_cmp(&weight(a)).then(a.cmp(b)));
         suspects.truncate(if unsure { most } else { 0 });
         for id in self.marked.clone() {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 //! tenant queues, budget, placement, attempts and outcomes, final answers and timers.
 
 use crate::interface::*;
-use crate::measure::{Fading, RunTime, distance, hash, micros};
+use crate::measure::{Fading, ReadySet, RunTime, distance, hash, micros};
 use crate::peers::Peers;
 use fastrand::Rng;
 use std::cmp::Reverse;
@@ -199,8 +199,7 @@
     rng: Rng,
     booted: Millis,
     workers: Vec<Worker>,
-    ready: Vec<WorkerId>,
-    ready_hashes: Vec<u64>,
+    ready: ReadySet,
     zones: BTreeMap<u32, Zone>,
     tenants: Vec<TenantQueue>,
     turn: [usize; LANES],
@@ -234,8 +233,7 @@
             rng,
             booted: now,
             workers: Vec::new(),
-            ready: Vec::new(),
-            ready_hashes: Vec::new(),
+            ready: ReadySet::default(),
             zones: BTreeMap::new(),
             tenants,
             turn: [0; LANES],
@@ -294,15 +292,13 @@
             }
             ListKind::Full => {
                 self.workers.iter_mut().for_each(|worker| worker.readiness = Readiness::Gone);
+                self.ready = ReadySet::default();
             }
             ListKind::Cached | ListKind::Delta => {}
         }
         for entry in entries {
             self.learn_worker(now, entry);
         }
-        let ready = |&id: &WorkerId| self.workers[id].readiness == Readiness::Ready;
-        self.ready = (0..self.workers.len()).filter(ready).collect();
-        self.ready_hashes = self.ready.iter().map(|&id| self.workers[id].hash).collect();
     }
 
     fn learn_worker(&mut self, now: Millis, entry: WorkerEntry) {
@@ -332,6 +328,7 @@
         worker.kind = entry.kind;
         worker.cell = entry.cell;
         worker.readiness = entry.readiness;
+        self.ready.set(entry.id, hash, entry.readiness == Readiness::Ready);
         worker.launched = entry.launched;
         worker.doubt = entry.doubt;
         if self.settings.weights == Weights::Size && entry.weight > 0.0 {
@@ -351,7 +348,7 @@
     /// that is the fleet's load per worker, so no number of them pushes one over. Cold workers count in the
     /// average: in a rolling deploy few are warm, and what those get is no measure.
     fn cold_rate(&self, now: Millis, warmth: f64) -> f64 {
-        let per_worker = self.work_done.now(now, RATE_TIME) / RATE_TIME / self.ready.len().max(1) as f64;
+        let per_worker = self.work_done.now(now, RATE_TIME) / RATE_TIME / self.ready.ids.len().max(1) as f64;
         COLD_MARGIN * self.settings.fall_multiple * warmth * per_worker
     }
 
@@ -526,7 +523,7 @@
     // ---- The budget.
 
     fn budget_has_room(&self, lane: usize, slots: f64) -> bool {
-        let whole = self.budget.cap * self.ready.len() as f64;
+        let whole = self.budget.cap * self.ready.ids.len() as f64;
         let limit = if lane == 0 { whole.max(self.budget.floor) } else { self.budget.over * whole };
         self.budget.used == 0.0 && lane == 0 || self.budget.used + slots <= limit
     }
@@ -580,17 +577,17 @@
             return None;
         }
         let work = self.runs[job.class].usual * job.slots;
-        let count = self.ready.len();
+        let count = self.ready.ids.len();
         let start = if count == 0 { 0 } else { self.rng.usize(..count) };
         let mut best: Option<(f64, WorkerId)> = None;
         let homes = job.key;
         let near = |hash: u64| homes.is_some_and(|key| distance(key, hash) * (count as f64) < SCAN_HOMES);
         for step in 0..if homes.is_some() { count } else { count.min(SCAN_MOST) } {
             let place = (start + step) % count;
-            if step >= SCAN_MOST && !near(self.ready_hashes[place]) {
+            if step >= SCAN_MOST && !near(self.ready.hashes[place]) {
                 continue;
             }
-            let id_here = self.ready[place];
+            let id_here = self.ready.ids[place];
             let worker = &self.workers[id_here];
             if kind.is_some_and(|kind| kind != worker.kind) || now < worker.full_until {
                 continue;
@@ -627,7 +624,7 @@
         let away = if worker.zone == self.settings.zone { 0.0 } else { AWAY_COST * aim };
         let fetch = match job.key {
             Some(key) => {
-                let rank = distance(key, worker.hash) * self.ready.len() as f64;
+                let rank = distance(key, worker.hash) * self.ready.ids.len() as f64;
                 let kept = worker.keys.contains(&key);
                 FETCH_COST * run * rank / (rank + 1.0) * if kept { KEPT_PART } else { 1.0 }
             }
@@ -642,7 +639,7 @@
     /// Tells the other dispatchers how many slots we hold where: an idle worker is one that nobody loads.
     /// Each job sent pays for a part of a message, so the price stays in proportion at any size.
     fn tell_loads(&mut self, out: &mut Vec<Action>) {
-        let held = self.ready.iter().map(|&id| &self.workers[id]).filter(|worker| worker.own > 0.0);
+        let held = self.ready.ids.iter().map(|&id| &self.workers[id]).filter(|worker| worker.own > 0.0);
         let texts = Peers::tell(held.map(|worker| (worker.hash, worker.own)));
         let price = texts.len() as f64 * f64::from(self.settings.dispatchers - 1);
         if price > 0.0 && self.message_credit >= price {
--- /dev/null
+++ b/tests/roster.rs
@@ -0,0 +1,392 @@
+//! The roster against a discovery that is cut off, stalls, lies still or starts anew, on a virtual clock.
+#![allow(missing_docs)]
+
+#[path = "common/roster_world.rs"]
+mod world;
+
+use brackenledge::Readiness;
+use brackenledge::roster::{Freshness, Listed, Order, Roster, ServerWord};
+use std::collections::BTreeSet;
+use world::{FAULTS, Fault, World, roster, server};
+
+/// Rosters that have heard of these servers.
+fn settled(count: u32, names: &[&str], messages: bool) -> World<Roster> {
+    let mut world = World::new((0..count).map(|n| roster(0.0, n, count, messages)).collect(), 3);
+    for name in names {
+        world.change(server(name, Readiness::Ready));
+    }
+    world.start();
+    world.run_until(6_000.0 + 1_000.0 * f64::from(count));
+    for node in &world.nodes {
+        assert!(names.iter().all(|name| is_ready(node, name)), "{} calls in all", world.asked);
+        assert_eq!(node.freshness(), Freshness::Fresh, "{} calls in all", world.asked);
+    }
+    world
+}
+
+fn is_ready(node: &Roster, name: &str) -> bool {
+    node.find(name).is_some_and(|id| node.ready(id))
+}
+
+/// How long after the change one node stops sending to the server.
+fn heard_after(world: &mut World<Roster>, node: usize, name: &str, most: f64) -> f64 {
+    let since = world.now;
+    while is_ready(&world.nodes[node], name) {
+        assert!(world.now < since + most, "{name} is believed ready {most} ms after word of its drain");
+        world.run_until(world.now + 1.0);
+    }
+    world.now - since
+}
+
+/// One fault at the link of the only scheduler, a drain in it, and by when it must be known. What the table says is
+/// the time that the fault's own nature takes, one call of discovery (290 ms), and what the roster waits before it
+/// doubts.
+#[test]
+fn a_drain_is_heard_of_soon_whatever_is_wrong_with_the_link() {
+    for (fault, lasts, within) in [
+        (Fault::None, 0.0, 125.0),
+        // Broken in mid-line: asked for again at once.
+        (Fault::Cut, 150.0, 700.0),
+        // The rest of a line never comes: in doubt after 150 ms.
+        (Fault::Stall, 150.0, 700.0),
+        // Bytes are accepted and never delivered: in doubt once a beat is late.
+        (Fault::BlackHole, 1_500.0, 3_400.0),
+        (Fault::OneWay, 1_500.0, 3_400.0),
+        (Fault::Refuses, 300.0, 1_100.0),
+        // It beats and tells nothing new: only the next look beside it tells.
+        (Fault::Stuck, 60_000.0, 26_000.0),
+    ] {
+        let mut world = settled(1, &["a", "b"], false);
+        world.set_fault(0, fault);
+        let since = world.now;
+        world.change(server("a", Readiness::Draining));
+        world.run_until(since + if fault == Fault::Stuck { 1.0 } else { lasts });
+        if fault != Fault::Stuck {
+            world.set_fault(0, Fault::None);
+        }
+        heard_after(&mut world, 0, "a", within);
+        assert!(world.now - since <= within, "{fault:?}: {}", world.now - since);
+        assert!(is_ready(&world.nodes[0], "b"));
+    }
+}
+
+#[test]
+fn what_a_broken_line_took_away_is_not_sent_to_and_what_it_added_waits_for_a_whole_one() {
+    let mut node = roster(0.0, 0, 1, false);
+    node.know(0.0, 3, vec![server("a", Readiness::Ready), server("b", Readiness::Ready)]);
+    node.want(0.0, true);
+    let call = std::iter::from_fn(|| node.next_order())
+        .find_map(|order| if let Order::Ask { call, .. } = order { Some(call) } else { None })
+        .expect("a call");
+    node.call_up(1.0, call);
+    node.call_answered(2.0, call);
+    node.call_entry(3.0, call, server("c", Readiness::Ready));
+    node.call_entry(3.0, call, server("a", Readiness::Draining));
+    assert!(!is_ready(&node, "a") && is_ready(&node, "b") && node.find("c").is_none());
+    // Nor does the word vanish with the call.
+    node.call_ended(4.0, call, brackenledge::roster::Ending::Broken);
+    assert!(!is_ready(&node, "a"));
+    node.on_time(2_000.0);
+    let again = std::iter::from_fn(|| node.next_order())
+        .find_map(|order| if let Order::Ask { call, since: 3, .. } = order { Some(call) } else { None })
+        .expect("a call from the version held");
+    node.call_up(2_001.0, again);
+    node.call_answered(2_002.0, again);
+    // A complete line as new as that one decides.
+    node.call_entry(2_003.0, again, server("c", Readiness::Ready));
+    node.call_line(2_003.0, again, 4, false);
+    assert!(is_ready(&node, "a") && is_ready(&node, "c"));
+}
+
+#[test]
+fn one_schedulers_open_watch_serves_all() {
+    let mut world = settled(4, &["a", "b", "c"], true);
+    (1..4).for_each(|node| world.set_fault(node, Fault::BlackHole));
+    world.change(server("a", Readiness::Draining));
+    let since = world.now;
+    for node in 0..4 {
+        heard_after(&mut world, node, "a", 150.0);
+    }
+    assert!(world.now - since <= 150.0);
+    // A peer's word never makes a server known.
+    world.change(server("d", Readiness::Ready));
+    world.run_until(world.now + 500.0);
+    assert!(is_ready(&world.nodes[0], "d") && world.nodes[1].find("d").is_none());
+    // Half of the messages lost, they are sent again.
+    world.loss = 0.5;
+    world.change(server("b", Readiness::Draining));
+    for node in 0..4 {
+        heard_after(&mut world, node, "b", 2_500.0);
+    }
+}
+
+#[test]
+fn a_large_tier_passes_a_change_on_by_rumour() {
+    let mut world = settled(40, &["a", "b"], true);
+    (1..40).for_each(|node| world.set_fault(node, Fault::BlackHole));
+    let before = world.tells;
+    world.change(server("a", Readiness::Draining));
+    world.run_until(world.now + 900.0);
+    let missed = world.nodes.iter().filter(|node| is_ready(node, "a")).count();
+    assert!(missed <= 2, "{missed} of 40 have not heard");
+    let tells = world.tells - before;
+    assert!(tells < 40 * 39, "{tells} messages, as many as if all told all");
+}
+
+#[test]
+fn a_watch_that_beats_and_tells_nothing_new_is_doubted_once_another_scheduler_knows_more() {
+    let mut world = settled(2, &["a", "b"], true);
+    world.set_fault(0, Fault::Stuck);
+    // Not a drain, so that only the version tells.
+    world.change(server("c", Readiness::Ready));
+    world.run_until(world.now + 1_200.0);
+    assert!(is_ready(&world.nodes[0], "c"), "the new watch has told of it");
+}
+
+#[test]
+fn when_discovery_counts_from_anew_its_word_still_holds() {
+    let mut world = settled(2, &["a", "b", "c"], true);
+    (0..9).for_each(|n| {
+        world.change(server("b", if n % 2 == 0 { Readiness::Draining } else { Readiness::Ready }))
+    });
+    world.run_until(world.now + 1_000.0);
+    assert!(!is_ready(&world.nodes[0], "b"));
+    world.renumber();
+    world.change(server("b", Readiness::Ready));
+    world.run_until(world.now + 3_000.0);
+    for node in &world.nodes {
+        assert_eq!(node.version(), Some(world.index));
+        assert!(is_ready(node, "a") && is_ready(node, "b"));
+    }
+    world.change(server("a", Readiness::Draining));
+    world.run_until(world.now + 500.0);
+    assert!(world.nodes.iter().all(|node| !is_ready(node, "a")));
+}
+
+#[test]
+fn in_a_plain_outage_nobody_is_left_without_service() {
+    let names: Vec<String> = (0..12).map(|n| format!("s{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut world = settled(3, &names, true);
+    world.set_down(true);
+    world.run_until(world.now + 60_000.0);
+    for node in &world.nodes {
+        assert_eq!(node.freshness(), Freshness::Stale);
+        assert!(names.iter().all(|name| is_ready(node, name)));
+    }
+    // Nor when every server turns work away: half of them are held back at most.
+    let now = world.now;
+    let node = &mut world.nodes[0];
+    for _ in 0..5 {
+        for name in &names {
+            let id = node.find(name).expect("known");
+            node.server_says(now, id, ServerWord::ReturnedWithRoom);
+        }
+    }
+    assert_eq!(names.iter().filter(|name| is_ready(node, name)).count(), 6);
+}
+
+#[test]
+fn three_servers_that_drain_unheard_are_found_out_by_their_own_behaviour() {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let mut world = settled(2, &names, true);
+    world.set_down(true);
+    world.run_until(world.now + 100.0);
+    for (step, name) in ["a", "b", "c"].into_iter().enumerate() {
+        world.run_until(world.now + 1_000.0);
+        let now = world.now;
+        for node in &mut world.nodes {
+            let id = node.find(name).expect("known");
+            node.server_says(now, id, ServerWord::ReturnedWithRoom);
+            assert!(node.ready(id), "one word is not enough");
+            node.server_says(now, id, ServerWord::Refused);
+            assert!(!node.ready(id));
+        }
+        assert_eq!(names.iter().filter(|name| is_ready(&world.nodes[0], name)).count(), 7 - step);
+    }
+    // A confirmed word undoes what was only guessed.
+    world.set_down(false);
+    world.run_until(world.now + 6_000.0);
+    assert!(world.nodes.iter().all(|node| names.iter().all(|name| is_ready(node, name))));
+    // While discovery's word is fresh, behaviour alone holds nothing back.
+    let (now, node) = (world.now, &mut world.nodes[0]);
+    let id = node.find("a").expect("known");
+    (0..9).for_each(|_| node.server_says(now, id, ServerWord::Refused));
+    assert!(node.ready(id));
+}
+
+#[test]
+fn while_nothing_is_confirmed_the_likely_next_of_a_release_are_doubted() {
+    let placed = |name: &str, zone, readiness| Listed { zone, ..server(name, readiness) };
+    let mut world = World::new(vec![roster(0.0, 0, 1, false)], 3);
+    for (name, zone) in [("a1", 1), ("a2", 1), ("b1", 2), ("b2", 2)] {
+        world.change(placed(name, zone, Readiness::Ready));
+    }
+    world.start();
+    world.run_until(6_000.0);
+    // A replacement in zone 1 is up; then the link dies.
+    world.change(placed("a9", 1, Readiness::Ready));
+    world.change(placed("b1", 2, Readiness::Draining));
+    world.run_until(6_200.0);
+    world.set_fault(0, Fault::BlackHole);
+    let mut doubts = std::collections::BTreeMap::new();
+    world.run_until(8_000.0);
+    let node = &mut world.nodes[0];
+    node.on_time(20_000.0);
+    while let Some(order) = node.next_order() {
+        if let Order::Learn { entries, .. } = order {
+            doubts.extend(entries.into_iter().map(|entry| (entry.0.name.clone(), entry.0.doubt)));
+        }
+    }
+    assert!(doubts["a1"] > doubts["b2"] && doubts["b2"] > 0.0, "{doubts:?}");
+    assert_eq!(doubts.get("a9").copied().unwrap_or(0.0), 0.0, "the new one is not next");
+}
+
+#[test]
+fn servers_gone_for_long_are_forgotten_and_their_numbers_used_again() {
+    let mut world = settled(1, &["a", "b"], false);
+    let old = world.nodes[0].find("a").expect("known");
+    world.change(server("a", Readiness::Gone));
+    world.run_until(world.now + 1_000.0);
+    world.change(server("c", Readiness::Ready));
+    world.run_until(world.now + 1_000.0);
+    assert_ne!(world.nodes[0].find("c"), Some(old), "a job may still be out there");
+    assert_eq!(world.nodes[0].len(), 3);
+    world.run_until(world.now + 700_000.0);
+    assert_eq!((world.nodes[0].len(), world.nodes[0].find("a")), (2, None));
+    world.change(server("d", Readiness::Ready));
+    world.run_until(world.now + 1_000.0);
+    assert_eq!(world.nodes[0].find("d"), Some(old));
+    // A machine that is replaced every second for an hour leaves no more than what is gone for ten minutes.
+    for n in 0..3_600 {
+        world.change(server(&format!("m{n}"), Readiness::Ready));
+        world.run_until(world.now + 500.0);
+        world.change(server(&format!("m{n}"), Readiness::Gone));
+        world.run_until(world.now + 500.0);
+    }
+    assert!(world.nodes[0].len() < 640, "{}", world.nodes[0].len());
+}
+
+#[test]
+fn old_garbled_and_foreign_messages_do_no_harm() {
+    let mut world = settled(2, &["a", "b"], true);
+    world.change(server("a", Readiness::Draining));
+    let (mut node, mut texts) = (roster(0.0, 1, 2, true), Vec::new());
+    node.know(0.0, 1, vec![server("a", Readiness::Ready), server("b", Readiness::Ready)]);
+    let now = world.now;
+    node.want(now, true);
+    let call = std::iter::from_fn(|| node.next_order())
+        .find_map(|o| if let Order::Ask { call, .. } = o { Some(call) } else { None })
+        .expect("a call");
+    node.call_answered(now, call);
+    node.call_entry(now, call, server("b", Readiness::Draining));
+    node.call_line(now, call, 2, false);
+    while let Some(order) = node.next_order() {
+        if let Order::Tell { text, .. } = order {
+            texts.push(text);
+        }
+    }
+    assert!(!texts.is_empty());
+    world.run_until(now + 500.0);
+    // Version 2 is older than what discovery has told since.
+    for text in &texts {
+        assert!(world.nodes[0].heard(world.now, 1, text));
+        for at in 0..text.len() {
+            let garbled: String =
+                text.char_indices().map(|(n, c)| if n == at && n > 0 { '~' } else { c }).collect();
+            assert!(world.nodes[0].heard(world.now, 1, &garbled));
+        }
+    }
+    assert!(is_ready(&world.nodes[0], "b"));
+    assert!(!world.nodes[0].heard(world.now, 1, "0abcd"), "a load message is not the roster's");
+}
+
+/// One random history: changes of the list, faults of links, outages, losses and restarts for three rosters.
+fn random_history(seed: u64) {
+    let mut world = World::new((0..3).map(|n| roster(0.0, n, 3, true)).collect(), seed);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let names: Vec<String> = (0..10).map(|n| format!("s{n}")).collect();
+    names.iter().for_each(|name| world.change(server(name, Readiness::Ready)));
+    world.start();
+    world.run_until(3_000.0);
+    let mut named: Vec<BTreeSet<String>> = vec![names.iter().cloned().collect(); 3];
+    // Since when one roster has word of a drain: it may not be ready again before its own list says so.
+    for step in 0..60 {
+        let name = &names[rng.usize(..names.len())];
+        match rng.u8(..10) {
+            0..=3 => {
+                let readiness = [Readiness::Ready, Readiness::Draining, Readiness::Gone][rng.usize(..3)];
+                world.change(server(name, readiness));
+            }
+            4 | 5 => world.set_fault(rng.usize(..3), FAULTS[rng.usize(..FAULTS.len())]),
+            6 => world.set_fault(rng.usize(..3), Fault::None),
+            7 => world.set_down(rng.bool()),
+            8 => world.loss = [0.0, 0.3, 0.8][rng.usize(..3)],
+            _ => {
+                let node = rng.usize(..3);
+                let fresh = roster(world.now, node as u32, 3, true);
+                world.restart(node, fresh);
+                named[node].clear();
+            }
+        }
+        // A drain that one roster has from discovery is known to all that messages reach.
+        let since = world.now;
+        let healthy = (0..3).filter(|&n| world.nodes[n].freshness() == Freshness::Fresh).collect::<Vec<_>>();
+        world.run_until(since + 50.0 + 950.0 * rng.f64());
+        if world.loss == 0.0 && !world.down && world.now - since > 200.0 {
+            for &fresh in healthy.iter().filter(|&&n| world.nodes[n].freshness() == Freshness::Fresh) {
+                // Only what this one has from its own list is sure to have been told.
+                if world.nodes[fresh].version() != Some(world.index) || world.faults[fresh] != Fault::None {
+                    continue;
+                }
+                for name in &names {
+                    let drains =
+                        world.truth.get(name).is_none_or(|entry| entry.readiness != Readiness::Ready);
+                    assert!(
+                        !(drains && is_ready(&world.nodes[fresh], name)),
+                        "seed {seed} step {step}: {name} is ready to the one that heard of its drain"
+                    );
+                }
+            }
+        }
+    }
+    // Healed: all beliefs agree, with one another and with discovery.
+    world.loss = 0.0;
+    world.set_down(false);
+    (0..3).for_each(|node| world.set_fault(node, Fault::None));
+    world.run_until(world.now + 40_000.0);
+    for (n, node) in world.nodes.iter().enumerate() {
+        for name in &names {
+            let truly = world.truth.get(name).is_some_and(|entry| entry.readiness == Readiness::Ready);
+            assert_eq!(is_ready(node, name), truly, "seed {seed}: roster {n} on {name} once healed");
+        }
+        let calls = node.counts().calls as f64;
+        assert!(calls <= 5.0 + world.now / 1_000.0 + 1.0, "seed {seed}: {calls} calls in {} ms", world.now);
+    }
+}
+
+#[test]
+fn random_histories_end_in_agreement_and_no_drain_that_was_told_is_forgotten() {
+    (0..400).for_each(random_history);
+}
+
+#[test]
+fn a_drain_reaches_every_scheduler_that_has_one_path_to_it() {
+    // Each of three in turn keeps its link, the others lose theirs in any way; messages are not lost.
+    for seed in 0..120 {
+        let mut world = settled(3, &["a", "b", "c", "d"], true);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let keeper = rng.usize(..3);
+        for node in (0..3).filter(|&node| node != keeper) {
+            world.set_fault(node, FAULTS[rng.usize(..FAULTS.len())]);
+        }
+        world.run_until(world.now + 2_000.0 * rng.f64());
+        world.change(server("b", Readiness::Draining));
+        let since = world.now;
+        for node in 0..3 {
+            // Up to 120 ms until discovery tells its first scheduler, up to 22 ms for the message.
+            heard_after(&mut world, node, "b", 145.0);
+        }
+        assert!(world.now - since <= 145.0, "seed {seed}");
+    }
+}
--- /dev/null
+++ b/tests/roster_sockets.rs
@@ -0,0 +1,249 @@
+//! Stories of the roster over loopback sockets: a scheduler, scripted discovery, and another scheduler's roster.
+#![allow(missing_docs)]
+
+mod stage;
+
+use brackenledge::Readiness;
+use brackenledge::roster::{Listed, Order, Roster, RosterSettings};
+use serde_json::{Value, json};
+use stage::{
+    HEAD, PATIENCE, Stage, accept, chunk, done, endpoint, job, list, listener, read_message, send, settings,
+};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A scheduler with two servers that it knows, `s-a` and `s-b`, and a watch that has told nothing new.
+fn two_servers() -> (Stage, TcpListener, TcpListener, TcpStream) {
+    let (a, b) = (listener(), listener());
+    let at = |worker: &TcpListener| worker.local_addr().expect("an address");
+    let mut config = settings();
+    // What the module itself waits after a failed call must have no part in these stories.
+    config["obligations"]["ask-within"] = json!(60_000.0);
+    let known = [endpoint("s-a", at(&a), "ready"), endpoint("s-b", at(&b), "ready")];
+    let stage = Stage::start_with(config, &known, None);
+    let (_, watch) = stage.watch(&[list(2, false, &[])]);
+    stage.until_up();
+    (stage, a, b, watch)
+}
+
+fn entry(name: &str, worker: &TcpListener, status: &str) -> Value {
+    endpoint(name, worker.local_addr().expect("an address"), status)
+}
+
+/// Sends jobs until this many have been served by `b`, and checks that `a` was not even connected to.
+fn all_go_to(stage: &Stage, a: &TcpListener, b: &TcpListener, jobs: usize) {
+    for n in 0..jobs {
+        let id = format!("go{n}");
+        let mut client = stage.ask(&job("view", &id, "x"));
+        let mut served = accept(b);
+        assert!(read_message(&mut served).contains(&id));
+        send(
+            &mut served,
+            &done(&id, "yes").replace("HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n"),
+        );
+        assert!(read_message(&mut client).starts_with("HTTP/1.1 200 "));
+    }
+    a.set_nonblocking(true).expect("a mode");
+    assert!(a.accept().is_err(), "a job went to the other server");
+}
+
+/// Waits until jobs are not sent to `a` any more: one that is would be answered by nobody.
+fn until_avoided(stage: &Stage, a: &TcpListener) {
+    // The messages and lines that tell are read before a request that comes after them; give them a moment.
+    stage.until_up();
+    std::thread::sleep(Duration::from_millis(100));
+    a.set_nonblocking(true).expect("a mode");
+    while a.accept().is_ok() {}
+}
+
+#[test]
+fn a_drain_in_a_line_that_stands_still_counts_and_the_rest_is_asked_for() {
+    let (stage, a, b, mut watch) = two_servers();
+    let line = list(3, false, &[entry("s-a", &a, "draining"), entry("s-b", &b, "ready")]).to_string();
+    let first = line.find("}").expect("an entry's end") + 3;
+    send(&mut watch, &chunk(&line[..first]));
+    let since = Instant::now();
+    // Bytes are accepted and never delivered: a second watch is opened beside this one, which stays open.
+    let mut second = accept(&stage.discovery);
+    assert!(read_message(&mut second).contains("since=2"));
+    assert!(since.elapsed() < Duration::from_secs(2), "long before silence alone would tell");
+    until_avoided(&stage, &a);
+    all_go_to(&stage, &a, &b, 6);
+    // The other one tells that it was nothing: a newer list names it ready.
+    send(
+        &mut second,
+        &format!("{HEAD}{}", chunk(&format!("{}\n", list(4, false, &[entry("s-a", &a, "ready")])))),
+    );
+    a.set_nonblocking(false).expect("a mode");
+    let mut client = stage.ask(&job("view", "z1", "x"));
+    let since = Instant::now();
+    let mut n = 0;
+    // Either may be chosen; both are, soon.
+    while since.elapsed() < PATIENCE {
+        n += 1;
+        a.set_nonblocking(true).expect("a mode");
+        b.set_nonblocking(true).expect("a mode");
+        std::thread::sleep(Duration::from_millis(20));
+        let (at_a, at_b) = (a.accept(), b.accept());
+        let to_a = at_a.is_ok();
+        let Ok((mut served, _)) = at_a.or(at_b) else { continue };
+        served.set_nonblocking(false).expect("a mode");
+        let request = read_message(&mut served);
+        let id = request.split("X-Trace-Id: ").nth(1).and_then(|t| t.split("\r\n").next()).expect("an id");
+        let close =
+            done(id, "yes").replace("HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n");
+        send(&mut served, &close);
+        read_message(&mut client);
+        if to_a {
+            return;
+        }
+        client = stage.ask(&job("view", &format!("z{}", n + 1), "x"));
+    }
+    panic!("the server is held back for good");
+}
+
+/// Another scheduler's roster, which has heard this line.
+fn other_scheduler(entries: &[(&str, Readiness)], index: u64) -> Vec<String> {
+    let settings = RosterSettings { ordinal: 1, schedulers: 2, messages: true, pushed: false, seed: 1 };
+    let mut roster = Roster::new(0.0, settings);
+    let listed = |name: &str, readiness| Listed {
+        name: name.into(),
+        address: None,
+        zone: 0,
+        kind: 0,
+        cell: 0,
+        readiness,
+        weight: 1.0,
+        launched: None,
+    };
+    roster.know(0.0, 1, entries.iter().map(|(name, _)| listed(name, Readiness::Ready)).collect());
+    roster.want(0.0, true);
+    let mut texts = Vec::new();
+    while let Some(order) = roster.next_order() {
+        if let Order::Ask { call, .. } = order {
+            roster.call_answered(1.0, call);
+            entries
+                .iter()
+                .for_each(|(name, readiness)| roster.call_entry(1.0, call, listed(name, *readiness)));
+            roster.call_line(1.0, call, index, false);
+        } else if let Order::Tell { text, .. } = order {
+            texts.push(text);
+        }
+    }
+    texts
+}
+
+#[test]
+fn what_another_scheduler_has_heard_counts_while_the_own_watch_is_dead() {
+    let (stage, a, b, _watch) = two_servers();
+    for text in other_scheduler(&[("s-a", Readiness::Draining)], 7) {
+        stage.peer.send_to(text.as_bytes(), stage.peer_address).expect("sent");
+    }
+    until_avoided(&stage, &a);
+    all_go_to(&stage, &a, &b, 6);
+    // It wants to know what it has missed, though its watch is not late yet; and the sender hears that it has heard.
+    let mut buffer = [0; 300];
+    let since = Instant::now();
+    loop {
+        let length = stage.peer.recv(&mut buffer).expect("a message");
+        if buffer[..length].starts_with(b"!N") {
+            break;
+        }
+        assert!(since.elapsed() < PATIENCE);
+    }
+    let mut second = accept(&stage.discovery);
+    assert!(read_message(&mut second).contains("since=2"));
+}
+
+#[test]
+fn garbled_word_from_another_scheduler_changes_nothing() {
+    let (stage, a, b, _watch) = two_servers();
+    for text in other_scheduler(&[("s-a", Readiness::Draining), ("s-b", Readiness::Draining)], 7) {
+        for at in 1..text.len() {
+            let mut bytes = text.clone().into_bytes();
+            bytes[at] = if bytes[at] == b'z' { b'y' } else { b'z' };
+            stage.peer.send_to(&bytes, stage.peer_address).expect("sent");
+        }
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    // Both still take jobs: two at once go to one each.
+    let _clients = [stage.ask(&job("view", "g1", "x")), stage.ask(&job("view", "g2", "x"))];
+    accept(&a);
+    accept(&b);
+}
+
+#[test]
+fn a_list_of_ten_thousand_servers_is_taken_whole_and_a_change_of_one_is_found() {
+    let worker = listener();
+    let at = worker.local_addr().expect("an address");
+    let stage = Stage::start(&[]);
+    let mut many: Vec<Value> =
+        (0..10_000).map(|n| endpoint(&format!("server-with-a-long-name-{n:06}"), at, "draining")).collect();
+    many.push(endpoint("s-a", at, "ready"));
+    let whole = list(2, true, &many).to_string();
+    assert!(whole.len() > 1024 * 1024, "a list that once was dropped whole");
+    let (_, mut watch) = {
+        let mut call = accept(&stage.discovery);
+        let request = read_message(&mut call);
+        send(&mut call, HEAD);
+        send(&mut call, &chunk(&format!("{whole}\n")));
+        (request, call)
+    };
+    stage.until_up();
+    stage.serves(&worker, "ten1");
+    assert!(stage.memory_kb() < 32 * 1024, "{} kB", stage.memory_kb());
+    send(&mut watch, &chunk(&format!("{}\n", list(3, false, &[endpoint("s-a", at, "draining")]))));
+    std::thread::sleep(Duration::from_millis(200));
+    let answer = read_message(&mut stage.ask(&job("view", "ten2", "x")));
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+}
+
+#[test]
+fn a_list_that_goes_back_is_believed() {
+    let (stage, a, b, mut watch) = two_servers();
+    send(&mut watch, &chunk(&format!("{}\n", list(90, false, &[entry("s-b", &b, "draining")]))));
+    std::thread::sleep(Duration::from_millis(100));
+    drop(watch);
+    // Discovery has begun anew, and knows nothing of version 90.
+    let whole = list(1, true, &[entry("s-a", &a, "draining"), entry("s-b", &b, "ready")]);
+    let (request, _watch) = stage.watch(&[whole]);
+    assert!(request.contains("since=90"), "{request}");
+    until_avoided(&stage, &a);
+    all_go_to(&stage, &a, &b, 3);
+}
+
+/// Figures for `docs/measurements/roster.md`, by size of the list: `cargo test --release --locked --test
+/// roster_sockets -- --ignored --nocapture`.
+#[test]
+#[ignore = "a measurement"]
+fn what_lists_cost_by_their_size() {
+    println!("servers  list kB  start to first served, ms  memory kB  CPU of a change of one, us");
+    for size in [10, 100, 1_000, 10_000, 50_000] {
+        let worker = listener();
+        let at = worker.local_addr().expect("an address");
+        let since = Instant::now();
+        let stage = Stage::start(&[]);
+        let many: Vec<Value> = (0..size).map(|n| endpoint(&format!("s-{n:08x}"), at, "ready")).collect();
+        let whole = list(1, true, &many).to_string();
+        let mut call = accept(&stage.discovery);
+        read_message(&mut call);
+        send(&mut call, &format!("{HEAD}{}", chunk(&format!("{whole}\n"))));
+        stage.until_up();
+        stage.serves(&worker, "first");
+        let first = since.elapsed().as_secs_f64() * 1_000.0;
+        let memory = stage.memory_kb();
+        let (changes, before) = (4_000, stage.cpu_ticks());
+        for n in 0..changes {
+            let state = if n % 2 == 0 { "draining" } else { "ready" };
+            let name = format!("s-{:08x}", n / 2 % size);
+            send(
+                &mut call,
+                &chunk(&format!("{}\n", list(2 + n as u64, false, &[endpoint(&name, at, state)]))),
+            );
+        }
+        stage.serves(&worker, "last");
+        // A tick of processor time is 10 ms on every system that has /proc.
+        let each = (stage.cpu_ticks() - before) as f64 * 10_000.0 / changes as f64;
+        println!("{size:>7}  {:>7}  {first:>25.0}  {memory:>9}  {each:>26.1}", whole.len() / 1024);
+    }
+}
