--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -22,7 +22,7 @@
 
 pub use evidence::ServerWord;
 pub use link::{Call, CallKind, Ending, Freshness};
-pub use table::Listed;
+pub use table::{Belief, Listed, Source};
 
 use crate::interface::{ListKind, Millis, Readiness, WorkerEntry, WorkerId};
 use fastrand::Rng;
@@ -170,6 +170,11 @@
         self.table.get(id).is_some_and(|server| server.believed().0 == Readiness::Ready)
     }
 
+    /// What is believed of a server, who said so, and how long ago.
+    pub fn belief(&self, now: Millis, id: WorkerId) -> Option<Belief> {
+        self.table.belief(now, id)
+    }
+
     /// Whether jobs can be served: discovery has spoken, or the list from before the start names a server that
     /// takes work. An empty one says nothing, and a front that sent jobs on it would see them denied.
     pub fn serves(&self) -> bool {
@@ -211,10 +216,10 @@
     /// The list as it was before a restart.
     pub fn know(&mut self, now: Millis, index: u64, entries: Vec<Listed>) {
         for entry in entries {
-            self.table.apply(now, index, entry);
+            self.table.apply(now, index, Source::Known, entry);
         }
         self.table.commit(now, index, false);
-        self.learn(ListKind::Cached);
+        self.learn(now, ListKind::Cached);
     }
 
     /// The decision module wants to be told of changes, or no longer.
@@ -266,7 +271,7 @@
             && let Some(id) = self.table.find(&entry.name)
         {
             self.table.withdraw(now, id, entry.readiness);
-            self.learn(ListKind::Delta);
+            self.learn(now, ListKind::Delta);
         }
         if let Some(unfinished) = self.unfinished.get_mut(&call) {
             unfinished.entries.push(entry);
@@ -278,6 +283,7 @@
         let Some(unfinished) = self.unfinished.get_mut(&call) else { return };
         let entries = std::mem::take(&mut unfinished.entries);
         let asked_at = unfinished.asked_at;
+        let source = if self.link.is_watch(call) { Source::Watch } else { Source::Fetch };
         self.link.line(now, call);
         if self.table.version().is_some_and(|held| index < held) {
             if asked_at < self.table.version_at() && !self.link.is_watch(call) {
@@ -297,7 +303,7 @@
         let held = self.table.version();
         let mut away = Vec::new();
         for entry in entries {
-            if let Some(change) = self.table.apply(now, index, entry) {
+            if let Some(change) = self.table.apply(now, index, source, entry) {
                 away.push(change);
             }
         }
@@ -311,7 +317,7 @@
         if self.lacking.is_some_and(|(version, _)| version <= index) {
             self.lacking = None;
         }
-        self.learn(ListKind::Delta);
+        self.learn(now, ListKind::Delta);
         self.follow(now);
     }
 
@@ -337,7 +343,7 @@
         let Some(heard) = gossip.hear(now, from, text, held) else { return true };
         for change in heard.changes {
             if let Some(id) = self.table.find_hash(change.tag)
-                && self.table.word(now, id, change.readiness, change.version)
+                && self.table.word(now, id, change.readiness, change.version, Source::Scheduler(from))
             {
                 self.counts.heard_first += 1;
             }
@@ -349,7 +355,7 @@
             let by = self.lacking.map_or(now + LACKING, |(_, by)| by);
             self.lacking = Some((heard.version, by));
         }
-        self.learn(ListKind::Delta);
+        self.learn(now, ListKind::Delta);
         self.follow(now);
         true
     }
@@ -358,7 +364,7 @@
     pub fn server_says(&mut self, now: Millis, id: WorkerId, word: ServerWord) {
         if self.table.evidence(now, id, word) {
             self.table.review(now, self.fresh);
-            self.learn(ListKind::Delta);
+            self.learn(now, ListKind::Delta);
         }
     }
 
@@ -414,7 +420,7 @@
         if fresh != self.fresh {
             self.fresh = fresh;
             self.table.review(now, fresh);
-            self.learn(ListKind::Delta);
+            self.learn(now, ListKind::Delta);
         }
         if let Some(gossip) = &mut self.gossip {
             let held = self.table.version().unwrap_or(0);
@@ -427,7 +433,10 @@
     }
 
     /// Tells the decision module what has changed. That is never a whole list: who is missing in one is told as gone.
-    fn learn(&mut self, kind: ListKind) {
+    fn learn(&mut self, now: Millis, kind: ListKind) {
+        for reason in self.table.take_reasons(now) {
+            self.log(reason);
+        }
         let entries = self.table.take_changes();
         if !entries.is_empty() {
             self.orders.push_back(Order::Learn { kind, entries: entries.into_iter().map(Learned).collect() });
--- a/src/roster/table.rs
+++ b/src/roster/table.rs
@@ -41,10 +41,56 @@
 /// Servers' own word holds back no more than this part of those listed as ready.
 const HELD_BACK: f64 = 0.5;
 
+/// Where a belief comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The list as it was before the start.
+    Known,
+    /// A line of a watch.
+    Watch,
+    /// A list asked for once.
+    Fetch,
+    /// A line of a watch or list that has not come whole.
+    BrokenLine,
+    /// Another scheduler, by its number.
+    Scheduler(u32),
+    /// The server's own behaviour.
+    Behaviour,
+}
+
+impl std::fmt::Display for Source {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Source::Known => f.write_str("the list from before the start"),
+            Source::Watch => f.write_str("the watch"),
+            Source::Fetch => f.write_str("a list asked for"),
+            Source::BrokenLine => f.write_str("a line that is not whole"),
+            Source::Scheduler(number) => write!(f, "scheduler {number}"),
+            Source::Behaviour => f.write_str("its own behaviour"),
+        }
+    }
+}
+
+/// What is believed of one server, and why.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Belief {
+    /// Whether it takes new work.
+    pub readiness: Readiness,
+    /// How likely a ready one is to drain unheard, 0 to 1.
+    pub doubt: f64,
+    /// Who said so.
+    pub source: Source,
+    /// The version of the list that said so, or that was held when it was guessed.
+    pub version: u64,
+    /// How long it has been believed, in milliseconds.
+    pub age: Millis,
+}
+
 /// A word that takes a server away before this scheduler's own list does.
 #[derive(Clone, Copy)]
 struct Word {
     readiness: Readiness,
+    source: Source,
     /// The list that says so; a version held that is as new answers it.
     version: u64,
     at: Millis,
@@ -54,6 +100,7 @@
     pub(super) listed: Listed,
     hash: u64,
     version: u64,
+    source: Source,
     since: Millis,
     /// When this roster first saw it, or saw it start again.
     seen: Millis,
@@ -62,10 +109,22 @@
     word: Option<Word>,
     evidence: Evidence,
     withheld: bool,
+    withheld_at: Millis,
     doubt: f64,
 }
 
 impl Server {
+    /// The same with its reason.
+    fn belief(&self, now: Millis) -> Belief {
+        let (readiness, doubt) = self.believed();
+        let (source, version, since) = match (self.listed.readiness, self.word) {
+            (Readiness::Ready, Some(word)) => (word.source, word.version, word.at),
+            (Readiness::Ready, None) if self.withheld => (Source::Behaviour, self.version, self.withheld_at),
+            _ => (self.source, self.version, self.since),
+        };
+        Belief { readiness, doubt, source, version, age: (now - since).max(0.0) }
+    }
+
     /// What is believed, and how much a ready one is doubted.
     pub(super) fn believed(&self) -> (Readiness, f64) {
         match (self.listed.readiness, self.word) {
@@ -105,6 +164,8 @@
     release: Release,
     /// Some server is doubted at present.
     doubting: bool,
+    /// Servers taken away other than by a whole line since this was last asked.
+    taken: Vec<WorkerId>,
 }
 
 impl Table {
@@ -112,6 +173,10 @@
         self.servers.get(id)?.as_ref()
     }
 
+    pub(super) fn belief(&self, now: Millis, id: WorkerId) -> Option<Belief> {
+        Some(self.get(id)?.belief(now))
+    }
+
     pub(super) fn find(&self, name: &str) -> Option<WorkerId> {
         self.ids.get(name).copied()
     }
@@ -146,7 +211,13 @@
     }
 
     /// Takes in an entry of a complete line; gives what peers are to be told, if that takes a server away or back.
-    pub(super) fn apply(&mut self, now: Millis, version: u64, entry: Listed) -> Option<Change> {
+    pub(super) fn apply(
+        &mut self,
+        now: Millis,
+        version: u64,
+        source: Source,
+        entry: Listed,
+    ) -> Option<Change> {
         let id = match self.ids.get(&entry.name) {
             Some(&id) => id,
             None if entry.readiness == Readiness::Gone => return None,
@@ -161,7 +232,7 @@
                 server.listed == Listed { address, ..entry.clone() }
             };
         server.round = round;
-        server.version = version;
+        (server.version, server.source) = (version, source);
         let before = server.believed().0;
         let had_word = server.word.take().is_some();
         if same && !had_word && server.evidence.nothing(now) {
@@ -180,6 +251,11 @@
         let restarted = server.listed.launched.is_some() && server.listed.launched != was.1;
         if restarted {
             server.seen = now;
+            if was == (Readiness::Ready, was.1) && is == Readiness::Ready && was.1.is_some() {
+                // It has been through a drain that was never heard of: a release may be under way.
+                self.release.went(now, group);
+                self.release.came(now, group);
+            }
         }
         self.note(now, id, was.0, is, group);
         self.marked.remove(&id);
@@ -218,12 +294,14 @@
             listed,
             hash,
             version: 0,
+            source: Source::Known,
             since: now,
             seen: now,
             round: 0,
             word: None,
             evidence: Evidence::default(),
             withheld: false,
+            withheld_at: now,
             doubt: 0.0,
         });
         self.ids.insert(entry.name.clone(), id);
@@ -278,13 +356,20 @@
     /// A line that is not complete yet takes a server away.
     pub(super) fn withdraw(&mut self, now: Millis, id: WorkerId, readiness: Readiness) {
         let version = self.version.unwrap_or(0) + 1;
-        self.word(now, id, readiness, version);
+        self.word(now, id, readiness, version, Source::BrokenLine);
     }
 
     /// Another scheduler's word on a server. Older words, and those that would make one ready, change nothing but
     /// that a server called ready again by a newer list is not held back for an older word of the same kind. Tells
     /// whether something is taken away by it.
-    pub(super) fn word(&mut self, now: Millis, id: WorkerId, readiness: Readiness, version: u64) -> bool {
+    pub(super) fn word(
+        &mut self,
+        now: Millis,
+        id: WorkerId,
+        readiness: Readiness,
+        version: u64,
+        source: Source,
+    ) -> bool {
         let held = self.version.unwrap_or(0);
         let Some(server) = self.servers.get_mut(id).and_then(Option::as_mut) else { return false };
         if version <= held || server.word.is_some_and(|word| word.version > version) {
@@ -294,7 +379,7 @@
             return false;
         }
         let before = server.believed().0;
-        server.word = (readiness != Readiness::Ready).then_some(Word { readiness, version, at: now });
+        server.word = (readiness != Readiness::Ready).then_some(Word { readiness, source, version, at: now });
         let after = server.believed().0;
         if server.word.is_some() {
             self.marked.insert(id);
@@ -302,7 +387,11 @@
         if before != after {
             self.changed.insert(id);
         }
-        before == Readiness::Ready && after != Readiness::Ready
+        let taken = before == Readiness::Ready && after != Readiness::Ready;
+        if taken {
+            self.taken.push(id);
+        }
+        taken
     }
 
     /// Takes in what a server's behaviour says; tells whether its weight is enough to look again.
@@ -332,7 +421,10 @@
             let Some(server) = self.servers[id].as_mut() else { continue };
             let withheld = suspects.contains(&id);
             if withheld != server.withheld {
-                server.withheld = withheld;
+                (server.withheld, server.withheld_at) = (withheld, now);
+                if withheld {
+                    self.taken.push(id);
+                }
                 self.changed.insert(id);
             }
         }
@@ -398,6 +490,18 @@
         self.gone.first().map_or(f64::INFINITY, |&(at, _)| f64::from_bits(at) + FORGET)
     }
 
+    /// A line for the log on each server that was taken away other than by a whole line.
+    pub(super) fn take_reasons(&mut self, now: Millis) -> Vec<String> {
+        let taken = std::mem::take(&mut self.taken);
+        let reason = |id: WorkerId| {
+            let server = self.get(id)?;
+            let Belief { readiness, source, version, .. } = server.belief(now);
+            let what = if readiness == Readiness::Gone { "gone" } else { "draining" };
+            Some(format!("{} is taken for {what} by word of {source}, version {version}", server.listed.name))
+        };
+        taken.into_iter().filter_map(reason).collect()
+    }
+
     /// The entries that have changed since this was last asked, for the decision module.
     pub(super) fn take_changes(&mut self) -> Vec<WorkerEntry> {
         let changed = std::mem::take(&mut self.changed);
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -5,7 +5,7 @@
 mod world;
 
 use brackenledge::Readiness;
-use brackenledge::roster::{Freshness, Listed, Order, Roster, ServerWord};
+use brackenledge::roster::{Freshness, Listed, Order, Roster, ServerWord, Source};
 use std::collections::BTreeSet;
 use world::{FAULTS, Fault, World, roster, server};
 
@@ -108,6 +108,13 @@
         heard_after(&mut world, node, "a", 150.0);
     }
     assert!(world.now - since <= 150.0);
+    let [own, heard] =
+        [0, 1].map(|n| world.nodes[n].belief(world.now, world.nodes[n].find("a").expect("known")));
+    let (own, heard) = (own.expect("a belief"), heard.expect("a belief"));
+    assert_eq!((own.source, own.readiness), (Source::Watch, Readiness::Draining));
+    assert!(matches!(heard.source, Source::Scheduler(_)), "{heard:?}");
+    assert_eq!((heard.version, heard.readiness), (own.version, Readiness::Draining));
+    assert!(own.age <= 150.0 && heard.age <= own.age);
     // A peer's word never makes a server known.
     world.change(server("d", Readiness::Ready));
     world.run_until(world.now + 500.0);
