--- a/src/bin/brackenledge-adapter/main.rs
+++ b/crates/adapter/src/main.rs
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use brackenledge::{Action, Dispatcher, Event, ListKind, Response, Settings, WorkerEntry, WorkerId};
+use brackenledge_policy::{Action, Dispatcher, Event, ListKind, Response, Settings, WorkerEntry, WorkerId};
 use wire::{Batch, Happening, Member, Order, Reply};
 
 /// Directories are numbered from 0 to one less than this.
--- a/src/bin/brackenledge-adapter/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,7 +1,9 @@
 //! The simulator's wire: JSON lines to the module's terms and back. Names here are the wire's.
 
-use brackenledge::settings::SettingsDocument;
-use brackenledge::{Action, Event, ListKind, LoadReport, NewJob, Outcome, Readiness, WorkerEntry, WorkerId};
+use brackenledge_policy::settings::SettingsDocument;
+use brackenledge_policy::{
+    Action, Event, ListKind, LoadReport, NewJob, Outcome, Readiness, WorkerEntry, WorkerId,
+};
 use serde::{Deserialize, Serialize};
 
 /// One line in.
--- a/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,8 +2,8 @@
 
 mod net;
 
+use brackenledge_protocol::config::{Config, Overrides};
 use clap::{Parser, Subcommand};
-use net::config::{Config, Overrides};
 use slog::{Drain, Logger, o};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -45,7 +45,9 @@
 impl Options {
     fn load(&self) -> Result<Config, String> {
         let Options { config, name, listen, discovery } = self.clone();
-        Config::load(config.as_ref(), Overrides { name, listen, discovery })
+        let path = config.ok_or("no configuration: give --config FILE or set PROXY_CONFIG")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Config::parse(&path, &text, Overrides { name, listen, discovery })
     }
 }
 
--- a/src/net/backend.rs
+++ b/crates/daemon/src/net/backend.rs
@@ -1,12 +1,14 @@
 //! The backend servers' side: a pool of connections, and the dispatches and probes that travel on them.
 
 use super::Context;
-use super::core::{DispatchId, Request};
 use super::discovery::deregister;
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive, push_out};
-use super::http::{AnswerHead, BODY_MOST, HEAD_MOST, Link, take_answer_head};
-use brackenledge::roster::ServerWord;
-use brackenledge::{LoadReport, Outcome, WorkerId};
+use super::link::Link;
+use brackenledge_engine::{DispatchId, Request};
+use brackenledge_policy::{LoadReport, Outcome, WorkerId};
+use brackenledge_protocol::http::{AnswerHead, BODY_MOST, HEAD_MOST, take_answer_head};
+use brackenledge_protocol::worker::{read_line, read_load, read_load_header};
+use brackenledge_roster::ServerWord;
 use mio::net::TcpStream;
 use slab::Slab;
 use std::collections::HashMap;
@@ -29,63 +31,6 @@
 /// between zones: a connection that is reset meanwhile has not carried it, and it may go elsewhere.
 const HOLD: Millis = 12.0;
 
-/// A report's values, under the names that discovery and the settings use.
-#[derive(miniserde::Deserialize)]
-struct LoadDocument {
-    inflight: Option<f64>,
-    concurrent: Option<f64>,
-    queue: Option<f64>,
-    depth: Option<f64>,
-    util: Option<f64>,
-    load_share: Option<f64>,
-    eps: Option<f64>,
-    err_ps: Option<f64>,
-    x0: Option<f64>,
-    x1: Option<f64>,
-}
-
-impl From<LoadDocument> for LoadReport {
-    fn from(load: LoadDocument) -> LoadReport {
-        LoadReport {
-            held: load.inflight.or(load.concurrent),
-            waiting: load.queue.or(load.depth),
-            busy: load.util.or(load.load_share),
-            free_slots: load.x0,
-            free_memory: load.x1,
-            errors: load.eps.or(load.err_ps),
-        }
-    }
-}
-
-/// Reads the header form of a report: `TEXT name=value, name=value`. Values that are no numbers are skipped.
-fn read_load_header(text: &str) -> LoadReport {
-    let mut report = LoadReport::default();
-    let pairs = text.trim().trim_start_matches("TEXT").split(',');
-    for (name, value) in pairs.filter_map(|pair| pair.split_once('=')) {
-        let value = value.trim().parse().ok();
-        match name.trim() {
-            "inflight" | "concurrent" => report.held = value,
-            "queue" | "depth" => report.waiting = value,
-            "util" | "load_share" => report.busy = value,
-            "eps" | "err_ps" => report.errors = value,
-            "x0" => report.free_slots = value,
-            "x1" => report.free_memory = value,
-            _ => {}
-        }
-    }
-    report
-}
-
-/// One line of a worker's answer.
-#[derive(miniserde::Deserialize)]
-struct Line {
-    id: Option<String>,
-    state: String,
-    share: Option<f64>,
-    result: Option<String>,
-    load: Option<LoadDocument>,
-}
-
 #[derive(Clone)]
 enum Task {
     Dispatch { id: DispatchId, request: Rc<Request>, until: Millis },
@@ -192,12 +137,11 @@
 
     /// Takes one line of an answer to a dispatch; `Close` where it makes no sense.
     fn take_line(&mut self, line: &[u8], id: DispatchId, request_id: &str, cx: &mut Context) -> Flow {
-        let line =
-            std::str::from_utf8(line).ok().and_then(|text| miniserde::json::from_str::<Line>(text).ok());
+        let line = read_line(line);
         let Some(line) = line.filter(|line| line.id.as_deref().is_none_or(|id| id == request_id)) else {
             return Flow::Close;
         };
-        let report = line.load.map(LoadReport::from);
+        let report = line.load;
         match (line.state.as_str(), line.result) {
             ("started", _) => cx.core.dispatch_started(id),
             ("running", _) => cx.core.dispatch_progress(id, line.share.unwrap_or(0.0)),
@@ -222,8 +166,7 @@
         let body = head.body.take_all(&mut self.link.buffer);
         let from_header = head.load.as_deref().map(read_load_header);
         if let Some(Task::Probe) = self.task {
-            let text = std::str::from_utf8(&body).unwrap_or_default();
-            let report = miniserde::json::from_str::<LoadDocument>(text).ok().map(LoadReport::from);
+            let report = read_load(&body);
             let outcome = if head.status == 200 { Outcome::Ok } else { Outcome::Error };
             self.end(outcome, from_header.or(report), cx);
             return;
--- a/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -1,12 +1,13 @@
 //! The calls to discovery that the roster asks for, and what they say, piece by piece.
 
 use super::Context;
-use super::config::Endpoint;
 use super::event_loop::{Alarm, Connection, EventLoop, Flow, Millis, Owner, drive};
-use super::http::{AnswerHead, HEAD_MOST, Link, take_answer_head};
-use super::list_stream::{ListReader, Piece};
-use brackenledge::Readiness;
-use brackenledge::roster::{self, CallKind, Ending, Listed};
+use super::link::Link;
+use brackenledge_policy::Readiness;
+use brackenledge_protocol::config::Endpoint;
+use brackenledge_protocol::http::{AnswerHead, HEAD_MOST, take_answer_head};
+use brackenledge_protocol::list_stream::{ListReader, Piece};
+use brackenledge_roster::{self as roster, CallKind, Ending, Listed};
 use mio::net::TcpStream;
 use slab::Slab;
 use slog::warn;
--- a/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -1,16 +1,16 @@
 //! The event loop's parts: the poll, the one clock, the timers, and what a connection is.
 
-use super::http::{Filled, Link};
+use super::link::{Filled, Link};
+
 use mio::{Events, Interest, Poll, Registry, Token, event::Source};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use super::core::DispatchId;
+use brackenledge_engine::DispatchId;
 
-/// A point in time in milliseconds.
-pub type Millis = f64;
+pub use brackenledge_policy::Millis;
 
 /// The one clock: Unix time when the program started, and from then on the monotonic clock. So it never runs
 /// backwards, and a Unix time told by others (a worker's start) is a point on it as it stands.
--- a/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -1,14 +1,15 @@
 //! The clients' side: the platform's protocol read into jobs, and answers written back.
 
 use super::Context;
-use super::core::{Answer, Arrival, ClientId, Request};
 use super::discovery::deregister;
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive};
-use super::http::{
-    BODY_MOST, Body, HEAD_MOST, HEADERS_MOST, Link, Malformed, has_bare_line_feed, has_word, header, single,
+use super::link::Link;
+use brackenledge_engine::{Answer, Arrival, ClientId, Request};
+use brackenledge_policy::settings::SettingsDocument;
+use brackenledge_policy::{Effect, JobId, NewJob, Settings};
+use brackenledge_protocol::http::{
+    BODY_MOST, Body, HEAD_MOST, HEADERS_MOST, Malformed, has_bare_line_feed, has_word, header, single,
 };
-use brackenledge::settings::SettingsDocument;
-use brackenledge::{Effect, JobId, NewJob, Settings};
 use mio::net::TcpListener;
 use slab::Slab;
 use slog::warn;
--- a/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -1,24 +1,21 @@
 //! The real scheduler: sockets around the decision module.
 
 mod backend;
-pub mod config;
-mod core;
 mod discovery;
 mod event_loop;
 mod frontend;
-mod http;
-mod list_stream;
+mod link;
 mod peer;
 
 use self::backend::Backend;
-use self::config::{Config, IDLE_LIMIT};
-use self::core::{Core, Order};
 use self::discovery::{Discovery, Places};
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
 use self::peer::Peer;
-use brackenledge::Settings;
-use brackenledge::roster::{self, Roster, RosterSettings};
+use brackenledge_engine::{Core, Order};
+use brackenledge_policy::Settings;
+use brackenledge_protocol::config::{Config, IDLE_LIMIT};
+use brackenledge_roster::{Roster, RosterSettings};
 use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -308,16 +305,18 @@
         self.discovery.arm(cx);
     }
 
-    fn carry_out_roster(&mut self, order: roster::Order) {
+    fn carry_out_roster(&mut self, order: brackenledge_roster::Order) {
         let cx = &mut context!(self);
         match order {
-            roster::Order::Ask { call, kind, since } => self.discovery.ask(call, kind, since, cx),
-            roster::Order::Drop { call } => self.discovery.drop_call(call, cx),
-            roster::Order::Tell { to, text } => self.tell(Some(to), &text),
-            roster::Order::Learn { kind, entries } => {
+            brackenledge_roster::Order::Ask { call, kind, since } => {
+                self.discovery.ask(call, kind, since, cx)
+            }
+            brackenledge_roster::Order::Drop { call } => self.discovery.drop_call(call, cx),
+            brackenledge_roster::Order::Tell { to, text } => self.tell(Some(to), &text),
+            brackenledge_roster::Order::Learn { kind, entries } => {
                 cx.core.servers(kind, entries.into_iter().map(|learned| learned.0).collect());
             }
-            roster::Order::Log(text) => info!(self.log, "{}", text),
+            brackenledge_roster::Order::Log(text) => info!(self.log, "{}", text),
         }
     }
 
@@ -328,7 +327,7 @@
             Order::Dispatch { id, worker, request, until } => {
                 self.backend.dispatch(id, worker, request, until, cx);
             }
-            Order::Cancel { id } => self.backend.cancel(id, brackenledge::Outcome::Cancelled, cx),
+            Order::Cancel { id } => self.backend.cancel(id, brackenledge_policy::Outcome::Cancelled, cx),
             Order::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
             Order::Watch { on } => cx.roster.want(cx.now, on),
             Order::FetchList => cx.roster.fetch(cx.now),
--- a/src/net/peer.rs
+++ b/crates/daemon/src/net/peer.rs
@@ -1,7 +1,7 @@
 //! Short messages between schedulers, over UDP. They may come late or never.
 
 use super::Context;
-use super::config::PeerConfig;
+use brackenledge_protocol::config::PeerConfig;
 use mio::net::UdpSocket;
 use std::io::{self, ErrorKind};
 
--- a/src/net/core.rs
+++ b/crates/engine/src/lib.rs
@@ -5,10 +5,9 @@
 //! dispatches, watch discovery or hear peers tell it what happened. Events are queued and played one at a
 //! time, each one's orders before the next event: the module is never re-entered.
 
-use super::event_loop::Millis;
-use brackenledge::{
-    Action, Dispatcher, Event, JobId, ListKind, LoadReport, NewJob, Outcome, Response, Settings, WorkerEntry,
-    WorkerId,
+use brackenledge_policy::{
+    Action, Dispatcher, Event, JobId, ListKind, LoadReport, Millis, NewJob, Outcome, Response, Settings,
+    WorkerEntry, WorkerId,
 };
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -21,10 +20,15 @@
 /// What a backend server needs to be told of a job; the core only passes it on.
 #[derive(Debug)]
 pub struct Request {
+    /// The client's id of it, unique among open jobs.
     pub id: String,
+    /// The path and query it was sent to.
     pub target: String,
+    /// By which backend servers know repeats.
     pub idempotency_key: Option<String>,
+    /// The body's type.
     pub content_type: Option<String>,
+    /// The body.
     pub body: Vec<u8>,
     /// It must not run twice.
     pub once: bool,
@@ -32,8 +36,11 @@
 
 /// A job as a front brings it. The core gives it its id.
 pub struct Arrival {
+    /// Who brought it.
     pub client: ClientId,
+    /// What the decision module is told; its id is given by the engine.
     pub job: NewJob,
+    /// What the backend server is told.
     pub request: Request,
 }
 
@@ -43,30 +50,82 @@
     /// What the backend server made.
     Served(String),
     /// Refused: trying again is harmless.
-    Denied { retry_after: Option<Millis> },
+    Denied {
+        /// How long the client should stay away.
+        retry_after: Option<Millis>,
+    },
     /// Failed: nothing is promised.
     Failed,
 }
 
 /// What is to be done, in order.
 pub enum Order {
-    Answer { client: ClientId, job: JobId, answer: Answer },
-    Dispatch { id: DispatchId, worker: WorkerId, request: Rc<Request>, until: Millis },
-    Cancel { id: DispatchId },
-    Wake { after: Millis },
-    Watch { on: bool },
+    /// Give a client its job's final answer.
+    Answer {
+        /// The client.
+        client: ClientId,
+        /// The job.
+        job: JobId,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Send a request to a backend server.
+    Dispatch {
+        /// Names the dispatch from now on.
+        id: DispatchId,
+        /// The server.
+        worker: WorkerId,
+        /// The request.
+        request: Rc<Request>,
+        /// When to stop waiting for it.
+        until: Millis,
+    },
+    /// Give up a dispatch.
+    Cancel {
+        /// The dispatch.
+        id: DispatchId,
+    },
+    /// Call [`Core::wake`] after this long.
+    Wake {
+        /// How far from now, in milliseconds.
+        after: Millis,
+    },
+    /// Subscribe to changes of the server table, or end that.
+    Watch {
+        /// Whether to subscribe.
+        on: bool,
+    },
+    /// Ask for the whole server table once.
     FetchList,
-    Probe { worker: WorkerId },
-    Tell { to: Option<u32>, text: String },
-    CloseIdle { worker: WorkerId },
+    /// Ask a server for its load.
+    Probe {
+        /// The server.
+        worker: WorkerId,
+    },
+    /// Send a message to one scheduler or to all.
+    Tell {
+        /// The receiver's number; `None`: all.
+        to: Option<u32>,
+        /// At most 256 bytes.
+        text: String,
+    },
+    /// Close the idle connections to a server.
+    CloseIdle {
+        /// The server.
+        worker: WorkerId,
+    },
+    /// A line for the log.
     Log(String),
 }
 
 /// What became of the jobs since the start.
 #[derive(Clone, Copy, Default)]
 pub struct Counts {
+    /// Given what a backend server made.
     pub served: u64,
+    /// Refused.
     pub denied: u64,
+    /// Failed.
     pub failed: u64,
     /// Their clients left first.
     pub gone: u64,
@@ -95,6 +154,7 @@
 }
 
 impl Core {
+    /// A core that holds no job.
     pub fn new(now: Millis, settings: Settings, seed: u64) -> Self {
         Core {
             max_attempts: settings.max_attempts,
--- /dev/null
+++ b/crates/policy/src/dispatcher/mod.rs
@@ -0,0 +1,272 @@
+//! Every decision of a dispatcher. Settings, events and actions are defined in `interface.rs`.
+//! Jobs queue per tenant, deficit round-robin drains them into a slot budget, AIMD tunes that budget by the
+//! delay until jobs start, and each job goes to an idle worker first.
+mod answers;
+mod attempts;
+mod budget;
+mod membership;
+mod placement;
+mod queues;
+use crate::interface::*;
+use crate::measure::{Due, Fading, ReadySet, RunTime, Slowness, distance, hash};
+use crate::peers::Peers;
+use attempts::Resend;
+use fastrand::Rng;
+use std::collections::{BTreeMap, VecDeque};
+
+// Budget. The post's figures are kept where one gateway was meant; per-worker caps are split by dispatchers.
+const CAP_FLOOR: f64 = 1.0; // slots per worker, all dispatchers together; cutting below it relieves nothing
+const CAP_CEILING: f64 = 8.0; // same unit; what calm times grew meets the next burst, and workers queue it
+const TICK: Millis = 1_000.0; // the post's 5 s is a tenth of the troubles' length here
+const WINDOW: Millis = 6_000.0; // delays older than this say nothing of the present
+const HOLD_TICKS: u32 = 1; // after a cut; with more, bursts end before the budget fits them
+const QUANTILE: f64 = 0.8; // of the delays; the post's p99 is the single worst of a quiet window
+const BAND: (f64, f64) = (0.8, 1.2); // of the aim: below grow, above cut
+const CUT: f64 = 0.8; // the post found a half too much; every dispatcher cuts at once here
+const GROW: f64 = 0.5; // slots per worker and tick, all dispatchers together
+const GROW_BOUND: f64 = 0.25; // part of itself that a budget grows by when it held jobs back
+const EVIDENCE: usize = 20; // delays needed before a cut
+const FULL_DELAY: f64 = 2.0; // a 'full' answer's delay, in aims
+const BASE_RISE: f64 = 1.0005; // per job, by which the shortest running time is forgotten
+const FLOOR_LOAD: (f64, f64) = (0.8, 1.5); // slots for work within shares: times its mean, its root
+const OVER_MOST: f64 = 0.7; // part of the budget open to work beyond shares, at most and first
+const OVER_STEPS: (f64, f64) = (0.05, 0.5); // by which that part grows a tick, and its cut
+const OVER_QUANTILE: f64 = 0.95; // of the delays of work within shares: spare room is what leaves it in time
+
+// Tenant queues.
+const DEPTHS: (usize, usize) = (32, 16); // jobs queued at most: weights above the median, and the others
+const LANES: usize = 2; // within the tenant's share, and beyond it
+const RATE_TIME: Millis = 10_000.0; // memory of arrival and work rates
+const PRIOR: f64 = 5.0; // arrivals that the assumption of an even spread weighs as much as
+const PART_MARGIN: f64 = 1.4; // tenants use less than their share, so a part seen through them is larger
+const BURST: Millis = 1_500.0; // of its quota a tenant may bring at once and stay within its share
+const GRANT: f64 = 0.2; // aims that a job may wait for a grant: held longer, it starts too late to be in time
+const STUCK: Millis = 5.0; // before jobs that no worker could take are tried again
+const LOOK_PAST: usize = 4; // queued jobs tried behind one that no worker can take now
+
+// Placement. Costs are in milliseconds of expected delay.
+const SCAN_MOST: usize = 96; // workers taken at random for one job, and this many of the nearest to its key:
+const SCAN_HOMES: f64 = 8.0;
+const OWN_STEP: f64 = 0.25; // running times that each own slot on a worker counts for
+const SPEED_PART: (f64, f64) = (0.1, 2.0); // weight of a slower run: while in time, and beyond
+const TROUBLE_COST: f64 = 10.0; // aims that a worker sure to fail counts for
+const AWAY_COST: f64 = 0.05; // aims that another zone counts for
+const DOUBT_COST: f64 = 1.0; // aims that a server sure to drain unheard counts for
+const FETCH_COST: f64 = 5.0; // running times that fetching what a key needs counts for: it holds a slot
+const KEPT_PART: f64 = 0.2; // of that cost where the worker got a job with this key lately
+const KEPT: usize = 4; // keys that a worker is taken to keep of those we sent it
+const FRESH_GAIN: f64 = 0.2; // running times that a slot freed just now is better by
+const FULL_DOUBLINGS: u32 = 4; // of the wait after a 'full', at most
+const MESSAGES: f64 = 1.0; // load messages, counted by receiver, that each job sent pays for: they are short
+const HEARD_LIFE: Millis = 1_500.0; // what another dispatcher told counts for so long
+const REPORT_LIFE: Millis = 3_000.0; // a report older than this counts for nothing
+const LEARN: f64 = 0.15; // weight of one more observation of a worker
+const TROUBLE_PRIOR: f64 = 2.0; // attempts gone well that every worker is taken to have had lately
+const ZONE_STEP: f64 = 0.05; // distrust of a zone for each connection that failed there
+const TROUBLE_LIFE: Millis = 5_000.0; // in which distrust fades to a third, so that a trial is made
+const OVERTAKEN: Millis = 300.0; // by which a job that started was sent later than one that did not
+const SLOW_LIFE: Millis = 6_000.0; // in which slowness that is not seen any more fades to a third
+const OVERDUE: f64 = 3.0; // usual running times after which a job tells against its worker
+const SLOW_MOST: f64 = 10.0; // usual running times that a job counts for at most
+
+// Cold workers, list calls, answers.
+const COLD_MARGIN: f64 = 0.4; // part of the cold allowance used: sizes differ, and estimates err
+const COLD_LUMP: f64 = 0.75; // largest job for a cold worker, as part of all that it may be sent in a span
+const ASK_SPREAD: f64 = 0.2; // part of ask-within in which the first call, or one after a failure, is made
+const SWEEP: Millis = 200.0; // between looks at overdue attempts, and load messages
+const CLOCK_STEP: Millis = 0.01; // timers may be rounded by as much
+const DEADLINE_MARGIN: Millis = 1.0; // queued jobs end this long before the client gives up
+
+#[derive(Default)]
+struct Worker {
+    hash: u64,
+    zone: u32,
+    kind: u32,
+    cell: u32,
+    readiness: Readiness,
+    size: f64,
+    launched: Option<Millis>,
+    doubt: f64,
+    /// Slots that our attempts hold here, and those of them not known to have started.
+    own: f64,
+    unstarted: f64,
+    /// Running time here over the usual one, less 1, as last seen and when.
+    slowness: Slowness,
+    /// Attempts that failed, and all that ended, fading.
+    failures: Fading,
+    endings: Fading,
+    /// Wait for a start as last seen, fading.
+    wait: Fading,
+    freed_at: Millis,
+    /// When the job that started last of all was sent here.
+    start_sent: Millis,
+    full_until: Millis,
+    fulls: u32,
+    /// Slots in all, and those that others held, as last reported.
+    slots: f64,
+    others: f64,
+    reported_at: Millis,
+    /// Keys of the jobs sent here last, the latest first: what they need is most likely still here.
+    keys: VecDeque<u64>,
+    /// Work that it may still be sent while cold.
+    allowance: f64,
+    allowance_at: Millis,
+}
+
+/// A zone's connect failures, fading, and the shortest time seen from sending to the note of a start.
+#[derive(Default)]
+struct Zone {
+    trouble: Fading,
+    trip: Option<Millis>,
+}
+
+struct Lane {
+    queue: VecDeque<JobId>,
+    credit: f64,
+}
+
+struct TenantQueue {
+    weight: f64,
+    quota: f64,
+    depth: usize,
+    tokens: f64,
+    tokens_at: Millis,
+    arrivals: Fading,
+    lanes: [Lane; LANES],
+}
+
+#[derive(Clone, Copy)]
+struct Attempt {
+    worker: WorkerId,
+    sent: Millis,
+    started: Option<Millis>,
+    out: bool,
+    may_have_run: bool,
+    overdue: bool,
+}
+
+#[derive(Default)]
+struct Job {
+    class: usize,
+    tenant: usize,
+    lane: usize,
+    key: Option<u64>,
+    deadline: Millis,
+    grant_until: Millis,
+    slots: f64,
+    queued: bool,
+    answered: bool,
+    streaming: bool,
+    attempts: Vec<Attempt>,
+}
+
+impl Job {
+    /// The first attempt that may have run or may still run.
+    fn risk(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|attempt| attempt.out || attempt.may_have_run)
+    }
+}
+
+#[derive(Default)]
+struct Budget {
+    cap: f64,
+    used: f64,
+    delays: VecDeque<(Millis, f64)>,
+    tick_at: Millis,
+    hold: u32,
+    bound: bool,
+    /// Work that arrived within shares, in slot-milliseconds, and the slots that it needs.
+    within: Fading,
+    floor: f64,
+    /// Part of the budget open to work beyond a tenant's share.
+    over: f64,
+}
+
+/// A dispatcher. See the crate's page for how to drive it.
+pub struct Dispatcher {
+    settings: Settings,
+    rng: Rng,
+    booted: Millis,
+    workers: Vec<Worker>,
+    ready: ReadySet,
+    zones: BTreeMap<u32, Zone>,
+    tenants: Vec<TenantQueue>,
+    turn: [usize; LANES],
+    visited: [bool; LANES],
+    budget: Budget,
+    runs: Vec<RunTime>,
+    work_done: Fading,
+    jobs: BTreeMap<JobId, Job>,
+    due: Due,
+    ask_at: Millis,
+    sweep_at: Millis,
+    peers: Peers,
+    message_credit: f64,
+    armed: Millis,
+    stuck_until: Millis,
+}
+
+impl Dispatcher {
+    /// A dispatcher that knows nothing yet.
+    pub fn new(now: Millis, settings: Settings, seed: u64) -> Self {
+        let settings = Settings { dispatchers: settings.dispatchers.max(1), ..settings };
+        // Low at first, it would turn away the load that comes to a restarted dispatcher as others stop.
+        let cap = CAP_CEILING / if settings.messages { 1.0 } else { f64::from(settings.dispatchers) };
+        let tenants = queues::tenant_queues(&settings, now);
+        let runs = settings.classes.iter().map(|class| RunTime::guess(class.aim.max(1.0))).collect();
+        let budget = Budget { cap, tick_at: now + TICK, over: OVER_MOST, ..Budget::default() };
+        let mut rng = Rng::with_seed(seed);
+        let ask_in = ASK_SPREAD * settings.ask_within * rng.f64();
+        let ask_at = if settings.list_on_request { now + ask_in } else { f64::INFINITY };
+        Dispatcher {
+            rng,
+            booted: now,
+            workers: Vec::new(),
+            ready: ReadySet::default(),
+            zones: BTreeMap::new(),
+            tenants,
+            turn: [0; LANES],
+            visited: [false; LANES],
+            budget,
+            runs,
+            work_done: Fading::default(),
+            jobs: BTreeMap::new(),
+            due: Due::default(),
+            ask_at,
+            sweep_at: now + SWEEP,
+            peers: Peers::default(),
+            message_credit: 0.0,
+            armed: f64::INFINITY,
+            stuck_until: 0.0,
+            settings,
+        }
+    }
+
+    /// Takes one event and appends what is to be done about it.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Workers { kind, entries } => self.learn_workers(now, kind, entries),
+            Event::Job(job) => self.take(now, job, out),
+            Event::Started { job, attempt } => self.started(now, job, attempt),
+            Event::Message { from, text } => self.peers.hear(now, from, &text),
+            Event::StreamOpened { job, .. } => {
+                if let Some(job) = self.jobs.get_mut(&job) {
+                    job.streaming = true;
+                }
+            }
+            Event::Response(response) => self.response(now, response, out),
+            Event::ClientGone { job } => self.client_gone(job, out),
+            Event::Timer => {
+                // The clock may be rounded: a timer that came a hair early is still the one set.
+                if now >= self.armed - CLOCK_STEP {
+                    self.armed = f64::INFINITY;
+                }
+                self.sweep(now, out);
+            }
+            Event::Probed { worker, report: Some(report), .. } => self.note_report(now, worker, report),
+            Event::Progress { .. } | Event::Probed { .. } => {}
+        }
+        self.drain(now, out);
+        self.arm(now, out);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -0,0 +1,103 @@
+//! Placement: an idle worker first.
+use super::*;
+
+impl Dispatcher {
+    pub(super) fn choose(&mut self, now: Millis, id: JobId) -> Option<WorkerId> {
+        let job = self.jobs.get(&id)?;
+        let (kind, limit) = (self.settings.classes[job.class].kind, self.resend(now, job));
+        if limit == Resend::Never || job.attempts.len() >= self.settings.max_attempts {
+            return None;
+        }
+        let work = self.runs[job.class].usual * job.slots;
+        let count = self.ready.ids.len();
+        let start = if count == 0 { 0 } else { self.rng.usize(..count) };
+        let mut best: Option<(f64, WorkerId)> = None;
+        let homes = job.key;
+        let near = |hash: u64| homes.is_some_and(|key| distance(key, hash) * (count as f64) < SCAN_HOMES);
+        for step in 0..if homes.is_some() { count } else { count.min(SCAN_MOST) } {
+            let place = (start + step) % count;
+            if step >= SCAN_MOST && !near(self.ready.hashes[place]) {
+                continue;
+            }
+            let id_here = self.ready.ids[place];
+            let worker = &self.workers[id_here];
+            if kind.is_some_and(|kind| kind != worker.kind) || now < worker.full_until {
+                continue;
+            }
+            if !limit.allows(id_here, &self.workers) {
+                continue;
+            }
+            let cost = self.cost(now, id_here, &self.jobs[&id]);
+            if best.is_none_or(|(least, _)| cost < least) && self.cold_permits(now, id_here, work) {
+                best = Some((cost, id_here));
+            }
+        }
+        best.map(|(_, worker)| worker)
+    }
+
+    /// What sending a job to a worker is expected to cost it, in milliseconds.
+    pub(super) fn cost(&self, now: Millis, id: WorkerId, job: &Job) -> f64 {
+        let worker = &self.workers[id];
+        let (run, aim) = (self.runs[job.class].usual, self.settings.classes[job.class].aim);
+        let queue = match self.free_slots(now, id, worker) {
+            Some(free) if free >= job.slots => -0.01 * free * run,
+            Some(free) => (job.slots - free) / worker.slots.max(1.0) * self.mean_run(),
+            None => {
+                let age = now - worker.freed_at;
+                let fresh = FRESH_GAIN * run * (1.0 - age / run).max(0.0);
+                OWN_STEP * run * (worker.own + self.peers.load(id)) / worker.size - fresh
+            }
+        };
+        let waits = worker.wait.now(now, run)
+            + if self.settings.tells_start { worker.unstarted * OWN_STEP * run } else { 0.0 };
+        let zone = self.zones.get(&worker.zone).map_or(0.0, |zone| zone.trouble.now(now, TROUBLE_LIFE));
+        let failures = worker.failures.now(now, TROUBLE_LIFE);
+        let trouble = failures / (worker.endings.now(now, TROUBLE_LIFE) + TROUBLE_PRIOR) + zone;
+        let away = if worker.zone == self.settings.zone { 0.0 } else { AWAY_COST * aim };
+        let fetch = match job.key {
+            Some(key) => {
+                let rank = distance(key, worker.hash) * self.ready.ids.len() as f64;
+                let kept = worker.keys.contains(&key);
+                FETCH_COST * run * rank / (rank + 1.0) * if kept { KEPT_PART } else { 1.0 }
+            }
+            _ => 0.0,
+        };
+        let slower = worker.slowness.now(now, SLOW_LIFE) * run;
+        let late = (slower - 0.5 * self.slack(job.class)).max(0.0);
+        let slower = SPEED_PART.0 * slower + SPEED_PART.1 * late;
+        queue + waits + slower + (TROUBLE_COST * trouble + DOUBT_COST * worker.doubt) * aim + away + fetch
+    }
+
+    /// Tells the others how many slots we hold where; each job sent pays for a part of a message.
+    pub(super) fn tell_loads(&mut self, out: &mut Vec<Action>) {
+        let held = self.ready.ids.iter().map(|&id| &self.workers[id]).filter(|worker| worker.own > 0.0);
+        let texts = Peers::tell(held.map(|worker| (worker.hash, worker.own)));
+        let price = texts.len() as f64 * f64::from(self.settings.dispatchers - 1);
+        if price > 0.0 && self.message_credit >= price {
+            self.message_credit = 0.0;
+            out.extend(texts.into_iter().map(|text| Action::Tell { to: None, text }));
+        }
+    }
+
+    /// Free slots as far as the others' messages, or else a fresh report, and our own doings since tell.
+    pub(super) fn free_slots(&self, now: Millis, id: WorkerId, worker: &Worker) -> Option<f64> {
+        // What all the others told of themselves is newer than a report, and exact.
+        let all_heard = self.peers.heard() + 1 >= self.settings.dispatchers as usize;
+        let others = if all_heard { self.peers.load(id) } else { worker.others };
+        let known = worker.slots > 0.0 && (all_heard || now - worker.reported_at < REPORT_LIFE);
+        known.then_some(worker.slots - others - worker.own)
+    }
+
+    pub(super) fn note_report(&mut self, now: Millis, id: WorkerId, report: LoadReport) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let (Some(free), held) = (report.free_slots, report.held.unwrap_or(0.0)) else { return };
+        if !(free.is_finite() && held.is_finite()) {
+            return;
+        }
+        if free >= 0.5 {
+            worker.slots = worker.slots.max((free + held).round().clamp(1.0, 1_000.0));
+        }
+        worker.others = (held.max(worker.slots - free) - worker.own).max(0.0);
+        worker.reported_at = now;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher/queues.rs
@@ -0,0 +1,168 @@
+//! Tenant queues and deficit round-robin.
+use super::*;
+
+impl Dispatcher {
+    pub(super) fn take(&mut self, now: Millis, new: NewJob, out: &mut Vec<Action>) {
+        let class = new.class.min(self.settings.classes.len() - 1);
+        let tenant = new.tenant.min(self.tenants.len() - 1);
+        let lane = usize::from(!self.within_share(now, tenant));
+        let deadline = now + new.time_left;
+        let grant = now + GRANT * self.settings.classes[class].aim;
+        let worth = |class: usize| self.settings.classes[class].worth;
+        let held = |id: &JobId| self.jobs.get(id).map_or(0.0, |job| worth(job.class));
+        let queue = &self.tenants[tenant].lanes[lane].queue;
+        // What is worth most for its work goes first, and the last of a full queue gives way to it.
+        let place = queue.iter().take_while(|id| held(id) >= worth(class)).count();
+        let full = queue.len() >= self.tenants[tenant].depth;
+        let last = queue.back().copied().filter(|_| full && place < queue.len());
+        let fits = !full || last.is_some();
+        let job = Job {
+            class,
+            tenant,
+            lane,
+            key: new.key.as_deref().map(hash),
+            deadline,
+            grant_until: grant.min(deadline - DEADLINE_MARGIN),
+            slots: new.slots.max(1.0),
+            queued: fits,
+            ..Job::default()
+        };
+        self.due.push(job.grant_until, new.id);
+        if lane == 0 {
+            self.budget.within.add(now, RATE_TIME, self.runs[class].shortest * job.slots);
+            let mean = self.budget.within.sum / self.seen_for(now).max(TICK);
+            self.budget.floor = FLOOR_LOAD.0 * mean + FLOOR_LOAD.1 * mean.sqrt();
+        }
+        self.jobs.insert(new.id, job);
+        if let Some(last) = last {
+            self.finish(last, out);
+        }
+        if fits {
+            self.tenants[tenant].lanes[lane].queue.insert(place, new.id);
+        } else {
+            self.finish(new.id, out);
+        }
+    }
+
+    /// Takes a token of the tenant's quota, scaled to the part of all traffic that this dispatcher sees.
+    pub(super) fn within_share(&mut self, now: Millis, tenant: usize) -> bool {
+        self.tenants[tenant].arrivals.add(now, RATE_TIME, 1.0);
+        let part = self.traffic_part(now);
+        let queue = &mut self.tenants[tenant];
+        if queue.quota <= 0.0 {
+            return true;
+        }
+        let rate = queue.quota * part / 1_000.0;
+        let most = (rate * BURST).max(2.0);
+        queue.tokens = (queue.tokens + rate * (now - queue.tokens_at)).min(most);
+        queue.tokens_at = now;
+        let within = queue.tokens >= 1.0;
+        queue.tokens -= f64::from(u8::from(within));
+        within
+    }
+
+    /// The time that a fading count stands for: its life, or less soon after the start.
+    pub(super) fn seen_for(&self, now: Millis) -> Millis {
+        RATE_TIME * (1.0 - (-(now - self.booted) / RATE_TIME).exp())
+    }
+
+    /// This dispatcher's part of all traffic, seen through the middle one of the tenants' rates over quotas.
+    pub(super) fn traffic_part(&self, now: Millis) -> f64 {
+        let even = 1.0 / f64::from(self.settings.dispatchers);
+        let seen_for = self.seen_for(now);
+        let part = |queue: &TenantQueue| {
+            let per_ms = queue.quota / 1_000.0;
+            (queue.arrivals.now(now, RATE_TIME) + PRIOR) / (per_ms * seen_for + PRIOR / even)
+        };
+        let mut parts: Vec<f64> = self.tenants.iter().filter(|q| q.quota > 0.0).map(part).collect();
+        parts.sort_by(f64::total_cmp);
+        parts.get(parts.len() / 2).map_or(even, |middle| (middle * PART_MARGIN).min(1.0))
+    }
+
+    /// Sends queued jobs while the budget allows, work within tenants' shares first.
+    pub(super) fn drain(&mut self, now: Millis, out: &mut Vec<Action>) {
+        // Workers that had no room a moment ago have none now; looking again for each event costs too much.
+        if now < self.stuck_until {
+            return;
+        }
+        for lane in 0..LANES {
+            self.drain_lane(now, lane, out);
+        }
+    }
+
+    pub(super) fn drain_lane(&mut self, now: Millis, lane: usize, out: &mut Vec<Action>) {
+        let tenants = self.tenants.len();
+        let quantum = self.tenants.iter().map(|t| t.weight).fold(f64::INFINITY, f64::min);
+        let mut fruitless = 0;
+        while fruitless < tenants * 8 && self.tenants.iter().any(|t| !t.lanes[lane].queue.is_empty()) {
+            let turn = self.turn[lane];
+            let queue = &mut self.tenants[turn];
+            let weight = queue.weight / quantum;
+            let state = &mut queue.lanes[lane];
+            if !self.visited[lane] {
+                state.credit += weight;
+            }
+            self.visited[lane] = true;
+            let mut skipped = 0;
+            while skipped < LOOK_PAST {
+                let state = &self.tenants[turn].lanes[lane];
+                let Some(&id) = state.queue.get(skipped) else { break };
+                let slots = self.jobs.get(&id).map_or(1.0, |job| job.slots);
+                if state.credit < slots {
+                    break;
+                }
+                if !self.budget_has_room(lane, slots) {
+                    self.budget.bound |= lane == 0;
+                    return;
+                }
+                // A job that no worker can take now must not hold up the ones behind it.
+                let Some(worker) = self.choose(now, id) else {
+                    skipped += 1;
+                    continue;
+                };
+                let state = &mut self.tenants[turn].lanes[lane];
+                state.queue.remove(skipped);
+                state.credit -= slots;
+                fruitless = 0;
+                self.send(now, id, worker, out);
+            }
+            if skipped == LOOK_PAST {
+                self.stuck_until = now + STUCK;
+            }
+            let state = &mut self.tenants[turn].lanes[lane];
+            if state.queue.is_empty() {
+                state.credit = 0.0;
+            }
+            state.credit = state.credit.min(8.0 * weight);
+            fruitless += 1;
+            self.turn[lane] = (turn + 1) % tenants;
+            self.visited[lane] = false;
+        }
+    }
+
+    pub(super) fn unqueue(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id).filter(|job| job.queued) {
+            job.queued = false;
+            self.tenants[job.tenant].lanes[job.lane].queue.retain(|&queued| queued != id);
+        }
+    }
+}
+
+pub(super) fn tenant_queues(settings: &Settings, now: Millis) -> Vec<TenantQueue> {
+    let whole = Tenant { share: 1.0, quota: 0.0 };
+    let tenants = if settings.tenants.is_empty() { vec![whole] } else { settings.tenants.clone() };
+    let mut shares: Vec<f64> = tenants.iter().map(|tenant| tenant.share).collect();
+    shares.sort_by(f64::total_cmp);
+    let median = shares[shares.len() / 2];
+    let lane = || Lane { queue: VecDeque::new(), credit: 0.0 };
+    let queue = |tenant: &Tenant| TenantQueue {
+        weight: tenant.share.max(0.01),
+        quota: tenant.quota,
+        depth: if tenant.share > median { DEPTHS.0 } else { DEPTHS.1 },
+        tokens: f64::INFINITY,
+        tokens_at: now,
+        arrivals: Fading::default(),
+        lanes: [lane(), lane()],
+    };
+    tenants.iter().map(queue).collect()
+}
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 //! clock: feed [`Dispatcher::handle`] what happened and when, and carry out the [`Action`]s it appends.
 //!
 //! ```
-//! use brackenledge::{Action, Dispatcher, Event, ListKind, Settings, WorkerEntry};
+//! use brackenledge_policy::{Action, Dispatcher, Event, ListKind, Settings, WorkerEntry};
 //!
 //! let mut dispatcher = Dispatcher::new(0.0, Settings::default(), 7);
 //! let mut actions: Vec<Action> = Vec::new();
@@ -13,16 +13,15 @@
 //! dispatcher.handle(0.0, Event::Workers { kind: ListKind::Full, entries: vec![worker] }, &mut actions);
 //! ```
 
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 #[cfg(doctest)]
 struct Readme;
 
+pub mod dispatcher;
 pub mod interface;
-mod measure;
+pub mod measure;
 mod peers;
-pub mod roster;
-pub mod rules;
 pub mod settings;
 
+pub use dispatcher::Dispatcher;
 pub use interface::*;
-pub use rules::Dispatcher;
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Drives one dispatcher by hand and checks the four rules on every action that it gives.
 #![allow(dead_code, missing_docs)]
 
-use brackenledge::{
+use brackenledge_policy::{
     Action, Class, Dispatcher, Effect, Event, Group, JobId, ListKind, Millis, NewJob, Outcome, Readiness,
     Response, Settings, Tenant, WorkerEntry, WorkerId,
 };
--- a/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use brackenledge::{
+use brackenledge_policy::{
     Action, Class, Dispatcher, Effect, Event, Group, ListKind, LoadReport, NewJob, Outcome, Readiness,
     Settings, WorkerEntry,
 };
--- a/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use brackenledge::{Event, ListKind, LoadReport, NewJob, Outcome, Readiness, Response, WorkerEntry};
+use brackenledge_policy::{Event, ListKind, LoadReport, NewJob, Outcome, Readiness, Response, WorkerEntry};
 use common::{Driver, settings, worker};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -111,7 +111,7 @@
     let mut runner = TestRunner::new_with_rng(config, rng);
     let steps = prop::collection::vec(step(), 1..120);
     let result = runner.run(&(steps, any::<u64>()), |(steps, seed)| {
-        let settings = brackenledge::Settings { second_copies, list_on_request, ..settings() };
+        let settings = brackenledge_policy::Settings { second_copies, list_on_request, ..settings() };
         let mut driver = Driver::new(settings, 6, seed);
         for step in steps {
             play(&mut driver, step);
--- a/src/net/config.rs
+++ b/crates/protocol/src/config.rs
@@ -1,28 +1,38 @@
 //! What a scheduler is told: environment and command line first, then the JSON file.
 
-use super::event_loop::Millis;
-use brackenledge::settings::SettingsDocument;
+use brackenledge_policy::Millis;
+use brackenledge_policy::settings::SettingsDocument;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 /// One line of discovery's list, as JSON has it.
 #[derive(Clone, Debug, miniserde::Deserialize)]
 pub struct Endpoint {
+    /// The server's name.
     pub name: String,
+    /// Where it listens.
     pub address: String,
+    /// Its zone's name.
     pub zone: Option<String>,
+    /// Its machine kind's name.
     #[serde(rename = "type")]
     pub kind: Option<String>,
+    /// Its cell.
     pub group: Option<u32>,
+    /// `ready`, `draining` or `gone`.
     pub status: Option<String>,
+    /// A figure for comparing it with others.
     pub weight: Option<f64>,
+    /// Its last start, in milliseconds of Unix time; 0: long ago.
     pub since_ms: Option<f64>,
 }
 
 /// Discovery's list as it was last.
 #[derive(Clone, Debug, miniserde::Deserialize)]
 pub struct ServerList {
+    /// Its version.
     pub index: u64,
+    /// Its entries.
     pub endpoints: Vec<Endpoint>,
 }
 
@@ -49,34 +59,46 @@
 /// What the command line and the environment say over the file.
 #[derive(Clone, Debug, Default)]
 pub struct Overrides {
+    /// The scheduler's name.
     pub name: Option<String>,
+    /// Where clients connect.
     pub listen: Option<String>,
+    /// Where discovery is.
     pub discovery: Option<String>,
 }
 
 /// How schedulers reach one another.
 #[derive(Clone, Debug)]
 pub struct PeerConfig {
+    /// Where messages arrive.
     pub listen: SocketAddr,
     /// By their numbers in the settings.
     pub peers: Vec<SocketAddr>,
+    /// Reaches every scheduler.
     pub all: Option<SocketAddr>,
 }
 
 /// The whole configuration.
 #[derive(Clone, Debug)]
 pub struct Config {
+    /// The scheduler's name.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where discovery is.
     pub discovery: SocketAddr,
     /// What the file itself says of discovery. A new figure there goes before what the program was started
     /// with: the environment can't change in a running process.
     pub discovery_in_file: Option<SocketAddr>,
+    /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// How other schedulers are reached, where they are.
     pub peer: Option<PeerConfig>,
+    /// The list as it was before the start.
     pub known: Option<ServerList>,
+    /// The settings document.
     pub settings: SettingsDocument,
 }
 
@@ -90,14 +112,9 @@
 pub const IDLE_LIMIT: Millis = 10_000.0;
 
 impl Config {
-    /// Reads the file and lays the overrides over it. Every error is one line that names what is wrong.
-    pub fn load(path: Option<&PathBuf>, over: Overrides) -> Result<Config, String> {
-        let path = path.ok_or("no configuration: give --config FILE or set PROXY_CONFIG")?;
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Config::parse(path, &text, over)
-    }
-
-    fn parse(path: &Path, text: &str, over: Overrides) -> Result<Config, String> {
+    /// Reads the text of the file at `path` and lays the overrides over it. Every error is one line that names the
+    /// file and what is wrong.
+    pub fn parse(path: &Path, text: &str, over: Overrides) -> Result<Config, String> {
         let bad = |what: &str| format!("{}: {what}", path.display());
         let document: Document = miniserde::json::from_str(text).map_err(|_| {
             bad("not a configuration: broken JSON, or `settings` lacks a field or has a wrong type")
--- a/src/net/http.rs
+++ b/crates/protocol/src/http.rs
@@ -1,7 +1,6 @@
-//! HTTP/1.1 framing on httparse, the one buffer that each connection has, and the socket beside it.
+//! HTTP/1.1 framing on httparse, and the one buffer that each connection has.
 
-use mio::net::TcpStream;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, Read};
 
 /// The largest body that the platform's protocol allows.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -63,7 +62,7 @@
     }
 
     /// Notes that so much of the output was written.
-    fn wrote(&mut self, count: usize) {
+    pub fn wrote(&mut self, count: usize) {
         self.written += count;
     }
 
@@ -79,7 +78,7 @@
     }
 
     /// Reads once into the room behind the input.
-    fn read_from(&mut self, source: &mut impl Read) -> io::Result<usize> {
+    pub fn read_from(&mut self, source: &mut impl Read) -> io::Result<usize> {
         self.compact();
         let held = self.data.len();
         self.data.resize(held + READ_STEP, 0);
@@ -89,65 +88,6 @@
     }
 }
 
-/// How far a read came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Filled {
-    /// The other side may send more.
-    Open,
-    /// The other side has ended its sending.
-    Ended,
-    /// The connection broke.
-    Broken,
-}
-
-/// A socket and its buffer.
-pub struct Link {
-    pub stream: TcpStream,
-    pub buffer: Buffer,
-}
-
-impl Link {
-    pub fn new(stream: TcpStream) -> Self {
-        // Small messages must not wait for one another; a socket without the option still works.
-        let _ = stream.set_nodelay(true);
-        Link { stream, buffer: Buffer::default() }
-    }
-
-    /// Reads what has come, until there are `most` bytes of input. The poll tells of new input only, so a
-    /// caller that stops at `most` has to come back by itself.
-    pub fn fill(&mut self, most: usize) -> Filled {
-        while self.buffer.input().len() < most {
-            match self.buffer.read_from(&mut self.stream) {
-                Ok(0) => return Filled::Ended,
-                Ok(_) => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Filled::Broken,
-            }
-        }
-        Filled::Open
-    }
-
-    /// Whether nothing has come, not even the connection's end: the poll may not have told of it yet.
-    pub fn quiet(&self) -> bool {
-        matches!(self.stream.peek(&mut [0; 1]), Err(e) if e.kind() == ErrorKind::WouldBlock)
-    }
-
-    /// Writes what the socket takes; tells whether all is out.
-    pub fn flush(&mut self) -> io::Result<bool> {
-        while !self.buffer.output().is_empty() {
-            match self.stream.write(self.buffer.output()) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => self.buffer.wrote(count),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
-        Ok(true)
-    }
-}
-
 /// Why a message can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Malformed {
@@ -293,7 +233,9 @@
 
 /// The head of an answer, as far as this program reads it.
 pub struct AnswerHead {
+    /// Its status code.
     pub status: u16,
+    /// The body that it announces.
     pub body: Body,
     /// The connection serves no further request.
     pub closes: bool,
--- a/src/net/list_stream.rs
+++ b/crates/protocol/src/list_stream.rs
@@ -5,7 +5,7 @@
 //! and hands each of those objects to the JSON library once it is whole; what is left of the list, its skeleton, is
 //! read at its end.
 
-use super::config::Endpoint;
+use crate::config::Endpoint;
 
 /// The longest entry, and the most that a list may hold beside its entries.
 const ENTRY_MOST: usize = 8 * 1024;
--- /dev/null
+++ b/crates/protocol/src/worker.rs
@@ -0,0 +1,88 @@
+//! What workers say: the lines of an answer, and load reports in either of their forms.
+
+use brackenledge_policy::LoadReport;
+
+/// A report's values, under the names that discovery and the settings use.
+#[derive(miniserde::Deserialize)]
+struct LoadDocument {
+    inflight: Option<f64>,
+    concurrent: Option<f64>,
+    queue: Option<f64>,
+    depth: Option<f64>,
+    util: Option<f64>,
+    load_share: Option<f64>,
+    eps: Option<f64>,
+    err_ps: Option<f64>,
+    x0: Option<f64>,
+    x1: Option<f64>,
+}
+
+impl From<LoadDocument> for LoadReport {
+    fn from(load: LoadDocument) -> LoadReport {
+        LoadReport {
+            held: load.inflight.or(load.concurrent),
+            waiting: load.queue.or(load.depth),
+            busy: load.util.or(load.load_share),
+            free_slots: load.x0,
+            free_memory: load.x1,
+            errors: load.eps.or(load.err_ps),
+        }
+    }
+}
+
+/// Reads the header form of a report: `TEXT name=value, name=value`. Values that are no numbers are skipped.
+pub fn read_load_header(text: &str) -> LoadReport {
+    let mut report = LoadReport::default();
+    let pairs = text.trim().trim_start_matches("TEXT").split(',');
+    for (name, value) in pairs.filter_map(|pair| pair.split_once('=')) {
+        let value = value.trim().parse().ok();
+        match name.trim() {
+            "inflight" | "concurrent" => report.held = value,
+            "queue" | "depth" => report.waiting = value,
+            "util" | "load_share" => report.busy = value,
+            "eps" | "err_ps" => report.errors = value,
+            "x0" => report.free_slots = value,
+            "x1" => report.free_memory = value,
+            _ => {}
+        }
+    }
+    report
+}
+
+/// One line of a worker's answer, as JSON has it.
+#[derive(miniserde::Deserialize)]
+struct LineDocument {
+    id: Option<String>,
+    state: String,
+    share: Option<f64>,
+    result: Option<String>,
+    load: Option<LoadDocument>,
+}
+
+/// One line of a worker's answer.
+#[derive(Debug)]
+pub struct Line {
+    /// The job that it speaks of.
+    pub id: Option<String>,
+    /// `started`, `running`, `done`, `failed`, `returned` or `lost`.
+    pub state: String,
+    /// With `running`: the part done, 0 to 1.
+    pub share: Option<f64>,
+    /// With `done`: what the client is to be given.
+    pub result: Option<String>,
+    /// The load report that came along.
+    pub load: Option<LoadReport>,
+}
+
+/// Reads one line of a worker's answer; `None` where it makes no sense.
+pub fn read_line(line: &[u8]) -> Option<Line> {
+    let text = std::str::from_utf8(line).ok()?;
+    let LineDocument { id, state, share, result, load } = miniserde::json::from_str(text).ok()?;
+    Some(Line { id, state, share, result, load: load.map(LoadReport::from) })
+}
+
+/// Reads the body of an answer to a probe; `None` if it is no report.
+pub fn read_load(body: &[u8]) -> Option<LoadReport> {
+    let text = std::str::from_utf8(body).ok()?;
+    miniserde::json::from_str::<LoadDocument>(text).ok().map(LoadReport::from)
+}
--- a/examples/roster_load.rs
+++ b/crates/roster/examples/roster_load.rs
@@ -5,8 +5,8 @@
 #[path = "../tests/common/roster_world.rs"]
 mod world;
 
-use brackenledge::Readiness;
-use brackenledge::roster::{Call, CallKind, Ending, Listed, Order};
+use brackenledge_policy::Readiness;
+use brackenledge_roster::{Call, CallKind, Ending, Listed, Order};
 use fastrand::Rng;
 use std::collections::VecDeque;
 use world::{Fault, Millis, Node, World, roster, server};
--- a/src/roster/evidence.rs
+++ b/crates/roster/src/evidence.rs
@@ -1,8 +1,8 @@
 //! What servers themselves let one guess while discovery is silent: drains by their behaviour, and who is next in
 //! the release under way. Guesses are weighed, fade, and never outlive a confirmed word.
 
-use crate::interface::Millis;
-use crate::measure::Fading;
+use brackenledge_policy::Millis;
+use brackenledge_policy::measure::Fading;
 use std::collections::VecDeque;
 
 /// What a server's own behaviour says.
--- a/src/roster/gossip.rs
+++ b/crates/roster/src/gossip.rs
@@ -7,8 +7,8 @@
 //! A message names servers by 36 bits of their names' hashes and ends in a check of 24 bits; whatever doesn't fit is
 //! ignored whole. No message makes a server known or ready.
 
-use crate::interface::{Millis, Readiness};
-use crate::measure::hash;
+use brackenledge_policy::measure::hash;
+use brackenledge_policy::{Millis, Readiness};
 use fastrand::Rng;
 use std::collections::{BTreeMap, VecDeque};
 
--- a/src/roster/mod.rs
+++ b/crates/roster/src/lib.rs
@@ -24,7 +24,7 @@
 pub use link::{Call, CallKind, Ending, Freshness};
 pub use table::{Belief, Listed, Source};
 
-use crate::interface::{ListKind, Millis, Readiness, WorkerEntry, WorkerId};
+use brackenledge_policy::{ListKind, Millis, Readiness, WorkerEntry, WorkerId};
 use fastrand::Rng;
 use gossip::Gossip;
 use link::Link;
--- a/src/roster/link.rs
+++ b/crates/roster/src/link.rs
@@ -9,7 +9,7 @@
 //! the calls of all of them one after another. Waits after failures double with jitter ("full jitter" would
 //! allow no wait at all; half of each is random here), as RFC 8305 and common practice advise against lock step.
 
-use crate::interface::Millis;
+use brackenledge_policy::Millis;
 use fastrand::Rng;
 use std::collections::VecDeque;
 
--- a/src/roster/table.rs
+++ b/crates/roster/src/table.rs
@@ -7,8 +7,8 @@
 use super::evidence::{ENOUGH, Evidence, Group, Release, STILL, ServerWord};
 use super::gossip::{Change, tag};
 use super::link::Freshness;
-use crate::interface::{Millis, Readiness, WorkerEntry, WorkerId};
-use crate::measure::hash;
+use brackenledge_policy::measure::hash;
+use brackenledge_policy::{Millis, Readiness, WorkerEntry, WorkerId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
--- a/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -4,8 +4,8 @@
 #[path = "common/roster_world.rs"]
 mod world;
 
-use brackenledge::Readiness;
-use brackenledge::roster::{Freshness, Listed, Order, Roster, ServerWord, Source};
+use brackenledge_policy::Readiness;
+use brackenledge_roster::{Freshness, Listed, Order, Roster, ServerWord, Source};
 use std::collections::BTreeSet;
 use world::{FAULTS, Fault, World, roster, server};
 
@@ -84,7 +84,7 @@
     node.call_entry(3.0, call, server("a", Readiness::Draining));
     assert!(!is_ready(&node, "a") && is_ready(&node, "b") && node.find("c").is_none());
     // Nor does the word vanish with the call.
-    node.call_ended(4.0, call, brackenledge::roster::Ending::Broken);
+    node.call_ended(4.0, call, brackenledge_roster::Ending::Broken);
     assert!(!is_ready(&node, "a"));
     node.on_time(2_000.0);
     let again = std::iter::from_fn(|| node.next_order())
