--- a/crates/daemon/examples/toy_server.rs
+++ b/crates/daemon/examples/toy_server.rs
@@ -1,6 +1,6 @@
 //! A toy backend server and a toy discovery service in one, to try the scheduler with.
 //!
-//! Run `cargo run --example toy_server`, then a scheduler with `examples/config.json`. Every job "runs" for
+//! Run `cargo run -p brackenledge --example toy_server`, then a scheduler with `examples/config.json`. Every job "runs" for
 //! 100 ms and its result is its own body in capitals. A toy: a thread for each connection, and no limits.
 
 use serde_json::{Value, json};
--- a/crates/roster/examples/roster_load.rs
+++ b/crates/roster/examples/roster_load.rs
@@ -1,5 +1,6 @@
 //! What schedulers cost discovery: calls in calm, in doubt and in an outage, for 4 and for 40 of them, by the roster
-//! and by the rules that it replaced. On a virtual clock; `cargo run --release --example roster_load`.
+//! and by the rules that it replaced. On a virtual clock; `cargo run --release -p
+//! brackenledge-roster --example roster_load`.
 #![allow(missing_docs)]
 
 #[path = "../tests/common/roster_world.rs"]
