A door for operators, drain by lame duck, and SO_REUSEPORT for a process beside the old

Design: the door is a second listener on the same mio loop, its callers connections with callbacks like the clients', capped at 16 and given 8 s for their line; the calls are read in protocol::control, the drain is a pure state machine in engine::drain, the figures are counted in engine::stats where the core ends a job. Not taken: a thread of its own for the door, which would answer even if the loop stalled, but would need locks around the core's figures and the drain, and two ways of being woken; the loop never blocks, so it answers in time as it is.

Client listener and peer socket bound with SO_REUSEPORT (socket2). Relayed dispatches are counted when the request's last byte is out.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -40,14 +40,17 @@
     /// Where discovery is, in place of the file's
     #[arg(long, env = "PROXY_DISCOVERY", value_name = "ADDRESS")]
     discovery: Option<String>,
+    /// Where the operators' door listens, in place of the file's
+    #[arg(long, env = "PROXY_CONTROL", value_name = "ADDRESS")]
+    control: Option<String>,
 }
 
 impl Options {
     fn load(&self) -> Result<Config, String> {
-        let Options { config, name, listen, discovery } = self.clone();
+        let Options { config, name, listen, discovery, control } = self.clone();
         let path = config.ok_or("no configuration: give --config FILE or set PROXY_CONFIG")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Config::parse(&path, &text, Overrides { name, listen, discovery })
+        Config::parse(&path, &text, Overrides { name, listen, discovery, control })
     }
 }
 
--- a/crates/daemon/src/net/backend.rs
+++ b/crates/daemon/src/net/backend.rs
@@ -51,6 +51,8 @@
     kept: bool,
     /// The last byte of its request, while that is held back.
     held: Option<u8>,
+    /// Its dispatch has been counted as written whole.
+    relayed: bool,
 }
 
 impl ServerConnection {
@@ -58,6 +60,7 @@
     fn start(&mut self, task: Task, cx: &mut Context) {
         let now = cx.now;
         self.head = None;
+        self.relayed = false;
         match &task {
             Task::Probe => {
                 let probe = format!("GET /metrics/load HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
@@ -99,8 +102,21 @@
         self.task = Some(task);
     }
 
+    /// Counts its dispatch as relayed once the request's last byte is out; an answer read in the same turn
+    /// may come before the poll tells of the write, so every step that ends a dispatch asks first.
+    fn count_written(&mut self, cx: &mut Context) {
+        if let Some(Task::Dispatch { id, .. }) = &self.task
+            && !self.relayed
+            && self.written()
+        {
+            self.relayed = true;
+            cx.core.dispatch_written(*id);
+        }
+    }
+
     /// Ends what travels here, if anything still does.
     fn end(&mut self, outcome: Outcome, report: Option<LoadReport>, cx: &mut Context) {
+        self.count_written(cx);
         match self.task.take() {
             Some(Task::Dispatch { id, .. }) => {
                 let room = report.and_then(|report| report.free_slots).is_some_and(|free| free >= 1.0);
@@ -184,6 +200,7 @@
 
     /// Reads on; `Close` where the connection can't be used again.
     fn read_answer(&mut self, cx: &mut Context) -> Flow {
+        self.count_written(cx);
         if self.task.is_none() && self.head.is_none() {
             // Nobody asked: it can't be told what later bytes would belong to.
             return Flow::Close;
@@ -235,6 +252,11 @@
         self.connecting
     }
 
+    fn on_written(&mut self, cx: &mut Context) -> Flow {
+        self.count_written(cx);
+        Flow::Keep
+    }
+
     fn on_open(&mut self, cx: &mut Context) -> Flow {
         self.connecting = false;
         let Some(task) = self.task.take() else { return Flow::Close };
@@ -243,6 +265,8 @@
         let late = matches!(&task, Task::Dispatch { until, .. } if cx.now >= *until);
         if late || !cx.roster.ready(self.server) {
             self.task = Some(task);
+            // Nothing was written: it must not count as relayed.
+            self.relayed = true;
             self.end(Outcome::Moot, None, cx);
             return Flow::Close;
         }
@@ -431,6 +455,7 @@
             idle_since: cx.now,
             kept: false,
             held: None,
+            relayed: false,
         });
         if cx.event_loop.watch(&mut self.connections[at].link.stream, Owner::Backend(at)).is_err() {
             self.connections.remove(at);
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -61,6 +61,8 @@
     Listener,
     Signal,
     Peer,
+    ControlListener,
+    Control(usize),
     Frontend(usize),
     Backend(usize),
     Discovery(usize),
@@ -72,6 +74,8 @@
             Owner::Listener => 0,
             Owner::Signal => 4,
             Owner::Peer => 8,
+            Owner::ControlListener => 12,
+            Owner::Control(at) => (at + 4) << 2,
             Owner::Frontend(at) => at << 2 | 1,
             Owner::Backend(at) => at << 2 | 2,
             Owner::Discovery(at) => at << 2 | 3,
@@ -86,7 +90,9 @@
             (3, _) => Owner::Discovery(at),
             (_, 0) => Owner::Listener,
             (_, 1) => Owner::Signal,
-            _ => Owner::Peer,
+            (_, 2) => Owner::Peer,
+            (_, 3) => Owner::ControlListener,
+            _ => Owner::Control(at - 4),
         }
     }
 }
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -193,7 +193,7 @@
             502 => "Bad Gateway",
             _ => "Service Unavailable",
         };
-        self.keep_alive &= !cx.closing();
+        self.keep_alive &= !cx.closing() && cx.drain.keeps_connections();
         let connection = if self.keep_alive { "" } else { "Connection: close\r\n" };
         let head = format!(
             "HTTP/1.1 {status} {reason}\r\nContent-Length: {}\r\n{connection}{extra}\r\n",
@@ -311,9 +311,13 @@
         self.worked |= matches!(awaited, Awaited::Job(_));
         match awaited {
             Awaited::Up if cx.stopping.is_some() => self.answer(503, "", b"stopping\n", cx),
+            Awaited::Up if !cx.drain.up() => self.answer(503, "", b"draining\n", cx),
             Awaited::Up if !cx.roster.serves() => self.answer(503, "", b"no server table yet\n", cx),
             Awaited::Up => self.answer(200, "", b"up\n", cx),
-            Awaited::Job(_) if cx.core.owed() >= self.rules.most_held => {
+            Awaited::Job(arrival)
+                if cx.core.owed() >= self.rules.most_held || !cx.drain.takes_work(cx.now) =>
+            {
+                cx.core.refused_at_door(arrival.job.class);
                 self.give(Answer::Denied { retry_after: Some(HELD_RETRY) }, cx);
             }
             Awaited::Job(mut arrival) => {
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The real scheduler: sockets around the decision module.
 
 mod backend;
+mod control;
 mod discovery;
 mod event_loop;
 mod frontend;
@@ -8,10 +9,12 @@
 mod peer;
 
 use self::backend::Backend;
+use self::control::{CALLERS_MOST, Control};
 use self::discovery::{Discovery, Places};
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
 use self::peer::Peer;
+use brackenledge_engine::drain::Drain;
 use brackenledge_engine::{Core, Order};
 use brackenledge_policy::Settings;
 use brackenledge_protocol::config::{Config, IDLE_LIMIT};
@@ -25,8 +28,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-/// Descriptors kept for the poll, the listener, discovery, peers, logs and the signal.
-const RESERVED: usize = 32;
+/// Descriptors kept for the poll, the listeners, discovery, peers, logs, the signal and the operators' callers.
+const RESERVED: usize = 32 + CALLERS_MOST;
 /// Part of the other descriptors that clients may hold. A third of all is for their requests; what is over keeps
 /// silent connections from pushing one another out before the usual clients among them have spoken.
 const CLIENTS_PART: f64 = 0.55;
@@ -54,6 +57,8 @@
     distrust_until: &'a mut Millis,
     /// When SIGTERM came.
     stopping: Option<Millis>,
+    /// Whether the operators have taken it out of rotation.
+    drain: &'a mut Drain,
 }
 
 impl Context<'_> {
@@ -77,6 +82,8 @@
     backend: Backend,
     discovery: Discovery,
     peer: Option<Peer>,
+    control: Option<Control>,
+    drain: Drain,
     signals: Signals,
     /// Reads the configuration again.
     reload: Reload<'a>,
@@ -111,6 +118,22 @@
     }
 }
 
+/// A listener on `at`; with `shared`, SO_REUSEPORT lets another process listen there too.
+fn listen(at: SocketAddr, shared: bool) -> std::io::Result<TcpListener> {
+    use socket2::{Domain, Socket, Type};
+    /// Connections that wait to be taken: a crowd of new clients comes at once.
+    const BACKLOG: i32 = 1_024;
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    if shared {
+        socket.set_reuse_port(true)?;
+    }
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
 /// Runs a scheduler until SIGTERM has come and nothing is owed any more.
 pub fn serve(config: Config, reload: Reload, log: Logger) -> Result<(), String> {
     let mut scheduler = Scheduler::new(config, reload, log)?;
@@ -145,6 +168,7 @@
             log: &$scheduler.log,
             distrust_until: &mut $scheduler.distrust_until,
             stopping: $scheduler.stopping,
+            drain: &mut $scheduler.drain,
         }
     };
 }
@@ -154,8 +178,9 @@
         let document = &config.settings;
         let settings = Settings::from(document);
         let mut event_loop = EventLoop::new().map_err(|e| format!("poll: {e}"))?;
+        // Shared with a process that replaces this one, so that clients are taken while both run.
         let mut listener =
-            TcpListener::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
+            listen(config.listen, true).map_err(|e| format!("listen {}: {e}", config.listen))?;
         let mut signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
         let watched = "registering with the poll";
         let registry = event_loop.registry();
@@ -165,6 +190,17 @@
         registry
             .register(&mut listener, Owner::Listener.token(), Interest::READABLE)
             .map_err(|e| format!("{watched}: {e}"))?;
+        let mut control = None;
+        if let Some(at) = config.control {
+            let mut door = Control::new(
+                listen(at, false).map_err(|e| format!("control {at}: {e}"))?,
+                document.class_names(),
+            );
+            registry
+                .register(door.listener(), Owner::ControlListener.token(), Interest::READABLE)
+                .map_err(|e| format!("{watched}: {e}"))?;
+            control = Some(door);
+        }
         let mut peer = None;
         if let Some(known) = config.peer.filter(|_| settings.messages) {
             let listen = known.listen;
@@ -192,7 +228,8 @@
         let peer_listen = peer.as_ref().and_then(|peer| peer.socket.local_addr().ok());
         info!(log, "serving"; "version" => env!("CARGO_PKG_VERSION"), "discovery" => %config.discovery,
             "peer_listen" => peer_listen.map_or("none".into(), |at| at.to_string()),
-            "listen" => %listener.local_addr().unwrap_or(config.listen), "name" => config.name);
+            "listen" => %listener.local_addr().unwrap_or(config.listen), "name" => config.name,
+            "control" => config.control.map_or("none".into(), |at| at.to_string()));
         let mut scheduler = Scheduler {
             frontend: Frontend::new(listener, Rules::new(document, &settings), clients),
             backend: Backend::new(shared - clients, settings.connect_timeout, idle_limit),
@@ -202,6 +239,8 @@
             roster: Roster::new(now, roster),
             places,
             peer,
+            control,
+            drain: Drain::default(),
             signals,
             reload,
             discovery_in_file: config.discovery_in_file,
@@ -225,6 +264,18 @@
         let cx = &mut context!(self);
         match owner {
             Owner::Listener => self.frontend.accept(cx),
+            Owner::ControlListener | Owner::Control(_) => {
+                let Some(control) = &mut self.control else { return };
+                let was = cx.drain.ends_idle();
+                match owner {
+                    Owner::Control(at) => control.on_ready(at, cx),
+                    _ => control.accept(cx),
+                }
+                // Kept connections that wait for nothing end as soon as the drain begins.
+                if cx.drain.ends_idle() && !was {
+                    self.frontend.close_all_idle(cx);
+                }
+            }
             Owner::Frontend(at) => self.frontend.on_ready(at, cx),
             Owner::Backend(at) => self.backend.on_ready(at, cx),
             Owner::Discovery(at) => self.discovery.on_ready(at, cx),
@@ -275,8 +326,12 @@
             Alarm::Sweep => {
                 self.backend.sweep(cx);
                 self.frontend.sweep(cx);
+                if let Some(control) = &mut self.control {
+                    control.sweep(cx);
+                    control.accept(cx);
+                }
                 cx.event_loop.set_alarm(cx.now + SWEEP, Alarm::Sweep);
-                if cx.closing() {
+                if cx.closing() || cx.drain.ends_idle() {
                     self.frontend.accept(cx);
                     self.frontend.close_all_idle(cx);
                 }
--- a/crates/daemon/src/net/peer.rs
+++ b/crates/daemon/src/net/peer.rs
@@ -15,8 +15,15 @@
 }
 
 impl Peer {
+    /// Binds the address with SO_REUSEPORT: a process that replaces this one binds it while this one still runs.
+    /// Messages are then shared between the two, which the senders take as loss, as they take any.
     pub fn bind(config: PeerConfig, ordinal: u32) -> io::Result<Self> {
-        Ok(Peer { socket: UdpSocket::bind(config.listen)?, config, ordinal })
+        use socket2::{Domain, Socket, Type};
+        let socket = Socket::new(Domain::for_address(config.listen), Type::DGRAM, None)?;
+        socket.set_reuse_port(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&config.listen.into())?;
+        Ok(Peer { socket: UdpSocket::from_std(socket.into()), config, ordinal })
     }
 
     /// Sends a message to one scheduler, or to all others. What the network does not take is lost.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,6 +12,11 @@
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
+pub mod drain;
+pub mod stats;
+
+use stats::{End, Figures};
+
 /// One dispatch: the job, and the attempt's number.
 pub type DispatchId = (JobId, usize);
 /// A client as its front knows it.
@@ -133,6 +138,7 @@
 
 struct Job {
     client: ClientId,
+    class: usize,
     deadline: Millis,
     answered: bool,
     request: Rc<Request>,
@@ -148,6 +154,7 @@
     last_job: JobId,
     owed: usize,
     counts: Counts,
+    figures: Figures,
     events: VecDeque<Event>,
     orders: VecDeque<Order>,
     actions: Vec<Action>,
@@ -156,6 +163,7 @@
 impl Core {
     /// A core that holds no job.
     pub fn new(now: Millis, settings: Settings, seed: u64) -> Self {
+        let figures = Figures::new(settings.classes.len());
         Core {
             max_attempts: settings.max_attempts,
             dispatcher: Dispatcher::new(now, settings, seed),
@@ -163,6 +171,7 @@
             last_job: 0,
             owed: 0,
             counts: Counts::default(),
+            figures,
             events: VecDeque::new(),
             orders: VecDeque::new(),
             actions: Vec::new(),
@@ -179,6 +188,22 @@
         self.counts
     }
 
+    /// What became of the jobs of each class so far, and the dispatches written whole.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// A front refused a job of this class before the core took it: too many were held.
+    pub fn refused_at_door(&mut self, class: usize) {
+        self.counts.denied += 1;
+        self.figures.ended(class, End::Throttled);
+    }
+
+    /// A dispatch's request has been written whole to its backend server.
+    pub fn dispatch_written(&mut self, _id: DispatchId) {
+        self.figures.relayed += 1;
+    }
+
     /// A job arrived. It is given a number, by which its front can take it back and is told the answer. `None`:
     /// a job with its request's id is still open, maybe another client's. That one must not be touched, and a
     /// backend server that is sent the id again takes it for a second run.
@@ -197,6 +222,7 @@
         let Arrival { client, job, request } = new;
         let held = Job {
             client,
+            class: job.class,
             deadline: now + job.time_left,
             answered: false,
             request: Rc::new(request),
@@ -228,8 +254,9 @@
 
     /// A dispatch was served. The first of a job is its answer.
     pub fn dispatch_served(&mut self, id: DispatchId, result: String, report: Option<LoadReport>) {
-        if let Some(client) = self.settle(id.0) {
+        if let Some((client, class)) = self.settle(id.0) {
             self.counts.served += 1;
+            self.figures.ended(class, End::Fulfilled);
             self.orders.push_back(Order::Answer { client, job: id.0, answer: Answer::Served(result) });
         }
         self.dispatch_ended(id, Outcome::Ok, report);
@@ -336,20 +363,21 @@
     }
 
     fn answer(&mut self, id: JobId, answer: Answer) {
-        if let Some(client) = self.settle(id) {
+        if let Some((client, class)) = self.settle(id) {
             let denied = matches!(answer, Answer::Denied { .. });
             *(if denied { &mut self.counts.denied } else { &mut self.counts.failed }) += 1;
+            self.figures.ended(class, if denied { End::Throttled } else { End::Faulted });
             self.orders.push_back(Order::Answer { client, job: id, answer });
         }
         self.forget_ended(id);
     }
 
-    /// Ends what is owed for a job; `None`: nothing was.
-    fn settle(&mut self, id: JobId) -> Option<ClientId> {
+    /// Ends what is owed for a job: its client and class; `None`: nothing was.
+    fn settle(&mut self, id: JobId) -> Option<(ClientId, usize)> {
         let job = self.jobs.get_mut(&id).filter(|job| !job.answered)?;
         job.answered = true;
         self.owed -= 1;
-        Some(job.client)
+        Some((job.client, job.class))
     }
 
     /// Forgets an answered job once none of its dispatches is out.
--- a/crates/protocol/src/config.rs
+++ b/crates/protocol/src/config.rs
@@ -47,6 +47,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    control: Option<String>,
     seed: Option<String>,
     limits: Option<LimitsDocument>,
     peer_listen: Option<String>,
@@ -65,6 +66,8 @@
     pub listen: Option<String>,
     /// Where discovery is.
     pub discovery: Option<String>,
+    /// Where the operators' door listens.
+    pub control: Option<String>,
 }
 
 /// How schedulers reach one another.
@@ -90,6 +93,8 @@
     /// What the file itself says of discovery. A new figure there goes before what the program was started
     /// with: the environment can't change in a running process.
     pub discovery_in_file: Option<SocketAddr>,
+    /// Where the operators' door listens, if there is one.
+    pub control: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -153,7 +158,10 @@
             Some(at) => address(&at, "discovery").map_err(|e| bad(&e))?,
             None => discovery_in_file.ok_or_else(|| bad("`discovery` is missing"))?,
         };
+        let control = over.control.or(document.control);
+        let control = control.map(|at| address(&at, "control")).transpose().map_err(|e| bad(&e))?;
         Ok(Config {
+            control,
             name: over.name.or(document.name).unwrap_or_else(|| "scheduler".into()),
             listen: address(&listen, "listen").map_err(|e| bad(&e))?,
             discovery,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,9 +3,11 @@
 //! - [`http`]: framing of HTTP/1.1 messages in one buffer for each connection;
 //! - [`list_stream`]: discovery's lists, read as they come;
 //! - [`worker`]: the lines of workers' answers, and their load reports;
-//! - [`config`]: the configuration that a scheduler is given.
+//! - [`config`]: the configuration that a scheduler is given;
+//! - [`control`]: the lines of the operators' door.
 
 pub mod config;
+pub mod control;
 pub mod http;
 pub mod list_stream;
 pub mod worker;
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -201,6 +201,11 @@
         self.table.len()
     }
 
+    /// Servers believed to be listed, gone ones left out, and of those the ones believed to take work.
+    pub fn standing(&self) -> (usize, usize) {
+        self.table.standing()
+    }
+
     /// Whether no server is known at all.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
--- a/crates/roster/src/table.rs
+++ b/crates/roster/src/table.rs
@@ -202,6 +202,19 @@
         self.ids.len()
     }
 
+    /// Servers believed listed (not gone), and of those the ones believed to take work.
+    pub(super) fn standing(&self) -> (usize, usize) {
+        let (mut listed, mut ready) = (0, 0);
+        for server in self.servers.iter().flatten() {
+            match server.believed().0 {
+                Readiness::Gone => {}
+                Readiness::Draining => listed += 1,
+                Readiness::Ready => (listed, ready) = (listed + 1, ready + 1),
+            }
+        }
+        (listed, ready)
+    }
+
     /// Versions are counted from anew: what was known under the old ones stays until a whole list comes.
     pub(super) fn restart_versions(&mut self) {
         self.version = None;
