The operators' own file deploy/operations.toml: the door's cap and times, the drain's window

Design: a TOML file of two tables, read once at the start by protocol::operations, which walks toml's spanned document so that every error names the file, the line, the key and the range; the daemon passes the values to the door and to engine::drain. Not taken: keys in the site's JSON configuration, which the operators do not change and whose reader (miniserde) names no line.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 mod net;
 
 use brackenledge_protocol::config::{Config, Overrides};
+use brackenledge_protocol::operations::Operations;
 use clap::{Parser, Subcommand};
 use slog::{Drain, Logger, o};
 use std::path::PathBuf;
@@ -43,15 +44,25 @@
     /// Where the operators' door listens, in place of the file's
     #[arg(long, env = "PROXY_CONTROL", value_name = "ADDRESS")]
     control: Option<String>,
+    /// The operators' own settings of the door and the drain (TOML)
+    #[arg(long, env = "PROXY_OPERATIONS", value_name = "FILE")]
+    operations: Option<PathBuf>,
 }
 
 impl Options {
     fn load(&self) -> Result<Config, String> {
-        let Options { config, name, listen, discovery, control } = self.clone();
+        let Options { config, name, listen, discovery, control, .. } = self.clone();
         let path = config.ok_or("no configuration: give --config FILE or set PROXY_CONFIG")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
         Config::parse(&path, &text, Overrides { name, listen, discovery, control })
     }
+
+    /// The operators' settings; without a file, the defaults.
+    fn operations(&self) -> Result<Operations, String> {
+        let Some(path) = &self.operations else { return Ok(Operations::default()) };
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Operations::parse(path, &text)
+    }
 }
 
 /// Lines queued for the log's own thread; beyond that they are counted and dropped, so that whoever reads
@@ -72,11 +83,13 @@
     match command {
         Command::Serve(options) => {
             let config = options.load()?;
+            let operations = options.operations()?;
             let (log, _guard) = logger();
-            net::serve(config, &|| options.load(), log)
+            net::serve(config, operations, &|| options.load(), log)
         }
         Command::Check(options) => {
             let config = options.load()?;
+            options.operations()?;
             println!("{config}");
             Ok(())
         }
--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -2,7 +2,7 @@
 //!
 //! Callers are connections like the clients', on the same event loop, so an answer never waits for another
 //! caller. A caller that sends nothing whole is held until its time is up or until a newer one needs its room,
-//! whichever comes first; no caller can make the door hold more than [`CALLERS_MOST`] connections of
+//! whichever comes first; no caller can make the door hold more than its cap of connections of
 //! [`control::LINE_MOST`] bytes each. What the calls mean is read in `protocol::control`; the drain's states are
 //! the engine's.
 
@@ -16,11 +16,9 @@
 use slab::Slab;
 use std::io::ErrorKind;
 
-/// Callers held at once. Operators make one call at a time; a flood beyond this pushes out its own oldest.
-pub const CALLERS_MOST: usize = 16;
-/// A caller must have sent its line this long after it connected. Longer than the 4 s that slow callers are
-/// known to take, so that they are answered, and short enough that a flood gives its room back soon.
-const LINE_TIME: Millis = 8_000.0;
+// Callers held at once and the time for a line are the operators' (protocol::operations): operators make one
+// call at a time, so a flood beyond the cap pushes out its own oldest; the time is longer than the 4 s that
+// slow callers are known to take, so that they are answered, and short enough that a flood gives its room back.
 /// A caller that does not read its reply is closed this long after it was written.
 const LINGER: Millis = 1_000.0;
 
@@ -108,12 +106,14 @@
     callers: Slab<Caller>,
     classes: std::rc::Rc<[String]>,
     taken: u64,
+    callers_most: usize,
+    line_time: Millis,
 }
 
 impl Control {
     /// A door on a listener that is bound already.
-    pub fn new(listener: TcpListener, classes: Vec<String>) -> Self {
-        Control { listener, callers: Slab::new(), classes: classes.into(), taken: 0 }
+    pub fn new(listener: TcpListener, classes: Vec<String>, callers_most: usize, line_time: Millis) -> Self {
+        Control { listener, callers: Slab::new(), classes: classes.into(), taken: 0, callers_most, line_time }
     }
 
     /// The listener, for the poll.
@@ -136,7 +136,7 @@
                     return;
                 }
             };
-            if self.callers.len() >= CALLERS_MOST {
+            if self.callers.len() >= self.callers_most {
                 self.push_out_oldest(cx);
             }
             self.taken += 1;
@@ -175,9 +175,9 @@
 
     /// Ends callers whose time is up: those without a whole line, and those that leave their reply unread.
     pub fn sweep(&mut self, cx: &mut Context) {
-        let now = cx.now;
+        let (now, line_time) = (cx.now, self.line_time);
         let late: Vec<usize> = (self.callers.iter())
-            .filter(|(_, c)| now >= c.since + if c.replied { LINE_TIME + LINGER } else { LINE_TIME })
+            .filter(|(_, c)| now >= c.since + if c.replied { line_time + LINGER } else { line_time })
             .map(|(at, _)| at)
             .collect();
         for at in late {
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -9,7 +9,7 @@
 mod peer;
 
 use self::backend::Backend;
-use self::control::{CALLERS_MOST, Control};
+use self::control::Control;
 use self::discovery::{Discovery, Places};
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
@@ -18,6 +18,7 @@
 use brackenledge_engine::{Core, Order};
 use brackenledge_policy::Settings;
 use brackenledge_protocol::config::{Config, IDLE_LIMIT};
+use brackenledge_protocol::operations::Operations;
 use brackenledge_roster::{Roster, RosterSettings};
 use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest};
@@ -28,8 +29,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-/// Descriptors kept for the poll, the listeners, discovery, peers, logs, the signal and the operators' callers.
-const RESERVED: usize = 32 + CALLERS_MOST;
+/// Descriptors kept for the poll, the listeners, discovery, peers, logs and the signal; the operators' callers
+/// have their cap on top.
+const RESERVED: usize = 32;
 /// Part of the other descriptors that clients may hold. A third of all is for their requests; what is over keeps
 /// silent connections from pushing one another out before the usual clients among them have spoken.
 const CLIENTS_PART: f64 = 0.55;
@@ -135,8 +137,8 @@
 }
 
 /// Runs a scheduler until SIGTERM has come and nothing is owed any more.
-pub fn serve(config: Config, reload: Reload, log: Logger) -> Result<(), String> {
-    let mut scheduler = Scheduler::new(config, reload, log)?;
+pub fn serve(config: Config, operations: Operations, reload: Reload, log: Logger) -> Result<(), String> {
+    let mut scheduler = Scheduler::new(config, operations, reload, log)?;
     let mut events = Events::with_capacity(EVENTS);
     loop {
         scheduler.event_loop.wait(&mut events).map_err(|e| format!("poll: {e}"))?;
@@ -174,7 +176,7 @@
 }
 
 impl<'a> Scheduler<'a> {
-    fn new(config: Config, reload: Reload<'a>, log: Logger) -> Result<Self, String> {
+    fn new(config: Config, operations: Operations, reload: Reload<'a>, log: Logger) -> Result<Self, String> {
         let document = &config.settings;
         let settings = Settings::from(document);
         let mut event_loop = EventLoop::new().map_err(|e| format!("poll: {e}"))?;
@@ -195,6 +197,8 @@
             let mut door = Control::new(
                 listen(at, false).map_err(|e| format!("control {at}: {e}"))?,
                 document.class_names(),
+                operations.callers_most,
+                operations.line_time,
             );
             registry
                 .register(door.listener(), Owner::ControlListener.token(), Interest::READABLE)
@@ -213,7 +217,7 @@
         }
         let places = Places { zones: document.zone_names(), kinds: document.kind_names() };
         let idle_limit = document.idle_limit().unwrap_or(IDLE_LIMIT);
-        let shared = config.sockets.saturating_sub(RESERVED);
+        let shared = config.sockets.saturating_sub(RESERVED + operations.callers_most);
         let clients = (CLIENTS_PART * shared as f64) as usize;
         let now = event_loop.now();
         event_loop.set_alarm(now + SWEEP, Alarm::Sweep);
@@ -241,7 +245,7 @@
             places,
             peer,
             control,
-            drain: Drain::default(),
+            drain: Drain::new(operations.takes_work_for),
             signals,
             reload,
             discovery_in_file: config.discovery_in_file,
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -126,3 +126,28 @@
     drop(new.serves(&worker, "r1"));
     assert!(new.call(b"INFO\n").contains("\nsvc.fulfilled.view=1\n"));
 }
+
+#[test]
+fn a_bad_door_or_operators_file_stops_the_start_with_one_line_that_names_it() {
+    let good =
+        serde_json::json!({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings()});
+    let mut bad_door = good.clone();
+    bad_door["control"] = serde_json::json!("localhost");
+    let output = stage::run(&["serve"], Some(&bad_door));
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(
+        !output.status.success() && message.contains("control \"localhost\" is not an address"),
+        "{message}"
+    );
+    let file = std::env::temp_dir().join(format!("operations-{}.toml", std::process::id()));
+    std::fs::write(&file, "[control]\ncallers_most = 0\n").expect("the file is written");
+    let path = file.to_str().expect("a path");
+    let output = stage::run(&["serve", "--operations", path], Some(&good));
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    let named = format!("{path}:2: control.callers_most must be");
+    assert!(!output.status.success() && message.contains(&named), "{message}");
+    assert_eq!(message.lines().count(), 1, "{message}");
+    // The file as shipped is good.
+    let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/operations.toml");
+    assert!(stage::run(&["check", "--operations", shipped], Some(&good)).status.success());
+}
--- a/crates/daemon/tests/stage/mod.rs
+++ b/crates/daemon/tests/stage/mod.rs
@@ -131,7 +131,9 @@
 
 fn command(program: &str, arguments: &[&str]) -> Command {
     let mut command = Command::new(program);
-    for name in ["PROXY_CONFIG", "PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONTROL"] {
+    for name in
+        ["PROXY_CONFIG", "PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONTROL", "PROXY_OPERATIONS"]
+    {
         command.env_remove(name);
     }
     command.args(arguments).stderr(Stdio::piped()).stdout(Stdio::piped());
--- a/crates/engine/src/drain.rs
+++ b/crates/engine/src/drain.rs
@@ -56,15 +56,21 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Drain {
     state: State,
+    takes_work_for: Millis,
 }
 
 impl Default for Drain {
     fn default() -> Self {
-        Drain { state: State::Serving }
+        Drain::new(TAKES_WORK_FOR)
     }
 }
 
 impl Drain {
+    /// Serving; after LAMEDUCK, jobs are taken for `takes_work_for` milliseconds.
+    pub fn new(takes_work_for: Millis) -> Self {
+        Drain { state: State::Serving, takes_work_for }
+    }
+
     /// Where it stands.
     pub fn state(&self) -> State {
         self.state
@@ -111,7 +117,7 @@
     pub fn takes_work(&self, now: Millis) -> bool {
         match self.state {
             State::Serving => true,
-            State::LameDuck { since } => now < since + TAKES_WORK_FOR,
+            State::LameDuck { since } => now < since + self.takes_work_for,
         }
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,10 +4,12 @@
 //! - [`list_stream`]: discovery's lists, read as they come;
 //! - [`worker`]: the lines of workers' answers, and their load reports;
 //! - [`config`]: the configuration that a scheduler is given;
-//! - [`control`]: the lines of the operators' door.
+//! - [`control`]: the lines of the operators' door;
+//! - [`operations`]: the operators' own file of settings.
 
 pub mod config;
 pub mod control;
 pub mod http;
 pub mod list_stream;
+pub mod operations;
 pub mod worker;
