--- a/crates/engine/src/drain.rs
+++ b/crates/engine/src/drain.rs
@@ -184,4 +184,17 @@
         drain.rejoin();
         assert!(drain.takes_work(start + 4_000.0) && drain.up());
     }
+
+    #[test]
+    fn the_operators_window_for_late_jobs_is_kept() {
+        for (window, after, taken) in [(0.0, 0.0, false), (500.0, 400.0, true), (500.0, 500.0, false)] {
+            let mut drain = Drain::new(window);
+            drain.lame_duck(10_000.0);
+            assert_eq!(
+                drain.takes_work(10_000.0 + after),
+                taken,
+                "window {window}, {after} ms after the call"
+            );
+        }
+    }
 }
