Answer a door caller that ends its sending without a line end

Seen on review: the codec reads a line ended by the caller's end of sending (control::read, `ended`), but the door never asked it so: on_end did nothing, and "PING" then a half-close got no reply at all.

Change: on_end reads what came as a whole line, replies and flushes what the socket takes before the close.

--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -93,7 +93,23 @@
         Flow::Keep
     }
 
-    fn on_end(&mut self, _cx: &mut Context) {}
+    /// A caller that ends its sending ends its line: it is answered, as far as the socket takes the reply now,
+    /// since the connection closes after this.
+    fn on_end(&mut self, cx: &mut Context) {
+        let input = self.link.buffer.input();
+        if self.replied || input.is_empty() {
+            return;
+        }
+        let reply = match control::read(input, true) {
+            Read::Call(call) => self.take(call, cx),
+            Read::Refused(why) => control::refusal(why),
+            Read::Partial => return,
+        };
+        let used = self.link.buffer.input().len();
+        self.link.buffer.consume(used);
+        self.reply(&reply);
+        let _ = self.link.flush();
+    }
 
     fn input_most(&self) -> usize {
         control::LINE_MOST + 1
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -3,25 +3,17 @@
 
 mod stage;
 
-use stage::{PATIENCE, Stage, done, endpoint, job, listener, read_message, send, settings};
+use stage::{
+    PATIENCE, Stage, done, ended, endpoint, job, listener, one_worker, read_message, send, settings,
+};
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-fn one_worker() -> (Stage, TcpListener) {
-    let worker = listener();
-    let known = endpoint("s-a", worker.local_addr().expect("an address"), "ready");
-    (Stage::start(&[known]), worker)
-}
-
 fn up(stage: &Stage) -> String {
     read_message(&mut stage.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n"))
 }
 
-fn ended(stream: &mut TcpStream) -> bool {
-    matches!(stream.read(&mut [0; 1]), Ok(0) | Err(_))
-}
-
 #[test]
 fn each_call_is_answered_and_what_is_no_call_gets_an_error_and_the_end() {
     let (stage, worker) = one_worker();
@@ -151,3 +143,32 @@
     let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/operations.toml");
     assert!(stage::run(&["check", "--operations", shipped], Some(&good)).status.success());
 }
+
+#[test]
+fn the_door_answers_while_clients_hold_every_descriptor_the_scheduler_may_give_them() {
+    let worker = listener();
+    let known = endpoint("s-a", worker.local_addr().expect("an address"), "ready");
+    let stage = Stage::start_with(settings(), &[known], Some(96));
+    stage.until_up();
+    // Far more silent clients than the process has descriptors.
+    let crowd: Vec<TcpStream> = (0..400).map(|_| stage.connect()).collect();
+    assert_eq!(stage.call(b"PING\n"), "done yes\n");
+    assert!(stage.call(b"INFO\n").ends_with("\nend\n"));
+    drop(stage.serves(&worker, "c1"));
+    drop(crowd);
+}
+
+#[test]
+fn a_call_whose_caller_ends_its_sending_without_a_line_end_is_answered() {
+    let (stage, _worker) = one_worker();
+    stage.until_up();
+    for (line, reply) in [(&b"PING"[..], "done yes\n"), (b"PONG", "error unknown call\n")] {
+        let mut door = TcpStream::connect(stage.control).expect("the door accepts");
+        door.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        door.write_all(line).expect("the call");
+        door.shutdown(std::net::Shutdown::Write).expect("its end");
+        let mut answer = String::new();
+        door.read_to_string(&mut answer).expect("a reply");
+        assert_eq!(answer, reply);
+    }
+}
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -5,24 +5,13 @@
 
 use serde_json::json;
 use stage::{
-    HEAD, PATIENCE, Stage, accept, chunk, done, endpoint, job, list, listener, read_message, run, send,
-    settings,
+    HEAD, PATIENCE, Stage, accept, chunk, done, ended, endpoint, job, list, listener, one_worker,
+    read_message, run, send, settings,
 };
-use std::io::{ErrorKind, Read};
+use std::io::ErrorKind;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-/// A scheduler that knows one worker, and that worker.
-fn one_worker() -> (Stage, TcpListener) {
-    let worker = listener();
-    let known = endpoint("s-a", worker.local_addr().expect("an address"), "ready");
-    (Stage::start(&[known]), worker)
-}
-
-fn ended(stream: &mut TcpStream) -> bool {
-    matches!(stream.read(&mut [0; 1]), Ok(0) | Err(_))
-}
-
 #[test]
 fn lines_split_and_joined_across_reads_are_put_together() {
     let (stage, worker) = one_worker();
--- a/crates/daemon/tests/stage/mod.rs
+++ b/crates/daemon/tests/stage/mod.rs
@@ -110,6 +110,18 @@
     )
 }
 
+/// A scheduler that knows one worker, and that worker.
+pub fn one_worker() -> (Stage, TcpListener) {
+    let worker = listener();
+    let known = endpoint("s-a", worker.local_addr().expect("an address"), "ready");
+    (Stage::start(&[known]), worker)
+}
+
+/// Whether the other side has ended the connection.
+pub fn ended(stream: &mut TcpStream) -> bool {
+    matches!(stream.read(&mut [0; 1]), Ok(0) | Err(_))
+}
+
 pub struct Stage {
     pub child: Child,
     pub address: SocketAddr,
