A rig of several processes with faults on every link, and a ledger that judges

Change: crates/rig (stand-in discovery, workers, front and clients on one mio poll; each direction of each link with its own weather; SIGKILL, SIGSTOP, SIGTERM, restart, twin; scenarios as TOML; a ledger with six rules) and brackenledge-lab tier. 21 scenarios of 4 to 12 processes in scenarios/, played by crates/daemon/tests/tier.rs.

--- /dev/null
+++ b/crates/daemon/tests/tier.rs
@@ -0,0 +1,125 @@
+//! Several processes of the program on the rig, faults between them: each file in `scenarios/` is played once, and
+//! must come to what it expects. What several runs of it show stands in `docs/measurements/tier.md`.
+#![allow(missing_docs)]
+
+use brackenledge_rig::ledger::audit;
+use brackenledge_rig::tier::Options;
+use brackenledge_rig::{Scenario, report, run};
+use std::path::{Path, PathBuf};
+
+fn folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios")
+}
+
+fn options() -> Options {
+    Options { program: env!("CARGO_BIN_EXE_brackenledge").into(), stop: None }
+}
+
+/// Whether a process of this id is one of the program's.
+fn runs(id: &u32) -> bool {
+    std::fs::read_to_string(format!("/proc/{id}/cmdline")).is_ok_and(|line| line.contains("brackenledge"))
+}
+
+fn plays(name: &str) {
+    let scenario = Scenario::load(&folder().join(format!("{name}.toml"))).expect("a scenario");
+    let outcome = run(&scenario, &options()).expect("the tier runs");
+    let audit = audit(&outcome.history, &scenario);
+    let verdict = audit.verdict(&scenario);
+    let shown = report::summary(&scenario, &audit, &verdict);
+    assert!(verdict.short.is_empty(), "{shown}\nthe rig was late {} times", outcome.rig_late);
+    assert_eq!(outcome.crashed, [""; 0], "{shown}");
+    // The ledger must have seen the tier at work, or its silence says nothing.
+    assert!(audit.served.iter().all(|&served| served > 10), "{shown}");
+    assert!(audit.messages > 10, "schedulers told one another nothing: {shown}");
+    assert!(outcome.processes.len() >= scenario.schedulers);
+    assert_eq!(outcome.processes.iter().filter(|id| runs(id)).count(), 0, "processes were left behind");
+}
+
+macro_rules! scenarios {
+    ($($test:ident $file:literal)*) => {
+        $(#[test]
+        fn $test() {
+            plays($file);
+        })*
+
+        #[test]
+        fn every_file_is_played() {
+            let mut files: Vec<String> = std::fs::read_dir(folder())
+                .expect("a folder")
+                .map(|entry| entry.expect("an entry").path().file_stem().expect("a name").to_string_lossy().into())
+                .collect();
+            files.sort();
+            let mut played = vec![$($file),*];
+            played.sort_unstable();
+            assert_eq!(files, played);
+        }
+    };
+}
+
+scenarios! {
+    broken_links "broken-links"
+    calm "calm"
+    cold_return "cold-return"
+    crash_in_hand "crash-in-hand"
+    cut_both "cut-both"
+    cut_in "cut-in"
+    cut_out "cut-out"
+    few_descriptors "few-descriptors"
+    loss_10 "loss-10"
+    loss_30 "loss-30"
+    loss_50 "loss-50"
+    outage_with_crash "outage-with-crash"
+    pause_1s "pause-1s"
+    pause_4s "pause-4s"
+    pause_10s "pause-10s"
+    relay_killed "relay-killed"
+    relay_paused "relay-paused"
+    rolling_restart "rolling-restart"
+    stale_list "stale-list"
+    twin "twin"
+    zone_gone "zone-gone"
+}
+
+/// The rig's own hard cases: what goes wrong before or beside a run is said, and leaves nothing.
+mod rig_itself {
+    use super::*;
+    use std::sync::Arc;
+    use std::sync::atomic::AtomicBool;
+
+    fn short() -> Scenario {
+        let text = "name = \"short\"\nwhy = \"x\"\n[tier]\nschedulers = 2\n[traffic]\nseconds = 1\n";
+        Scenario::parse(Path::new("short.toml"), text).expect("a scenario")
+    }
+
+    #[test]
+    fn a_program_that_is_missing_is_named_with_the_remedy() {
+        let options = Options { program: "/nowhere/brackenledge".into(), stop: None };
+        let error = run(&short(), &options).expect_err("no program");
+        assert!(error.contains("/nowhere/brackenledge"), "{error}");
+    }
+
+    #[test]
+    fn a_process_that_dies_before_it_is_ready_ends_the_run_with_its_last_words() {
+        let mut scenario = short();
+        scenario.operations = Some("[doors]\n".into());
+        let error = run(&scenario, &options()).expect_err("no tier");
+        assert!(error.contains("before it was ready") && error.contains("unknown table [doors]"), "{error}");
+    }
+
+    #[test]
+    fn a_run_that_is_interrupted_ends_its_processes() {
+        let stop = Arc::new(AtomicBool::new(true));
+        let error = run(&short(), &Options { stop: Some(stop), ..options() }).expect_err("interrupted");
+        assert!(error.contains("interrupted"), "{error}");
+    }
+
+    #[test]
+    fn too_few_descriptors_are_said_before_anything_starts() {
+        let mut scenario = short();
+        (scenario.schedulers, scenario.workers) = (32, 200);
+        scenario.slots = 64;
+        scenario.per_second = 2_000.0;
+        let error = run(&scenario, &options()).expect_err("too many");
+        assert!(error.contains("raise `ulimit -n`"), "{error}");
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,4 +1,7 @@
-//! `brackenledge-lab`: plays experiments on whole fleets of schedulers on a virtual clock.
+//! `brackenledge-lab`: plays experiments on whole fleets of schedulers on a virtual clock, and scenarios on a tier of
+//! processes on loopback.
+
+mod tier;
 
 use brackenledge_lab::{Experiment, Window, run};
 use clap::{Parser, Subcommand};
@@ -29,6 +32,9 @@
         #[arg(long)]
         json: bool,
     },
+    /// Plays scenarios on real processes of the scheduler, with faults on every link, and judges what came of it.
+    /// Exits with 2 if a scenario fell short of its file. docs/rig.md has every key.
+    Tier(tier::Options),
     /// Reads an experiment and tells what is wrong with it.
     Check {
         /// The experiment.
@@ -95,6 +101,7 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Emulate { file, seed, json } => emulate(&file, seed, json),
+        Command::Tier(options) => tier::play(&options),
         Command::Check { file } => read(&file).map(|_| {
             println!("{}: an experiment", file.display());
             true
