--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -23,10 +23,24 @@
     Serve(Options),
     /// Read the configuration, say what it holds, and exit
     Check(Options),
+    /// Ask a running scheduler who is in the tier
+    Members(Question),
+    /// Ask a running scheduler who owns which duty on behalf of the tier
+    Duties(Question),
     /// Print the version
     Version,
 }
 
+#[derive(Clone, clap::Args)]
+struct Question {
+    /// The scheduler's door for operators
+    #[arg(long, env = "PROXY_CONTROL", value_name = "ADDRESS")]
+    control: String,
+    /// An object a line in place of the table
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Clone, clap::Args)]
 struct Options {
     /// The JSON configuration
@@ -79,6 +93,43 @@
     (Logger::root(drain.fuse(), o!()), guard)
 }
 
+/// A running scheduler answers at once; longer means that it is stopped or gone.
+const ANSWER: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Asks at a scheduler's door and prints the answer: lines of `name=value`, as columns or as objects.
+fn ask(call: &str, question: &Question) -> Result<(), String> {
+    use std::io::{Read, Write};
+    let at = &question.control;
+    let bad = |error: std::io::Error| format!("{at}: {error}");
+    let address: std::net::SocketAddr =
+        at.parse().map_err(|_| format!("--control {at:?} is not an address with a port"))?;
+    let mut door = std::net::TcpStream::connect_timeout(&address, ANSWER).map_err(bad)?;
+    door.set_read_timeout(Some(ANSWER)).map_err(bad)?;
+    door.write_all(format!("{call}\n").as_bytes()).map_err(bad)?;
+    let mut reply = String::new();
+    door.read_to_string(&mut reply).map_err(bad)?;
+    let mut lines = reply.lines();
+    match lines.next() {
+        Some("done") => {}
+        Some(other) => return Err(format!("{at}: {other}")),
+        None => return Err(format!("{at}: no answer")),
+    }
+    let rows = lines
+        .take_while(|&line| line != "end")
+        .map(|line| line.split(' ').filter_map(|pair| pair.split_once('=')).collect::<Vec<(&str, &str)>>());
+    for row in rows {
+        if question.json {
+            let object: serde_json::Map<String, serde_json::Value> =
+                row.iter().map(|&(name, value)| (name.to_owned(), value.into())).collect();
+            println!("{}", serde_json::Value::Object(object));
+        } else {
+            let cells: Vec<String> = row.iter().map(|(name, value)| format!("{name} {value:<14}")).collect();
+            println!("{}", cells.join(" ").trim_end());
+        }
+    }
+    Ok(())
+}
+
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(options) => {
@@ -93,6 +144,8 @@
             println!("{config}");
             Ok(())
         }
+        Command::Members(question) => ask("MEMBERS", &question),
+        Command::Duties(question) => ask("DUTIES", &question),
         Command::Version => {
             println!("brackenledge {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -59,12 +59,25 @@
                 text.push_str("end\n");
                 text
             }
+            Call::Members => cx.tier.as_ref().map_or_else(off, |tier| whole(tier.members())),
+            Call::Duties => cx.tier.as_ref().map_or_else(off, |tier| whole(tier.duties())),
             Call::LameDuck => format!("done {}\n", cx.drain.lame_duck(cx.now).words()),
             Call::Rejoin => format!("done {}\n", cx.drain.rejoin().words()),
         }
     }
 }
 
+/// The reply to a question on the tier where there is none.
+fn off() -> String {
+    "error the tier is off: set tier.on in the operators' file\n".into()
+}
+
+/// Lines between `done` and `end`.
+fn whole(lines: Vec<String>) -> String {
+    let lines: String = lines.into_iter().map(|line| line + "\n").collect();
+    format!("done\n{lines}end\n")
+}
+
 impl Connection<Context<'_>> for Caller {
     fn link(&mut self) -> &mut Link {
         &mut self.link
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -53,6 +53,8 @@
     Report,
     /// A step of stopping is due.
     Stop,
+    /// Membership or ownership has something due.
+    Tier,
 }
 
 /// Which part of the program owns a token.
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod frontend;
 mod link;
 mod peer;
+mod tier;
 
 use self::backend::Backend;
 use self::control::Control;
@@ -14,6 +15,7 @@
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
 use self::peer::Peer;
+use self::tier::Tier;
 use brackenledge_engine::drain::Drain;
 use brackenledge_engine::{Core, Order};
 use brackenledge_policy::Settings;
@@ -61,6 +63,8 @@
     stopping: Option<Millis>,
     /// Whether the operators have taken it out of rotation.
     drain: &'a mut Drain,
+    /// Who is in the tier, and what we own on its behalf.
+    tier: &'a mut Option<Tier>,
 }
 
 impl Context<'_> {
@@ -86,6 +90,7 @@
     peer: Option<Peer>,
     control: Option<Control>,
     drain: Drain,
+    tier: Option<Tier>,
     signals: Signals,
     /// Reads the configuration again.
     reload: Reload<'a>,
@@ -171,6 +176,7 @@
             distrust_until: &mut $scheduler.distrust_until,
             stopping: $scheduler.stopping,
             drain: &mut $scheduler.drain,
+            tier: &mut $scheduler.tier,
         }
     };
 }
@@ -215,6 +221,12 @@
             registered.map_err(|e| format!("{watched}: {e}"))?;
             peer = Some(bound);
         }
+        // Without others there is nothing to agree on.
+        let tier = (peer.as_ref().filter(|peer| operations.tier && peer.seats() > 1))
+            .map(|peer| Tier::new(settings.ordinal, peer.seats(), &operations, config.seed));
+        if tier.is_some() {
+            event_loop.set_alarm(event_loop.now(), Alarm::Tier);
+        }
         let places = Places { zones: document.zone_names(), kinds: document.kind_names() };
         let idle_limit = document.idle_limit().unwrap_or(IDLE_LIMIT);
         let shared = config.sockets.saturating_sub(RESERVED + operations.callers_most);
@@ -246,6 +258,7 @@
             peer,
             control,
             drain: Drain::new(operations.takes_work_for),
+            tier,
             signals,
             reload,
             discovery_in_file: config.discovery_in_file,
@@ -287,6 +300,9 @@
             Owner::Peer => {
                 if let Some(peer) = &mut self.peer {
                     peer.on_input(cx);
+                    if let Some(tier) = cx.tier.as_mut() {
+                        tier.carry_out(peer, cx.log);
+                    }
                 }
             }
             Owner::Signal => {
@@ -309,6 +325,10 @@
                     info!(self.log, "told to stop"; "owed" => cx.core.owed());
                     cx.event_loop.set_alarm(cx.now + SERVE_ON, Alarm::Stop);
                     self.stopping = Some(cx.now);
+                    // Whoever is to follow us in what we own need not wait our leases out.
+                    if let (Some(tier), Some(peer)) = (cx.tier.as_mut(), &self.peer) {
+                        tier.leave(peer, cx.log);
+                    }
                 }
             }
         }
@@ -341,6 +361,12 @@
                     self.frontend.close_all_idle(cx);
                 }
             }
+            Alarm::Tier => {
+                if let (Some(tier), Some(peer)) = (cx.tier.as_mut(), &self.peer) {
+                    let wait = tier.on_time(peer, cx.log);
+                    cx.event_loop.set_alarm(cx.now + wait, Alarm::Tier);
+                }
+            }
             // On time, and not at the next sweep: what arrives later than this may meet SIGKILL.
             Alarm::Stop => {
                 self.frontend.accept(cx);
@@ -398,9 +424,11 @@
         }
     }
 
-    fn tell(&self, to: Option<u32>, text: &str) {
-        if let Some(peer) = &self.peer {
-            peer.tell(to, text);
+    fn tell(&mut self, to: Option<u32>, text: &str) {
+        let Some(peer) = &self.peer else { return };
+        match &mut self.tier {
+            Some(tier) if to.is_none() && brackenledge_policy::is_sums(text) => tier.tell_sums(peer, text),
+            _ => peer.tell(to, text),
         }
     }
 
--- a/crates/daemon/src/net/peer.rs
+++ b/crates/daemon/src/net/peer.rs
@@ -1,6 +1,7 @@
 //! Short messages between schedulers, over UDP. They may come late or never.
 
 use super::Context;
+use super::tier::Heard;
 use brackenledge_protocol::config::PeerConfig;
 use mio::net::UdpSocket;
 use std::io::{self, ErrorKind};
@@ -28,11 +29,16 @@
 
     /// Sends a message to one scheduler, or to all others. What the network does not take is lost.
     pub fn tell(&self, to: Option<u32>, text: &str) {
-        if text.len() > MESSAGE_MOST {
+        self.send(to, text.as_bytes());
+    }
+
+    /// Sends bytes that are the tier's own.
+    pub fn send(&self, to: Option<u32>, bytes: &[u8]) {
+        if bytes.len() > MESSAGE_MOST {
             return;
         }
         let send = |address| {
-            let _ = self.socket.send_to(text.as_bytes(), address);
+            let _ = self.socket.send_to(bytes, address);
         };
         match (to, self.config.all) {
             (Some(to), _) => self.config.peers.get(to as usize).copied().into_iter().for_each(send),
@@ -45,6 +51,11 @@
         }
     }
 
+    /// How many schedulers there are, ourselves included.
+    pub fn seats(&self) -> usize {
+        self.config.peers.len()
+    }
+
     /// Takes in what has come. Senders are known by their addresses; others, and what is no text, are ignored.
     pub fn on_input(&mut self, cx: &mut Context) {
         let mut buffer = [0; MESSAGE_MOST + 1];
@@ -59,6 +70,17 @@
                 Err(_) => return,
             };
             let from = self.config.peers.iter().position(|&peer| peer == sender);
+            let whole = length <= MESSAGE_MOST;
+            let known = from.filter(|&from| whole && from != self.ordinal as usize);
+            if let (Some(from), Some(tier)) = (known, cx.tier.as_mut())
+                && let Some(heard) = tier.hear(from as u16, &buffer[..length])
+            {
+                // Sums told under a term that holds, or what is the tier's own.
+                if let Heard::Deed(text) = heard {
+                    cx.core.message(from as u32, text);
+                }
+                continue;
+            }
             let text = std::str::from_utf8(&buffer[..length]).ok().filter(|_| length <= MESSAGE_MOST);
             if let (Some(from), Some(text)) = (from, text)
                 && from != self.ordinal as usize
--- /dev/null
+++ b/crates/daemon/src/net/tier.rs
@@ -0,0 +1,267 @@
+//! Who is in the tier and what we own on its behalf, on sockets: carries the orders of `membership` and `ownership`
+//! out, and their messages to them. A datagram's first byte says whose it is; none begins a text of the others.
+//!
+//! The clock is CLOCK_BOOTTIME: it counts the time that the process was stopped, and that the machine slept. A pause
+//! between asking the lease and the deed makes the deed late; its receivers refuse it by its term.
+
+use super::event_loop::Millis;
+use super::peer::Peer;
+use brackenledge_membership::{Membership, Order as MemberOrder, Process, Standing, Times};
+use brackenledge_ownership::{Deed, Fence, Message, Order, Ownership, Settings};
+use brackenledge_policy::split_sums;
+use brackenledge_protocol::operations::Operations;
+use slog::{Logger, info};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The first byte of a datagram: membership's, ownership's, and an owner's deed. No text between schedulers, which is
+/// ASCII, begins with one of them.
+const MEMBERSHIP: u8 = 0xf1;
+const OWNERSHIP: u8 = 0xf2;
+const DEED: u8 = 0xf3;
+/// The longest datagram.
+const DATAGRAM_MOST: usize = 256;
+
+/// The duty of telling all the sums of loads, in tiers that have a relay.
+pub const RELAY: u8 = 0;
+/// Duties by number.
+pub const DUTIES: [&str; 1] = ["relay"];
+
+/// What a datagram turned out to be.
+pub enum Heard {
+    /// The tier's own: it has been taken in.
+    Own,
+    /// An owner's deed under a term that holds: its text.
+    Deed(String),
+}
+
+/// See the module's page.
+pub struct Tier {
+    membership: Membership,
+    ownership: Ownership,
+    fence: Fence,
+    /// Sums that were ours to compute and not ours to tell.
+    withheld: u64,
+    /// Datagrams that made no sense.
+    nonsense: u64,
+}
+
+/// Microseconds on the clock that counts everything.
+fn micros() -> u64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    u64::try_from(time.tv_sec).unwrap_or(0) * 1_000_000 + u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000
+}
+
+fn millis(micros: u64) -> Millis {
+    micros as Millis / 1_000.0
+}
+
+impl Tier {
+    /// A process that has just started.
+    pub fn new(ordinal: u32, seats: usize, operations: &Operations, seed: u64) -> Tier {
+        let (ordinal, seats) = (ordinal as u16, seats as u16);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let me = Process { ordinal, boot: unix.as_millis() as u64 };
+        let seeds = (0..seats).filter(|&other| other != ordinal).collect();
+        let times = Times::for_tier(usize::from(seats));
+        let now = micros();
+        let usual = Settings::new(seats, DUTIES.len() as u8);
+        // The other times keep their ratio to the lease.
+        let scaled = |time: u64| (time as f64 * operations.lease * 1_000.0 / usual.lease as f64) as u64;
+        let settings = Settings {
+            voters: operations.voters,
+            lease: scaled(usual.lease),
+            beat: scaled(usual.beat),
+            wait: scaled(usual.wait),
+            dead: scaled(usual.dead),
+            ..usual
+        };
+        Tier {
+            membership: Membership::new(millis(now), me, seeds, &times, seed),
+            ownership: Ownership::new(now, me, unix.as_secs() as u32, settings),
+            fence: Fence::default(),
+            withheld: 0,
+            nonsense: 0,
+        }
+    }
+
+    /// Takes a datagram in, if it is one of the tier's; `None`: it is none.
+    pub fn hear(&mut self, from: u16, bytes: &[u8]) -> Option<Heard> {
+        let (kind, bytes) = bytes.split_first()?;
+        let now = micros();
+        match *kind {
+            MEMBERSHIP => {
+                self.membership.hear(millis(now), bytes);
+            }
+            OWNERSHIP => match Message::read(bytes) {
+                Some(message) => {
+                    if let Message::News { duties, steward, from, .. } = &message
+                        && *steward == Some(*from)
+                    {
+                        duties.iter().for_each(|&(duty, term, owner)| self.fence.heard(duty, term, owner));
+                    }
+                    self.ownership.hear(now, from, message);
+                }
+                None => self.nonsense += 1,
+            },
+            DEED => {
+                let deed = Deed::read(bytes).filter(|(deed, _)| deed.owner.ordinal == from);
+                let text = deed.and_then(|(deed, text)| Some((deed, std::str::from_utf8(text).ok()?)));
+                match text {
+                    Some((deed, text)) => {
+                        if self.fence.accept(deed.duty, deed.term, deed.owner).is_ok() {
+                            return Some(Heard::Deed(text.to_owned()));
+                        }
+                    }
+                    None => self.nonsense += 1,
+                }
+            }
+            _ => return None,
+        }
+        Some(Heard::Own)
+    }
+
+    /// Does what is due; how long until something is due again.
+    pub fn on_time(&mut self, peer: &Peer, log: &Logger) -> Millis {
+        let now = micros();
+        self.membership.on_time(millis(now));
+        self.carry_out(peer, log);
+        self.ownership.on_time(now);
+        self.carry_out(peer, log);
+        let next = self.membership.next_time().min(millis(self.ownership.next_time(now)));
+        // Never at once again: what is due now was done now.
+        (next - millis(now)).clamp(1.0, 1_000.0)
+    }
+
+    /// Carries out what both have ordered.
+    pub fn carry_out(&mut self, peer: &Peer, log: &Logger) {
+        let mut changed = false;
+        while let Some(order) = self.membership.next_order() {
+            match order {
+                MemberOrder::Send { to, bytes } => send(peer, Some(to), MEMBERSHIP, &bytes),
+                MemberOrder::Up(process) => {
+                    changed = true;
+                    info!(log, "member up"; "ordinal" => process.ordinal, "boot" => process.boot);
+                }
+                MemberOrder::Down(process) => {
+                    changed = true;
+                    info!(log, "member down"; "ordinal" => process.ordinal, "boot" => process.boot);
+                }
+                MemberOrder::Replaced => {
+                    info!(log, "another process has our number and is newer: we own nothing any more");
+                    self.ownership.leave(micros());
+                }
+            }
+        }
+        if changed {
+            self.ownership.alive(self.membership.alive());
+        }
+        while let Some(order) = self.ownership.next_order() {
+            match order {
+                Order::Send(to, message) => send(peer, to, OWNERSHIP, &message.write()),
+                Order::Owns(duty, term) => {
+                    let name = DUTIES.get(usize::from(duty)).copied().unwrap_or("unknown");
+                    let term = term.map_or("none".into(), |term| term.to_string());
+                    info!(log, "duty"; "name" => name, "our_term" => term);
+                    if let Some(known) = self.ownership.known(duty) {
+                        self.fence.heard(duty, known.term, known.owner);
+                    }
+                }
+                Order::Log(text) => info!(log, "tier"; "what" => text),
+            }
+        }
+    }
+
+    /// We stop: what we own is given back, and the others hear that we go.
+    pub fn leave(&mut self, peer: &Peer, log: &Logger) {
+        let now = micros();
+        self.ownership.leave(now);
+        self.membership.leave(millis(now));
+        self.carry_out(peer, log);
+    }
+
+    /// Tells all the sums of loads, if that is ours to do at this moment.
+    pub fn tell_sums(&mut self, peer: &Peer, text: &str) {
+        let Some(term) = self.ownership.may(micros(), RELAY) else {
+            self.withheld += 1;
+            return;
+        };
+        let deed = Deed { owner: self.membership.me(), duty: RELAY, term };
+        for part in split_sums(text, DATAGRAM_MOST - 1 - Deed::HEAD_MOST) {
+            send(peer, None, DEED, &deed.write(part.as_bytes()));
+        }
+    }
+
+    /// For operators: the view, and a line for each process.
+    pub fn members(&self) -> Vec<String> {
+        let shown = self.ownership.shown(micros());
+        let name =
+            |process: Option<Process>| process.map_or("none".into(), |process| process.ordinal.to_string());
+        let mut lines = vec![match &shown.view {
+            Some((view, age)) => {
+                let voters: Vec<String> = view.voters.iter().map(|voter| voter.ordinal.to_string()).collect();
+                format!(
+                    "view={}.{} age_ms={} steward={} voters={}",
+                    view.epoch.era,
+                    view.epoch.number,
+                    age / 1_000,
+                    name(shown.steward),
+                    voters.join(",")
+                )
+            }
+            None => "view=none age_ms=0 steward=none voters=none".into(),
+        }];
+        let me = self.membership.me();
+        let mut all: Vec<(Process, &str)> = (self.membership.others())
+            .map(|(process, standing)| {
+                let word = match standing {
+                    Standing::Alive => "alive",
+                    Standing::Suspected => "suspected",
+                    Standing::Gone => "gone",
+                };
+                (process, word)
+            })
+            .chain([(me, "alive")])
+            .collect();
+        all.sort();
+        lines.extend(all.into_iter().map(|(process, word)| {
+            let agreed = shown.roll.1.get(&process.ordinal) == Some(&process.boot);
+            let (ordinal, boot) = (process.ordinal, process.boot);
+            let own = if process == me { "yes" } else { "no" };
+            format!("member={ordinal} boot={boot} standing={word} on_roll={agreed} self={own}")
+        }));
+        lines
+    }
+
+    /// For operators: a line for each duty, and one of counts.
+    pub fn duties(&self) -> Vec<String> {
+        let now = micros();
+        let shown = self.ownership.shown(now);
+        let mut lines: Vec<String> = (DUTIES.iter().enumerate())
+            .map(|(duty, name)| match shown.duties.get(&(duty as u8)) {
+                Some((term, owner, left)) => {
+                    let left = left.map_or("none".into(), |left| (left / 1_000).to_string());
+                    format!("duty={name} owner={} term={term} own_lease_left_ms={left}", owner.ordinal)
+                }
+                None => format!("duty={name} owner=none term=none own_lease_left_ms=none"),
+            })
+            .collect();
+        let counts = self.membership.counts();
+        lines.push(format!(
+            "deeds_accepted={} deeds_refused={} sums_withheld={} nonsense={} dropped={} given_up_by_mistake={}",
+            self.fence.accepted,
+            self.fence.refused,
+            self.withheld,
+            self.nonsense + counts.nonsense,
+            self.ownership.dropped,
+            counts.returned
+        ));
+        lines
+    }
+}
+
+fn send(peer: &Peer, to: Option<u16>, kind: u8, bytes: &[u8]) {
+    let mut datagram = Vec::with_capacity(bytes.len() + 1);
+    datagram.push(kind);
+    datagram.extend_from_slice(bytes);
+    peer.send(to.map(u32::from), &datagram);
+}
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -4,7 +4,7 @@
 mod stage;
 
 use stage::{
-    PATIENCE, Stage, done, ended, endpoint, job, listener, one_worker, read_message, send, settings,
+    PATIENCE, Stage, done, ended, endpoint, job, listener, one_worker, read_message, run, send, settings,
 };
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -172,3 +172,17 @@
         assert_eq!(answer, reply);
     }
 }
+
+#[test]
+fn the_door_says_that_the_tier_is_off_and_the_command_line_passes_it_on() {
+    let (stage, _worker) = one_worker();
+    let off = "error the tier is off: set tier.on in the operators' file\n";
+    assert_eq!((stage.call(b"MEMBERS\n"), stage.call(b"duties\n")), (off.into(), off.into()));
+    let at = stage.control.to_string();
+    let asked = run(&["members", "--control", &at], None);
+    let said = String::from_utf8_lossy(&asked.stderr).into_owned();
+    assert!(!asked.status.success() && said.contains("set tier.on in the operators' file"), "{said}");
+    let nowhere = run(&["duties", "--control", "here"], None);
+    let said = String::from_utf8_lossy(&nowhere.stderr).into_owned();
+    assert!(said.contains("--control \"here\" is not an address with a port"), "{said}");
+}
--- a/crates/daemon/tests/tier.rs
+++ b/crates/daemon/tests/tier.rs
@@ -20,6 +20,12 @@
     std::fs::read_to_string(format!("/proc/{id}/cmdline")).is_ok_and(|line| line.contains("brackenledge"))
 }
 
+/// A figure in the reply of a door.
+fn figure(reply: &str, name: &str) -> usize {
+    let word = reply.split_whitespace().find_map(|word| word.strip_prefix(name));
+    word.and_then(|figure| figure.parse().ok()).unwrap_or(0)
+}
+
 fn plays(name: &str) {
     let scenario = Scenario::load(&folder().join(format!("{name}.toml"))).expect("a scenario");
     let outcome = run(&scenario, &options()).expect("the tier runs");
@@ -32,6 +38,17 @@
     assert!(audit.served.iter().all(|&served| served > 10), "{shown}");
     assert!(audit.messages > 10, "schedulers told one another nothing: {shown}");
     assert!(outcome.processes.len() >= scenario.schedulers);
+    if scenario.operations.is_some() {
+        assert!(!audit.owners.is_empty(), "nobody was ever named an owner: {shown}");
+        assert!(
+            outcome.doors.iter().all(|door| door.1.starts_with("done\nduty=relay owner=")),
+            "{:?}",
+            outcome.doors
+        );
+    }
+    // Whatever came after a newer term was refused by whoever got it.
+    let refused: usize = outcome.doors.iter().map(|door| figure(&door.1, "deeds_refused=")).sum();
+    assert!(refused >= audit.late_deeds, "{refused} refused of {} late deeds: {shown}", audit.late_deeds);
     assert_eq!(outcome.processes.iter().filter(|id| runs(id)).count(), 0, "processes were left behind");
 }
 
@@ -64,19 +81,30 @@
     cut_both "cut-both"
     cut_in "cut-in"
     cut_out "cut-out"
+    deaf_one_way "deaf-one-way"
     few_descriptors "few-descriptors"
+    late_deeds "late-deeds"
     loss_10 "loss-10"
     loss_30 "loss-30"
     loss_50 "loss-50"
     outage_with_crash "outage-with-crash"
+    owner_killed "owner-killed"
+    owner_killed_loss_30 "owner-killed-loss-30"
+    owner_leaves "owner-leaves"
+    owner_stopped "owner-stopped"
     pause_1s "pause-1s"
     pause_4s "pause-4s"
     pause_10s "pause-10s"
     relay_killed "relay-killed"
+    relay_owned "relay-owned"
     relay_paused "relay-paused"
     rolling_restart "rolling-restart"
+    split_3_2 "split-3-2"
+    split_4_4 "split-4-4"
     stale_list "stale-list"
     twin "twin"
+    twins_of_owners "twins-of-owners"
+    voters_forget "voters-forget"
     zone_gone "zone-gone"
 }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `brackenledge-lab`: plays experiments on whole fleets of schedulers on a virtual clock, and scenarios on a tier of
 //! processes on loopback.
 
+mod members;
 mod tier;
 
 use brackenledge_lab::{Experiment, Window, run};
@@ -35,6 +36,9 @@
     /// Plays scenarios on real processes of the scheduler, with faults on every link, and judges what came of it.
     /// Exits with 2 if a scenario fell short of its file. docs/rig.md has every key.
     Tier(tier::Options),
+    /// Plays membership in tiers of several sizes under loss: how soon a death is noticed, how often it is wrong, and
+    /// what it costs.
+    Members(members::Options),
     /// Reads an experiment and tells what is wrong with it.
     Check {
         /// The experiment.
@@ -101,6 +105,7 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Emulate { file, seed, json } => emulate(&file, seed, json),
+        Command::Members(options) => members::run(&options),
         Command::Tier(options) => tier::play(&options),
         Command::Check { file } => read(&file).map(|_| {
             println!("{}: an experiment", file.display());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,3 +29,4 @@
 
 pub use dispatcher::Dispatcher;
 pub use interface::*;
+pub use peers::{is_sums, split_sums};
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -66,6 +66,22 @@
     Some((kind as u32, entries.chunks(ENTRY).map(load).collect::<Option<_>>()?))
 }
 
+/// Whether a message is a relay's sums: what only one relay at a time should tell.
+pub fn is_sums(text: &str) -> bool {
+    read_loads(text).is_some_and(|(kind, _)| kind == TOTAL)
+}
+
+/// Sums as messages of at most so many bytes each: each says a part, and all that the one said.
+pub fn split_sums(text: &str, most: usize) -> Vec<String> {
+    if text.len() <= most || most <= 1 + ENTRY {
+        return vec![text.to_owned()];
+    }
+    let (kind, entries) = text.split_at(1);
+    let most = (most - 1) / ENTRY * ENTRY;
+    let part = |part: &[u8]| format!("{kind}{}", String::from_utf8_lossy(part));
+    entries.as_bytes().chunks(most).map(part).collect()
+}
+
 /// Where a dispatcher stands, 0 to 1, in the order in which all may take their turn at a worker now: another order
 /// from each sums to the next.
 pub(crate) fn turn(now: Millis, worker: u64, ordinal: u32) -> f64 {
@@ -338,6 +354,18 @@
         assert!(read_loads("0abc").is_none() && read_loads("").is_none() && read_loads("\u{e9}").is_none());
     }
 
+    #[test]
+    fn sums_in_parts_say_what_the_whole_said() {
+        let loads: Vec<(u32, f64)> = (0..60).map(|n| (n * 31, f64::from(n % 5))).collect();
+        let whole = write_loads(TOTAL, &loads).remove(0);
+        assert!(is_sums(&whole) && !is_sums(&write_loads(FIRST, &loads)[0]) && !is_sums("!T000"));
+        let parts = split_sums(&whole, 200);
+        assert!(parts.len() == 2 && parts.iter().all(|part| part.len() <= 200 && is_sums(part)));
+        let read: Vec<_> = parts.iter().flat_map(|part| read_loads(part).expect("sums").1).collect();
+        assert_eq!(read, loads);
+        assert_eq!(split_sums("2", 200), ["2"]);
+    }
+
     /// Foreign, cut and garbled text costs nothing but itself, whatever the tier's size.
     #[test]
     fn text_that_is_no_message_changes_nothing() {
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -17,6 +17,10 @@
     LameDuck,
     /// Serve again after a drain.
     Rejoin,
+    /// Who is in the tier, and what is believed of each.
+    Members,
+    /// Who owns which duty on behalf of the tier.
+    Duties,
 }
 
 /// Why a line is no call.
@@ -91,6 +95,8 @@
         "INFO" => Read::Call(Call::Info),
         "LAMEDUCK" => Read::Call(Call::LameDuck),
         "REJOIN" => Read::Call(Call::Rejoin),
+        "MEMBERS" => Read::Call(Call::Members),
+        "DUTIES" => Read::Call(Call::Duties),
         _ => Read::Refused(Refusal::Unknown),
     }
 }
@@ -113,6 +119,8 @@
             (b"info\n", false, Read::Call(Call::Info)),
             (b"LAMEDUCK\n", false, Read::Call(Call::LameDuck)),
             (b" REJOIN \n", false, Read::Call(Call::Rejoin)),
+            (b"members\n", false, Read::Call(Call::Members)),
+            (b"DUTIES\n", false, Read::Call(Call::Duties)),
             (b"PING", true, Read::Call(Call::Ping)),
             (b"PIN", false, Read::Partial),
             (b"", false, Read::Partial),
--- a/crates/protocol/src/operations.rs
+++ b/crates/protocol/src/operations.rs
@@ -15,24 +15,42 @@
     pub line_time: Millis,
     /// How long after LAMEDUCK jobs are still taken, in milliseconds.
     pub takes_work_for: Millis,
+    /// Whether schedulers agree on members, and on one owner for each duty on behalf of the tier.
+    pub tier: bool,
+    /// An owner's lease, in milliseconds.
+    pub lease: Millis,
+    /// How many vote on it.
+    pub voters: usize,
 }
 
 impl Default for Operations {
     fn default() -> Self {
         // Reasons with the constants where they are used: the door's module and engine::drain.
-        Operations { callers_most: 16, line_time: 8_000.0, takes_work_for: 1_500.0 }
+        Operations {
+            callers_most: 16,
+            line_time: 8_000.0,
+            takes_work_for: 1_500.0,
+            tier: false,
+            lease: 1_500.0,
+            voters: 5,
+        }
     }
 }
 
 /// A key, the table it stands in, and the range it must keep: (table, key, least, most, remedy).
 type Known = (&'static str, &'static str, f64, f64, &'static str);
 
-const KEYS: [Known; 3] = [
+const KEYS: [Known; 6] = [
     ("control", "callers_most", 1.0, 256.0, "a whole number of callers, 1 to 256"),
     // Longer than the 4 s that slow callers take, and no more than a minute of a descriptor held.
     ("control", "line_time_ms", 4_500.0, 60_000.0, "milliseconds, 4500 to 60000"),
     // 4 s after the call no job younger than 2 s may be held.
     ("drain", "takes_work_for_ms", 0.0, 1_900.0, "milliseconds, 0 to 1900"),
+    // Yes or no, as 1 or 0 to the range.
+    ("tier", "on", 0.0, 1.0, "true or false"),
+    // A fifth of it is the time between two renewals; half a minute without an owner is more than anybody wants.
+    ("tier", "lease_ms", 500.0, 30_000.0, "milliseconds, 500 to 30000"),
+    ("tier", "voters", 3.0, 5.0, "3 or 5"),
 ];
 
 impl Operations {
@@ -48,10 +66,13 @@
         for (table, value) in document.get_ref() {
             let (name, at) = (table.get_ref().as_ref(), table.span().start);
             let DeValue::Table(entries) = value.get_ref() else {
-                return Err(bad(at, format!("`{name}` must be a table: [control] or [drain]")));
+                return Err(bad(at, format!("`{name}` must be a table: [control], [drain] or [tier]")));
             };
             if !KEYS.iter().any(|known| known.0 == name) {
-                return Err(bad(at, format!("unknown table [{name}]: [control] and [drain] are known")));
+                return Err(bad(
+                    at,
+                    format!("unknown table [{name}]: [control], [drain] and [tier] are known"),
+                ));
             }
             for (key, value) in entries {
                 let (key_name, at) = (key.get_ref().as_ref(), key.span().start);
@@ -65,15 +86,21 @@
                     ));
                 };
                 let number = match value.get_ref() {
-                    DeValue::Integer(integer) => integer.as_str().replace('_', "").parse::<f64>().ok(),
+                    DeValue::Integer(integer) if key_name != "on" => {
+                        integer.as_str().replace('_', "").parse::<f64>().ok()
+                    }
+                    DeValue::Boolean(yes) if key_name == "on" => Some(f64::from(u8::from(*yes))),
                     _ => None,
                 };
                 let number = number
-                    .filter(|n| (least..=most).contains(n))
+                    .filter(|n| (least..=most).contains(n) && !(key_name == "voters" && *n == 4.0))
                     .ok_or_else(|| bad(value.span().start, format!("{name}.{key_name} must be {remedy}")))?;
                 match key_name {
                     "callers_most" => operations.callers_most = number as usize,
                     "line_time_ms" => operations.line_time = number,
+                    "on" => operations.tier = number > 0.0,
+                    "lease_ms" => operations.lease = number,
+                    "voters" => operations.voters = number as usize,
                     _ => operations.takes_work_for = number,
                 }
             }
@@ -97,7 +124,15 @@
         assert_eq!(read(""), Ok(Operations::default()));
         let set =
             read("[control]\ncallers_most = 32\nline_time_ms = 10_000\n[drain]\ntakes_work_for_ms = 0\n");
-        assert_eq!(set, Ok(Operations { callers_most: 32, line_time: 10_000.0, takes_work_for: 0.0 }));
+        let wanted = Operations {
+            callers_most: 32,
+            line_time: 10_000.0,
+            takes_work_for: 0.0,
+            ..Operations::default()
+        };
+        assert_eq!(set, Ok(wanted));
+        let set = read("[tier]\non = true\nlease_ms = 2_000\nvoters = 3\n");
+        assert_eq!(set, Ok(Operations { tier: true, lease: 2_000.0, voters: 3, ..Operations::default() }));
     }
 
     #[test]
@@ -119,6 +154,9 @@
                 "[drain]\nlinger = 3\n",
                 "deploy/operations.toml:2: unknown key drain.linger: known are takes_work_for_ms",
             ),
+            ("[tier]\non = 1\n", "deploy/operations.toml:2: tier.on must be true or false"),
+            ("[tier]\nvoters = 4\n", "deploy/operations.toml:2: tier.voters must be 3 or 5"),
+            ("[tier]\nlease_ms = 100\n", "deploy/operations.toml:2: tier.lease_ms must be milliseconds, 500"),
             ("[doors]\n", "deploy/operations.toml:1: unknown table [doors]"),
             ("callers_most = 3\n", "deploy/operations.toml:1: `callers_most` must be a table"),
             ("[control]\ncallers_most = \n", "deploy/operations.toml:2: not TOML"),
--- a/crates/rig/src/ledger.rs
+++ b/crates/rig/src/ledger.rs
@@ -25,6 +25,8 @@
 /// What a cold worker can take is counted over a span of so long, and so many times over.
 const COLD_SPAN: Millis = 3_000.0;
 const COLD_MULTIPLE: f64 = 4.0;
+/// An owner's lease, as operators have it unless they say otherwise.
+const LEASE: Millis = 1_500.0;
 /// The longest message between schedulers.
 const MESSAGE_MOST: usize = 256;
 
@@ -97,6 +99,8 @@
     Unheard { at: Millis, until: Millis, scheduler: usize },
     /// A message between schedulers.
     Message { at: Millis, scheduler: usize, bytes: usize },
+    /// A steward names a duty's owner and its term, or an owner's deed has left it (`deed`) or reached a receiver.
+    Duty { at: Millis, duty: u8, term: [u32; 5], owner: usize, deed: bool, reached: Option<usize> },
     /// Somebody did what only one may do under a term: an owner's deed that its receiver accepted, or a job taken
     /// over. Terms of one subject never fall.
     Claim { at: Millis, claim: String, subject: String, term: u64, by: usize },
@@ -144,6 +148,14 @@
     pub messages: usize,
     /// Bytes of these.
     pub message_bytes: usize,
+    /// Deeds of owners that were sent; those that reached a receiver after one of a newer term: it must refuse them.
+    pub deeds: usize,
+    /// See `deeds`.
+    pub late_deeds: usize,
+    /// Owners named, one after another: when, which duty, who.
+    pub owners: Vec<(Millis, u8, usize)>,
+    /// The longest time from an owner's death, stop or end until another was named; `None`: one never was.
+    pub owner_after: Option<Millis>,
     /// Part of the jobs served, by zone of the client and by span of [`BIN`].
     pub service: Vec<Vec<f64>>,
     /// Tries open at each scheduler, by span.
@@ -229,6 +241,12 @@
     let mut started: HashMap<usize, Millis> = HashMap::new();
     let mut arrivals: HashMap<usize, Vec<(Millis, Millis)>> = HashMap::new();
     let mut claims: HashMap<(&str, &str), (u64, usize)> = HashMap::new();
+    let mut terms: BTreeMap<(u8, [u32; 5]), usize> = BTreeMap::new();
+    let mut newest: HashMap<(u8, usize), [u32; 5]> = HashMap::new();
+    let mut owns: BTreeMap<u8, usize> = BTreeMap::new();
+    let mut returned: BTreeSet<usize> = BTreeSet::new();
+    let mut orphaned: BTreeMap<u8, (Millis, usize)> = BTreeMap::new();
+    audit.owner_after = Some(0.0);
     for event in history {
         match event {
             Event::Born { at, job, class, zone } => {
@@ -330,9 +348,50 @@
                     *held = (*term, *by);
                 }
             }
-            Event::Process { .. } | Event::Unheard { .. } => {}
+            Event::Duty { at, duty, term, owner, deed, reached } => {
+                let first = *terms.entry((*duty, *term)).or_insert(*owner);
+                if first != *owner {
+                    let what = format!("duty {duty}: {owner} under term {term:?}, which is {first}'s");
+                    audit.breaches.push(Breach { rule: "claims", at: *at, what });
+                }
+                match reached {
+                    Some(receiver) => {
+                        let newest = newest.entry((*duty, *receiver)).or_insert(*term);
+                        audit.late_deeds += usize::from(*deed && *term < *newest);
+                        *newest = (*newest).max(*term);
+                    }
+                    None if *deed => audit.deeds += 1,
+                    None => {
+                        if owns.insert(*duty, *owner) != Some(*owner) {
+                            audit.owners.push((*at, *duty, *owner));
+                        }
+                        // Named again: another, or the same number once it is back; one that was back before its
+                        // lease was over has gone on.
+                        let back = |old: &usize| old != owner || returned.contains(old);
+                        if orphaned.get(duty).is_some_and(|(_, old)| back(old))
+                            && let Some((since, old)) = orphaned.remove(duty)
+                            && (old != *owner || at - since > LEASE)
+                        {
+                            audit.owner_after = audit.owner_after.map(|most| most.max(at - since));
+                        }
+                    }
+                }
+            }
+            Event::Process { scheduler, turn: Turn::Up | Turn::Continued, .. } => {
+                returned.insert(*scheduler);
+            }
+            Event::Process { at, scheduler, turn: Turn::Killed | Turn::Stopped | Turn::Terminated } => {
+                returned.remove(scheduler);
+                for (duty, owner) in owns.iter().filter(|owns| owns.1 == scheduler) {
+                    orphaned.entry(*duty).or_insert((*at, *owner));
+                }
+            }
+            Event::Unheard { .. } => {}
         }
     }
+    if !orphaned.is_empty() {
+        audit.owner_after = None;
+    }
     for (id, one) in &tries {
         let Some(&(_, class, ..)) = jobs.get(&one.job).filter(|_| one.deadline > 0.0) else { continue };
         audit.tries[class] += 1;
@@ -409,6 +468,10 @@
 fn judge_repeats(audit: &mut Audit, id: &str, one: &Try, class: usize, scenario: &Scenario) {
     let Some(may_have) = one.attempts.iter().position(|attempt| attempt.2.is_none()) else { return };
     let (first, at_worker, _) = one.attempts[may_have];
+    if let Some((at, _)) = one.ends.first().filter(|end| class != 0 && end.1 == How::Refused) {
+        let what = format!("{id}, sent to worker {at_worker} at {first:.0}: refused, and may have run");
+        audit.breaches.push(Breach { rule: "repeats", at: *at, what });
+    }
     // What came while an attempt was out that was handed back later is a second copy all the same.
     let later = one.attempts.iter().enumerate().filter(|&(n, _)| n != may_have).map(|(_, attempt)| attempt);
     for &(at, worker, _) in later.filter(|attempt| attempt.0 > first) {
@@ -519,6 +582,11 @@
             let served = self.served_part();
             hold(served < least, format!("service: {served:.3} of the jobs served, {least} at least"));
         }
+        if let Some(most) = expect.owner_within {
+            let after = self.owner_after.unwrap_or(f64::INFINITY);
+            hold(self.owners.is_empty(), "owner-within-ms: no owner was ever named".into());
+            hold(after > most, format!("owner-within-ms: {after:.0}, {most} at most"));
+        }
         if let Some(most) = expect.back_in {
             let back = self.back_in.unwrap_or(f64::INFINITY);
             hold(back > most, format!("back-in-ms: {back:.0}, {most} at most"));
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -71,6 +71,21 @@
         audit.messages as f64 / seconds,
         audit.message_bytes as f64 / seconds
     );
+    if !audit.owners.is_empty() {
+        let owners: Vec<String> = audit
+            .owners
+            .iter()
+            .map(|(at, duty, who)| format!("{who} of {duty} at {:.1} s", at / 1_000.0))
+            .collect();
+        let after = audit.owner_after.map_or("never".into(), |ms| format!("{ms:.0} ms"));
+        let _ = writeln!(
+            text,
+            "owners: {}; another after {after} at the longest; deeds {}, of an old term {}",
+            owners.join(", "),
+            audit.deeds,
+            audit.late_deeds
+        );
+    }
     for rule in &verdict.known {
         let _ = writeln!(text, "known to break: {rule}");
     }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -26,6 +26,10 @@
     Discovery,
     /// The clients of a zone.
     Clients(usize),
+    /// The scheduler that owns the first duty when the fault begins.
+    Owner,
+    /// The scheduler that is the steward when the fault begins.
+    Steward,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -104,6 +108,7 @@
     lost: Option<Spanned<usize>>,
     service: Option<Spanned<f64>>,
     back_in_ms: Option<Spanned<f64>>,
+    owner_within_ms: Option<Spanned<f64>>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -124,6 +129,37 @@
     expect: ExpectDocument,
 }
 
+impl Deed {
+    /// The same with the owner and the steward by their numbers; who is unknown is left out.
+    pub fn resolved(&self, owner: Option<usize>, steward: Option<usize>) -> Deed {
+        let one = |node: &Node| match node {
+            Node::Owner => owner.map(Node::Scheduler),
+            Node::Steward => steward.map(Node::Scheduler),
+            node => Some(*node),
+        };
+        let all = |nodes: &[Node]| {
+            let mut nodes: Vec<Node> = nodes.iter().filter_map(one).collect();
+            nodes.sort_unstable();
+            nodes.dedup();
+            nodes
+        };
+        let pairs = |links: &[(Node, Node)]| {
+            let found = links.iter().filter_map(|(a, b)| Some((one(a)?, one(b)?)));
+            found.filter(|(a, b)| a != b).collect()
+        };
+        match self {
+            Deed::Kill(who) => Deed::Kill(all(who)),
+            Deed::Term(who) => Deed::Term(all(who)),
+            Deed::Stop(who) => Deed::Stop(all(who)),
+            Deed::Twin(who) => Deed::Twin(all(who)),
+            Deed::Link(links, weather) => Deed::Link(pairs(links), weather.clone()),
+            Deed::Reset(links) => Deed::Reset(pairs(links)),
+            Deed::HalfClose(links) => Deed::HalfClose(pairs(links)),
+            other => other.clone(),
+        }
+    }
+}
+
 /// What is done to whom.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Deed {
@@ -187,6 +223,8 @@
     pub service: Option<f64>,
     /// Time from the last fault's end until service is back at 95% of calm, at most.
     pub back_in: Option<Millis>,
+    /// Time from the death, stop or end of a duty's owner until another is named, at most.
+    pub owner_within: Option<Millis>,
 }
 
 /// A scenario, checked.
@@ -306,7 +344,7 @@
                     self.bad(
                         word.span().start,
                         format!(
-                            "{key} = {:?}: give all, discovery, clients, schedulers, workers, scheduler N (0 to {}), \
+                            "{key} = {:?}: give all, discovery, clients, schedulers, workers, owner, steward, scheduler N (0 to {}), \
                              worker N (0 to {}), zone NAME ({zones}) or region NAME ({})",
                             word.get_ref(),
                             scenario.schedulers.saturating_sub(1),
@@ -405,8 +443,10 @@
             expect.service.is_some().then(|| r.number("expect.service", &expect.service, 0.0, 0.0, 1.0));
         let back_in = (expect.back_in_ms.is_some())
             .then(|| r.number("expect.back-in-ms", &expect.back_in_ms, 0.0, 0.0, 600_000.0));
+        let owner_within = (expect.owner_within_ms.is_some())
+            .then(|| r.number("expect.owner-within-ms", &expect.owner_within_ms, 0.0, 0.0, 600_000.0));
         let broken = expect.broken.iter().map(|rule| rule.get_ref().clone()).collect();
-        scenario.expect = Expect { broken, doubles, lost, service, back_in };
+        scenario.expect = Expect { broken, doubles, lost, service, back_in, owner_within };
         if reader.wrong.is_empty() { Ok(scenario) } else { Err(reader.wrong.join("\n")) }
     }
 
@@ -420,7 +460,7 @@
         match node {
             Node::Scheduler(number) | Node::Worker(number) => Some(self.zone_of(number)),
             Node::Clients(zone) => Some(zone),
-            Node::Discovery => None,
+            Node::Discovery | Node::Owner | Node::Steward => None,
         }
     }
 
@@ -440,6 +480,8 @@
         let some: Vec<Node> = match (what, name) {
             ("all", "") => all.collect(),
             ("discovery", "") => vec![Node::Discovery],
+            ("owner", "") => vec![Node::Owner],
+            ("steward", "") => vec![Node::Steward],
             ("clients", "") => all.filter(|n| matches!(n, Node::Clients(_))).collect(),
             ("schedulers", "") => all.filter(|n| matches!(n, Node::Scheduler(_))).collect(),
             ("workers", "") => all.filter(|n| matches!(n, Node::Worker(_))).collect(),
@@ -470,7 +512,8 @@
     let who = r.nodes(&format!("{name}: who"), &document.who, scenario);
     let from = r.nodes(&format!("{name}: from"), &document.from, scenario);
     let to = r.nodes(&format!("{name}: to"), &document.to, scenario);
-    let only_schedulers = |nodes: &[Node]| nodes.iter().all(|n| matches!(n, Node::Scheduler(_)));
+    let only_schedulers =
+        |nodes: &[Node]| nodes.iter().all(|n| matches!(n, Node::Scheduler(_) | Node::Owner | Node::Steward));
     let only_workers = |nodes: &[Node]| nodes.iter().all(|n| matches!(n, Node::Worker(_)));
     // A zone names its clients too; they can neither be killed nor stopped.
     let who: Vec<Node> = match kind {
@@ -630,7 +673,7 @@
             (
                 "[tier]\nschedulers = 2\n[[fault]]\nkind = \"kill\"\nat = 1\nwho = [\"scheduler 2\"]",
                 "a.toml:8: fault 1 (kill): who = \"scheduler 2\": give all, discovery, clients, schedulers, workers, \
-                 scheduler N (0 to 1)",
+                 owner, steward, scheduler N (0 to 1)",
             ),
             (
                 "[tier]\nschedulers = 2\n[[fault]]\nkind = \"stop\"\nat = 1\nwho = [\"scheduler 1\"]",
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -1,6 +1,6 @@
 //! Scenarios drawn from a seed: each is a file's text, so that one that falls short can be kept and played again.
 
-use rand::Rng;
+use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::fmt::Write as _;
--- a/crates/rig/src/tier.rs
+++ b/crates/rig/src/tier.rs
@@ -13,6 +13,7 @@
 use crate::traffic::{Crowd, Front, Next, TENANTS};
 use crate::weather::{Parcel, Pipe, Weather};
 use crate::worker::{Attempt, Fleet, Said};
+use brackenledge_ownership::Message;
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use rand::SeedableRng;
@@ -39,6 +40,13 @@
 const CONNECT_PATIENCE: Millis = 1_000.0;
 /// Discovery sends an empty line this often where nothing changes.
 const QUIET_LINE: Millis = 2_000.0;
+/// A door that does not answer by then says nothing.
+const DOOR_PATIENCE: Duration = Duration::from_secs(2);
+/// The first bytes of what the tier's own messages are.
+const OWNERSHIP: u8 = 0xf2;
+const DEED: u8 = 0xf3;
+/// What a kill ended is read by then.
+const KILL_SEEN: Millis = 200.0;
 /// Clients may still wait after the last job has come: their deadline, and what an answer may be late.
 const TAIL: Millis = crate::ledger::LATE + 200.0;
 /// Connections that wait to be taken from a door.
@@ -64,6 +72,8 @@
     pub crashed: Vec<String>,
     /// Ids of all processes that were started; none runs any more.
     pub processes: Vec<u32>,
+    /// What each process that still ran at the end said of its duties, at its door.
+    pub doors: Vec<(usize, String)>,
     /// Times that the rig itself was late by more than [`RIG_LATE`]: such a run says little.
     pub rig_late: usize,
 }
@@ -191,6 +201,8 @@
     config: PathBuf,
     twin_config: PathBuf,
     idle: Vec<usize>,
+    /// When one of its processes was killed last.
+    killed_at: Millis,
 }
 
 struct Tier<'a> {
@@ -213,6 +225,10 @@
     front: Front,
     weather: HashMap<(Node, Node), Weather>,
     active: Vec<usize>,
+    /// Faults that have begun, with who the owner and the steward were then.
+    begun: HashMap<usize, Deed>,
+    owner: Option<usize>,
+    steward: Option<usize>,
     alarms: BinaryHeap<Reverse<Due>>,
     serial: u64,
     history: Vec<Event>,
@@ -233,12 +249,13 @@
     descriptors(scenario)?;
     let mut tier = Tier::new(scenario, options)?;
     tier.play()?;
+    let doors = tier.ask_doors();
     for scheduler in &mut tier.schedulers {
         // Dropped processes are killed and waited for.
         (scheduler.process, scheduler.twin) = (None, None);
     }
     let Tier { history, crashed, processes, rig_late, .. } = tier;
-    Ok(Outcome { history, crashed, processes, rig_late })
+    Ok(Outcome { history, crashed, processes, doors, rig_late })
 }
 
 /// Raises the limit on descriptors as far as it goes, and says so where that is not far enough.
@@ -312,6 +329,9 @@
             front: Front::new(scenario),
             weather: HashMap::new(),
             active: Vec::new(),
+            begun: HashMap::new(),
+            owner: None,
+            steward: None,
             alarms: BinaryHeap::new(),
             serial: 0,
             history: Vec::new(),
@@ -354,6 +374,7 @@
                 config: self.folder.path().join(format!("scheduler-{number}.json")),
                 twin_config: self.folder.path().join(format!("scheduler-{number}-twin.json")),
                 idle: Vec::new(),
+                killed_at: f64::NEG_INFINITY,
             });
             for to in (0..n).filter(|&to| to != number).map(Some).chain([None]) {
                 let mut socket = UdpSocket::bind(loopback())?;
@@ -554,6 +575,7 @@
                 }
             }
             Alarm::Datagram(from, to, bytes) => {
+                self.watch_duties(from, Some(to), &bytes);
                 // From the socket that the receiver knows as the sender.
                 let receiver = self.schedulers[to].peer;
                 if let Some(socket) = self.messages.get(&(to, Some(from))) {
@@ -621,6 +643,20 @@
         }
     }
 
+    /// Asks each process that runs for its duties; a process answers this in one turn of its loop.
+    fn ask_doors(&self) -> Vec<(usize, String)> {
+        let running = self.schedulers.iter().enumerate().filter(|(_, one)| one.process.is_some());
+        let ask = |one: &Scheduler| -> io::Result<String> {
+            let mut door = std::net::TcpStream::connect_timeout(&one.control, DOOR_PATIENCE)?;
+            door.set_read_timeout(Some(DOOR_PATIENCE))?;
+            door.write_all(b"DUTIES\n")?;
+            let mut reply = String::new();
+            door.read_to_string(&mut reply)?;
+            Ok(reply)
+        };
+        running.filter_map(|(number, one)| Some((number, ask(one).ok()?))).collect()
+    }
+
     // Processes.
 
     fn start_process(&mut self, number: usize, twin: bool) -> Result<(), String> {
@@ -693,6 +729,7 @@
         let process = if twin { &mut one.twin } else { &mut one.process };
         if let Some(process) = process {
             process.kill();
+            one.killed_at = at;
             self.note(Event::Process { at, scheduler: number, turn: Turn::Killed });
             if twin {
                 self.note(Event::Process { at: at + 1.0, scheduler: number, turn: Turn::Up });
@@ -707,13 +744,17 @@
         let scenario = self.scenario;
         let fault = &scenario.faults[number];
         let lasts = fault.until.is_some();
+        if begins {
+            self.begun.insert(number, fault.deed.resolved(self.owner, self.steward));
+        }
+        let Some(deed) = self.begun.get(&number).cloned() else { return };
         if begins && lasts {
             self.active.push(number);
         } else if !begins {
             self.active.retain(|&active| active != number);
         }
         let (now, at) = (self.now(), self.at());
-        match &fault.deed {
+        match &deed {
             Deed::Link(..) => {
                 if begins && !lasts {
                     self.active.push(number);
@@ -722,18 +763,18 @@
                 if !lasts {
                     self.active.retain(|&active| active != number);
                 }
-                if let (true, Deed::Link(links, _)) = (begins, &fault.deed) {
+                if let (true, Deed::Link(links, _)) = (begins, &deed) {
                     self.unheard(links, fault.until.unwrap_or(f64::INFINITY));
                 }
             }
             Deed::Kill(who) | Deed::Term(who) | Deed::Stop(who) | Deed::Twin(who) => {
                 for &node in who {
-                    self.done_to(&fault.deed, node, begins);
+                    self.done_to(&deed, node, begins);
                 }
             }
             Deed::Reset(links) | Deed::HalfClose(links) if begins => {
                 self.unheard(links, at + 500.0);
-                let reset = matches!(fault.deed, Deed::Reset(_));
+                let reset = matches!(deed, Deed::Reset(_));
                 let hit: Vec<(usize, bool)> = (self.connections.iter())
                     .filter_map(|(key, c)| {
                         let near = Node::Scheduler(c.scheduler);
@@ -885,8 +926,8 @@
 
     fn renew_weather(&mut self) {
         self.weather.clear();
-        for &number in &self.active {
-            let Deed::Link(links, weather) = &self.scenario.faults[number].deed else { continue };
+        for number in &self.active {
+            let Some(Deed::Link(links, weather)) = self.begun.get(number) else { continue };
             for link in links {
                 let both = self.weather.get(link).map_or_else(|| weather.clone(), |was| was.with(weather));
                 self.weather.insert(*link, both);
@@ -1016,6 +1057,7 @@
                 Some(to) => vec![to],
                 None => (0..self.scenario.schedulers).filter(|&other| other != from).collect(),
             };
+            self.watch_duties(from, None, &buffer[..length]);
             for to in receivers {
                 self.note(Event::Message { at, scheduler: from, bytes: length });
                 let weather = self.weather(Node::Scheduler(from), Node::Scheduler(to));
@@ -1027,6 +1069,33 @@
         }
     }
 
+    /// Notes what a message on its way says of owners: as it leaves its sender, and as it reaches a receiver.
+    fn watch_duties(&mut self, from: usize, to: Option<usize>, bytes: &[u8]) {
+        let at = self.at();
+        let Some((&kind, bytes)) = bytes.split_first() else { return };
+        let flat = |term: brackenledge_ownership::Term| {
+            [term.epoch.era, term.epoch.number, term.round.count, u32::from(term.round.by), term.step]
+        };
+        if kind == DEED
+            && let Some((deed, _)) = brackenledge_ownership::Deed::read(bytes)
+        {
+            let (duty, term) = (deed.duty, flat(deed.term));
+            self.note(Event::Duty { at, duty, term, owner: from, deed: true, reached: to });
+        } else if kind == OWNERSHIP
+            && let Some(Message::News { from: who, steward, duties, .. }) = Message::read(bytes)
+            && steward == Some(who)
+        {
+            self.steward = Some(from);
+            for (duty, term, owner) in duties {
+                let (term, owner) = (flat(term), usize::from(owner.ordinal));
+                if duty == 0 {
+                    self.owner = Some(owner);
+                }
+                self.note(Event::Duty { at, duty, term, owner, deed: false, reached: to });
+            }
+        }
+    }
+
     // Connections.
 
     fn accept(&mut self, at: usize) {
@@ -1532,7 +1601,9 @@
         if connection.opening || !ended {
             return self.not_connected(job);
         }
-        let alive = self.schedulers[connection.scheduler].process.is_some();
+        // Of two processes under one name one may have been killed: that is no crossing.
+        let one = &self.schedulers[connection.scheduler];
+        let alive = one.process.is_some() && self.at() > one.killed_at + KILL_SEEN;
         if served > 0 && input.is_empty() && alive {
             let at = self.at();
             self.note(Event::Crossed { at, id: id.clone() });
--- a/crates/rig/src/traffic.rs
+++ b/crates/rig/src/traffic.rs
@@ -4,7 +4,7 @@
 use crate::Millis;
 use crate::ledger::How;
 use crate::scenario::{CLASSES, Scenario};
-use rand::Rng;
+use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
 /// The tenants of all scenarios.
--- a/crates/rig/src/weather.rs
+++ b/crates/rig/src/weather.rs
@@ -1,7 +1,7 @@
 //! What a link does to what travels on it, one direction at a time. No I/O, no clock.
 
 use crate::Millis;
-use rand::Rng;
+use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
 
--- a/crates/rig/src/worker.rs
+++ b/crates/rig/src/worker.rs
@@ -4,7 +4,7 @@
 use crate::Millis;
 use crate::ledger::Event;
 use crate::scenario::{KEYED_WINDOW, Scenario};
-use rand::Rng;
+use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use std::collections::{HashMap, VecDeque};
--- a/crates/rig/tests/ledger.rs
+++ b/crates/rig/tests/ledger.rs
@@ -151,6 +151,17 @@
             ]),
             false,
         ),
+        ("a view refused that ran", join(vec![once(VIEW), vec![ended("a", How::Refused, 120.0)]]), false),
+        (
+            "a sale refused that may have run",
+            join(vec![once(SALE), vec![ended("a", How::Refused, 120.0)]]),
+            true,
+        ),
+        (
+            "a buy refused that may have run",
+            join(vec![once(BUY), vec![ended("a", How::Refused, 120.0)]]),
+            true,
+        ),
         ("a buy again in its zone", join(vec![once(BUY), ran("a", 3, 50.0), end()]), false),
         ("a buy again in another zone", join(vec![once(BUY), ran("a", 2, 50.0), end()]), true),
         ("a buy again after its window", join(vec![once(BUY), ran("a", 3, 7_600.0), end()]), true),
