--- a/crates/daemon/src/net/tier.rs
+++ b/crates/daemon/src/net/tier.rs
@@ -43,8 +43,19 @@
     withheld: u64,
     /// Datagrams that made no sense.
     nonsense: u64,
+    /// A newer process has our number: when we last got something that was meant for it.
+    replaced: Option<u64>,
+    leaving: bool,
+    ordinal: u32,
+    seats: usize,
+    operations: Operations,
+    seed: u64,
 }
 
+/// A newer process of our number that nothing was meant for in so long, in microseconds, is gone: longer than
+/// membership takes to find that out.
+const REPLACED: u64 = 15_000_000;
+
 /// Microseconds on the clock that counts everything.
 fn micros() -> u64 {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
@@ -58,6 +69,7 @@
 impl Tier {
     /// A process that has just started.
     pub fn new(ordinal: u32, seats: usize, operations: &Operations, seed: u64) -> Tier {
+        let (number, size) = (ordinal, seats);
         let (ordinal, seats) = (ordinal as u16, seats as u16);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let me = Process { ordinal, boot: unix.as_millis() as u64 };
@@ -81,14 +93,33 @@
             fence: Fence::default(),
             withheld: 0,
             nonsense: 0,
+            replaced: None,
+            leaving: false,
+            ordinal: number,
+            seats: size,
+            operations: *operations,
+            seed,
         }
     }
 
+    /// Comes back as a process that has just started, once the newer one of our number is gone.
+    fn come_back(&mut self, log: &Logger) {
+        let (withheld, nonsense, fence) = (self.withheld, self.nonsense, std::mem::take(&mut self.fence));
+        *self = Tier::new(self.ordinal, self.seats, &self.operations, self.seed);
+        (self.withheld, self.nonsense, self.fence) = (withheld, nonsense, fence);
+        info!(log, "the newer process of our number is gone: we take part again");
+    }
+
     /// Takes a datagram in, if it is one of the tier's; `None`: it is none.
     pub fn hear(&mut self, from: u16, bytes: &[u8]) -> Option<Heard> {
         let (kind, bytes) = bytes.split_first()?;
         let now = micros();
         match *kind {
+            MEMBERSHIP if self.replaced.is_some() => {
+                if self.membership.for_newer(bytes) {
+                    self.replaced = Some(now);
+                }
+            }
             MEMBERSHIP => {
                 self.membership.hear(millis(now), bytes);
             }
@@ -123,6 +154,12 @@
     /// Does what is due; how long until something is due again.
     pub fn on_time(&mut self, peer: &Peer, log: &Logger) -> Millis {
         let now = micros();
+        if let Some(last) = self.replaced {
+            if now < last + REPLACED || self.leaving {
+                return 1_000.0;
+            }
+            self.come_back(log);
+        }
         self.membership.on_time(millis(now));
         self.carry_out(peer, log);
         self.ownership.on_time(now);
@@ -149,6 +186,7 @@
                 MemberOrder::Replaced => {
                     info!(log, "another process has our number and is newer: we own nothing any more");
                     self.ownership.leave(micros());
+                    self.replaced = Some(micros());
                 }
             }
         }
@@ -174,6 +212,7 @@
     /// We stop: what we own is given back, and the others hear that we go.
     pub fn leave(&mut self, peer: &Peer, log: &Logger) {
         let now = micros();
+        self.leaving = true;
         self.ownership.leave(now);
         self.membership.leave(millis(now));
         self.carry_out(peer, log);
--- a/crates/daemon/tests/tier.rs
+++ b/crates/daemon/tests/tier.rs
@@ -87,6 +87,7 @@
     loss_10 "loss-10"
     loss_30 "loss-30"
     loss_50 "loss-50"
+    no_agreement "no-agreement"
     outage_with_crash "outage-with-crash"
     owner_killed "owner-killed"
     owner_killed_loss_30 "owner-killed-loss-30"
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -118,7 +118,7 @@
 impl Times {
     /// For a tier of so many. What is suspected must hear of it and its answer must come round before it is given up:
     /// both travel by gossip, in rounds that grow with the logarithm of the number; at 30% loss a round reaches half
-    /// as many. Figures: docs/measurements/membership.md.
+    /// as many. Figures: docs/measurements/ownership.md.
     pub fn for_tier(schedulers: usize) -> Times {
         let rounds = (schedulers.max(2) as f64).log2();
         Times {
@@ -308,10 +308,7 @@
         if self.left {
             return true;
         }
-        // Two processes may share an address, and each gets some of what is meant for the other.
-        let header: Option<foca::Header<Known>> = foca::PostcardCodec.decode_header(bytes).ok();
-        let meant = header.map(|header| header.dst.process);
-        if !self.replaced && meant.is_some_and(|p| p.ordinal == self.me.ordinal && p.boot > self.me.boot) {
+        if !self.replaced && self.for_newer(bytes) {
             self.replaced = true;
             self.orders.push_back(Order::Replaced);
         }
@@ -325,6 +322,17 @@
         sense
     }
 
+    /// Whether a message is meant for a newer process of our number: two may share an address, and each gets some of
+    /// what is meant for the other. A call for somebody who may be gone does not count.
+    pub fn for_newer(&self, bytes: &[u8]) -> bool {
+        let header: Option<foca::Header<Known>> = foca::PostcardCodec.decode_header(bytes).ok();
+        header.is_some_and(|header| {
+            let meant = header.dst.process;
+            let call = header.message == foca::Message::Announce;
+            !call && meant.ordinal == self.me.ordinal && meant.boot > self.me.boot
+        })
+    }
+
     /// Tells some others that we go, and says nothing more.
     pub fn leave(&mut self, now: Millis) {
         if !std::mem::replace(&mut self.left, true) {
