--- a/crates/rig/tests/ledger.rs
+++ b/crates/rig/tests/ledger.rs
@@ -248,3 +248,30 @@
     let known = ["answers", "repeats", "drains", "cold", "messages", "claims"];
     assert_eq!(RULES, known, "each has a history here");
 }
+
+#[test]
+fn a_term_with_two_owners_is_seen_late_deeds_are_counted_and_a_succession_is_timed() {
+    let duty = |at, step, owner, deed, reached| Event::Duty {
+        at,
+        duty: 0,
+        term: [1, 1, 1, 0, step],
+        owner,
+        deed,
+        reached,
+    };
+    assert_eq!(broken(&[duty(0.0, 1, 0, false, None), duty(1.0, 1, 1, true, None)]), ["claims"]);
+    let dies = |back: f64| {
+        let mut history = vec![duty(0.0, 1, 0, false, None), process(Turn::Killed, 1_000.0)];
+        history.extend([duty(1_100.0, 1, 0, false, None), duty(back, 2, 1, false, None)]);
+        history
+    };
+    let audit = judged(&dies(2_800.0));
+    assert_eq!((audit.breaches.len(), audit.owner_after), (0, Some(1_800.0)));
+    assert_eq!(audit.owners, [(0.0, 0, 0), (2_800.0, 0, 1)]);
+    assert_eq!(judged(&dies(2_800.0)[..3]).owner_after, None, "nobody followed");
+    let mut late = dies(2_800.0);
+    late.push(duty(2_900.0, 2, 1, true, Some(3)));
+    late.push(duty(3_000.0, 1, 0, true, Some(3)));
+    late.push(duty(3_100.0, 1, 0, true, Some(2)));
+    assert_eq!(judged(&late).late_deeds, 1, "only where a newer one had come");
+}
