Let the scenario of late deeds fail where none comes late; say what was reckoned

Need: the check that late deeds are refused held trivially where none came late; and the pages gave 22 suspicions a second as if counted, which was reckoned from the loss.

--- a/crates/daemon/tests/tier.rs
+++ b/crates/daemon/tests/tier.rs
@@ -46,6 +46,8 @@
             outcome.doors
         );
     }
+    // Where messages are held back for it, some must have come late, or the next check shows nothing.
+    assert!(name != "late-deeds" || audit.late_deeds > 10, "{shown}");
     // Whatever came after a newer term was refused by whoever got it.
     let refused: usize = outcome.doors.iter().map(|door| figure(&door.1, "deeds_refused=")).sum();
     assert!(refused >= audit.late_deeds, "{refused} refused of {} late deeds: {shown}", audit.late_deeds);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -135,7 +135,8 @@
 /// Members told at once.
 const SOME: NonZeroUsize = NonZeroUsize::new(3).expect("three");
 /// Members asked to ask. At 30% loss a way there and back through another works one time in four: of three all fail
-/// so often that a tier of 40 has 22 suspicions a second, and 24 false deaths an hour; of six, none in an hour.
+/// so often that a tier of 40 should have some 22 suspicions a second (reckoned), and has 24 false deaths an hour; of
+/// six, none in an hour (measured).
 const ASKED: NonZeroUsize = NonZeroUsize::new(6).expect("six");
 
 fn span(ms: Millis) -> Duration {
