--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -148,6 +148,7 @@
             slots: ask.slots,
             memory: ask.mem,
             is_retry: ask.is_retry,
+            ran: None,
         })
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -71,11 +71,14 @@
         Config::parse(&path, &text, Overrides { name, listen, discovery, control })
     }
 
-    /// The operators' settings; without a file, the defaults.
-    fn operations(&self) -> Result<Operations, String> {
+    /// The operators' settings, held against the configuration; without a file, the defaults.
+    fn operations(&self, config: &Config) -> Result<Operations, String> {
         let Some(path) = &self.operations else { return Ok(Operations::default()) };
         let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Operations::parse(path, &text)
+        let operations = Operations::parse(path, &text)?;
+        let schedulers = config.peer.as_ref().map_or(0, |peer| peer.peers.len());
+        operations.fits(path, &config.settings.class_names(), schedulers)?;
+        Ok(operations)
     }
 }
 
@@ -134,13 +137,13 @@
     match command {
         Command::Serve(options) => {
             let config = options.load()?;
-            let operations = options.operations()?;
+            let operations = options.operations(&config)?;
             let (log, _guard) = logger();
             net::serve(config, operations, &|| options.load(), log)
         }
         Command::Check(options) => {
             let config = options.load()?;
-            options.operations()?;
+            options.operations(&config)?;
             println!("{config}");
             Ok(())
         }
--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -56,6 +56,10 @@
                     text.push_str(&line);
                     text.push('\n');
                 }
+                for line in cx.cover.iter().flat_map(|cover| cover.lines(&self.classes)) {
+                    text.push_str(&line);
+                    text.push('\n');
+                }
                 text.push_str("end\n");
                 text
             }
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -55,6 +55,8 @@
     Stop,
     /// Membership or ownership has something due.
     Tier,
+    /// Handover has something due, or a link to another scheduler is to be tried again.
+    Cover,
 }
 
 /// Which part of the program owns a token.
@@ -65,6 +67,8 @@
     Peer,
     ControlListener,
     Control(usize),
+    LinkListener,
+    Link(usize),
     Frontend(usize),
     Backend(usize),
     Discovery(usize),
@@ -77,7 +81,9 @@
             Owner::Signal => 4,
             Owner::Peer => 8,
             Owner::ControlListener => 12,
-            Owner::Control(at) => (at + 4) << 2,
+            Owner::LinkListener => 16,
+            Owner::Control(at) => (2 * at + 5) << 2,
+            Owner::Link(at) => (2 * at + 6) << 2,
             Owner::Frontend(at) => at << 2 | 1,
             Owner::Backend(at) => at << 2 | 2,
             Owner::Discovery(at) => at << 2 | 3,
@@ -94,7 +100,9 @@
             (_, 1) => Owner::Signal,
             (_, 2) => Owner::Peer,
             (_, 3) => Owner::ControlListener,
-            _ => Owner::Control(at - 4),
+            (_, 4) => Owner::LinkListener,
+            _ if at % 2 == 1 => Owner::Control((at - 5) / 2),
+            _ => Owner::Link((at - 6) / 2),
         }
     }
 }
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -5,6 +5,7 @@
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive};
 use super::link::Link;
 use brackenledge_engine::{Answer, Arrival, ClientId, Request};
+use brackenledge_handover::Waiter;
 use brackenledge_policy::settings::SettingsDocument;
 use brackenledge_policy::{Effect, JobId, NewJob, Settings};
 use brackenledge_protocol::http::{
@@ -122,6 +123,7 @@
             slots,
             memory,
             is_retry: header(headers, "X-Second-Try") == Some("1"),
+            ran: None,
         };
         Ok(Arrival {
             client,
@@ -133,6 +135,7 @@
                 content_type: only("Content-Type")?.map(str::to_owned),
                 body: Vec::new(),
                 once: self.effects[class] == Effect::Unsafe,
+                watched: false,
             },
         })
     }
@@ -153,6 +156,8 @@
     Body(Awaited, Body),
     /// The core has its job.
     Job(JobId),
+    /// Its job is covered, and may live elsewhere.
+    Covered(Waiter),
     /// Nothing more is read; what is left to write goes out.
     Closing,
 }
@@ -230,7 +235,7 @@
                         Err(Malformed::Framing) => self.reject((400, "the body's framing is broken"), cx),
                     };
                 }
-                State::Job(_) => return,
+                State::Job(_) | State::Covered(_) => return,
                 State::Closing => {
                     let rest = self.link.buffer.input().len();
                     self.link.buffer.consume(rest);
@@ -314,15 +319,17 @@
             Awaited::Up if !cx.drain.up() => self.answer(503, "", b"draining\n", cx),
             Awaited::Up if !cx.roster.serves() => self.answer(503, "", b"no server table yet\n", cx),
             Awaited::Up => self.answer(200, "", b"up\n", cx),
-            Awaited::Job(arrival)
-                if cx.core.owed() >= self.rules.most_held || !cx.drain.takes_work(cx.now) =>
-            {
+            Awaited::Job(arrival) if cx.held() >= self.rules.most_held || !cx.drain.takes_work(cx.now) => {
                 cx.core.refused_at_door(arrival.job.class);
                 self.give(Answer::Denied { retry_after: Some(HELD_RETRY) }, cx);
             }
             Awaited::Job(mut arrival) => {
                 arrival.request.body = body;
                 arrival.job.time_left = arrival.job.time_left.min(cx.time_left());
+                if let Some(cover) = cx.cover.as_mut().filter(|cover| cover.covers(&arrival)) {
+                    self.state = State::Covered(cover.arrive(*arrival));
+                    return;
+                }
                 match cx.core.job_arrived(cx.now, *arrival) {
                     Some(job) => self.state = State::Job(job),
                     None => self.reject((409, "a job with this X-Trace-Id is open"), cx),
@@ -408,8 +415,14 @@
     }
 
     fn on_end(&mut self, cx: &mut Context) {
-        if let State::Job(job) = self.state {
-            cx.core.client_gone(job);
+        match self.state {
+            State::Job(job) => cx.core.client_gone(job),
+            State::Covered(waiter) => {
+                if let Some(cover) = cx.cover {
+                    cover.client_gone(waiter);
+                }
+            }
+            _ => {}
         }
     }
 
@@ -417,7 +430,7 @@
         match self.state {
             State::Head => HEAD_MOST + AHEAD_MOST,
             State::Body(..) | State::Closing => BODY_MOST + HEAD_MOST,
-            State::Job(_) => AHEAD_MOST,
+            State::Job(_) | State::Covered(_) => AHEAD_MOST,
         }
     }
 }
@@ -541,6 +554,19 @@
         if !matches!(client.state, State::Job(held) if held == job) {
             return;
         }
+        self.give(at, answer, cx);
+    }
+
+    /// The answer to a client whose job is covered.
+    pub fn answer_covered(&mut self, at: ClientId, waiter: Waiter, answer: Answer, cx: &mut Context) {
+        let Some(client) = self.clients.get(at) else { return };
+        if matches!(client.state, State::Covered(held) if held == waiter) {
+            self.give(at, answer, cx);
+        }
+    }
+
+    fn give(&mut self, at: ClientId, answer: Answer, cx: &mut Context) {
+        let client = &mut self.clients[at];
         client.give(answer, cx);
         // A next request may have come already, of which the poll won't tell again.
         client.read(cx);
@@ -551,7 +577,7 @@
     pub fn sweep(&mut self, cx: &mut Context) {
         let now = cx.now;
         let late = |client: &ClientConnection| match client.state {
-            State::Job(_) => false,
+            State::Job(_) | State::Covered(_) => false,
             State::Closing => now >= client.since + LINGER && client.link.buffer.output().is_empty(),
             _ if client.known => client.begun.is_some_and(|begun| now >= begun + REQUEST_TIME),
             _ => now >= client.since + REQUEST_TIME,
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -2,23 +2,28 @@
 
 mod backend;
 mod control;
+mod cover;
 mod discovery;
 mod event_loop;
 mod frontend;
 mod link;
+mod links;
 mod peer;
 mod tier;
 
 use self::backend::Backend;
 use self::control::Control;
+use self::cover::{Cover, Leaving};
 use self::discovery::{Discovery, Places};
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
+use self::links::Links;
 use self::peer::Peer;
 use self::tier::Tier;
 use brackenledge_engine::drain::Drain;
-use brackenledge_engine::{Core, Order};
-use brackenledge_policy::Settings;
+use brackenledge_engine::{Answer, Core, Order};
+use brackenledge_handover::{Fate, Order as CoverOrder};
+use brackenledge_policy::{Outcome, Settings};
 use brackenledge_protocol::config::{Config, IDLE_LIMIT};
 use brackenledge_protocol::operations::Operations;
 use brackenledge_roster::{Roster, RosterSettings};
@@ -48,6 +53,10 @@
 const SERVE_ON: Millis = 2_000.0;
 /// How long after SIGTERM jobs that came since must be answered: SIGKILL comes 3.7 s after it at the earliest.
 const ANSWER_BY: Millis = 3_400.0;
+/// Time between looks at what cover waits for, and at its links.
+const COVER_EVERY: Millis = 20.0;
+/// How long the last words to other schedulers may take at the end: several round trips.
+const LAST_WORDS: Millis = 300.0;
 
 /// What a callback may reach.
 pub struct Context<'a> {
@@ -65,9 +74,16 @@
     drain: &'a mut Drain,
     /// Who is in the tier, and what we own on its behalf.
     tier: &'a mut Option<Tier>,
+    /// Jobs that others go on with if we are lost.
+    cover: &'a mut Option<Cover>,
 }
 
 impl Context<'_> {
+    /// Jobs that clients wait for here.
+    fn held(&self) -> usize {
+        self.core.owed() + self.cover.as_ref().map_or(0, Cover::waiting)
+    }
+
     /// Whether SIGTERM came so long ago that clients get no further request in.
     fn closing(&self) -> bool {
         self.stopping.is_some_and(|since| self.now >= since + SERVE_ON)
@@ -91,6 +107,10 @@
     control: Option<Control>,
     drain: Drain,
     tier: Option<Tier>,
+    cover: Option<Cover>,
+    links: Option<Links>,
+    /// When nothing was owed any more, after SIGTERM.
+    idle_since: Option<Millis>,
     signals: Signals,
     /// Reads the configuration again.
     reload: Reload<'a>,
@@ -177,6 +197,7 @@
             stopping: $scheduler.stopping,
             drain: &mut $scheduler.drain,
             tier: &mut $scheduler.tier,
+            cover: &mut $scheduler.cover,
         }
     };
 }
@@ -227,6 +248,24 @@
         if tier.is_some() {
             event_loop.set_alarm(event_loop.now(), Alarm::Tier);
         }
+        let (mut cover, mut links) = (None, None);
+        if let Some(tier) = tier.as_ref().filter(|_| operations.cover.on) {
+            let addresses = operations.cover.links.clone();
+            let own = addresses.get(settings.ordinal as usize).copied();
+            let own = own.ok_or("handover.links: no address for this scheduler's number")?;
+            // Shared, as the listener for clients is, with a process that replaces this one.
+            let listener = listen(own, true).map_err(|e| format!("handover.links {own}: {e}"))?;
+            let mut all = Links::new(listener, addresses, settings.ordinal as u16);
+            event_loop
+                .registry()
+                .register(all.listener(), Owner::LinkListener.token(), Interest::READABLE)
+                .map_err(|e| format!("{watched}: {e}"))?;
+            let effects = settings.classes.iter().map(|class| class.effect);
+            let classes: Vec<_> = document.class_names().into_iter().zip(effects).collect();
+            cover = Some(Cover::new(&operations.cover, tier.me(), settings.zone, &classes));
+            links = Some(all);
+            event_loop.set_alarm(event_loop.now(), Alarm::Cover);
+        }
         let places = Places { zones: document.zone_names(), kinds: document.kind_names() };
         let idle_limit = document.idle_limit().unwrap_or(IDLE_LIMIT);
         let shared = config.sockets.saturating_sub(RESERVED + operations.callers_most);
@@ -259,6 +298,9 @@
             control,
             drain: Drain::new(operations.takes_work_for),
             tier,
+            cover,
+            links,
+            idle_since: None,
             signals,
             reload,
             discovery_in_file: config.discovery_in_file,
@@ -302,9 +344,19 @@
                     peer.on_input(cx);
                     if let Some(tier) = cx.tier.as_mut() {
                         tier.carry_out(peer, cx.log);
+                        if let Some(cover) = cx.cover.as_mut() {
+                            cover.sync(tier);
+                        }
                     }
                 }
             }
+            Owner::LinkListener | Owner::Link(_) => {
+                let Some(links) = &mut self.links else { return };
+                match owner {
+                    Owner::Link(at) => links.on_ready(at, cx),
+                    _ => links.accept(cx),
+                }
+            }
             Owner::Signal => {
                 let mut bytes = [0; 64];
                 while matches!(self.signals.pipe.read(&mut bytes), Ok(count) if count > 0) {}
@@ -364,11 +416,29 @@
             Alarm::Tier => {
                 if let (Some(tier), Some(peer)) = (cx.tier.as_mut(), &self.peer) {
                     let wait = tier.on_time(peer, cx.log);
+                    if let Some(cover) = cx.cover.as_mut() {
+                        cover.sync(tier);
+                    }
                     cx.event_loop.set_alarm(cx.now + wait, Alarm::Tier);
                 }
             }
+            Alarm::Cover => {
+                if let Some(cover) = cx.cover.as_mut() {
+                    if let Some(tier) = cx.tier.as_ref() {
+                        cover.sync(tier);
+                    }
+                    cover.on_time();
+                }
+                if let Some(links) = &mut self.links {
+                    links.on_time(cx);
+                }
+                cx.event_loop.set_alarm(cx.now + COVER_EVERY, Alarm::Cover);
+            }
             // On time, and not at the next sweep: what arrives later than this may meet SIGKILL.
             Alarm::Stop => {
+                if let Some(given) = cx.cover.as_mut().map(Cover::yield_all).filter(|&given| given > 0) {
+                    info!(cx.log, "jobs that were not sent are given to others"; "jobs" => given);
+                }
                 self.frontend.accept(cx);
                 self.frontend.close_all_idle(cx);
             }
@@ -381,6 +451,8 @@
             // What the roster has learned goes first: a job must not be sent by an older belief.
             if let Some(order) = self.roster.next_order() {
                 self.carry_out_roster(order);
+            } else if let Some(order) = self.cover.as_mut().and_then(Cover::next_order) {
+                self.carry_out_cover(order);
             } else if let Some(order) = self.core.next_order(self.event_loop.now()) {
                 self.carry_out(order);
             } else {
@@ -389,6 +461,61 @@
         }
         let cx = &mut context!(self);
         self.discovery.arm(cx);
+        if let Some(links) = &mut self.links {
+            links.flush(cx);
+        }
+    }
+
+    fn carry_out_cover(&mut self, order: CoverOrder) {
+        let cx = &mut context!(self);
+        let Some(cover) = cx.cover.as_mut() else { return };
+        match order {
+            CoverOrder::Send(to, message) => cover.say(to, message),
+            CoverOrder::Start { key, what, until, ran, .. } => {
+                // What repeats are bound to is not known here: there can be none.
+                let place = ran.as_ref().map(|(name, _)| cx.roster.find(name));
+                if place == Some(None) {
+                    cover.not_taken(&key, Fate::Failed);
+                    return;
+                }
+                let ran = place.flatten().zip(ran).map(|(at, (_, ago))| (at, ago as Millis / 1_000.0));
+                let arrival = cover.arrival(&key, &what, until, ran);
+                match arrival.and_then(|arrival| cx.core.job_arrived(cx.now, arrival)) {
+                    Some(job) => cover.taken(key, job),
+                    None => cover.not_taken(&key, Fate::Denied(None)),
+                }
+            }
+            CoverOrder::Go(key, attempt) => {
+                if let Some(Leaving { id, worker, request, until }) = cover.leaves(&key, attempt) {
+                    self.backend.dispatch(id, worker, request, until, cx);
+                }
+            }
+            CoverOrder::Moot(key, attempt) => {
+                if let Some(id) = cover.moot(&key, attempt) {
+                    cx.core.dispatch_ended(id, Outcome::Moot, None);
+                }
+            }
+            CoverOrder::Close(key) => {
+                if let Some((job, waiting)) = cover.close(&key) {
+                    waiting.into_iter().for_each(|id| cx.core.dispatch_ended(id, Outcome::Moot, None));
+                    cx.core.client_gone(job);
+                }
+            }
+            CoverOrder::Answer(waiters, fate) => {
+                for waiter in waiters {
+                    let Some(client) = cx.cover.as_mut().and_then(|cover| cover.client(waiter)) else {
+                        continue;
+                    };
+                    let answer = match &fate {
+                        Fate::Served(result) => Answer::Served(String::from_utf8_lossy(result).into_owned()),
+                        Fate::Denied(wait) => Answer::Denied { retry_after: wait.map(f64::from) },
+                        Fate::Failed => Answer::Failed,
+                    };
+                    self.frontend.answer_covered(client, waiter, answer, cx);
+                }
+            }
+            CoverOrder::Log(text) => info!(cx.log, "handover"; "what" => text),
+        }
     }
 
     fn carry_out_roster(&mut self, order: brackenledge_roster::Order) {
@@ -409,11 +536,32 @@
     fn carry_out(&mut self, order: Order) {
         let cx = &mut context!(self);
         match order {
-            Order::Answer { client, job, answer } => self.frontend.answer(client, job, answer, cx),
+            Order::Answer { client, job, answer } => {
+                if !cx.cover.as_mut().is_some_and(|cover| cover.answered(job, &answer)) {
+                    self.frontend.answer(client, job, answer, cx);
+                }
+            }
             Order::Dispatch { id, worker, request, until } => {
-                self.backend.dispatch(id, worker, request, until, cx);
+                let leaving = Leaving { id, worker, request, until };
+                let leaving = match cx.cover {
+                    Some(cover) => {
+                        cover.dispatch(cx.now, leaving, cx.roster.name(worker).unwrap_or_default())
+                    }
+                    None => Some(leaving),
+                };
+                if let Some(Leaving { id, worker, request, until }) = leaving {
+                    self.backend.dispatch(id, worker, request, until, cx);
+                }
+            }
+            Order::Ended { id, never_ran } => {
+                if let Some(cover) = cx.cover {
+                    cover.ended(id, never_ran);
+                }
+            }
+            Order::Cancel { id } if cx.cover.as_mut().is_some_and(|cover| cover.cancel(id)) => {
+                cx.core.dispatch_ended(id, Outcome::Moot, None);
             }
-            Order::Cancel { id } => self.backend.cancel(id, brackenledge_policy::Outcome::Cancelled, cx),
+            Order::Cancel { id } => self.backend.cancel(id, Outcome::Cancelled, cx),
             Order::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
             Order::Watch { on } => cx.roster.want(cx.now, on),
             Order::FetchList => cx.roster.fetch(cx.now),
@@ -453,6 +601,20 @@
         self.frontend.accept(cx);
         self.frontend.close_all_idle(cx);
         self.settle();
-        self.core.owed() == 0 && !self.frontend.busy()
+        if self.core.owed() > 0 || self.frontend.busy() {
+            return false;
+        }
+        // What others must know of what we held goes out before we do.
+        let now = self.event_loop.now();
+        let idle_since = *self.idle_since.get_or_insert(now);
+        let said =
+            self.cover.as_ref().is_none_or(Cover::said_all) && self.links.as_ref().is_none_or(Links::quiet);
+        if !said && now < idle_since + LAST_WORDS {
+            return false;
+        }
+        if let (Some(tier), Some(peer)) = (&mut self.tier, &self.peer) {
+            tier.let_go(peer, &self.log);
+        }
+        true
     }
 }
--- a/crates/daemon/src/net/tier.rs
+++ b/crates/daemon/src/net/tier.rs
@@ -7,10 +7,11 @@
 use super::event_loop::Millis;
 use super::peer::Peer;
 use brackenledge_membership::{Membership, Order as MemberOrder, Process, Standing, Times};
-use brackenledge_ownership::{Deed, Fence, Message, Order, Ownership, Settings};
+use brackenledge_ownership::{Deed, Fence, Message, Order, Ownership, Settings, Term};
 use brackenledge_policy::split_sums;
 use brackenledge_protocol::operations::Operations;
 use slog::{Logger, info};
+use std::collections::BTreeMap;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// The first byte of a datagram: membership's, ownership's, and an owner's deed. No text between schedulers, which is
@@ -56,8 +57,12 @@
 /// membership takes to find that out.
 const REPLACED: u64 = 15_000_000;
 
+/// How long a scheduler may count on being on the roll, in microseconds, at the usual lease: longer than a steward takes to be
+/// followed (1.6 to 2.2 s), or cover would pause with each that goes; it is what a lost scheduler's jobs wait.
+const STAY: u64 = 2_300_000;
+
 /// Microseconds on the clock that counts everything.
-fn micros() -> u64 {
+pub fn micros() -> u64 {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     u64::try_from(time.tv_sec).unwrap_or(0) * 1_000_000 + u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000
 }
@@ -81,6 +86,8 @@
         let scaled = |time: u64| (time as f64 * operations.lease * 1_000.0 / usual.lease as f64) as u64;
         let settings = Settings {
             voters: operations.voters,
+            // Longer than a steward takes to be followed, or cover would pause with each that goes.
+            stay: if operations.cover.on { scaled(STAY) } else { 0 },
             lease: scaled(usual.lease),
             beat: scaled(usual.beat),
             wait: scaled(usual.wait),
@@ -97,7 +104,7 @@
             leaving: false,
             ordinal: number,
             seats: size,
-            operations: *operations,
+            operations: operations.clone(),
             seed,
         }
     }
@@ -218,6 +225,23 @@
         self.carry_out(peer, log);
     }
 
+    /// Who we are.
+    pub fn me(&self) -> Process {
+        self.membership.me()
+    }
+
+    /// The roll of members with its term, and until when we may count on being on it.
+    pub fn roll(&self) -> (Term, &BTreeMap<u16, u64>, Option<u64>) {
+        let (term, members) = self.ownership.roll();
+        (term, members, self.ownership.stays(micros()))
+    }
+
+    /// We do nothing more that others must wait for.
+    pub fn let_go(&mut self, peer: &Peer, log: &Logger) {
+        self.ownership.let_go();
+        self.carry_out(peer, log);
+    }
+
     /// Tells all the sums of loads, if that is ours to do at this moment.
     pub fn tell_sums(&mut self, peer: &Peer, text: &str) {
         let Some(term) = self.ownership.may(micros(), RELAY) else {
--- a/crates/daemon/tests/tier.rs
+++ b/crates/daemon/tests/tier.rs
@@ -46,6 +46,18 @@
             outcome.doors
         );
     }
+    if scenario.handover.is_some() {
+        let sums = report::figures(&outcome.figures, "handover.");
+        let sum = |name: &str| sums.get(&format!("handover.{name}")).copied().unwrap_or(0);
+        assert_eq!(sum("nonsense"), 0, "{shown}");
+        assert!(sum("kept_ended.market-sale") + sum("refused") > 0, "no order was covered: {sums:?}");
+        // What the ledger saw taken over, the processes that still run have counted, and more: what was not sent again.
+        let adopted = audit.adopted.iter().sum::<usize>() as u64;
+        assert!(
+            outcome.figures.len() < scenario.schedulers || sum("adopted") >= adopted,
+            "{sums:?}\n{shown}"
+        );
+    }
     // Where messages are held back for it, some must have come late, or the next check shows nothing.
     assert!(name != "late-deeds" || audit.late_deeds > 10, "{shown}");
     // Whatever came after a newer term was refused by whoever got it.
@@ -76,6 +88,22 @@
 }
 
 scenarios! {
+    handover_crash "handover-crash"
+    handover_crash_in_rolling_restart "handover-crash-in-rolling-restart"
+    handover_crash_then_keeper "handover-crash-then-keeper"
+    handover_cut_from_keepers "handover-cut-from-keepers"
+    handover_cut_from_workers "handover-cut-from-workers"
+    handover_full "handover-full"
+    handover_links_reset "handover-links-reset"
+    handover_loss_and_delay "handover-loss-and-delay"
+    handover_pause_10s "handover-pause-10s"
+    handover_pause_1s "handover-pause-1s"
+    handover_pause_4s "handover-pause-4s"
+    handover_slow_keepers "handover-slow-keepers"
+    handover_split_3_3 "handover-split-3-3"
+    handover_steward_killed "handover-steward-killed"
+    handover_twin "handover-twin"
+    handover_two_at_once "handover-two-at-once"
     broken_links "broken-links"
     calm "calm"
     cold_return "cold-return"
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -37,6 +37,8 @@
     pub body: Vec<u8>,
     /// It must not run twice.
     pub once: bool,
+    /// Whoever brought it is told how each dispatch ended.
+    pub watched: bool,
 }
 
 /// A job as a front brings it. The core gives it its id.
@@ -90,6 +92,13 @@
         /// The dispatch.
         id: DispatchId,
     },
+    /// A dispatch of a watched job has ended.
+    Ended {
+        /// The dispatch.
+        id: DispatchId,
+        /// It is known that the job never ran by it.
+        never_ran: bool,
+    },
     /// Call [`Core::wake`] after this long.
     Wake {
         /// How far from now, in milliseconds.
@@ -226,7 +235,8 @@
             deadline: now + job.time_left,
             answered: false,
             request: Rc::new(request),
-            out: Vec::new(),
+            // What another scheduler had out counts as the first.
+            out: vec![false; usize::from(job.ran.is_some())],
         };
         self.jobs.insert(id, held);
         self.owed += 1;
@@ -269,6 +279,9 @@
             return;
         }
         let settled = job.answered;
+        if job.request.watched {
+            self.orders.push_back(Order::Ended { id, never_ran: outcome.never_ran() });
+        }
         self.events.push_back(Event::Response(Response {
             job: id.0,
             attempt: id.1,
--- a/crates/engine/tests/figures.rs
+++ b/crates/engine/tests/figures.rs
@@ -67,6 +67,7 @@
                         slots: 1.0,
                         memory: 0.0,
                         is_retry: false,
+                        ran: None,
                     },
                     request: Request {
                         id: format!("t{serial}"),
@@ -75,6 +76,7 @@
                         content_type: None,
                         body: Vec::new(),
                         once: false,
+                        watched: false,
                     },
                 };
                 let job = core.job_arrived(now, arrival).expect("ids are new");
--- a/crates/lab/src/tier.rs
+++ b/crates/lab/src/tier.rs
@@ -16,7 +16,7 @@
     /// The scheduler's program; else the one beside this.
     #[arg(long, value_name = "FILE")]
     program: Option<PathBuf>,
-    /// Where each run leaves NAME.html, its history NAME.jsonl and its figures NAME.json.
+    /// Where each run leaves NAME.html, its history NAME.jsonl, its figures NAME.json and the processes' NAME.log.
     #[arg(long, value_name = "FOLDER")]
     out: Option<PathBuf>,
     /// In place of the files' seeds.
@@ -47,6 +47,11 @@
         verdict.short.iter().for_each(|short| eprintln!("{}: {short}", scenario.name));
     } else {
         print!("{}", report::summary(scenario, &audit, &verdict));
+        let figures = report::figures(&outcome.figures, "handover.");
+        let figures: Vec<String> = figures.iter().map(|(name, figure)| format!("{name} {figure}")).collect();
+        if !figures.is_empty() {
+            println!("{}", figures.join(", "));
+        }
         println!("the rig was late {} times by over {} ms", outcome.rig_late, tier::RIG_LATE);
     }
     if let Some(folder) = &options.out {
@@ -55,6 +60,7 @@
             std::fs::write(&path, text).map_err(|error| format!("{}: {error}", path.display()))
         };
         std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+        write("log", outcome.log.join("\n") + "\n")?;
         write("jsonl", report::json_lines(&outcome.history)?)?;
         write("json", serde_json::to_string_pretty(&audit).map_err(|error| error.to_string())?)?;
         write("html", report::html(scenario, &audit, &verdict)?)?;
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -25,6 +25,14 @@
 //! | `Want`, `Given` | asked again each beat | no change | ignored: not later than the last return, and counted from when it was asked |
 //! | `Release`, `Return` | the lease runs out | no change | ignored: its round or term is over |
 //! | `Hello` | repeated | answered again | answered |
+//! | `Stay` | asked again each beat | granted again | granted from now on: its sender is left out so much later |
+//! | `Stays` | asked again each beat | no change | ignored, or counted from when it was asked |
+//! | `Unstay` | what was granted runs out | no change | no change: who goes does not ask again |
+//!
+//! A member may also ask to *stay*, and is left out of the roll if it does not, until it asks again: while its stay lasts by its own clock, no steward has made a roll without it. So
+//! whatever others do on the word of a roll without it comes after it has stopped by itself. A new steward, which does
+//! not know what the last one granted, leaves nobody of the last roll out for one stay, but for the last steward, whose
+//! stay is its lease. One who joined so shortly before that the new steward had not heard of it is not covered by this.
 //!
 //! **Limits**, said rather than hidden. A tier in which a majority of all schedulers lost their memory at once, and only
 //! then, begins anew ([`Settings::dead`]); if all of these are at that time cut off from a living voting group, two
@@ -116,6 +124,8 @@
     pub dead: Micros,
     /// Duties there are, 0 to this.
     pub duties: Duty,
+    /// How long a member may count on being on the roll from when it asked; 0: nobody asks.
+    pub stay: Micros,
 }
 
 impl Settings {
@@ -131,6 +141,7 @@
             wait: 3_500_000,
             dead: 6_000_000,
             duties,
+            stay: 0,
         }
     }
 
@@ -193,6 +204,9 @@
     duties: Duties,
     roll: (Term, BTreeMap<u16, u64>),
     hello_at: Micros,
+    /// Until when we may count on being on the roll, and when we asked last.
+    stay: Micros,
+    stay_asked: Micros,
     leaving: bool,
     orders: VecDeque<Order>,
     /// Messages of other epochs, rounds or senders than could be: counted, and dropped.
@@ -218,6 +232,8 @@
             duties: Duties::new(now, settings.duties),
             roll: (Term::default(), BTreeMap::new()),
             hello_at: now,
+            stay: 0,
+            stay_asked: 0,
             leaving: false,
             orders: VecDeque::new(),
             dropped: 0,
@@ -253,6 +269,17 @@
         &self.roll.1
     }
 
+    /// The same, with the term of that roll.
+    pub fn roll(&self) -> (Term, &BTreeMap<u16, u64>) {
+        (self.roll.0, &self.roll.1)
+    }
+
+    /// Until when we may count on being on the roll, by our clock: no steward has made one without us before that.
+    pub fn stays(&self, now: Micros) -> Option<Micros> {
+        let lease = self.stewardship.lease(now).map(|lease| lease.1);
+        lease.max(Some(self.stay)).filter(|&until| now < until)
+    }
+
     /// The view.
     pub fn view(&self) -> Option<&View> {
         (!self.void()).then_some(&self.view)
@@ -342,6 +369,7 @@
         self.duties_end(now);
         self.campaign(now);
         self.ask_for_duties(now);
+        self.ask_to_stay(now);
     }
 
     /// A view without a steward, most of whose voters are gone, can decide nothing any more.
@@ -386,7 +414,9 @@
 
     /// Takes a message in. `from` is the number of the scheduler whose address it came from.
     pub fn hear(&mut self, now: Micros, from: u16, message: Message) {
-        if self.leaving {
+        // Who goes does nothing more for the others, but may still be on the roll and must know which one.
+        let rolls = matches!(message, Message::News { .. } | Message::Roll { .. });
+        if self.leaving && !(rolls && self.settings.stay > 0) {
             return;
         }
         if message.from().ordinal != from || from == self.me.ordinal {
@@ -455,6 +485,9 @@
                 self.hear_given(now, from, duty, term, asked, lasts)
             }
             Message::Return { from, duty, term } => self.hear_return(now, from, duty, term),
+            Message::Stay { from, asked } => self.hear_stay(now, from, asked),
+            Message::Stays { from, asked, lasts } => self.hear_stays(now, from, asked, lasts),
+            Message::Unstay { from } => self.stewardship.let_go(from),
         }
     }
 
@@ -484,6 +517,13 @@
         self.send(to, news);
     }
 
+    /// We do nothing more that the others must wait for.
+    pub fn let_go(&mut self) {
+        self.stay = 0;
+        self.tell_all(Message::Unstay { from: self.me });
+        self.tell_all(Message::Unstay { from: self.me });
+    }
+
     /// We stop, on purpose: what we hold is given back at once, so that nobody has to wait it out.
     pub fn leave(&mut self, now: Micros) {
         if std::mem::replace(&mut self.leaving, true) {
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -51,6 +51,12 @@
     Given { from: Process, duty: Duty, term: Term, asked: Micros, lasts: Micros },
     /// It gives it back.
     Return { from: Process, duty: Duty, term: Term },
+    /// A member of the roll asks not to be left out of it for a while.
+    Stay { from: Process, asked: Micros },
+    /// It won't be, for so long from when it asked.
+    Stays { from: Process, asked: Micros, lasts: Micros },
+    /// It goes, and may be left out at once.
+    Unstay { from: Process },
 }
 
 impl Message {
@@ -70,7 +76,10 @@
             | Message::Roll { from, .. }
             | Message::Want { from, .. }
             | Message::Given { from, .. }
-            | Message::Return { from, .. } => from,
+            | Message::Return { from, .. }
+            | Message::Stay { from, .. }
+            | Message::Stays { from, .. }
+            | Message::Unstay { from } => from,
         }
     }
 
--- a/crates/ownership/src/steward.rs
+++ b/crates/ownership/src/steward.rs
@@ -36,8 +36,20 @@
     /// Steps of the terms given, in all rounds.
     step: u32,
     roll_at: Micros,
+    /// How often the roll is told at each beat yet.
+    retold: u8,
+    /// Members that may count on being on the roll: which process, and until when by our clock.
+    stays: BTreeMap<u16, (u64, Micros)>,
+    /// Members that did not ask again in time: they are off the roll until they do, whatever membership believes.
+    lapsed: BTreeMap<u16, u64>,
 }
 
+/// So often in a beat a member asks to stay: at 30% loss one in 10^8 spans passes without a question that came.
+const STAY_ASKS: Micros = 2;
+
+/// A changed roll is told at so many beats one after another, since a part may be lost.
+const RETOLD: u8 = 4;
+
 impl Steward {
     /// The lease, while it lasts: its round, and until when.
     pub(crate) fn lease(&self, now: Micros) -> Option<((Epoch, Round), Micros)> {
@@ -45,7 +57,7 @@
     }
 
     pub(crate) fn next(&self) -> Micros {
-        self.next
+        self.stays.values().map(|stay| stay.1).fold(self.next, Micros::min)
     }
 
     /// Another view: tries and rounds begin anew, a lease goes on for what is left of it.
@@ -84,6 +96,13 @@
         }
     }
 
+    /// A member goes by itself.
+    pub(crate) fn let_go(&mut self, who: Process) {
+        if self.stays.get(&who.ordinal).is_some_and(|stay| stay.0 == who.boot) {
+            self.stays.remove(&who.ordinal);
+        }
+    }
+
     /// Ends all; the round whose lease is given back.
     pub(crate) fn resign(&mut self, now: Micros) -> Option<Round> {
         self.campaign = None;
@@ -98,6 +117,9 @@
         if !held && self.stewardship.lease.take().is_some() {
             self.lost(now, "its lease ran out");
         }
+        if held && self.stewardship.stays.values().any(|stay| now >= stay.1) {
+            self.beat(now);
+        }
         if now < self.stewardship.next || !self.votes(self.me) {
             return;
         }
@@ -252,16 +274,92 @@
         if !before {
             // What the steward before granted is over with its lease.
             self.duties.clear_granted();
+            self.grant_stays(now, round);
             self.log(format!("steward of view {}.{}", self.view.epoch.era, self.view.epoch.number));
         }
         self.steward = Some((self.me, round));
         self.heard_at = now;
         self.stewardship.roll_at = now;
+        self.stewardship.retold = RETOLD;
         self.bring_view_about(now);
         self.beat(now);
         self.ask_for_duties(now);
     }
 
+    /// What the steward before granted is not known: all of its roll may count on it, but for itself.
+    fn grant_stays(&mut self, now: Micros, round: Round) {
+        let stay = self.settings.stay;
+        (self.stewardship.stays, self.stewardship.lapsed) = (BTreeMap::new(), BTreeMap::new());
+        if stay == 0 {
+            return;
+        }
+        // Whoever was steward between it and us had a higher round than it, and we have a higher one still.
+        let last = self.steward.filter(|(_, known)| known.count + 1 == round.count).map(|known| known.0);
+        let until = now + stay + stay / self.settings.drift;
+        for (&ordinal, &boot) in self.roll.1.iter().filter(|member| *member.0 != self.me.ordinal) {
+            if last == Some(Process { ordinal, boot }) {
+                self.stewardship.lapsed.insert(ordinal, boot);
+            } else {
+                self.stewardship.stays.insert(ordinal, (boot, until));
+            }
+        }
+    }
+
+    pub(crate) fn hear_stay(&mut self, now: Micros, from: Process, asked: Micros) {
+        let stay = self.settings.stay;
+        let ours = self.stewardship.lease(now).is_some_and(|((epoch, _), _)| epoch == self.view.epoch);
+        if !ours || stay == 0 {
+            return;
+        }
+        if self.stewardship.lapsed.get(&from.ordinal) == Some(&from.boot) {
+            self.stewardship.lapsed.remove(&from.ordinal);
+        }
+        if self.roll.1.get(&from.ordinal) != Some(&from.boot) {
+            return;
+        }
+        self.stewardship.stays.insert(from.ordinal, (from.boot, now + stay + stay / self.settings.drift));
+        self.send(from, Message::Stays { from: self.me, asked, lasts: stay });
+    }
+
+    pub(crate) fn hear_stays(&mut self, now: Micros, from: Process, asked: Micros, lasts: Micros) {
+        let known = self.steward.is_some_and(|steward| steward.0 == from);
+        if !known || asked > now || asked < self.started || self.leaving {
+            self.dropped += 1;
+            return;
+        }
+        let lasts = lasts.min(self.settings.stay);
+        self.stay = self.stay.max(asked + lasts - lasts / self.settings.drift);
+    }
+
+    /// Asks the steward, on the roll or not: who was left out comes back by asking.
+    pub(crate) fn ask_to_stay(&mut self, now: Micros) {
+        let Some((steward, _)) = self.steward.filter(|steward| steward.0 != self.me) else { return };
+        if self.settings.stay == 0 || now < self.stay_asked + self.settings.beat / STAY_ASKS {
+            return;
+        }
+        self.stay_asked = now;
+        self.send(steward, Message::Stay { from: self.me, asked: now });
+    }
+
+    /// Who is to be on the roll: all alive that have not failed to ask, and those who may count on it.
+    fn wanted_roll(&mut self, now: Micros) -> BTreeMap<u16, u64> {
+        let Steward { stays, lapsed, .. } = &mut self.stewardship;
+        lapsed.extend(stays.iter().filter(|stay| now >= stay.1.1).map(|(&ordinal, stay)| (ordinal, stay.0)));
+        stays.retain(|_, stay| now < stay.1);
+        let mut wanted = self.alive.clone();
+        wanted.retain(|ordinal, boot| lapsed.get(ordinal) != Some(boot));
+        wanted.extend(stays.iter().map(|(&ordinal, stay)| (ordinal, stay.0)));
+        if self.settings.stay > 0 {
+            // Whoever is new has as long to ask as who has asked.
+            let until = now + self.settings.stay + self.settings.stay / self.settings.drift;
+            let others = wanted.iter().filter(|member| *member.0 != self.me.ordinal);
+            for (&ordinal, &boot) in others {
+                stays.entry(ordinal).or_insert((boot, until));
+            }
+        }
+        wanted
+    }
+
     fn lost(&mut self, now: Micros, why: &str) {
         self.duties.clear_granted();
         self.stewardship.campaign = None;
@@ -369,15 +467,18 @@
         let steward = Some(self.me);
         let news = Message::News { from: self.me, view: self.view.clone(), steward, round, duties };
         self.tell_all(news);
-        let changed = self.alive != self.roll.1;
+        let wanted = self.wanted_roll(now);
+        let changed = wanted != self.roll.1;
         if !changed && now < self.stewardship.roll_at {
             return;
         }
-        // Told again every tenth beat: a part may have been lost.
-        self.stewardship.roll_at = now + 10 * self.settings.beat;
+        // Told again, at first at each beat and then at every tenth: a part may have been lost.
+        self.stewardship.retold = if changed { RETOLD } else { self.stewardship.retold.saturating_sub(1) };
+        let beats = if self.stewardship.retold > 0 { 1 } else { 10 };
+        self.stewardship.roll_at = now + beats * self.settings.beat;
         if changed || (self.roll.0.epoch, self.roll.0.round) != (epoch, round) {
             self.stewardship.step += 1;
-            self.roll = (Term { epoch, round, step: self.stewardship.step }, self.alive.clone());
+            self.roll = (Term { epoch, round, step: self.stewardship.step }, wanted);
         }
         let members: Vec<Process> =
             self.roll.1.iter().map(|(&ordinal, &boot)| Process { ordinal, boot }).collect();
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -83,6 +83,7 @@
             wait: 100 * BEAT,
             dead: 100 * BEAT,
             duties: 1,
+            stay: 0,
         }
     }
 
--- a/crates/ownership/tests/tier.rs
+++ b/crates/ownership/tests/tier.rs
@@ -40,6 +40,8 @@
     alive: BTreeMap<u16, u64>,
     /// Each time that a duty had another owner: when, which, who.
     changes: Vec<(Micros, u8, usize)>,
+    /// How often somebody counted on being on the roll, or the check of that shows nothing.
+    counted_on: usize,
 }
 
 impl Tier {
@@ -58,6 +60,7 @@
             noticed: Vec::new(),
             alive: BTreeMap::new(),
             changes: Vec::new(),
+            counted_on: 0,
         };
         (0..number).for_each(|at| tier.start(at));
         tier
@@ -70,7 +73,7 @@
 
     fn start(&mut self, at: usize) {
         let boot = self.now / MS;
-        let settings = Settings::new(self.nodes.len() as u16, DUTIES);
+        let settings = Settings { stay: 2_500 * MS, ..Settings::new(self.nodes.len() as u16, DUTIES) };
         let me = Process { ordinal: at as u16, boot };
         self.nodes[at] = Some(Ownership::new(self.clock(at), me, (self.now / 1_000_000) as u32, settings));
         self.fences[at] = Fence::default();
@@ -176,9 +179,24 @@
                 }
             }
             self.deeds();
+            self.stays();
         }
     }
 
+    /// Whoever counts on being on the roll is on that of every steward whose roll is newer than its own.
+    fn stays(&mut self) {
+        let stays = |at: usize, node: &Ownership| node.stays(self.clock(at)).is_some();
+        let nodes = || self.nodes.iter().enumerate().filter_map(|(at, node)| Some((at, node.as_ref()?)));
+        for (at, node) in nodes().filter(|(at, node)| stays(*at, node)) {
+            for (other, steward) in nodes().filter(|(other, node)| node.is_steward(self.clock(*other))) {
+                let (term, members) = steward.roll();
+                let on = members.get(&(at as u16)) == Some(&node.me().boot);
+                assert!(on || term <= node.roll().0, "{other} leaves {at} out at {}: {members:?}", self.now);
+            }
+        }
+        self.counted_on += nodes().filter(|(at, node)| stays(*at, node)).count();
+    }
+
     fn owner(&self, duty: u8) -> Option<usize> {
         (0..self.nodes.len()).find(|&at| {
             let node = self.nodes[at].as_ref().filter(|_| !self.stopped.contains(&at));
@@ -214,6 +232,7 @@
         let mut slow = Vec::new();
         for seed in 0..12 {
             let mut tier = Tier::begun(number, loss, seed);
+            assert!(tier.counted_on > 100 * number, "{number} at {loss}%: {}", tier.counted_on);
             let dead = if seed % 2 == 0 { tier.owner(0) } else { tier.steward() };
             let dead = dead.expect("somebody");
             tier.kill(dead);
--- a/crates/policy/src/dispatcher/answers.rs
+++ b/crates/policy/src/dispatcher/answers.rs
@@ -80,9 +80,8 @@
         }
         for (&id, job) in self.jobs.iter().filter(|(_, job)| !job.answered) {
             let effect = self.settings.classes[job.class].effect;
-            for (attempt, sent) in
-                job.attempts.iter().enumerate().filter(|(_, a)| a.out && a.started.is_none())
-            {
+            let silent = job.attempts.iter().enumerate().filter(|(_, a)| a.out && a.started.is_none());
+            for (attempt, sent) in silent {
                 let overtaken = self.workers[sent.worker].start_sent > sent.sent + OVERTAKEN;
                 if overtaken && effect != Effect::Unsafe && job.attempts.len() < self.settings.max_attempts {
                     out.push(Action::Cancel { job: id, attempt });
--- a/crates/policy/src/dispatcher/attempts.rs
+++ b/crates/policy/src/dispatcher/attempts.rs
@@ -4,9 +4,7 @@
 impl Dispatcher {
     pub(super) fn send(&mut self, now: Millis, id: JobId, to: WorkerId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let attempt =
-            Attempt { worker: to, sent: now, started: None, out: true, may_have_run: false, overdue: false };
-        job.attempts.push(attempt);
+        job.attempts.push(Attempt { worker: to, sent: now, out: true, ..Attempt::default() });
         job.queued = false;
         let (slots, work, key) = (job.slots, self.runs[job.class].usual * job.slots, job.key);
         let worker = &mut self.workers[to];
@@ -191,8 +189,8 @@
     pub(super) fn allows(self, id: WorkerId, workers: &[Worker]) -> bool {
         match self {
             Resend::Anywhere => true,
-            Resend::Beside(first, Group::Zone) => workers[first].zone == workers[id].zone,
-            Resend::Beside(first, _) => workers[first].cell == workers[id].cell,
+            Resend::Beside(at, Group::Zone) => workers.get(at).map(|w| w.zone) == Some(workers[id].zone),
+            Resend::Beside(at, _) => workers.get(at).map(|w| w.cell) == Some(workers[id].cell),
             Resend::Never => false,
         }
     }
--- a/crates/policy/src/dispatcher/mod.rs
+++ b/crates/policy/src/dispatcher/mod.rs
@@ -124,7 +124,7 @@
     trip: Option<Millis>,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Attempt {
     worker: WorkerId,
     sent: Millis,
--- a/crates/policy/src/dispatcher/queues.rs
+++ b/crates/policy/src/dispatcher/queues.rs
@@ -17,6 +17,8 @@
         let last = queue.back().copied().filter(|_| full && place < queue.len());
         let fits = !full || last.is_some();
         let key = new.key.as_deref().map(hash);
+        let ran =
+            |(worker, ago)| Attempt { worker, sent: now - ago, may_have_run: true, ..Attempt::default() };
         let job = Job {
             class,
             tenant,
@@ -27,6 +29,7 @@
             grant_until: grant.min(deadline - DEADLINE_MARGIN),
             slots: new.slots.max(1.0),
             queued: fits,
+            attempts: new.ran.map(ran).into_iter().collect(),
             ..Job::default()
         };
         self.due.push(job.grant_until, new.id);
@@ -39,7 +42,7 @@
         if let Some(last) = last {
             self.finish(last, out);
         }
-        if fits {
+        if fits && self.resend(now, &self.jobs[&new.id]) != Resend::Never {
             self.tenants[tenant].lanes[lane].queue.insert(place, new.id);
         } else {
             self.finish(new.id, out);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -327,6 +327,9 @@
     pub memory: f64,
     /// The client has asked this before.
     pub is_retry: bool,
+    /// Another dispatcher had it, and an attempt of its may have run: at this worker, at most so long ago. It counts
+    /// as this job's first attempt.
+    pub ran: Option<(WorkerId, Millis)>,
 }
 
 /// How an attempt ended.
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -48,6 +48,35 @@
     }
 }
 
+#[test]
+fn what_another_dispatcher_may_have_run_counts_as_the_first_attempt() {
+    let window = settings().classes[KEYED_ZONE].window;
+    // The worker of the earlier attempt is number 3, in the second of two zones.
+    let sent = |class: usize, ago: f64| {
+        let mut driver = Driver::new(settings(), 6, 5);
+        let new = NewJob { class, time_left: 5_000.0, slots: 1.0, ran: Some((3, ago)), ..NewJob::default() };
+        let id = driver.job_with(new);
+        let zones: Vec<usize> = driver.sends(id).into_iter().map(|worker| worker % 2).collect();
+        (zones, driver.failed.contains(&id))
+    };
+    assert_eq!(sent(UNSAFE, 10.0), (vec![], true), "never sent again, and answered at once");
+    assert_eq!(sent(KEYED_ZONE, 10.0), (vec![1], false), "in its zone");
+    assert_eq!(sent(KEYED_ZONE, window + 1.0), (vec![], true), "past the window");
+    assert_eq!(sent(SAFE, 10.0).0.len(), 1, "anywhere");
+    // A worker that is not known binds it to nowhere.
+    let mut driver = Driver::new(settings(), 6, 5);
+    let new = NewJob {
+        class: KEYED_ZONE,
+        time_left: 500.0,
+        slots: 1.0,
+        ran: Some((99, 10.0)),
+        ..NewJob::default()
+    };
+    let id = driver.job_with(new);
+    driver.advance(600.0);
+    assert_eq!((driver.sends(id).len(), driver.failed.contains(&id)), (0, true));
+}
+
 #[test]
 fn a_keyed_job_stays_in_its_zone_and_window() {
     let (driver, id) = after_one_attempt(6, KEYED_ZONE, 0.0, Outcome::Reset);
--- a/crates/protocol/src/operations.rs
+++ b/crates/protocol/src/operations.rs
@@ -3,11 +3,54 @@
 //! the line, the key and what would be right.
 
 use brackenledge_policy::Millis;
+use std::net::SocketAddr;
 use std::path::Path;
 use toml::de::{DeTable, DeValue};
 
+/// What the operators' file sets of work that survives its scheduler.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CoverOptions {
+    /// Whether jobs in hand are kept by other schedulers too.
+    pub on: bool,
+    /// Where each scheduler takes links from the others, by number; our own entry is where we listen.
+    pub links: Vec<SocketAddr>,
+    /// Classes whose jobs are covered, by name.
+    pub covered: Vec<String>,
+    /// Of these, the ones that are refused rather than run without cover.
+    pub refused: Vec<String>,
+    /// Keepers of each job beside its holder.
+    pub copies: usize,
+    /// Records held at most.
+    pub records_most: usize,
+    /// Bytes of them at most.
+    pub bytes_most: usize,
+    /// How long an answer is kept, in milliseconds.
+    pub keep: Millis,
+    /// How long a job waits for its cover at most, in milliseconds.
+    pub patience: Millis,
+    /// The lines of `links`, `covered` and `refused` in the file.
+    pub lines: [usize; 3],
+}
+
+impl Default for CoverOptions {
+    fn default() -> Self {
+        CoverOptions {
+            on: false,
+            links: Vec::new(),
+            covered: Vec::new(),
+            refused: Vec::new(),
+            copies: 2,
+            records_most: 20_000,
+            bytes_most: 64 << 20,
+            keep: 10_000.0,
+            patience: 4_000.0,
+            lines: [0; 3],
+        }
+    }
+}
+
 /// What the operators' file sets.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Operations {
     /// Callers the door holds at once; a newer one pushes out the one that came first.
     pub callers_most: usize,
@@ -21,6 +64,8 @@
     pub lease: Millis,
     /// How many vote on it.
     pub voters: usize,
+    /// Work that survives its scheduler.
+    pub cover: CoverOptions,
 }
 
 impl Default for Operations {
@@ -33,6 +78,7 @@
             tier: false,
             lease: 1_500.0,
             voters: 5,
+            cover: CoverOptions::default(),
         }
     }
 }
@@ -40,7 +86,7 @@
 /// A key, the table it stands in, and the range it must keep: (table, key, least, most, remedy).
 type Known = (&'static str, &'static str, f64, f64, &'static str);
 
-const KEYS: [Known; 6] = [
+const KEYS: [Known; 12] = [
     ("control", "callers_most", 1.0, 256.0, "a whole number of callers, 1 to 256"),
     // Longer than the 4 s that slow callers take, and no more than a minute of a descriptor held.
     ("control", "line_time_ms", 4_500.0, 60_000.0, "milliseconds, 4500 to 60000"),
@@ -51,8 +97,37 @@
     // A fifth of it is the time between two renewals; half a minute without an owner is more than anybody wants.
     ("tier", "lease_ms", 500.0, 30_000.0, "milliseconds, 500 to 30000"),
     ("tier", "voters", 3.0, 5.0, "3 or 5"),
+    ("handover", "on", 0.0, 1.0, "true or false"),
+    // A scheduler and all its keepers must be lost at once for a job to be; more than four only cost.
+    ("handover", "copies", 1.0, 4.0, "a whole number of keepers, 1 to 4"),
+    ("handover", "records_most", 100.0, 1e6, "a whole number of records, 100 to 1000000"),
+    ("handover", "megabytes_most", 1.0, 4_096.0, "megabytes, 1 to 4096"),
+    // Clients that lost their connection come again within seconds.
+    ("handover", "keep_ms", 1_000.0, 600_000.0, "milliseconds, 1000 to 600000"),
+    ("handover", "patience_ms", 100.0, 60_000.0, "milliseconds, 100 to 60000"),
 ];
 
+/// Keys that take a list of words.
+const LISTS: [(&str, &str, &str); 3] = [
+    (
+        "handover",
+        "links",
+        "a list of addresses with ports, one for each scheduler, such as [\"10.0.0.1:7100\"]",
+    ),
+    ("handover", "covered", "a list of classes, such as [\"market-sale\"]"),
+    ("handover", "refused", "a list of classes, such as [\"market-sale\"]"),
+];
+
+/// The words of a list, if it is one.
+fn words(value: &DeValue) -> Option<Vec<String>> {
+    let DeValue::Array(items) = value else { return None };
+    let word = |item: &toml::Spanned<DeValue>| match item.get_ref() {
+        DeValue::String(text) => Some(text.to_string()),
+        _ => None,
+    };
+    items.iter().map(word).collect()
+}
+
 impl Operations {
     /// Reads the file's text.
     pub fn parse(path: &Path, text: &str) -> Result<Operations, String> {
@@ -66,20 +141,48 @@
         for (table, value) in document.get_ref() {
             let (name, at) = (table.get_ref().as_ref(), table.span().start);
             let DeValue::Table(entries) = value.get_ref() else {
-                return Err(bad(at, format!("`{name}` must be a table: [control], [drain] or [tier]")));
+                return Err(bad(
+                    at,
+                    format!("`{name}` must be a table: [control], [drain], [tier] or [handover]"),
+                ));
             };
             if !KEYS.iter().any(|known| known.0 == name) {
                 return Err(bad(
                     at,
-                    format!("unknown table [{name}]: [control], [drain] and [tier] are known"),
+                    format!("unknown table [{name}]: [control], [drain], [tier] and [handover] are known"),
                 ));
             }
             for (key, value) in entries {
                 let (key_name, at) = (key.get_ref().as_ref(), key.span().start);
+                if let Some(&(_, _, remedy)) =
+                    LISTS.iter().find(|known| (known.0, known.1) == (name, key_name))
+                {
+                    let wrong = || bad(value.span().start, format!("{name}.{key_name} must be {remedy}"));
+                    let words = words(value.get_ref()).ok_or_else(wrong)?;
+                    let (cover, line) = (&mut operations.cover, line_of(at));
+                    match key_name {
+                        "links" => {
+                            cover.links = words
+                                .iter()
+                                .map(|word| word.parse().map_err(|_| wrong()))
+                                .collect::<Result<_, _>>()?;
+                            cover.lines[0] = line;
+                        }
+                        "covered" => (cover.covered, cover.lines[1]) = (words, line),
+                        _ => (cover.refused, cover.lines[2]) = (words, line),
+                    }
+                    continue;
+                }
                 let Some(&(_, _, least, most, remedy)) =
                     KEYS.iter().find(|known| known.0 == name && known.1 == key_name)
                 else {
-                    let known: Vec<&str> = KEYS.iter().filter(|k| k.0 == name).map(|k| k.1).collect();
+                    let known: Vec<&str> = KEYS
+                        .iter()
+                        .map(|k| (k.0, k.1))
+                        .chain(LISTS.iter().map(|k| (k.0, k.1)))
+                        .filter(|k| k.0 == name)
+                        .map(|k| k.1)
+                        .collect();
                     return Err(bad(
                         at,
                         format!("unknown key {name}.{key_name}: known are {}", known.join(", ")),
@@ -95,7 +198,14 @@
                 let number = number
                     .filter(|n| (least..=most).contains(n) && !(key_name == "voters" && *n == 4.0))
                     .ok_or_else(|| bad(value.span().start, format!("{name}.{key_name} must be {remedy}")))?;
+                let cover = &mut operations.cover;
                 match key_name {
+                    "on" if name == "handover" => cover.on = number > 0.0,
+                    "copies" => cover.copies = number as usize,
+                    "records_most" => cover.records_most = number as usize,
+                    "megabytes_most" => cover.bytes_most = (number * (1 << 20) as f64) as usize,
+                    "keep_ms" => cover.keep = number,
+                    "patience_ms" => cover.patience = number,
                     "callers_most" => operations.callers_most = number as usize,
                     "line_time_ms" => operations.line_time = number,
                     "on" => operations.tier = number > 0.0,
@@ -105,8 +215,47 @@
                 }
             }
         }
+        if operations.cover.on && !operations.tier {
+            let at = text.find("[handover]").unwrap_or(0);
+            return Err(bad(
+                at,
+                "handover.on needs tier.on = true: keepers go by the roll that the tier agrees on".into(),
+            ));
+        }
         Ok(operations)
     }
+
+    /// Holds what it says of the others and of classes against the configuration.
+    pub fn fits(&self, path: &Path, classes: &[String], schedulers: usize) -> Result<(), String> {
+        let CoverOptions { on, links, covered, refused, lines, .. } = &self.cover;
+        let bad = |line: usize, what: String| Err(format!("{}:{}: {what}", path.display(), line.max(1)));
+        if !on {
+            return Ok(());
+        }
+        if links.len() != schedulers {
+            let what = format!(
+                "handover.links has {} addresses and there are {schedulers} schedulers: give one for each, by number",
+                links.len()
+            );
+            return bad(lines[0], what);
+        }
+        for (list, line, key) in [(covered, lines[1], "covered"), (refused, lines[2], "refused")] {
+            if let Some(unknown) = list.iter().find(|name| !classes.contains(name)) {
+                let what = format!(
+                    "handover.{key} names {unknown:?}, which is no class: known are {}",
+                    classes.join(", ")
+                );
+                return bad(line, what);
+            }
+        }
+        if let Some(bare) = refused.iter().find(|name| !covered.contains(name)) {
+            return bad(
+                lines[2],
+                format!("handover.refused names {bare:?}, which handover.covered does not: add it there"),
+            );
+        }
+        Ok(())
+    }
 }
 
 #[cfg(test)]
@@ -120,7 +269,9 @@
     #[test]
     fn the_file_as_shipped_and_an_empty_one_read_as_the_defaults() {
         let shipped = include_str!("../../../deploy/operations.toml");
-        assert_eq!(read(shipped), Ok(Operations::default()));
+        let mut read_shipped = read(shipped).expect("the file as shipped");
+        read_shipped.cover.lines = [0; 3];
+        assert_eq!(read_shipped, Operations::default());
         assert_eq!(read(""), Ok(Operations::default()));
         let set =
             read("[control]\ncallers_most = 32\nline_time_ms = 10_000\n[drain]\ntakes_work_for_ms = 0\n");
@@ -135,6 +286,33 @@
         assert_eq!(set, Ok(Operations { tier: true, lease: 2_000.0, voters: 3, ..Operations::default() }));
     }
 
+    #[test]
+    fn what_does_not_fit_the_configuration_is_told_by_line_and_key() {
+        let classes = ["farm-view".to_owned(), "market-sale".to_owned()];
+        let fits = |text: &str| {
+            let path = Path::new("deploy/operations.toml");
+            let text = format!("[tier]\non = true\n[handover]\non = true\n{text}");
+            Operations::parse(path, &text)?.fits(path, &classes, 2)
+        };
+        let links = "links = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\n";
+        assert_eq!(
+            fits(&format!("{links}covered = [\"market-sale\"]\nrefused = [\"market-sale\"]\n")),
+            Ok(())
+        );
+        let cases = [
+            ("links = [\"127.0.0.1:1\"]\n".to_owned(), ":5: handover.links has 1 addresses and there are 2"),
+            (format!("{links}covered = [\"x\"]\n"), ":6: handover.covered names \"x\", which is no class"),
+            (
+                format!("{links}refused = [\"farm-view\"]\n"),
+                ":6: handover.refused names \"farm-view\", which handover.c",
+            ),
+        ];
+        for (text, wanted) in cases {
+            let error = fits(&text).expect_err(&text);
+            assert!(error.starts_with(&format!("deploy/operations.toml{wanted}")), "{error}");
+        }
+    }
+
     #[test]
     fn each_error_names_the_file_the_line_the_key_and_the_remedy() {
         let cases = [
@@ -157,6 +335,19 @@
             ("[tier]\non = 1\n", "deploy/operations.toml:2: tier.on must be true or false"),
             ("[tier]\nvoters = 4\n", "deploy/operations.toml:2: tier.voters must be 3 or 5"),
             ("[tier]\nlease_ms = 100\n", "deploy/operations.toml:2: tier.lease_ms must be milliseconds, 500"),
+            ("[handover]\non = true\n", "deploy/operations.toml:1: handover.on needs tier.on = true"),
+            (
+                "[handover]\nlinks = [\"here\"]\n",
+                "deploy/operations.toml:2: handover.links must be a list of addresses",
+            ),
+            (
+                "[handover]\ncovered = \"all\"\n",
+                "deploy/operations.toml:2: handover.covered must be a list of classes",
+            ),
+            (
+                "[handover]\ncopies = 0\n",
+                "deploy/operations.toml:2: handover.copies must be a whole number of keepers",
+            ),
             ("[doors]\n", "deploy/operations.toml:1: unknown table [doors]"),
             ("callers_most = 3\n", "deploy/operations.toml:1: `callers_most` must be a table"),
             ("[control]\ncallers_most = \n", "deploy/operations.toml:2: not TOML"),
--- a/crates/rig/src/ledger.rs
+++ b/crates/rig/src/ledger.rs
@@ -148,6 +148,17 @@
     pub messages: usize,
     /// Bytes of these.
     pub message_bytes: usize,
+    /// Jobs taken over: an attempt of a try was sent by another scheduler than the one that was asked; by class.
+    pub adopted: [usize; 3],
+    /// Of these, such that two others sent one.
+    pub adopted_twice: usize,
+    /// The longest time from the death of the scheduler that was asked until another sent an attempt.
+    pub adopted_after: Millis,
+    /// Jobs whose try was open at a scheduler when that died, stopped or was left, with 2 s or more to their deadline;
+    /// and those of them whose client was told their end in time; by class.
+    pub in_hand_at_fault: [usize; 3],
+    /// See `in_hand_at_fault`.
+    pub answered: [usize; 3],
     /// Deeds of owners that were sent; those that reached a receiver after one of a newer term: it must refuse them.
     pub deeds: usize,
     /// See `deeds`.
@@ -180,6 +191,8 @@
     ends: Vec<(Millis, How)>,
     /// Attempts: when, at which worker, handed back unstarted when.
     attempts: Vec<(Millis, usize, Option<Millis>)>,
+    /// Whose they were.
+    senders: Vec<(Millis, usize)>,
     results: BTreeSet<String>,
 }
 
@@ -272,7 +285,9 @@
                 }
             }
             Event::Reached { at, sent, id, scheduler, worker, work } => {
-                tries.entry(id).or_default().attempts.push((*at, *worker, None));
+                let one = tries.entry(id).or_default();
+                one.attempts.push((*at, *worker, None));
+                one.senders.push((*sent, *scheduler));
                 if let Some(&since) = told.get(&(*scheduler, *worker)) {
                     // Who was stopped or gone at the time knows it from its return on.
                     let known = (troubles[*scheduler].iter())
@@ -392,10 +407,16 @@
     if !orphaned.is_empty() {
         audit.owner_after = None;
     }
+    in_hand(&mut audit, &jobs, &tries, &troubles);
+    // A client that comes again may be told the end of its earlier try.
+    let mut results: HashMap<usize, BTreeSet<&str>> = HashMap::new();
+    for one in tries.values() {
+        results.entry(one.job).or_default().extend(one.results.iter().map(String::as_str));
+    }
     for (id, one) in &tries {
         let Some(&(_, class, ..)) = jobs.get(&one.job).filter(|_| one.deadline > 0.0) else { continue };
         audit.tries[class] += 1;
-        judge_answers(&mut audit, id, one, class, &troubles[one.scheduler]);
+        judge_answers(&mut audit, id, one, &results[&one.job], class, &troubles[one.scheduler]);
         judge_repeats(&mut audit, id, one, class, scenario);
     }
     for (job, runs) in &runs {
@@ -435,7 +456,54 @@
     (ramp(until) - ramp(from)) * scenario.slots as f64
 }
 
-fn judge_answers(audit: &mut Audit, id: &str, one: &Try, class: usize, troubles: &[Trouble]) {
+/// What became of jobs whose scheduler died, was stopped or told to end while it had them in hand.
+fn in_hand(
+    audit: &mut Audit,
+    jobs: &BTreeMap<usize, Wanted>,
+    tries: &BTreeMap<&str, Try>,
+    troubles: &[Vec<Trouble>],
+) {
+    /// A job with less time left may end before anybody knows that its scheduler is gone.
+    const TIME_LEFT: Millis = 2_000.0;
+    let answer = |how: &How| matches!(how, How::Served(_) | How::Failed);
+    let mut told: HashMap<usize, Millis> = HashMap::new();
+    for one in tries.values() {
+        for (at, _) in one.ends.iter().filter(|end| answer(&end.1) && end.0 <= one.deadline + LATE) {
+            told.entry(one.job).and_modify(|first| *first = first.min(*at)).or_insert(*at);
+        }
+    }
+    let mut seen = BTreeSet::new();
+    for one in tries.values().filter(|one| one.deadline > 0.0) {
+        let Some(&(_, class, ..)) = jobs.get(&one.job) else { continue };
+        let others: BTreeSet<usize> =
+            one.senders.iter().map(|sender| sender.1).filter(|&sender| sender != one.scheduler).collect();
+        audit.adopted[class] += usize::from(!others.is_empty());
+        audit.adopted_twice += usize::from(others.len() > 1);
+        let last = one.ends.first().map_or(one.deadline, |end| end.0);
+        // The fault that took it from its scheduler, if there was one.
+        let died =
+            troubles[one.scheduler].iter().filter(|(from, _, why)| why.is_some() && one.asked <= *from);
+        let died = died.map(|trouble| trouble.0).fold(f64::INFINITY, f64::min);
+        if let Some((sent, _)) =
+            one.senders.iter().find(|sender| sender.1 != one.scheduler && sender.0 >= died)
+        {
+            audit.adopted_after = audit.adopted_after.max(sent - died);
+        }
+        if died <= last && died + TIME_LEFT <= one.deadline && seen.insert(one.job) {
+            audit.in_hand_at_fault[class] += 1;
+            audit.answered[class] += usize::from(told.contains_key(&one.job));
+        }
+    }
+}
+
+fn judge_answers(
+    audit: &mut Audit,
+    id: &str,
+    one: &Try,
+    results: &BTreeSet<&str>,
+    class: usize,
+    troubles: &[Trouble],
+) {
     let scheduler = one.scheduler;
     let last = one.ends.last().map_or(one.deadline + LATE, |end| end.0);
     let (died, excused) = excuses(troubles, one.asked, last);
@@ -450,7 +518,7 @@
     }
     match how {
         How::Served(result) => {
-            if !one.results.contains(result) {
+            if !results.contains(result.as_str()) {
                 breach(*at, format!("served with {result:?}, which no worker made for it"));
             } else if *at > one.deadline + LATE && !excused {
                 breach(*at, format!("served {:.0} ms after its deadline", at - one.deadline));
@@ -587,6 +655,17 @@
             hold(self.owners.is_empty(), "owner-within-ms: no owner was ever named".into());
             hold(after > most, format!("owner-within-ms: {after:.0}, {most} at most"));
         }
+        if let Some(least) = expect.adopted {
+            let adopted = Audit::sum(&self.adopted);
+            hold(adopted < least, format!("adopted: {adopted} jobs were taken over, {least} at least"));
+        }
+        if let Some(least) = expect.answered {
+            let (held, told) = (Audit::sum(&self.in_hand_at_fault), Audit::sum(&self.answered));
+            let part = told as f64 / held.max(1) as f64;
+            let what =
+                format!("answered: {told} of {held} jobs in hand at a fault, a part of {least} at least");
+            hold(held == 0 || part < least, what);
+        }
         if let Some(most) = expect.back_in {
             let back = self.back_in.unwrap_or(f64::INFINITY);
             hold(back > most, format!("back-in-ms: {back:.0}, {most} at most"));
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -3,6 +3,7 @@
 use crate::ledger::{Audit, BIN, Event, Verdict};
 use crate::scenario::{CLASSES, Scenario};
 use plotters::prelude::*;
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
 /// Colours of lines, in turn.
@@ -52,6 +53,19 @@
 pub const HEADING: &str = "| scenario | jobs | served | lost | late or unheard | refused | ran twice | back at 95% after, s | broken rules | verdict |\n\
      | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 
+/// What processes said of themselves at their doors, added up by name; of names that begin so.
+pub fn figures(doors: &[(usize, String)], begin: &str) -> BTreeMap<String, u64> {
+    let mut sums = BTreeMap::new();
+    for line in doors.iter().flat_map(|door| door.1.lines()).filter(|line| line.starts_with(begin)) {
+        if let Some((name, figure)) = line.split_once('=')
+            && let Ok(figure) = figure.parse::<u64>()
+        {
+            *sums.entry(name.to_owned()).or_insert(0) += figure;
+        }
+    }
+    sums
+}
+
 /// A run in a few lines.
 pub fn summary(scenario: &Scenario, audit: &Audit, verdict: &Verdict) -> String {
     let mut text =
@@ -64,6 +78,17 @@
             audit.jobs[class], audit.served[class], audit.tries[class], audit.failed[class]
         );
     }
+    let by_class = |of: &[usize; 3]| format!("{}/{}/{}", of[0], of[1], of[2]);
+    let _ = writeln!(
+        text,
+        "in hand at a fault with 2 s left {}, of these answered {}; taken over {}, {} of them twice, the first attempt \
+         after {:.0} ms at the longest",
+        by_class(&audit.in_hand_at_fault),
+        by_class(&audit.answered),
+        by_class(&audit.adopted),
+        audit.adopted_twice,
+        audit.adopted_after
+    );
     let seconds = scenario.length / 1_000.0;
     let _ = writeln!(
         text,
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -43,6 +43,8 @@
     descriptors: Option<Spanned<usize>>,
     #[serde(default)]
     operations: Option<String>,
+    #[serde(default)]
+    handover: Option<String>,
 }
 
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -109,6 +111,8 @@
     service: Option<Spanned<f64>>,
     back_in_ms: Option<Spanned<f64>>,
     owner_within_ms: Option<Spanned<f64>>,
+    adopted: Option<Spanned<usize>>,
+    answered: Option<Spanned<f64>>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -225,6 +229,10 @@
     pub back_in: Option<Millis>,
     /// Time from the death, stop or end of a duty's owner until another is named, at most.
     pub owner_within: Option<Millis>,
+    /// Jobs taken over, at least.
+    pub adopted: Option<usize>,
+    /// Part of the covered jobs in hand at a fault, with 2 s left, whose clients were answered, at least.
+    pub answered: Option<f64>,
 }
 
 /// A scenario, checked.
@@ -246,6 +254,8 @@
     pub descriptors: Option<usize>,
     /// The text of the operators' file that the processes get.
     pub operations: Option<String>,
+    /// Jobs in hand are kept by other schedulers; more keys of the operators' file for that.
+    pub handover: Option<String>,
     /// Workers.
     pub workers: usize,
     /// Jobs that a worker runs at a time.
@@ -403,6 +413,7 @@
             regions,
             descriptors,
             operations: tier.operations.clone(),
+            handover: tier.handover.clone(),
             workers: r.count("workers.count", &work.count, 12, 1, 200),
             slots: r.count("workers.slots", &work.slots, 3, 1, 64),
             room: r.count("workers.room", &work.room, 6, 0, 1_000),
@@ -445,8 +456,11 @@
             .then(|| r.number("expect.back-in-ms", &expect.back_in_ms, 0.0, 0.0, 600_000.0));
         let owner_within = (expect.owner_within_ms.is_some())
             .then(|| r.number("expect.owner-within-ms", &expect.owner_within_ms, 0.0, 0.0, 600_000.0));
+        let adopted = most(&expect.adopted);
+        let answered =
+            expect.answered.is_some().then(|| r.number("expect.answered", &expect.answered, 0.0, 0.0, 1.0));
         let broken = expect.broken.iter().map(|rule| rule.get_ref().clone()).collect();
-        scenario.expect = Expect { broken, doubles, lost, service, back_in, owner_within };
+        scenario.expect = Expect { broken, doubles, lost, service, back_in, owner_within, adopted, answered };
         if reader.wrong.is_empty() { Ok(scenario) } else { Err(reader.wrong.join("\n")) }
     }
 
--- a/crates/rig/src/tier.rs
+++ b/crates/rig/src/tier.rs
@@ -74,6 +74,10 @@
     pub processes: Vec<u32>,
     /// What each process that still ran at the end said of its duties, at its door.
     pub doors: Vec<(usize, String)>,
+    /// What the processes logged: the time from the start of traffic, which one, and the line.
+    pub log: Vec<String>,
+    /// And of its figures.
+    pub figures: Vec<(usize, String)>,
     /// Times that the rig itself was late by more than [`RIG_LATE`]: such a run says little.
     pub rig_late: usize,
 }
@@ -109,10 +113,28 @@
 }
 
 enum Role {
-    Worker { worker: usize, input: Vec<u8>, sent: Option<Millis>, head_said: bool },
-    Discovery { input: Vec<u8>, watch: Option<u64> },
-    Client { open: Option<Open>, input: Vec<u8>, served: usize },
-    Check { input: Vec<u8> },
+    Worker {
+        worker: usize,
+        input: Vec<u8>,
+        sent: Option<Millis>,
+        head_said: bool,
+    },
+    Discovery {
+        input: Vec<u8>,
+        watch: Option<u64>,
+    },
+    Client {
+        open: Option<Open>,
+        input: Vec<u8>,
+        served: usize,
+    },
+    Check {
+        input: Vec<u8>,
+    },
+    /// One end of a link between two schedulers: the connection that is the other end.
+    Bridge {
+        other: usize,
+    },
 }
 
 /// A try on a connection.
@@ -191,6 +213,8 @@
     listen: SocketAddr,
     peer: SocketAddr,
     control: SocketAddr,
+    /// Where it takes links from other schedulers.
+    link: SocketAddr,
     /// Hold the ports while no process does.
     _held: Vec<Socket>,
     process: Option<Process>,
@@ -232,12 +256,15 @@
     alarms: BinaryHeap<Reverse<Due>>,
     serial: u64,
     history: Vec<Event>,
+    log: Vec<String>,
     crashed: Vec<String>,
     processes: Vec<u32>,
     open_jobs: usize,
     arrivals_over: bool,
     rig_late: usize,
-    operations: Option<PathBuf>,
+    /// When processes were last asked whether they are covered.
+    asked_at: Millis,
+    operations: Vec<PathBuf>,
     error: Option<String>,
     /// Files of the run; gone with it.
     folder: tempfile::TempDir,
@@ -249,13 +276,13 @@
     descriptors(scenario)?;
     let mut tier = Tier::new(scenario, options)?;
     tier.play()?;
-    let doors = tier.ask_doors();
+    let (doors, figures) = (tier.ask_doors("DUTIES"), tier.ask_doors("INFO"));
     for scheduler in &mut tier.schedulers {
         // Dropped processes are killed and waited for.
         (scheduler.process, scheduler.twin) = (None, None);
     }
-    let Tier { history, crashed, processes, rig_late, .. } = tier;
-    Ok(Outcome { history, crashed, processes, doors, rig_late })
+    let Tier { history, crashed, processes, log, rig_late, .. } = tier;
+    Ok(Outcome { history, crashed, processes, doors, figures, log, rig_late })
 }
 
 /// Raises the limit on descriptors as far as it goes, and says so where that is not far enough.
@@ -335,12 +362,14 @@
             alarms: BinaryHeap::new(),
             serial: 0,
             history: Vec::new(),
+            log: Vec::new(),
             crashed: Vec::new(),
             processes: Vec::new(),
             open_jobs: 0,
             arrivals_over: false,
             rig_late: 0,
-            operations: None,
+            asked_at: 0.0,
+            operations: Vec::new(),
             error: None,
             folder,
             scenario,
@@ -353,20 +382,17 @@
     /// All addresses first, since each configuration names those of the others; then the processes.
     fn build(&mut self) -> io::Result<()> {
         let n = self.scenario.schedulers;
-        if let Some(text) = &self.scenario.operations {
-            let path = self.folder.path().join("operations.toml");
-            std::fs::write(&path, text)?;
-            self.operations = Some(path);
-        }
         for number in 0..n {
             let (listen, listen_at) = hold(Type::STREAM)?;
             let (control, control_at) = hold(Type::STREAM)?;
             let (peer, peer_at) = hold(Type::DGRAM)?;
+            let (link, link_at) = hold(Type::STREAM)?;
             self.schedulers.push(Scheduler {
                 listen: listen_at,
                 peer: peer_at,
                 control: control_at,
-                _held: vec![listen, control, peer],
+                link: link_at,
+                _held: vec![listen, control, peer, link],
                 process: None,
                 twin: None,
                 tokens: [None; 2],
@@ -384,23 +410,27 @@
             }
             let workers = (0..self.scenario.workers).map(Node::Worker);
             for far in workers.chain([Node::Discovery]) {
-                let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-                socket.set_nonblocking(true)?;
-                socket.bind(&loopback().into())?;
-                socket.listen(BACKLOG)?;
-                let address = address_of(&socket)?;
-                let mut listener = TcpListener::from_std(socket.into());
-                let token = self.owners.insert(Owner::Entrance(self.entrances.len()));
-                self.poll.registry().register(&mut listener, Token(token), Interest::READABLE)?;
-                let entrance = Entrance {
-                    listener,
-                    address,
-                    scheduler: number,
-                    far,
-                    door: Door::Open,
-                    fillers: Vec::new(),
-                };
-                self.entrances.push(entrance);
+                self.open_entrance(number, far)?;
+            }
+        }
+        // Of two schedulers the one with the lower number connects; the other's real port stands in its own file.
+        let mut links: Vec<Vec<SocketAddr>> =
+            vec![self.schedulers.iter().map(|scheduler| scheduler.link).collect(); n];
+        for (number, links) in links.iter_mut().enumerate().filter(|_| self.scenario.handover.is_some()) {
+            for (other, link) in links.iter_mut().enumerate().skip(number + 1) {
+                *link = self.open_entrance(number, Node::Scheduler(other))?;
+            }
+        }
+        for (number, links) in links.iter().enumerate() {
+            let mut text = self.scenario.operations.clone().unwrap_or_default();
+            if let Some(more) = &self.scenario.handover {
+                let links: Vec<String> = links.iter().map(|link| format!("\"{link}\"")).collect();
+                text.push_str(&format!("[handover]\non = true\nlinks = [{}]\n{more}", links.join(", ")));
+            }
+            if !text.is_empty() {
+                let path = self.folder.path().join(format!("operations-{number}.toml"));
+                std::fs::write(&path, text)?;
+                self.operations.push(path);
             }
         }
         for number in 0..n {
@@ -413,6 +443,20 @@
         Ok(())
     }
 
+    fn open_entrance(&mut self, scheduler: usize, far: Node) -> io::Result<SocketAddr> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&loopback().into())?;
+        socket.listen(BACKLOG)?;
+        let address = address_of(&socket)?;
+        let mut listener = TcpListener::from_std(socket.into());
+        let token = self.owners.insert(Owner::Entrance(self.entrances.len()));
+        self.poll.registry().register(&mut listener, Token(token), Interest::READABLE)?;
+        let (door, fillers) = (Door::Open, Vec::new());
+        self.entrances.push(Entrance { listener, address, scheduler, far, door, fillers });
+        Ok(address)
+    }
+
     fn entrance(&self, scheduler: usize, far: Node) -> usize {
         let each = self.scenario.workers + 1;
         match far {
@@ -525,7 +569,7 @@
             if let Some(error) = self.error.take() {
                 return Err(error);
             }
-            if self.start.is_none() && self.front.all_up() {
+            if self.start.is_none() && self.front.all_up() && self.covered() {
                 self.begin();
             }
             if self.arrivals_over && self.open_jobs == 0 && self.active.is_empty() {
@@ -534,6 +578,17 @@
         }
     }
 
+    /// Whether all keep one another's jobs, where they are to: a tier takes some seconds to agree on its members.
+    fn covered(&mut self) -> bool {
+        if self.scenario.handover.is_none() || self.now() < self.asked_at + CHECK_EVERY {
+            return self.scenario.handover.is_none();
+        }
+        self.asked_at = self.now();
+        let said = self.ask_doors("INFO");
+        said.len() == self.scenario.schedulers
+            && said.iter().all(|(_, said)| said.contains("handover.settled=1"))
+    }
+
     /// The tier is up: traffic and the faults' clock begin.
     fn begin(&mut self) {
         let now = self.now();
@@ -643,13 +698,13 @@
         }
     }
 
-    /// Asks each process that runs for its duties; a process answers this in one turn of its loop.
-    fn ask_doors(&self) -> Vec<(usize, String)> {
+    /// Asks each process that runs a question; a process answers it in one turn of its loop.
+    fn ask_doors(&self, question: &str) -> Vec<(usize, String)> {
         let running = self.schedulers.iter().enumerate().filter(|(_, one)| one.process.is_some());
         let ask = |one: &Scheduler| -> io::Result<String> {
             let mut door = std::net::TcpStream::connect_timeout(&one.control, DOOR_PATIENCE)?;
             door.set_read_timeout(Some(DOOR_PATIENCE))?;
-            door.write_all(b"DUTIES\n")?;
+            door.write_all(format!("{question}\n").as_bytes())?;
             let mut reply = String::new();
             door.read_to_string(&mut reply)?;
             Ok(reply)
@@ -665,7 +720,7 @@
         let mut process = Process::start(
             &self.options.program,
             config,
-            self.operations.as_deref(),
+            self.operations.get(number).map(PathBuf::as_path),
             self.scenario.descriptors,
         )?;
         self.processes.push(process.id());
@@ -687,6 +742,11 @@
         let process = if twin { &mut one.twin } else { &mut one.process };
         let Some(process) = process else { return };
         let (lines, ended) = process.read_log();
+        let at = self.start.map_or(-1.0, |start| self.began.elapsed().as_secs_f64() * 1_000.0 - start);
+        let who = if twin { "its twin" } else { "" };
+        self.log.extend(
+            lines.iter().map(|line| format!("{at:.0} scheduler {number} {who}: {}", line.trim_end())),
+        );
         if !twin && lines.iter().any(|line| line.contains("listen: ")) && !one.serving {
             one.serving = true;
             if self.start.is_some() {
@@ -945,6 +1005,7 @@
             let silent = self.weather(near, far).silent || self.weather(far, near).silent;
             let dead = match far {
                 Node::Worker(worker) => !self.fleet.alive(worker),
+                Node::Scheduler(_) => false,
                 _ => self.outage,
             };
             let wanted = match (silent, dead) {
@@ -1109,6 +1170,9 @@
 
     fn welcome(&mut self, at: usize, stream: TcpStream) {
         let Entrance { scheduler, far, .. } = self.entrances[at];
+        if let Node::Scheduler(other) = far {
+            return self.bridge(stream, scheduler, other);
+        }
         let role = match far {
             Node::Worker(worker) => Role::Worker { worker, input: Vec::new(), sent: None, head_said: false },
             _ => Role::Discovery { input: Vec::new(), watch: None },
@@ -1116,6 +1180,22 @@
         self.add(stream, scheduler, far, role, false);
     }
 
+    /// A link between two schedulers: what each sends comes out at the other, after its own way.
+    fn bridge(&mut self, stream: TcpStream, from: usize, to: usize) {
+        // Where nobody listens, the one who called sees its connection end.
+        let Ok(far) = TcpStream::connect(self.schedulers[to].link) else { return };
+        let role = Role::Bridge { other: usize::MAX };
+        let Some(near_key) = self.add(stream, from, Node::Scheduler(to), role, false) else { return };
+        let role = Role::Bridge { other: near_key };
+        let Some(far_key) = self.add(far, to, Node::Scheduler(from), role, true) else {
+            self.remove(near_key);
+            return;
+        };
+        if let Some(Connection { role: Role::Bridge { other }, .. }) = self.connections.get_mut(near_key) {
+            *other = far_key;
+        }
+    }
+
     fn add(
         &mut self,
         stream: TcpStream,
@@ -1321,7 +1401,14 @@
 
     fn stand_in_reads(&mut self, key: usize, bytes: &[u8]) {
         let Some(connection) = self.connections.get_mut(key) else { return };
+        if let Role::Bridge { other } = connection.role {
+            if let Some(other) = self.connections.get_mut(other) {
+                other.output.extend_from_slice(bytes);
+            }
+            return self.write(other);
+        }
         match &mut connection.role {
+            Role::Bridge { .. } => {}
             Role::Worker { input, .. } | Role::Discovery { input, .. } => input.extend_from_slice(bytes),
             Role::Client { input, .. } | Role::Check { input } => input.extend_from_slice(bytes),
         }
@@ -1330,6 +1417,7 @@
             Role::Discovery { .. } => self.discovery_reads(key),
             Role::Client { .. } => self.client_reads(key),
             Role::Check { .. } => self.check_reads(key),
+            Role::Bridge { .. } => {}
         }
     }
 
@@ -1346,6 +1434,13 @@
             Role::Discovery { .. } => drop(self.remove(key)),
             Role::Client { .. } => self.client_ended(key, true),
             Role::Check { .. } => self.checked(key, None),
+            Role::Bridge { other } => {
+                self.remove(key);
+                if let Some(other) = self.connections.get(other) {
+                    let _ = SockRef::from(&other.stream).set_linger(Some(Duration::ZERO));
+                }
+                self.remove(other);
+            }
         }
     }
 
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -221,6 +221,11 @@
         self.table.find(name)
     }
 
+    /// The name of a server.
+    pub fn name(&self, id: WorkerId) -> Option<&str> {
+        self.table.name(id)
+    }
+
     // ---- Discovery.
 
     /// The list as it was before a restart.
--- a/crates/roster/src/table.rs
+++ b/crates/roster/src/table.rs
@@ -181,6 +181,10 @@
         self.ids.get(name).copied()
     }
 
+    pub(super) fn name(&self, id: WorkerId) -> Option<&str> {
+        self.servers.get(id)?.as_ref().map(|server| server.listed.name.as_str())
+    }
+
     pub(super) fn find_hash(&self, tag: u64) -> Option<WorkerId> {
         self.tags.get(&tag).copied()
     }
