--- a/crates/daemon/src/net/cover.rs
+++ b/crates/daemon/src/net/cover.rs
@@ -23,6 +23,10 @@
 /// A peer that has not taken so much of what was said to it is behind, until half of it is gone.
 const BEHIND: usize = 4 << 20;
 
+/// What nobody waits for goes with what somebody does, or alone after so long, in microseconds: a tier of many has as many
+/// links as members, and would send little on each (at 20 ms twelve took 2.0 times the processor time, not 1.4).
+const COMPANY: u64 = 200_000;
+
 /// What keepers keep of a job: all that its next holder needs.
 #[derive(Serialize, Deserialize)]
 struct Wanted {
@@ -75,6 +79,8 @@
     held: HashMap<DispatchId, Held>,
     clients: HashMap<Waiter, ClientId>,
     last_waiter: Waiter,
+    /// When what waited for company was last sent on its way.
+    hurried: u64,
     /// Frames that made no sense.
     pub nonsense: u64,
 }
@@ -106,6 +112,7 @@
             held: HashMap::new(),
             clients: HashMap::new(),
             last_waiter: 0,
+            hurried: 0,
             nonsense: 0,
         }
     }
@@ -122,8 +129,16 @@
 
     /// Does what is due.
     pub fn on_time(&mut self) {
-        self.handover.on_time(micros());
-        for (&ordinal, session) in &self.sessions {
+        let now = micros();
+        self.handover.on_time(now);
+        let hurry = now >= self.hurried + COMPANY;
+        if hurry {
+            self.hurried = now;
+        }
+        for (&ordinal, session) in &mut self.sessions {
+            if hurry {
+                session.hurry();
+            }
             let waiting = session.waiting();
             if !(BEHIND / 2..=BEHIND).contains(&waiting) {
                 self.handover.lags(ordinal, waiting > BEHIND);
@@ -352,14 +367,14 @@
     }
 
     /// Says something to another process, now or once there is a link.
-    pub fn say(&mut self, to: Process, message: Message) {
+    pub fn say(&mut self, to: Process, message: Message, soon: bool) {
         let session = self.sessions.entry(to.ordinal).or_insert_with(|| Session::new(to));
         if session.peer().boot < to.boot {
             // Whoever was there before is gone.
             *session = Session::new(to);
         }
         if session.peer() == to {
-            session.say(message);
+            session.say(message, soon);
         }
     }
 
@@ -384,7 +399,7 @@
             lines.push(format!("handover.kept_ended.{name}={ended}"));
         }
         let counts = self.handover.counts();
-        let settled = u8::from(self.handover.settled());
+        let settled = u8::from(self.handover.settled(micros()));
         let waiting: usize = self.sessions.values().map(Session::waiting).sum();
         let said = [
             ("settled", u64::from(settled)),
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -470,7 +470,7 @@
         let cx = &mut context!(self);
         let Some(cover) = cx.cover.as_mut() else { return };
         match order {
-            CoverOrder::Send(to, message) => cover.say(to, message),
+            CoverOrder::Send { to, message, soon } => cover.say(to, message, soon),
             CoverOrder::Start { key, what, until, ran, .. } => {
                 // What repeats are bound to is not known here: there can be none.
                 let place = ran.as_ref().map(|(name, _)| cx.roster.find(name));
--- a/crates/daemon/tests/tier.rs
+++ b/crates/daemon/tests/tier.rs
@@ -88,6 +88,7 @@
 }
 
 scenarios! {
+    handover_clients_reset "handover-clients-reset"
     handover_crash "handover-crash"
     handover_crash_in_rolling_restart "handover-crash-in-rolling-restart"
     handover_crash_then_keeper "handover-crash-then-keeper"
--- a/crates/handover/src/holder.rs
+++ b/crates/handover/src/holder.rs
@@ -15,6 +15,8 @@
     Mine,
     /// We run it without cover.
     Bare,
+    /// It runs, and is covered if it does not end soon.
+    Young,
 }
 
 /// An attempt that waits for its note.
@@ -64,6 +66,32 @@
             unsure: None,
         }
     }
+
+    /// Attempts that still wait for their note have not left, and won't.
+    fn never_left(&mut self) {
+        for tried in &mut self.record.tried {
+            if self.gates.iter().any(|gate| gate.number == tried.number) {
+                tried.ran = Ran::Never;
+            }
+        }
+    }
+
+    /// Another has it: what was noted here was refused, and has not left.
+    fn join(&mut self) {
+        let base = self.base;
+        self.gates.clear();
+        self.record.tried.retain(|tried| tried.number < base);
+        (self.stand, self.record.version) = (Stand::Joined, 0);
+    }
+
+    /// What a client is told of it that can't be told more.
+    fn end(&self) -> Fate {
+        let left = |tried: &&crate::Tried| !self.gates.iter().any(|gate| gate.number == tried.number);
+        match self.record.tried.iter().filter(left).any(|tried| tried.ran == Ran::Maybe) {
+            true => Fate::Failed,
+            false => Fate::Denied(Some(COME_AGAIN)),
+        }
+    }
 }
 
 /// Where a client is to come again since no cover could be had.
@@ -104,20 +132,26 @@
             tried: Vec::new(),
             fate: None,
         };
-        let home = key.home(&self.members).filter(|home| !self.lagging.contains(&home.ordinal));
-        let room = self.room(record.bytes());
-        let mut claim = Claim::new(now, record, brought.must, Stand::Asked);
+        let mut claim = Claim::new(now, record, brought.must, Stand::Young);
         claim.waiters.push((waiter, until));
-        let covered = home.is_some() && room && (self.valid(now) || !claim.record.gated && self.inside());
         self.claims.insert(key.clone(), claim);
-        if !covered {
-            self.go_bare(&key);
-            return;
+        if brought.gated {
+            self.seek(now, &key);
         }
-        self.ask(now, &key);
-        // What may run any number of times need not wait.
-        if !brought.gated {
-            self.start(now, &key);
+        self.start(now, &key);
+    }
+
+    /// Seeks cover for a job.
+    fn seek(&mut self, now: Micros, key: &Key) {
+        let home = key.home(&self.members).filter(|home| !self.lagging.contains(&home.ordinal));
+        let Some(claim) = self.claims.get(key) else { return };
+        let may = self.valid(now) || !claim.record.gated && self.inside();
+        let covered = home.is_some() && may && self.room(claim.record.bytes());
+        if let Some(claim) = self.claims.get_mut(key).filter(|_| covered) {
+            (claim.stand, claim.since) = (Stand::Asked, now);
+            self.ask(now, key);
+        } else {
+            self.go_bare(key);
         }
     }
 
@@ -125,8 +159,8 @@
     fn ask(&mut self, now: Micros, key: &Key) {
         let (roll, home) = (self.roll, key.home(&self.members));
         let (Some(claim), Some(home)) = (self.claims.get(key), home) else { return };
-        let record = claim.record.sent(now, key);
-        self.send(home, Message::Open { roll, record });
+        let (record, soon) = (claim.record.sent(now, key), claim.record.gated);
+        self.send_by(home, Message::Open { roll, record }, soon);
     }
 
     fn start(&mut self, now: Micros, key: &Key) {
@@ -144,19 +178,30 @@
     /// There is no cover to be had: a job that must have it is refused, another runs without.
     fn go_bare(&mut self, key: &Key) {
         let Some(claim) = self.claims.get_mut(key) else { return };
-        if claim.must || !claim.record.tried.is_empty() {
+        claim.never_left();
+        if claim.must || !claim.record.tried.iter().all(|tried| tried.ran == Ran::Never) {
             self.counts.refused += 1;
-            let fate =
-                if claim.record.may_have_run() { Fate::Failed } else { Fate::Denied(Some(COME_AGAIN)) };
-            self.end_claim(key, fate);
+            let end = claim.end();
+            self.close(key);
+            self.end_claim(key, end);
             return;
         }
         claim.stand = Stand::Bare;
         self.counts.uncovered += 1;
+        let base = claim.base;
+        let gates: Vec<u32> = claim.gates.drain(..).map(|gate| gate.number - base).collect();
         if !std::mem::replace(&mut claim.started, true) {
             let (what, until) = (Arc::clone(&claim.record.what), claim.record.until);
             self.orders.push_back(Order::Start { key: key.clone(), what, until, ran: None, adopted: false });
         }
+        self.orders.extend(gates.into_iter().map(|attempt| Order::Go(key.clone(), attempt)));
+    }
+
+    /// The caller drops what it has of a job.
+    fn close(&mut self, key: &Key) {
+        if self.claims.get_mut(key).is_some_and(|claim| std::mem::take(&mut claim.started)) {
+            self.orders.push_back(Order::Close(key.clone()));
+        }
     }
 
     /// All who wait get this, and the claim is over.
@@ -178,7 +223,15 @@
         claim
     }
 
-    pub(crate) fn hear_opened(&mut self, now: Micros, from: Process, key: Key, ask: u64, ballot: Ballot) {
+    pub(crate) fn hear_opened(
+        &mut self,
+        now: Micros,
+        from: Process,
+        key: Key,
+        ask: u64,
+        ballot: Ballot,
+        version: u32,
+    ) {
         let Some(claim) = self.claim_of(from, &key, ask) else {
             // Whoever waited for it has gone, or was told its end on the way: nobody would see to it here.
             let roll = self.roll;
@@ -190,36 +243,55 @@
         }
         claim.stand = Stand::Mine;
         claim.record.ballot = ballot;
-        claim.acked = Some(claim.record.version);
+        claim.acked = Some(version);
+        if claim.record.version > version {
+            // What was noted while we asked may not have come to be known there.
+            self.note_again(&key);
+        }
         self.start(now, &key);
+        if self.valid(now) {
+            self.pass(now, &key);
+        }
         // It may have ended meanwhile, where it did not wait.
         if let Some(fate) = self.claims.get(&key).and_then(|claim| claim.record.fate.clone()) {
             self.settle_end(now, &key, fate);
         }
     }
 
+    fn note_again(&mut self, key: &Key) {
+        let (roll, home) = (self.roll, key.home(&self.members));
+        let (Some(claim), Some(home)) = (self.claims.get(key), home) else { return };
+        let (ask, version, all) = (claim.record.ask, claim.record.version, claim.record.tried.clone());
+        for tried in all {
+            let (number, worker, ran) = (tried.number, tried.worker, tried.ran);
+            self.send(home, Message::Note { roll, key: key.clone(), ask, version, number, worker, ran });
+        }
+    }
+
     pub(crate) fn hear_lives(&mut self, from: Process, key: Key, ask: u64) {
         let Some(claim) = self.claim_of(from, &key, ask).filter(|claim| claim.stand == Stand::Asked) else {
             return;
         };
-        if claim.started {
+        if claim.started && !claim.record.gated {
             // It runs here too, which is harmless.
             claim.stand = Stand::Bare;
-        } else {
-            claim.stand = Stand::Joined;
-            self.counts.joined += 1;
+            return;
         }
+        claim.join();
+        self.counts.joined += 1;
+        self.close(&key);
     }
 
     pub(crate) fn hear_told(&mut self, key: Key, fate: Fate) {
         let Some(claim) = self.claims.get_mut(&key) else { return };
         match claim.stand {
-            Stand::Asked if claim.started => claim.stand = Stand::Bare,
+            Stand::Asked if claim.started && !claim.record.gated => claim.stand = Stand::Bare,
             Stand::Asked | Stand::Joined => {
                 self.counts.from_record += 1;
+                self.close(&key);
                 self.end_claim(&key, fate);
             }
-            Stand::Mine | Stand::Bare => {}
+            Stand::Mine | Stand::Bare | Stand::Young => {}
         }
     }
 
@@ -242,12 +314,11 @@
         self.counts.lost += 1;
         self.asks += 1;
         claim.record.ask = self.asks;
-        if std::mem::take(&mut claim.started) {
-            self.orders.push_back(Order::Close(key.clone()));
-        }
+        claim.never_left();
         (claim.stand, claim.acked, claim.unsure, claim.record.fate) = (Stand::Asked, None, None, None);
         claim.gates.clear();
-        if claim.waiters.is_empty() {
+        self.close(key);
+        if self.claims.get(key).is_some_and(|claim| claim.waiters.is_empty()) {
             self.claims.remove(key);
         }
     }
@@ -281,18 +352,19 @@
                     claim.stand = Stand::Asked;
                     self.ask(now, &key);
                 }
-                Stand::Bare => {}
+                Stand::Bare | Stand::Young => {}
             }
         }
     }
 
     /// As its home, we take a job over ourselves: it starts once its keepers have that.
     pub(crate) fn adopt(&mut self, now: Micros, key: &Key, record: Record) {
-        if let Some(claim) = self.claims.get_mut(key).filter(|claim| claim.started) {
-            // It runs here already, without cover.
+        if let Some(claim) = self.claims.get_mut(key).filter(|claim| claim.started && !claim.record.gated) {
+            // It runs here already.
             (claim.stand, claim.record) = (Stand::Mine, record);
             return;
         }
+        self.close(key);
         let waiters = self.claims.remove(key).map(|claim| claim.waiters).unwrap_or_default();
         let mut claim = Claim::new(now, record, true, Stand::Mine);
         (claim.waiters, claim.adopted) = (waiters, true);
@@ -334,7 +406,12 @@
         claim.record.note(now, number, &worker, ran);
         let (ask, version, mine) = (claim.record.ask, claim.record.version, claim.stand == Stand::Mine);
         if let Some(home) = home.filter(|_| mine && self.inside()) {
-            self.send(home, Message::Note { roll, key: key.clone(), ask, version, number, worker, ran });
+            // Nobody waits for it; an adopter that has not heard it takes the attempt for one that may have run.
+            self.send_by(
+                home,
+                Message::Note { roll, key: key.clone(), ask, version, number, worker, ran },
+                false,
+            );
         }
         self.finish(now);
     }
@@ -348,7 +425,16 @@
     fn end(&mut self, now: Micros, key: &Key, fate: Fate) {
         let Some(claim) = self.claims.get_mut(key).filter(|claim| claim.started) else { return };
         match claim.stand {
-            Stand::Bare => self.end_claim(key, fate),
+            Stand::Bare | Stand::Young => self.end_claim(key, fate),
+            // Nothing has left: its home need know nothing of it.
+            Stand::Asked if claim.record.gated => {
+                claim.started = false;
+                let (roll, ask) = (self.roll, claim.record.ask);
+                if let Some(home) = key.home(&self.members).filter(|_| self.inside()) {
+                    self.send_by(home, Message::Forget { roll, key: key.clone(), ask }, false);
+                }
+                self.end_claim(key, fate);
+            }
             // It did not wait for its home's word: that comes, or does not.
             Stand::Asked => {
                 let waiters = std::mem::take(&mut claim.waiters);
@@ -371,17 +457,18 @@
         claim.record.fate = Some(fate.clone());
         let (ask, version, gated) = (claim.record.ask, claim.record.version, claim.record.gated);
         claim.started = false;
-        // A refused job may be brought again, and so may one that failed where running again is harmless.
-        if matches!(fate, Fate::Denied(_)) || !gated && fate == Fate::Failed {
+        // A refused job may be brought again.
+        // What may run any number of times is run again rather than remembered.
+        if matches!(fate, Fate::Denied(_)) || !gated {
             if let Some(home) = home {
-                self.send(home, Message::Forget { roll, key: key.clone(), ask });
+                self.send_by(home, Message::Forget { roll, key: key.clone(), ask }, gated);
             }
             self.end_claim(key, fate);
             return;
         }
         // Until its keepers have its end, we see to it that they get it.
         claim.record.what = Arc::from([]);
-        if valid || !gated {
+        if valid {
             let waiters: Vec<Waiter> = claim.waiters.drain(..).map(|waiter| waiter.0).collect();
             if !waiters.is_empty() {
                 self.orders.push_back(Order::Answer(waiters, fate.clone()));
@@ -447,16 +534,14 @@
         let found = self.claims.iter_mut().find(|(_, claim)| claim.waiters.iter().any(|w| w.0 == waiter));
         let Some((key, claim)) = found else { return };
         claim.waiters.retain(|other| other.0 != waiter);
-        if !claim.waiters.is_empty() || claim.started && claim.record.gated && claim.stand != Stand::Bare {
+        if !claim.waiters.is_empty() || claim.record.gated && claim.stand == Stand::Mine {
             return;
         }
-        let (key, ask, started, joined) =
-            (key.clone(), claim.record.ask, claim.started, claim.stand == Stand::Joined);
+        let (key, ask, stand) = (key.clone(), claim.record.ask, claim.stand);
+        self.close(&key);
         self.claims.remove(&key);
-        if started {
-            self.orders.push_back(Order::Close(key.clone()));
-        }
-        if let Some(home) = key.home(&members).filter(|_| !joined && self.inside()) {
+        let asked = matches!(stand, Stand::Asked | Stand::Mine);
+        if let Some(home) = key.home(&members).filter(|_| asked && self.inside()) {
             self.send(home, Message::Forget { roll, key, ask });
         }
         self.finish(now);
@@ -465,7 +550,8 @@
     /// A planned end: what has not been sent is given to others; clients are told to come again. How many jobs that were.
     pub fn yield_all(&mut self, now: Micros) -> usize {
         let unsent = |claim: &Claim| {
-            claim.stand == Stand::Mine && claim.record.fate.is_none() && !claim.record.may_have_run()
+            let gated = claim.record.gated;
+            claim.stand == Stand::Mine && gated && claim.record.fate.is_none() && !claim.record.may_have_run()
         };
         let keys: Vec<Key> = self.claims.iter().filter(|c| unsent(c.1)).map(|c| c.0.clone()).collect();
         for key in &keys {
@@ -498,10 +584,10 @@
                 }
             }
             let Some(claim) = self.claims.get_mut(&key) else { continue };
-            let (may, over) = (claim.record.may_have_run(), now + margin >= claim.record.until);
-            let end = if may { Fate::Failed } else { Fate::Denied(Some(COME_AGAIN)) };
+            let (end, over) = (claim.end(), now + margin >= claim.record.until);
             match claim.stand {
-                Stand::Asked if !claim.started && (now >= claim.since + patience || over) => {
+                Stand::Young if now >= claim.since + self.settings.follow => self.seek(now, &key),
+                Stand::Asked if claim.record.gated && (now >= claim.since + patience || over) => {
                     let (roll, ask) = (self.roll, claim.record.ask);
                     if let Some(home) = key.home(&self.members).filter(|_| self.inside()) {
                         self.send(home, Message::Forget { roll, key: key.clone(), ask });
--- a/crates/handover/src/keeper.rs
+++ b/crates/handover/src/keeper.rs
@@ -173,7 +173,7 @@
                 kept.told = Some(version);
                 let (key, ask, ballot) = (key.clone(), kept.record.ask, kept.record.ballot);
                 tell = Some(match std::mem::take(&mut kept.opening) {
-                    true => Message::Opened { roll, key, ask, ballot },
+                    true => Message::Opened { roll, key, ask, ballot, version },
                     false => Message::Noted { roll, key, ask, version },
                 });
             }
@@ -181,21 +181,22 @@
             kept.since = Some(now);
             self.pending.insert(key.clone());
         }
+        let soon = record.gated && record.fate.is_none();
         for other in new {
-            self.send(other, Message::Keep { roll, record: record.clone() });
+            self.send_by(other, Message::Keep { roll, record: record.clone() }, soon);
         }
         if let Some(message) = tell {
-            self.send(holder, message);
+            self.send_by(holder, message, soon);
         }
     }
 
     /// To the other keepers of a record.
-    fn forward(&mut self, key: &Key, message: &Message) {
+    fn forward(&mut self, key: &Key, message: &Message, soon: bool) {
         let Some(kept) = self.kept.get(key) else { return };
         let all: Vec<Process> = (kept.copies.keys())
             .filter_map(|ordinal| Some(Process { ordinal: *ordinal, boot: *self.members.get(ordinal)? }))
             .collect();
-        all.into_iter().for_each(|other| self.send(other, message.clone()));
+        all.into_iter().for_each(|other| self.send_by(other, message.clone(), soon));
     }
 
     /// As the home of a key: whether a message is of the job's holder, who is told if it is not.
@@ -215,14 +216,24 @@
             return;
         }
         let (roll, ask, version) = (self.roll, record.ask, record.version);
+        let soon = record.gated && record.fate.is_none();
         self.put(now, &key, record).fresh = true;
-        self.send(from, Message::Noted { roll, key, ask, version });
+        self.send_by(from, Message::Noted { roll, key, ask, version }, soon);
     }
 
     pub(crate) fn hear_note(&mut self, now: Micros, from: Process, message: Message) {
         let Message::Note { roll, ref key, ask, version, number, ref worker, ran } = message else { return };
         let home = key.home(&self.members);
         let ours = home == Some(self.me);
+        let waits =
+            |asked: &&mut (Process, Sent)| asked.0 == from && asked.1.key == *key && asked.1.ask == ask;
+        if let Some((_, record)) = self.asked.iter_mut().find(waits) {
+            // It asks for the job, and has not been given it yet.
+            record.tried.retain(|tried| tried.0 != number);
+            record.tried.push((number, Arc::clone(worker), ran, 0));
+            record.version = record.version.max(version);
+            return;
+        }
         if ours && !self.of_holder(from, key, ask) || !ours && home != Some(from) {
             return;
         }
@@ -230,7 +241,7 @@
         kept.record.note(now, number, worker, ran);
         kept.record.version = kept.record.version.max(version);
         if ours {
-            self.forward(key, &message);
+            self.forward(key, &message, ran == Ran::Maybe);
             self.keep_up(now, key);
         } else if ran == Ran::Maybe {
             self.send(from, Message::Noted { roll, key: key.clone(), ask, version });
@@ -249,11 +260,11 @@
         let record = Record { version, fate: Some(fate.clone()), what: Arc::from([]), ..kept.record.clone() };
         let kept = self.put(now, key, record);
         if !ours {
-            self.send(from, Message::Noted { roll, key: key.clone(), ask, version });
+            self.send_by(from, Message::Noted { roll, key: key.clone(), ask, version }, false);
             return;
         }
         let joiners = std::mem::take(&mut kept.joiners);
-        self.forward(key, &message);
+        self.forward(key, &message, false);
         for joiner in joiners {
             self.send(joiner, Message::Told { key: key.clone(), fate: fate.clone() });
         }
@@ -271,7 +282,7 @@
             if !self.kept.get(&key).is_some_and(of) {
                 return;
             }
-            self.forward(&key, &Message::Forget { roll, key: key.clone(), ask });
+            self.forward(&key, &Message::Forget { roll, key: key.clone(), ask }, false);
             let joiners = self.drop_kept(&key).map(|kept| kept.joiners).unwrap_or_default();
             for joiner in joiners {
                 let fate = Fate::Denied(None);
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -75,6 +75,8 @@
     pub patience: Micros,
     /// A keeper that has not acknowledged by then has another beside it: many round trips.
     pub hedge: Micros,
+    /// A job that may run any number of times is covered once it is so old: most have ended by then, and cost nothing.
+    pub follow: Micros,
     /// Jobs end so long before their time: what is said then still reaches the client.
     pub margin: Micros,
 }
@@ -88,6 +90,7 @@
             keep: 10_000_000,
             patience: 4_000_000,
             hedge: 100_000,
+            follow: 50_000,
             margin: 5_000,
         }
     }
@@ -109,8 +112,15 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Order {
-    /// Something for another process.
-    Send(Process, Message),
+    /// Something for another process; it may wait a little for company unless it is wanted soon.
+    Send {
+        /// Whom.
+        to: Process,
+        /// What.
+        message: Message,
+        /// Somebody waits for it.
+        soon: bool,
+    },
     /// The job is ours: run it.
     Start {
         /// Which.
@@ -249,9 +259,9 @@
         self.roll
     }
 
-    /// Whether all of the roll have reported.
-    pub fn settled(&self) -> bool {
-        self.open
+    /// Whether all of the roll have reported, and our stay lasts: jobs are covered.
+    pub fn settled(&self, now: Micros) -> bool {
+        self.open && self.valid(now)
     }
 
     /// What became of jobs since the start.
@@ -306,10 +316,14 @@
     }
 
     pub(crate) fn send(&mut self, to: Process, message: Message) {
+        self.send_by(to, message, true);
+    }
+
+    pub(crate) fn send_by(&mut self, to: Process, message: Message, soon: bool) {
         if to == self.me {
             self.local.push_back(message);
         } else {
-            self.orders.push_back(Order::Send(to, message));
+            self.orders.push_back(Order::Send { to, message, soon });
         }
     }
 
@@ -344,7 +358,9 @@
         }
         match message {
             Message::Open { record, .. } => self.hear_open(now, from, record),
-            Message::Opened { key, ask, ballot, .. } => self.hear_opened(now, from, key, ask, ballot),
+            Message::Opened { key, ask, ballot, version, .. } => {
+                self.hear_opened(now, from, key, ask, ballot, version)
+            }
             Message::Lives { key, ask, .. } => self.hear_lives(from, key, ask),
             Message::Told { key, fate } => self.hear_told(key, fate),
             Message::Full { key, ask, .. } => self.hear_full(from, key, ask),
--- a/crates/handover/src/message.rs
+++ b/crates/handover/src/message.rs
@@ -15,8 +15,8 @@
 pub enum Message {
     /// To a job's home: a client has brought this job, may I hold it?
     Open { roll: Term, record: Sent },
-    /// From the home: you hold it, and keepers have it.
-    Opened { roll: Term, key: Key, ask: u64, ballot: Ballot },
+    /// From the home: you hold it, and keepers have it up to this version.
+    Opened { roll: Term, key: Key, ask: u64, ballot: Ballot, version: u32 },
     /// From the home: another holds it; you will be told its end.
     Lives { roll: Term, key: Key, ask: u64 },
     /// From the home: its end.
--- a/crates/handover/src/session.rs
+++ b/crates/handover/src/session.rs
@@ -23,6 +23,8 @@
     bytes: usize,
     /// The first of these not yet given to the connection that is up.
     unsent: u64,
+    /// The last of them that is to go out by itself.
+    soon: u64,
     got: u64,
     said_got: u64,
     up: bool,
@@ -31,7 +33,17 @@
 impl Session {
     /// With a process that has heard nothing from us yet.
     pub fn new(peer: Process) -> Session {
-        Session { peer, next: 1, open: VecDeque::new(), bytes: 0, unsent: 1, got: 0, said_got: 0, up: false }
+        Session {
+            peer,
+            next: 1,
+            open: VecDeque::new(),
+            bytes: 0,
+            unsent: 1,
+            soon: 0,
+            got: 0,
+            said_got: 0,
+            up: false,
+        }
     }
 
     /// Whom it is with.
@@ -44,15 +56,24 @@
         self.bytes
     }
 
-    /// Says something, now or once a connection is up.
-    pub fn say(&mut self, message: Message) {
+    /// Says something, now or once a connection is up; what nobody waits for goes with the next that is wanted soon, or
+    /// when [`Session::hurry`] says so.
+    pub fn say(&mut self, message: Message, soon: bool) {
         // What it takes here; its bytes are made when it goes out.
         let size = size(&message);
         self.open.push_back((self.next, message, size));
         self.bytes += size;
+        if soon {
+            self.soon = self.next;
+        }
         self.next += 1;
     }
 
+    /// All that waits for company goes.
+    pub fn hurry(&mut self) {
+        self.soon = self.next - 1;
+    }
+
     /// A connection is up, and this is our word on it.
     pub fn begin(&mut self) -> Frame {
         self.up = false;
@@ -106,7 +127,7 @@
         }
         let first = self.open.front().map_or(self.next, |first| first.0);
         let at = self.unsent.max(first) - first;
-        if let Some((number, message, _)) = self.open.get(at as usize) {
+        if let Some((number, message, _)) = self.open.get(at as usize).filter(|open| open.0 <= self.soon) {
             self.unsent = number + 1;
             self.said_got = self.got;
             return Some(Frame::Data { number: *number, got: self.got, message: message.clone() });
@@ -199,13 +220,14 @@
                     0 | 1 => {
                         pair.said[at] += 1;
                         let message = word(pair.said[at]);
-                        pair.ends[at].say(message);
+                        pair.ends[at].say(message, deed == 0);
                     }
                     6 => pair.connect(),
                     _ => pair.step(at),
                 }
             }
             pair.connect();
+            pair.ends.iter_mut().for_each(Session::hurry);
             for _ in 0..2_000 {
                 pair.step(0);
                 pair.step(1);
@@ -221,7 +243,7 @@
         #[test]
         fn any_bytes_are_a_frame_or_none(mut bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
             let mut session = Session::new(Process { ordinal: 1, boot: 1 });
-            session.say(word(1));
+            session.say(word(1), true);
             if let Some(frame) = Frame::read(&mut bytes) {
                 let _ = session.take(frame);
             }
--- a/crates/handover/tests/model.rs
+++ b/crates/handover/tests/model.rs
@@ -128,7 +128,7 @@
         let at = usize::from(node);
         while let Some(order) = state.nodes[at].as_mut().and_then(Handover::next_order) {
             match order {
-                Order::Send(to, message) => {
+                Order::Send { to, message, .. } => {
                     if state.nodes[usize::from(to.ordinal)].is_some() {
                         state.way.entry((node, to.ordinal)).or_default().push_back(message);
                     }
@@ -224,7 +224,7 @@
                 one.hear(NOW, process(other), Message::Reported { roll: term(0) });
             }
             while one.next_order().is_some() {}
-            assert!(one.settled());
+            assert!(one.settled(NOW));
         }
         // Wherever it is brought, some node is the key's home, and some are not.
         (0..self.nodes)
--- a/crates/lab/src/tier.rs
+++ b/crates/lab/src/tier.rs
@@ -31,6 +31,9 @@
     /// The first seed of --soak.
     #[arg(long, default_value_t = 1)]
     from: u64,
+    /// Those drawn have jobs in hand kept by other schedulers, and eight faults each.
+    #[arg(long)]
+    covered: bool,
     /// Rows of a table only.
     #[arg(long)]
     table: bool,
@@ -44,6 +47,9 @@
     verdict.short.extend(outcome.crashed.iter().cloned());
     if options.table {
         println!("{}", report::row(scenario, &audit, &verdict));
+        if scenario.handover.is_some() {
+            println!("{}", report::covered(scenario, &audit));
+        }
         verdict.short.iter().for_each(|short| eprintln!("{}: {short}", scenario.name));
     } else {
         print!("{}", report::summary(scenario, &audit, &verdict));
@@ -52,6 +58,12 @@
         if !figures.is_empty() {
             println!("{}", figures.join(", "));
         }
+        let jobs: usize = audit.jobs.iter().sum();
+        println!(
+            "processor time {:.3} ms a job, {:.0} bytes a job on links between schedulers",
+            outcome.cpu / jobs.max(1) as f64,
+            outcome.link_bytes as f64 / jobs.max(1) as f64
+        );
         println!("the rig was late {} times by over {} ms", outcome.rig_late, tier::RIG_LATE);
     }
     if let Some(folder) = &options.out {
@@ -83,7 +95,7 @@
         scenarios.push((Scenario::load(file)?, None));
     }
     for seed in (options.from..).take(options.soak.unwrap_or(0) as usize) {
-        let text = soak::draw(seed);
+        let text = if options.covered { soak::draw_covered(seed) } else { soak::draw(seed) };
         scenarios.push((Scenario::parse(Path::new(&format!("soak-{seed}.toml")), &text)?, Some(text)));
     }
     if options.table {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -65,6 +65,15 @@
         Ok(Process { child, log, partial: Vec::new(), kept: VecDeque::new(), told_to_end: false })
     }
 
+    /// Processor time that it has taken so far, in milliseconds, by the kernel's count; `None`: that can't be read.
+    pub fn cpu(&self) -> Option<f64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).ok()?;
+        // Behind the name, which may hold anything: user and system time are the 12th and 13th, in ticks.
+        let mut fields = text.rsplit_once(')')?.1.split_whitespace().skip(11);
+        let ticks = fields.next()?.parse::<f64>().ok()? + fields.next()?.parse::<f64>().ok()?;
+        Some(ticks * 1_000.0 / rustix::param::clock_ticks_per_second() as f64)
+    }
+
     /// Its log, to be watched by the poll.
     pub fn log(&mut self) -> &mut Receiver {
         &mut self.log
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -66,6 +66,21 @@
     sums
 }
 
+/// What became of jobs in hand at a fault, in a line.
+pub fn covered(scenario: &Scenario, audit: &Audit) -> String {
+    let by_class = |of: &[usize; 3]| format!("{}/{}/{}", of[0], of[1], of[2]);
+    format!(
+        "{}: in hand at a fault with 2 s left {}, of these answered {}; taken over {}, {} of them twice, the first \
+         attempt after {:.0} ms at the longest",
+        scenario.name,
+        by_class(&audit.in_hand_at_fault),
+        by_class(&audit.answered),
+        by_class(&audit.adopted),
+        audit.adopted_twice,
+        audit.adopted_after
+    )
+}
+
 /// A run in a few lines.
 pub fn summary(scenario: &Scenario, audit: &Audit, verdict: &Verdict) -> String {
     let mut text =
@@ -78,17 +93,7 @@
             audit.jobs[class], audit.served[class], audit.tries[class], audit.failed[class]
         );
     }
-    let by_class = |of: &[usize; 3]| format!("{}/{}/{}", of[0], of[1], of[2]);
-    let _ = writeln!(
-        text,
-        "in hand at a fault with 2 s left {}, of these answered {}; taken over {}, {} of them twice, the first attempt \
-         after {:.0} ms at the longest",
-        by_class(&audit.in_hand_at_fault),
-        by_class(&audit.answered),
-        by_class(&audit.adopted),
-        audit.adopted_twice,
-        audit.adopted_after
-    );
+    let _ = writeln!(text, "{}", covered(scenario, audit));
     let seconds = scenario.length / 1_000.0;
     let _ = writeln!(
         text,
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -85,3 +85,94 @@
         }
     }
 }
+
+/// Time from one fault's beginning to the next's in a drawn scenario of handover, in seconds: a roll without who was lost
+/// takes up to 3.
+const FAULT_EVERY: f64 = 3.0;
+/// Faults of such a scenario, the first one after a tier's calm.
+const FAULTS: usize = 8;
+
+/// The text of the scenario of this seed with jobs in hand kept by others: 4 to 8 schedulers at some 70% load, and every 3 s a
+/// fault: at most two schedulers are lost at once, as two keepers bear.
+pub fn draw_covered(seed: u64) -> String {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let schedulers: usize = rng.random_range(4..=8);
+    let zones = ["north", "south", "east"];
+    let zones = &zones[..rng.random_range(2..=3)];
+    let seconds = 4.0 + FAULT_EVERY * FAULTS as f64 + 4.0;
+    let mut text = format!(
+        "name = \"covered-{seed}\"\nwhy = \"Drawn from seed {seed}.\"\nseed = {seed}\n\n[tier]\n\
+         schedulers = {schedulers}\nzones = {zones:?}\noperations = \"[tier]\\non = true\\n\"\nhandover = \"\"\"\n\
+         covered = [\"farm-view\", \"market-sale\", \"coin-buy\"]\nrefused = [\"market-sale\", \"coin-buy\"]\n\"\"\"\n\n\
+         [workers]\nslots = 4\nrun-ms = 300\n\n[traffic]\nper-second = 100\nseconds = {seconds:.1}\n\
+         deadline-ms = 5000\ntries = 6\n"
+    );
+    // Until when each scheduler has something of its own to bear, with what it takes to come back.
+    let mut busy = vec![0.0_f64; schedulers];
+    for number in 0..FAULTS {
+        let at = 4.0 + FAULT_EVERY * number as f64 + rng.random_range(0.0..1.0);
+        let lost = busy.iter().filter(|&&until| until > at).count();
+        let one = rng.random_range(0..schedulers);
+        let other = (one + rng.random_range(1..schedulers)) % schedulers;
+        let span: f64 = [0.4, 1.0, 2.0, 4.0][rng.random_range(0..4)];
+        let whole = lost == 0 && schedulers > 4;
+        let (kind, lasts, rest, hit): (_, f64, _, Vec<usize>) = match rng.random_range(0..10) {
+            0..=2 if lost == 0 => ("kill", 2.0, format!("who = [\"scheduler {one}\"]\n"), vec![one]),
+            3 if whole => (
+                "kill",
+                2.0,
+                format!("who = [\"scheduler {one}\", \"scheduler {other}\"]\n"),
+                vec![one, other],
+            ),
+            4 if lost == 0 => ("stop", span, format!("who = [\"scheduler {one}\"]\n"), vec![one]),
+            5 if lost == 0 => (
+                "link",
+                span,
+                format!(
+                    "from = [\"scheduler {one}\"]\nto = [\"schedulers\"]\nboth-ways = true\nsilent = true\n"
+                ),
+                vec![one],
+            ),
+            6 => (
+                "link",
+                span,
+                "from = [\"schedulers\"]\nto = [\"schedulers\"]\nloss = 0.3\ndelay-ms = 50\n".into(),
+                vec![],
+            ),
+            7 => (
+                "link",
+                span.min(2.0),
+                format!(
+                    "from = [\"scheduler {one}\"]\nto = [\"workers\"]\nboth-ways = true\nsilent = true\n"
+                ),
+                vec![],
+            ),
+            8 => ("reset", 0.1, "from = [\"schedulers\"]\nto = [\"schedulers\"]\n".into(), vec![]),
+            _ => ("reset", 0.1, format!("from = [\"clients\"]\nto = [\"scheduler {one}\"]\n"), vec![]),
+        };
+        for scheduler in hit {
+            busy[scheduler] = at + lasts + 3.0;
+        }
+        let until = at + lasts;
+        let _ = write!(text, "\n[[fault]]\nkind = \"{kind}\"\nat = {at:.2}\nuntil = {until:.2}\n{rest}");
+    }
+    text.push_str("\n[expect]\ndoubles = 0\n");
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Scenario;
+    use std::path::Path;
+
+    #[test]
+    fn whatever_is_drawn_is_a_scenario() {
+        for seed in 0..200 {
+            for text in [draw(seed), draw_covered(seed)] {
+                let scenario = Scenario::parse(Path::new("drawn.toml"), &text);
+                assert!(scenario.is_ok(), "{scenario:?}\n{text}");
+            }
+        }
+    }
+}
--- a/crates/rig/src/tier.rs
+++ b/crates/rig/src/tier.rs
@@ -76,6 +76,10 @@
     pub doors: Vec<(usize, String)>,
     /// What the processes logged: the time from the start of traffic, which one, and the line.
     pub log: Vec<String>,
+    /// Processor time of the processes that still ran at the end, in milliseconds, from the start of traffic.
+    pub cpu: f64,
+    /// Bytes on connections between schedulers.
+    pub link_bytes: u64,
     /// And of its figures.
     pub figures: Vec<(usize, String)>,
     /// Times that the rig itself was late by more than [`RIG_LATE`]: such a run says little.
@@ -165,6 +169,8 @@
     end_output: bool,
     /// The scheduler's side has ended its sending, or is gone.
     input_over: bool,
+    /// The network has broken it, and neither side.
+    broken: bool,
     role: Role,
 }
 
@@ -262,6 +268,8 @@
     open_jobs: usize,
     arrivals_over: bool,
     rig_late: usize,
+    cpu_at_start: f64,
+    link_bytes: u64,
     /// When processes were last asked whether they are covered.
     asked_at: Millis,
     operations: Vec<PathBuf>,
@@ -276,13 +284,14 @@
     descriptors(scenario)?;
     let mut tier = Tier::new(scenario, options)?;
     tier.play()?;
+    let cpu = tier.cpu() - tier.cpu_at_start;
     let (doors, figures) = (tier.ask_doors("DUTIES"), tier.ask_doors("INFO"));
     for scheduler in &mut tier.schedulers {
         // Dropped processes are killed and waited for.
         (scheduler.process, scheduler.twin) = (None, None);
     }
-    let Tier { history, crashed, processes, log, rig_late, .. } = tier;
-    Ok(Outcome { history, crashed, processes, doors, figures, log, rig_late })
+    let Tier { history, crashed, processes, log, link_bytes, rig_late, .. } = tier;
+    Ok(Outcome { history, crashed, processes, doors, figures, log, cpu, link_bytes, rig_late })
 }
 
 /// Raises the limit on descriptors as far as it goes, and says so where that is not far enough.
@@ -368,6 +377,8 @@
             open_jobs: 0,
             arrivals_over: false,
             rig_late: 0,
+            cpu_at_start: 0.0,
+            link_bytes: 0,
             asked_at: 0.0,
             operations: Vec::new(),
             error: None,
@@ -578,6 +589,11 @@
         }
     }
 
+    fn cpu(&self) -> f64 {
+        let processes = self.schedulers.iter().flat_map(|one| [&one.process, &one.twin]).flatten();
+        processes.filter_map(Process::cpu).sum()
+    }
+
     /// Whether all keep one another's jobs, where they are to: a tier takes some seconds to agree on its members.
     fn covered(&mut self) -> bool {
         if self.scenario.handover.is_none() || self.now() < self.asked_at + CHECK_EVERY {
@@ -593,6 +609,7 @@
     fn begin(&mut self) {
         let now = self.now();
         self.start = Some(now);
+        self.cpu_at_start = self.cpu();
         // The start's own troubles are not the run's.
         self.history.clear();
         self.alarm(now, Alarm::Arrival);
@@ -1223,6 +1240,7 @@
             marks: VecDeque::new(),
             end_output: false,
             input_over: false,
+            broken: false,
             role,
         };
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -1244,11 +1262,15 @@
 
     /// Ends a connection as a machine does that is no more, and tells the stand-in.
     fn reset(&mut self, key: usize) {
-        if let Some(connection) = self.connections.get(key) {
-            let _ = SockRef::from(&connection.stream).set_linger(Some(Duration::ZERO));
-        }
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let serial = connection.serial;
+        connection.broken = true;
+        let _ = SockRef::from(&connection.stream).set_linger(Some(Duration::ZERO));
         self.stand_in_ended(key);
-        self.remove(key);
+        // Its place may be another's by now: a client that asks again at once.
+        if self.connections.get(key).is_some_and(|connection| connection.serial == serial) {
+            self.remove(key);
+        }
     }
 
     /// The network breaks a connection: both sides see a reset, or one direction just ends.
@@ -1402,6 +1424,7 @@
     fn stand_in_reads(&mut self, key: usize, bytes: &[u8]) {
         let Some(connection) = self.connections.get_mut(key) else { return };
         if let Role::Bridge { other } = connection.role {
+            self.link_bytes += bytes.len() as u64;
             if let Some(other) = self.connections.get_mut(other) {
                 other.output.extend_from_slice(bytes);
             }
@@ -1699,7 +1722,7 @@
         // Of two processes under one name one may have been killed: that is no crossing.
         let one = &self.schedulers[connection.scheduler];
         let alive = one.process.is_some() && self.at() > one.killed_at + KILL_SEEN;
-        if served > 0 && input.is_empty() && alive {
+        if served > 0 && input.is_empty() && alive && !connection.broken {
             let at = self.at();
             self.note(Event::Crossed { at, id: id.clone() });
             return self.ask(job, id, connection.scheduler, false);
