--- a/crates/handover/src/holder.rs
+++ b/crates/handover/src/holder.rs
@@ -584,6 +584,17 @@
                 }
             }
             let Some(claim) = self.claims.get_mut(&key) else { continue };
+            // A client may wait for less long than the job lasts here: its deadline came over other schedulers, and later by
+            // the way. Where we run the job its own end comes first.
+            if claim.stand != Stand::Joined {
+                let late = |waiter: &(Waiter, Micros)| now >= waiter.1 + margin;
+                let (over, on): (Vec<_>, Vec<_>) = claim.waiters.drain(..).partition(late);
+                claim.waiters = on;
+                if !over.is_empty() {
+                    let over = over.into_iter().map(|waiter| waiter.0).collect();
+                    self.orders.push_back(Order::Answer(over, claim.end()));
+                }
+            }
             let (end, over) = (claim.end(), now + margin >= claim.record.until);
             match claim.stand {
                 Stand::Young if now >= claim.since + self.settings.follow => self.seek(now, &key),
--- a/crates/handover/tests/tier.rs
+++ b/crates/handover/tests/tier.rs
@@ -345,3 +345,18 @@
     tier.pass(5_000);
     assert_eq!(tier.answer(0, waiter), Some(Fate::Failed), "by its deadline nothing is promised");
 }
+
+#[test]
+fn a_client_that_waits_for_less_long_than_the_job_lasts_is_told_by_its_own_deadline() {
+    let mut tier = Tier::new(4, Settings::default());
+    tier.bring(0, "k", true, true);
+    assert!(tier.dispatch(0, "k"));
+    tier.waiter += 1;
+    let (waiter, until) = (tier.waiter, tier.now + 1_000 * MS);
+    let brought = Brought { what: Arc::from(&b"k"[..]), gated: true, must: true, until };
+    tier.nodes[0].as_mut().expect("it lives").arrived(tier.now, waiter, key("k"), brought);
+    tier.pass(980);
+    assert_eq!(tier.answer(0, waiter), None);
+    tier.pass(60);
+    assert_eq!(tier.answer(0, waiter), Some(Fate::Failed), "the job goes on, and may have run");
+}
