A scheduler that takes part again is another process to handover too, or none settles

Seen in reading, shown by handover-twin once it lasts 42 s: after its twin is gone a scheduler comes back under a new start (tier.rs, come_back), and its handover went on under the old one: on no roll, it never reported, so no home of the tier opened again. Connections are bound to a process.

Waiting clients are told in one place in place of six, and a key's order is worked out only for a new keeper.

--- a/crates/daemon/src/net/cover.rs
+++ b/crates/daemon/src/net/cover.rs
@@ -120,6 +120,12 @@
     /// Takes over what the tier has agreed on since.
     pub fn sync(&mut self, tier: &Tier) {
         let now = micros();
+        if tier.me() != self.me {
+            // We were replaced, and are back: to the others we are another process.
+            self.me = tier.me();
+            self.handover.renew(self.me);
+            self.sessions.clear();
+        }
         let (term, members, stays) = tier.roll();
         if term > self.handover.term() {
             self.handover.roll(now, term, members);
@@ -331,11 +337,13 @@
         Frame::Hello { from: self.me, zone: self.zone }
     }
 
+    /// Who we are.
+    pub fn me(&self) -> Process {
+        self.me
+    }
+
     /// A process has said who it is on a connection; our second word there. `None`: not on this one.
     pub fn greet(&mut self, from: Process, zone: u32) -> Option<Frame> {
-        if from.ordinal == self.me.ordinal {
-            return None;
-        }
         let session = self.sessions.entry(from.ordinal).or_insert_with(|| Session::new(from));
         if session.peer().boot > from.boot {
             return None;
@@ -347,21 +355,20 @@
         Some(session.begin())
     }
 
-    /// A frame came from who has said who it is; `false`: it makes no sense.
-    pub fn frame(&mut self, peer: u16, frame: Frame) -> bool {
-        let Some(session) = self.sessions.get_mut(&peer) else { return false };
-        let from = session.peer();
+    /// A frame came from who has said who it is; whether it makes sense. `None`: another process has that number now.
+    pub fn frame(&mut self, from: Process, frame: Frame) -> Option<bool> {
+        let session = self.sessions.get_mut(&from.ordinal).filter(|session| session.peer() == from)?;
         match session.take(frame) {
             Ok(Some(message)) => self.handover.hear(micros(), from, message),
             Ok(None) => {}
-            Err(Nonsense) => return false,
+            Err(Nonsense) => return Some(false),
         }
-        true
+        Some(true)
     }
 
     /// A connection is gone.
-    pub fn link_ended(&mut self, peer: u16) {
-        if let Some(session) = self.sessions.get_mut(&peer) {
+    pub fn link_ended(&mut self, peer: Process) {
+        if let Some(session) = self.sessions.get_mut(&peer.ordinal).filter(|session| session.peer() == peer) {
             session.ended();
         }
     }
@@ -379,13 +386,14 @@
     }
 
     /// The next frame for a peer.
-    pub fn next_frame(&mut self, peer: u16) -> Option<Frame> {
-        self.sessions.get_mut(&peer)?.next_frame()
+    pub fn next_frame(&mut self, peer: Process) -> Option<Frame> {
+        self.sessions.get_mut(&peer.ordinal).filter(|session| session.peer() == peer)?.next_frame()
     }
 
-    /// Whether all that was said is known to have come, or nearly.
-    pub fn said_all(&self) -> bool {
-        self.sessions.values().all(|session| session.waiting() == 0)
+    /// Nothing waits for company any more; whether all has been given to the links that are up.
+    pub fn last_words(&mut self) -> bool {
+        self.sessions.values_mut().for_each(Session::hurry);
+        self.sessions.values().all(Session::sent)
     }
 
     /// For operators: records by class and state, and counts since the start.
--- a/crates/daemon/src/net/links.rs
+++ b/crates/daemon/src/net/links.rs
@@ -2,10 +2,11 @@
 //! a connection that is lost is made again, and what had not come is said again on it (`handover`'s sessions).
 
 use super::Context;
+use super::cover::Cover;
 use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive, push_out};
 use super::link::Link;
-use brackenledge_handover::{FRAME_MOST, Frame};
+use brackenledge_handover::{FRAME_MOST, Frame, Process};
 use mio::net::{TcpListener, TcpStream};
 use slab::Slab;
 use std::io::ErrorKind;
@@ -26,7 +27,11 @@
     /// Whom we connected to, by number.
     dialed: Option<u16>,
     /// Who is there, once they have said so.
-    peer: Option<u16>,
+    peer: Option<Process>,
+    /// Schedulers there are.
+    seats: usize,
+    /// Who we were when it was made.
+    me: Process,
 }
 
 impl Peering {
@@ -39,18 +44,20 @@
         let Some(cover) = cx.cover else { return (true, Flow::Close) };
         match (frame, self.peer) {
             (Frame::Hello { from, zone }, None) => {
-                if self.dialed.is_some_and(|dialed| dialed != from.ordinal) {
+                let other = usize::from(from.ordinal) < self.seats && from.ordinal != self.me.ordinal;
+                if !other || self.dialed.is_some_and(|dialed| dialed != from.ordinal) {
                     return (false, Flow::Close);
                 }
                 // Of two processes under one number the older one is not heard.
                 let Some(welcome) = cover.greet(from, zone) else { return (true, Flow::Close) };
-                self.peer = Some(from.ordinal);
+                self.peer = Some(from);
                 self.say(&welcome);
                 (true, Flow::Keep)
             }
             (frame, Some(peer)) => match cover.frame(peer, frame) {
-                true => (true, Flow::Keep),
-                false => (false, Flow::Close),
+                Some(true) => (true, Flow::Keep),
+                Some(false) => (false, Flow::Close),
+                None => (true, Flow::Close),
             },
             _ => (false, Flow::Close),
         }
@@ -141,11 +148,12 @@
     }
 
     fn add(&mut self, stream: TcpStream, dialed: Option<u16>, cx: &mut Context) {
-        let connecting = dialed.is_some();
-        let mut peering = Peering { link: Link::new(stream), connecting, since: cx.now, dialed, peer: None };
-        if !connecting && let Some(cover) = cx.cover {
-            let hello = cover.hello();
-            peering.say(&hello);
+        let Some(cover) = cx.cover else { return };
+        let (connecting, me, seats) = (dialed.is_some(), cover.me(), self.addresses.len());
+        let link = Link::new(stream);
+        let mut peering = Peering { link, connecting, since: cx.now, dialed, peer: None, seats, me };
+        if !connecting {
+            peering.say(&cover.hello());
         }
         let at = self.connections.insert(peering);
         if cx.event_loop.watch(&mut self.connections[at].link.stream, Owner::Link(at)).is_err() {
@@ -159,9 +167,10 @@
         let known = connection.peer;
         let flow = drive(connection, cx);
         let peer = connection.peer;
-        if known.is_none() && peer.is_some() {
+        if let (None, Some(peer)) = (known, peer) {
             // The newest connection of a peer counts: the one before is gone, whether we have heard of that or not.
-            let old = self.connections.iter().find(|(other, c)| *other != at && c.peer == peer).map(|c| c.0);
+            let same = |c: &Peering| c.peer.is_some_and(|other| other.ordinal == peer.ordinal);
+            let old = self.connections.iter().find(|(other, c)| *other != at && same(c)).map(|c| c.0);
             if let Some(old) = old {
                 self.drop_connection(old, cx);
             }
@@ -173,7 +182,9 @@
 
     /// Tries connections that are missing, and ends those that came to nothing.
     pub fn on_time(&mut self, cx: &mut Context) {
-        let late = |c: &Peering| c.peer.is_none() && cx.now >= c.since + COMES_UP;
+        let Some(me) = cx.cover.as_ref().map(Cover::me) else { return };
+        // Those that came to nothing, and those that were made under another name of ours.
+        let late = |c: &Peering| c.peer.is_none() && cx.now >= c.since + COMES_UP || c.me != me;
         let late: Vec<usize> = self.connections.iter().filter(|(_, c)| late(c)).map(|(at, _)| at).collect();
         late.into_iter().for_each(|at| self.remove(at, cx));
         for other in (self.me + 1)..self.addresses.len() as u16 {
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -482,7 +482,8 @@
                 let arrival = cover.arrival(&key, &what, until, ran);
                 match arrival.and_then(|arrival| cx.core.job_arrived(cx.now, arrival)) {
                     Some(job) => cover.taken(key, job),
-                    None => cover.not_taken(&key, Fate::Denied(None)),
+                    // Its request's id is open here: it may be brought again.
+                    None => cover.not_taken(&key, Fate::Denied(Some(1_000))),
                 }
             }
             CoverOrder::Go(key, attempt) => {
@@ -607,8 +608,8 @@
         // What others must know of what we held goes out before we do.
         let now = self.event_loop.now();
         let idle_since = *self.idle_since.get_or_insert(now);
-        let said =
-            self.cover.as_ref().is_none_or(Cover::said_all) && self.links.as_ref().is_none_or(Links::quiet);
+        let said = self.cover.as_mut().is_none_or(|cover| cover.last_words())
+            && self.links.as_ref().is_none_or(Links::quiet);
         if !said && now < idle_since + LAST_WORDS {
             return false;
         }
--- a/crates/daemon/tests/tier.rs
+++ b/crates/daemon/tests/tier.rs
@@ -49,8 +49,10 @@
     if scenario.handover.is_some() {
         let sums = report::figures(&outcome.figures, "handover.");
         let sum = |name: &str| sums.get(&format!("handover.{name}")).copied().unwrap_or(0);
-        // With two processes under one number a connection may be cut in mid-sentence.
-        assert!(name == "handover-twin" || sum("nonsense") == 0, "{sums:?}\n{shown}");
+        assert_eq!(sum("nonsense"), 0, "{sums:?}\n{shown}");
+        // The one that was replaced must be back by then.
+        let all = name != "handover-twin" || sum("settled") == scenario.schedulers as u64;
+        assert!(all && sum("settled") > 0, "{sums:?}\n{shown}");
         assert!(sum("kept_ended.market-sale") + sum("refused") > 0, "no order was covered: {sums:?}");
         // What the ledger saw taken over, the processes that still run have counted, and more: what was not sent again.
         let adopted = audit.adopted.iter().sum::<usize>() as u64;
--- a/crates/handover/src/holder.rs
+++ b/crates/handover/src/holder.rs
@@ -1,7 +1,7 @@
 //! What we hold, and what our clients wait for.
 
 use crate::record::{Ballot, Fate, Key, Ran, Record};
-use crate::{Brought, Handover, Message, Micros, Order, Process, Waiter};
+use crate::{Brought, COME_AGAIN, Handover, Message, Micros, Order, Process, Waiter};
 use std::sync::Arc;
 
 /// Where we stand with a job that a client of ours, or nobody's any more, waits for.
@@ -51,7 +51,7 @@
 
 impl Claim {
     fn new(now: Micros, record: Record, must: bool, stand: Stand) -> Claim {
-        let base = record.tried.iter().map(|tried| tried.number + 1).max().unwrap_or(0);
+        let base = record.next_number();
         Claim {
             stand,
             record,
@@ -94,9 +94,6 @@
     }
 }
 
-/// Where a client is to come again since no cover could be had.
-const COME_AGAIN: u32 = 500;
-
 impl Handover {
     /// A client brings a job, or comes again for it.
     pub fn arrived(&mut self, now: Micros, waiter: Waiter, key: Key, brought: Brought) {
@@ -206,10 +203,18 @@
 
     /// All who wait get this, and the claim is over.
     fn end_claim(&mut self, key: &Key, fate: Fate) {
-        let Some(claim) = self.claims.remove(key) else { return };
-        if !claim.waiters.is_empty() {
-            let waiters = claim.waiters.into_iter().map(|waiter| waiter.0).collect();
-            self.orders.push_back(Order::Answer(waiters, fate));
+        self.answer(key, &fate, |_| true);
+        self.claims.remove(key);
+    }
+
+    /// Those who wait, of a kind, get this.
+    fn answer(&mut self, key: &Key, fate: &Fate, whom: impl Fn(Micros) -> bool) {
+        let Some(claim) = self.claims.get_mut(key) else { return };
+        let (told, on): (Vec<_>, Vec<_>) = claim.waiters.drain(..).partition(|waiter| whom(waiter.1));
+        claim.waiters = on;
+        if !told.is_empty() {
+            let told = told.into_iter().map(|waiter| waiter.0).collect();
+            self.orders.push_back(Order::Answer(told, fate.clone()));
         }
     }
 
@@ -250,7 +255,7 @@
         }
         self.start(now, &key);
         if self.valid(now) {
-            self.pass(now, &key);
+            self.pass(&key);
         }
         // It may have ended meanwhile, where it did not wait.
         if let Some(fate) = self.claims.get(&key).and_then(|claim| claim.record.fate.clone()) {
@@ -315,6 +320,8 @@
         self.asks += 1;
         claim.record.ask = self.asks;
         claim.never_left();
+        // What is started anew counts its attempts on.
+        claim.base = claim.record.next_number();
         (claim.stand, claim.acked, claim.unsure, claim.record.fate) = (Stand::Asked, None, None, None);
         claim.gates.clear();
         self.close(key);
@@ -324,7 +331,7 @@
     }
 
     /// We are on no roll: others go on with what we held.
-    pub(crate) fn left_out(&mut self, _now: Micros) {
+    pub(crate) fn left_out(&mut self) {
         let ours: Vec<Key> =
             self.claims.iter().filter(|c| c.1.stand == Stand::Mine).map(|c| c.0.clone()).collect();
         if !ours.is_empty() {
@@ -437,12 +444,8 @@
             }
             // It did not wait for its home's word: that comes, or does not.
             Stand::Asked => {
-                let waiters = std::mem::take(&mut claim.waiters);
-                (claim.record.fate, claim.started) = (Some(fate.clone()), true);
-                if !waiters.is_empty() {
-                    let waiters = waiters.into_iter().map(|waiter| waiter.0).collect();
-                    self.orders.push_back(Order::Answer(waiters, fate));
-                }
+                claim.record.fate = Some(fate.clone());
+                self.answer(key, &fate, |_| true);
             }
             Stand::Mine => self.settle_end(now, key, fate),
             Stand::Joined => {}
@@ -469,10 +472,7 @@
         // Until its keepers have its end, we see to it that they get it.
         claim.record.what = Arc::from([]);
         if valid {
-            let waiters: Vec<Waiter> = claim.waiters.drain(..).map(|waiter| waiter.0).collect();
-            if !waiters.is_empty() {
-                self.orders.push_back(Order::Answer(waiters, fate.clone()));
-            }
+            self.answer(key, &fate, |_| true);
         } else {
             claim.unsure = Some(fate.clone());
         }
@@ -499,12 +499,12 @@
             self.start(now, key);
         }
         if self.valid(now) {
-            self.pass(now, key);
+            self.pass(key);
         }
     }
 
     /// Attempts whose notes are kept leave, and what ended is told.
-    fn pass(&mut self, _now: Micros, key: &Key) {
+    fn pass(&mut self, key: &Key) {
         let Some(claim) = self.claims.get_mut(key) else { return };
         let Some(acked) = claim.acked else { return };
         let (go, wait): (Vec<Gate>, Vec<Gate>) =
@@ -514,23 +514,19 @@
         self.orders.extend(go.into_iter().map(|gate| Order::Go(key.clone(), gate.number - base)));
         // Our stay lasts, so nobody else has ended it otherwise.
         if let Some(fate) = claim.unsure.take() {
-            let waiters: Vec<Waiter> = claim.waiters.drain(..).map(|waiter| waiter.0).collect();
-            if !waiters.is_empty() {
-                self.orders.push_back(Order::Answer(waiters, fate));
-            }
+            self.answer(key, &fate, |_| true);
         }
     }
 
     /// Our stay lasts again.
-    pub(crate) fn go_on(&mut self, now: Micros) {
+    pub(crate) fn go_on(&mut self) {
         let waits = |claim: &Claim| !claim.gates.is_empty() || claim.unsure.is_some();
         let keys: Vec<Key> = self.claims.iter().filter(|c| waits(c.1)).map(|c| c.0.clone()).collect();
-        keys.iter().for_each(|key| self.pass(now, key));
+        keys.iter().for_each(|key| self.pass(key));
     }
 
     /// A client has gone. What may run any number of times ends with its last one; the rest goes on.
     pub fn gone(&mut self, now: Micros, waiter: Waiter) {
-        let (roll, members) = (self.roll, self.members.clone());
         let found = self.claims.iter_mut().find(|(_, claim)| claim.waiters.iter().any(|w| w.0 == waiter));
         let Some((key, claim)) = found else { return };
         claim.waiters.retain(|other| other.0 != waiter);
@@ -541,7 +537,8 @@
         self.close(&key);
         self.claims.remove(&key);
         let asked = matches!(stand, Stand::Asked | Stand::Mine);
-        if let Some(home) = key.home(&members).filter(|_| asked && self.inside()) {
+        if let Some(home) = key.home(&self.members).filter(|_| asked && self.inside()) {
+            let roll = self.roll;
             self.send(home, Message::Forget { roll, key, ask });
         }
         self.finish(now);
@@ -585,16 +582,15 @@
             }
             let Some(claim) = self.claims.get_mut(&key) else { continue };
             // A client may wait for less long than the job lasts here: its deadline came over other schedulers, and later by
-            // the way. Where we run the job its own end comes first.
-            if claim.stand != Stand::Joined {
-                let late = |waiter: &(Waiter, Micros)| now >= waiter.1 + margin;
-                let (over, on): (Vec<_>, Vec<_>) = claim.waiters.drain(..).partition(late);
-                claim.waiters = on;
-                if !over.is_empty() {
-                    let over = over.into_iter().map(|waiter| waiter.0).collect();
-                    self.orders.push_back(Order::Answer(over, claim.end()));
-                }
-            }
+            // the way. Where we run the job its own end comes first; where it lives elsewhere, nothing is promised.
+            let (joined, runs) = (claim.stand == Stand::Joined, claim.started);
+            let end = if joined || runs { Fate::Failed } else { claim.end() };
+            self.answer(
+                &key,
+                &end,
+                |until| if joined { now + margin >= until } else { now >= until + margin },
+            );
+            let Some(claim) = self.claims.get_mut(&key) else { continue };
             let (end, over) = (claim.end(), now + margin >= claim.record.until);
             match claim.stand {
                 Stand::Young if now >= claim.since + self.settings.follow => self.seek(now, &key),
@@ -615,20 +611,7 @@
                 Stand::Mine if claim.unsure.is_some() && over => {
                     self.end_claim(&key, Fate::Failed);
                 }
-                Stand::Joined => {
-                    // Where it lives it may have run: nothing is promised.
-                    let late = |waiter: &(Waiter, Micros)| now + margin >= waiter.1;
-                    let (over, on): (Vec<_>, Vec<_>) = claim.waiters.drain(..).partition(late);
-                    claim.waiters = on;
-                    let empty = claim.waiters.is_empty();
-                    if !over.is_empty() {
-                        let over = over.into_iter().map(|waiter| waiter.0).collect();
-                        self.orders.push_back(Order::Answer(over, Fate::Failed));
-                    }
-                    if empty {
-                        self.claims.remove(&key);
-                    }
-                }
+                Stand::Joined if claim.waiters.is_empty() => drop(self.claims.remove(&key)),
                 _ => {}
             }
         }
--- a/crates/handover/src/keeper.rs
+++ b/crates/handover/src/keeper.rs
@@ -1,7 +1,7 @@
 //! What we keep for others: as the home of a key, which decides who holds its job, and as a second keeper.
 
 use crate::record::{Ballot, Fate, Key, Ran, Record, Sent};
-use crate::{Handover, Message, Micros, Process};
+use crate::{COME_AGAIN, Handover, Message, Micros, Process};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -9,6 +9,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Kept {
     pub(crate) record: Record,
+    /// What it counts for among the bytes kept.
+    size: usize,
     /// When nothing need be known of it any more.
     over: Micros,
     /// Other keepers under this roll, and the version that each has acknowledged.
@@ -51,11 +53,10 @@
 
     pub(crate) fn put(&mut self, now: Micros, key: &Key, record: Record) -> &mut Kept {
         let over = record.until.max(now) + self.settings.keep;
-        self.bytes += record.bytes();
-        let kept = self.kept.entry(key.clone());
-        let kept = kept.and_modify(|kept| self.bytes = self.bytes.saturating_sub(kept.record.bytes()));
-        let kept = kept.or_insert_with(|| Kept {
+        let size = record.bytes();
+        let kept = self.kept.entry(key.clone()).or_insert_with(|| Kept {
             record: record.clone(),
+            size: 0,
             over,
             copies: BTreeMap::new(),
             more: 0,
@@ -65,13 +66,14 @@
             since: None,
             fresh: false,
         });
-        (kept.record, kept.over) = (record, over);
+        self.bytes = self.bytes - kept.size + size;
+        (kept.record, kept.size, kept.over) = (record, size, over);
         kept
     }
 
     fn drop_kept(&mut self, key: &Key) -> Option<Kept> {
         let kept = self.kept.remove(key)?;
-        self.bytes = self.bytes.saturating_sub(kept.record.bytes());
+        self.bytes -= kept.size;
         self.pending.remove(key);
         Some(kept)
     }
@@ -117,8 +119,8 @@
                 self.send(from, Message::Lives { roll, key, ask });
                 return;
             }
-            // What is known of earlier attempts stays known.
-            for tried in &kept.record.tried {
+            // What may have run stays known.
+            for tried in kept.record.tried.iter().filter(|tried| tried.ran == Ran::Maybe) {
                 if !record.tried.iter().any(|known| known.number == tried.number) {
                     record.tried.push(tried.clone());
                 }
@@ -140,31 +142,34 @@
         if !self.open {
             return;
         }
-        let order = key.order(&self.members);
         let Some(kept) = self.kept.get_mut(key) else { return };
         let holder = kept.record.holder;
-        let others: Vec<Process> =
-            order.into_iter().filter(|&other| other != self.me && other != holder).collect();
-        let needed = self.settings.copies.saturating_sub(usize::from(holder != self.me)).min(others.len());
-        let wanted = (needed + kept.more).min(others.len());
+        // On a roll with us there is nobody else but the holder whom it could not be kept by.
+        let others = self.members.len() - 1 - usize::from(holder != self.me);
+        let needed = self.settings.copies.saturating_sub(usize::from(holder != self.me)).min(others);
+        let wanted = (needed + kept.more).min(others);
         let mut new = Vec::new();
-        while kept.copies.len() < wanted {
-            // A zone that neither we nor the holder nor a keeper is in goes first.
-            let zone = |who: u16| self.zones.get(&who).copied();
-            let taken: Vec<Option<u32>> = [self.me.ordinal, holder.ordinal]
-                .into_iter()
-                .chain(kept.copies.keys().copied())
-                .map(zone)
-                .collect();
-            let free = others.iter().filter(|other| !kept.copies.contains_key(&other.ordinal));
-            let Some(&next) = free.min_by_key(|other| taken.contains(&zone(other.ordinal))) else { break };
-            kept.copies.insert(next.ordinal, None);
-            new.push(next);
+        if kept.copies.len() < wanted {
+            let mut free = key.order(&self.members);
+            free.retain(|other| {
+                *other != self.me && *other != holder && !kept.copies.contains_key(&other.ordinal)
+            });
+            while kept.copies.len() < wanted {
+                // A zone that neither we nor the holder nor a keeper is in goes first.
+                let zone = |who: u16| self.zones.get(&who).copied();
+                let own = [self.me.ordinal, holder.ordinal].into_iter();
+                let taken: Vec<Option<u32>> = own.chain(kept.copies.keys().copied()).map(zone).collect();
+                let next = (0..free.len()).min_by_key(|&at| taken.contains(&zone(free[at].ordinal)));
+                let Some(next) = next.map(|at| free.remove(at)) else { break };
+                kept.copies.insert(next.ordinal, None);
+                new.push(next);
+            }
         }
         let version = kept.record.version;
         let have = kept.copies.values().filter(|&&acked| acked >= Some(version)).count();
         let enough = have >= needed;
-        let (roll, record) = (self.roll, kept.record.sent(now, key));
+        let (roll, soon) = (self.roll, kept.record.gated && kept.record.fate.is_none());
+        let record = (!new.is_empty()).then(|| kept.record.sent(now, key));
         let mut tell = None;
         if enough {
             kept.since = None;
@@ -181,9 +186,8 @@
             kept.since = Some(now);
             self.pending.insert(key.clone());
         }
-        let soon = record.gated && record.fate.is_none();
-        for other in new {
-            self.send_by(other, Message::Keep { roll, record: record.clone() }, soon);
+        for (other, record) in new.into_iter().zip(std::iter::repeat(record).flatten()) {
+            self.send_by(other, Message::Keep { roll, record }, soon);
         }
         if let Some(message) = tell {
             self.send_by(holder, message, soon);
@@ -285,7 +289,7 @@
             self.forward(&key, &Message::Forget { roll, key: key.clone(), ask }, false);
             let joiners = self.drop_kept(&key).map(|kept| kept.joiners).unwrap_or_default();
             for joiner in joiners {
-                let fate = Fate::Denied(None);
+                let fate = Fate::Denied(Some(COME_AGAIN));
                 self.send(joiner, Message::Told { key: key.clone(), fate });
             }
         } else if home == Some(from) && self.kept.get(&key).is_some_and(|kept| kept.record.ask == ask) {
@@ -421,7 +425,8 @@
             let late =
                 self.kept.get_mut(&key).filter(|kept| kept.since.is_some_and(|since| now >= since + hedge));
             if let Some(kept) = late {
-                kept.more += 1;
+                // Where many are silent, more copies would not help.
+                kept.more = (kept.more + 1).min(2 * self.settings.copies);
                 kept.since = Some(now);
                 self.keep_up(now, &key);
             }
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -207,6 +207,8 @@
 /// Looks at times come so often while anything waits, and so often otherwise.
 const SCAN_BUSY: Micros = 20_000;
 const SCAN_IDLE: Micros = 250_000;
+/// When a client is to come again, in milliseconds, for whose job no cover could be had or whose holder refused it.
+const COME_AGAIN: u32 = 500;
 /// Messages of rolls to come that are kept; more only come from who is wrong.
 const EARLY_MOST: usize = 65_536;
 
@@ -240,6 +242,20 @@
         }
     }
 
+    /// We go by another start from now on, and are on no roll under it yet: what we held under the old one is the others'.
+    pub fn renew(&mut self, me: Process) {
+        self.members.clear();
+        self.left_out();
+        self.me = me;
+        self.claims.values_mut().for_each(|claim| claim.record.holder = me);
+        self.kept.values_mut().for_each(Kept::anew);
+        (self.roll, self.open, self.stay) = (Term::default(), false, 0);
+        self.reported.clear();
+        self.pending.clear();
+        self.early.clear();
+        self.lagging.clear();
+    }
+
     /// The zone of a scheduler, once it has said so.
     pub fn zone(&mut self, ordinal: u16, zone: u32) {
         self.zones.insert(ordinal, zone);
@@ -286,11 +302,6 @@
         self.bytes
     }
 
-    /// Clients that wait here.
-    pub fn waiting(&self) -> usize {
-        self.claims.values().map(|claim| claim.waiters.len()).sum()
-    }
-
     /// What is to be done next.
     pub fn next_order(&mut self) -> Option<Order> {
         self.orders.pop_front()
@@ -331,7 +342,7 @@
     pub fn stays(&mut self, now: Micros, until: Micros) {
         self.stay = until;
         if self.valid(now) {
-            self.go_on(now);
+            self.go_on();
         }
         self.finish(now);
     }
@@ -410,7 +421,7 @@
                 self.send(other, Message::Reported { roll: term });
             }
         } else {
-            self.left_out(now);
+            self.left_out();
         }
         let early = std::mem::take(&mut self.early);
         for (from, message) in early {
--- a/crates/handover/src/record.rs
+++ b/crates/handover/src/record.rs
@@ -125,14 +125,19 @@
         self.tried.iter().any(|tried| tried.ran == Ran::Maybe)
     }
 
+    /// The number of the next attempt.
+    pub(crate) fn next_number(&self) -> u32 {
+        self.tried.iter().map(|tried| tried.number + 1).max().unwrap_or(0)
+    }
+
     /// Takes a note in.
     pub(crate) fn note(&mut self, now: Micros, number: u32, worker: &Arc<str>, ran: Ran) {
+        let new = Tried { number, worker: Arc::clone(worker), ran, seen: now, far: false };
         match self.tried.iter_mut().find(|tried| tried.number == number) {
-            Some(tried) => tried.ran = ran,
-            None => {
-                let worker = Arc::clone(worker);
-                self.tried.push(Tried { number, worker, ran, seen: now, far: false });
-            }
+            // Said again, it is as old as it was.
+            Some(tried) if ran == Ran::Never || tried.ran == Ran::Maybe => tried.ran = ran,
+            Some(tried) => *tried = new,
+            None => self.tried.push(new),
         }
     }
 
@@ -213,3 +218,31 @@
         (self.key, record)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_attempt_said_again_keeps_its_age_and_a_number_used_again_its_new_worker() {
+        let mut record = Record {
+            holder: Process { ordinal: 0, boot: 1 },
+            ask: 1,
+            ballot: Ballot::default(),
+            version: 0,
+            what: Arc::from([]),
+            gated: true,
+            until: 1_000,
+            tried: Vec::new(),
+            fate: None,
+        };
+        let (one, other): (Arc<str>, Arc<str>) = (Arc::from("w1"), Arc::from("w2"));
+        record.note(10, 0, &one, Ran::Maybe);
+        record.note(50, 0, &one, Ran::Maybe);
+        assert_eq!(record.risk(100), Some((Arc::clone(&one), 90)));
+        record.note(60, 0, &one, Ran::Never);
+        assert_eq!(record.risk(100), None);
+        record.note(70, 0, &other, Ran::Maybe);
+        assert_eq!(record.risk(100), Some((other, 30)), "where it is now, and since when");
+    }
+}
--- a/crates/handover/src/session.rs
+++ b/crates/handover/src/session.rs
@@ -56,6 +56,11 @@
         self.bytes
     }
 
+    /// Whether all that was said has gone to the connection, if there is one.
+    pub fn sent(&self) -> bool {
+        !self.up || self.unsent == self.next
+    }
+
     /// Says something, now or once a connection is up; what nobody waits for goes with the next that is wanted soon, or
     /// when [`Session::hurry`] says so.
     pub fn say(&mut self, message: Message, soon: bool) {
--- a/crates/handover/tests/tier.rs
+++ b/crates/handover/tests/tier.rs
@@ -18,6 +18,8 @@
     orders: Vec<Vec<Order>>,
     said: Vec<(u16, u16, Message)>,
     waiter: u64,
+    /// Starts of nodes that go by another than the first.
+    boots: BTreeMap<u16, u64>,
 }
 
 fn process(node: u16) -> Process {
@@ -38,6 +40,7 @@
             orders: vec![Vec::new(); usize::from(number)],
             said: Vec::new(),
             waiter: 0,
+            boots: BTreeMap::new(),
         };
         for node in 0..number {
             let mut one = Handover::new(process(node), u32::from(node % 2), settings);
@@ -48,10 +51,14 @@
         tier
     }
 
+    fn boot(&self, node: u16) -> u64 {
+        self.boots.get(&node).copied().unwrap_or(1)
+    }
+
     fn roll(&mut self, members: Vec<u16>) {
         self.roll += 1;
         let term = Term { step: self.roll, ..Term::default() };
-        let all: BTreeMap<u16, u64> = members.iter().map(|&node| (node, 1)).collect();
+        let all: BTreeMap<u16, u64> = members.iter().map(|&node| (node, self.boot(node))).collect();
         for node in members {
             let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
             one.stays(self.now, u64::MAX);
@@ -72,9 +79,11 @@
                     };
                     let from = node as u16;
                     self.said.push((from, to.ordinal, message.clone()));
-                    let heard = !self.silent.contains(&from) && !self.silent.contains(&to.ordinal);
+                    let (sender, meant) =
+                        (Process { ordinal: from, boot: self.boot(from) }, self.boot(to.ordinal) == to.boot);
+                    let heard = meant && !self.silent.contains(&from) && !self.silent.contains(&to.ordinal);
                     if let Some(other) = self.nodes[usize::from(to.ordinal)].as_mut().filter(|_| heard) {
-                        other.hear(self.now, process(from), message);
+                        other.hear(self.now, sender, message);
                     }
                 }
             }
@@ -310,6 +319,59 @@
     }
 }
 
+#[test]
+fn bytes_kept_are_those_of_the_records_whatever_became_of_them() {
+    let mut tier = Tier::new(2, Settings { copies: 1, ..Settings::default() });
+    let bytes = |tier: &Tier| tier.nodes.iter().flatten().map(Handover::bytes).collect::<Vec<_>>();
+    tier.bring(0, "stays", true, true);
+    let alone = bytes(&tier);
+    for at in 0..20 {
+        let name = format!("goes-{at}");
+        tier.bring(0, &name, true, true);
+        tier.dispatch(0, &name);
+        let now = tier.now;
+        tier.nodes[0].as_mut().expect("it lives").never_ran(now, &key(&name), 0);
+        tier.carry_out();
+        assert_ne!(bytes(&tier), alone);
+        tier.ended(0, &name, Fate::Denied(None));
+        assert_eq!(bytes(&tier), alone, "after {name}");
+    }
+    tier.ended(0, "stays", Fate::Failed);
+    tier.pass(17_000);
+    assert_eq!(bytes(&tier), [0, 0]);
+}
+
+#[test]
+fn a_client_joined_to_a_job_that_is_refused_is_told_when_to_come_again() {
+    let mut tier = Tier::new(4, Settings::default());
+    tier.bring(0, "k", true, true);
+    let joined = tier.bring(1, "k", true, true);
+    tier.ended(0, "k", Fate::Denied(None));
+    assert!(matches!(tier.answer(1, joined), Some(Fate::Denied(Some(_)))), "{:?}", tier.answer(1, joined));
+}
+
+#[test]
+fn who_goes_by_another_start_holds_nothing_and_is_a_member_again_under_the_next_roll() {
+    let mut tier = Tier::new(4, Settings::default());
+    let name = tier.name_away_from(4, &[0]);
+    let first = tier.bring(0, &name, true, true);
+    assert!(tier.dispatch(0, &name));
+    let again = Process { ordinal: 0, boot: 2 };
+    tier.nodes[0].as_mut().expect("it lives").renew(again);
+    tier.carry_out();
+    assert!(tier.orders[0].contains(&Order::Close(key(&name))), "it is the others' now");
+    tier.boots.insert(0, 2);
+    tier.roll((0..4).collect());
+    assert!(tier.nodes[0].as_ref().expect("it lives").settled(tier.now));
+    // Its home has taken it over, and the client waits for that.
+    let home = tier.home(&name, 0);
+    assert!(tier.started(home, &name).is_some_and(|started| started.1));
+    tier.ended(home, &name, Fate::Failed);
+    assert_eq!(tier.answer(0, first), Some(Fate::Failed));
+    tier.bring(0, "another", true, true);
+    assert!(tier.dispatch(0, "another"));
+}
+
 #[test]
 fn a_planned_end_gives_away_what_was_not_sent_and_keeps_the_rest() {
     let mut tier = Tier::new(4, Settings::default());
