A server that was withdrawn is ready again only by the scheduler's own list

By the issue's trace of scheduler n33: it started anew at 30.06 s holding the list from before its start (version 0); peers told it that server was gone (version 1), then that it was ready (version 3). Table::word (crates/roster/src/table.rs) dropped the withdrawal on the second message, and what lay below it was the list from before the start, under which the job was sent. The module's page says that only discovery makes a server ready.

Of the same shape, found by reading and each shown by a test: a peer lifted what a line that broke off had withdrawn; a withdrawal ran out after 60 s though no watch worked; an entry or a whole list older than the withdrawal (a discovery that lags, after SIGHUP) undid it. Ruled out: withheld by behaviour, which peers do not touch.

Change: a peer's word of ready changes nothing; a withdrawal ends when the own list is as new as it, when versions were counted from anew and a whole list was asked for since, or when a watch has worked for 60 s without a break and not confirmed it.

--- a/crates/daemon/tests/roster.rs
+++ b/crates/daemon/tests/roster.rs
@@ -9,6 +9,7 @@
 use stage::{
     HEAD, PATIENCE, Stage, accept, chunk, done, endpoint, job, list, listener, read_message, send, settings,
 };
+use std::collections::BTreeSet;
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -107,8 +108,13 @@
     panic!("the server is held back for good");
 }
 
-/// Another scheduler's roster, which has heard this line.
+/// What another scheduler tells that has heard this line.
 fn other_scheduler(entries: &[(&str, Readiness)], index: u64) -> Vec<String> {
+    other_scheduler_after(&[(index, entries)])
+}
+
+/// The same after several lines of its watch.
+fn other_scheduler_after(lines: &[(u64, &[(&str, Readiness)])]) -> Vec<String> {
     let settings = RosterSettings {
         ordinal: 1,
         schedulers: 2,
@@ -128,16 +134,20 @@
         weight: 1.0,
         launched: None,
     };
-    roster.know(0.0, 1, entries.iter().map(|(name, _)| listed(name, Readiness::Ready)).collect());
+    let known: BTreeSet<&str> =
+        lines.iter().flat_map(|(_, entries)| entries.iter().map(|(name, _)| *name)).collect();
+    roster.know(0.0, 1, known.into_iter().map(|name| listed(name, Readiness::Ready)).collect());
     roster.want(0.0, true);
     let mut texts = Vec::new();
     while let Some(order) = roster.next_order() {
         if let Order::Ask { call, .. } = order {
             roster.call_answered(1.0, call);
-            entries
-                .iter()
-                .for_each(|(name, readiness)| roster.call_entry(1.0, call, listed(name, *readiness)));
-            roster.call_line(1.0, call, index, false);
+            for &(index, entries) in lines {
+                for (name, readiness) in entries {
+                    roster.call_entry(1.0, call, listed(name, *readiness));
+                }
+                roster.call_line(1.0, call, index, false);
+            }
         } else if let Order::Tell { text, .. } = order {
             texts.push(text);
         }
@@ -167,6 +177,30 @@
     assert!(read_message(&mut second).contains("since=2"));
 }
 
+#[test]
+fn after_a_restart_a_server_that_peers_withdrew_waits_for_the_own_list_whatever_peers_say_of_its_return() {
+    let (a, b) = (listener(), listener());
+    let stage = Stage::start(&[entry("s-a", &a, "ready"), entry("s-b", &b, "ready")]);
+    // Discovery has much to do: the watch is open and has not been answered.
+    let mut watch = accept(&stage.discovery);
+    read_message(&mut watch);
+    stage.until_up();
+    let lines: [(u64, &[(&str, Readiness)]); 2] =
+        [(7, &[("s-a", Readiness::Gone)]), (9, &[("s-a", Readiness::Ready)])];
+    for text in other_scheduler_after(&lines) {
+        stage.peer.send_to(text.as_bytes(), stage.peer_address).expect("sent");
+    }
+    until_avoided(&stage, &a);
+    all_go_to(&stage, &a, &b, 6);
+    let whole = list(9, true, &[entry("s-a", &a, "ready"), entry("s-b", &b, "ready")]);
+    send(&mut watch, &format!("{HEAD}{}", chunk(&format!("{whole}\n"))));
+    std::thread::sleep(Duration::from_millis(100));
+    // Both take jobs now: two at once go to one each.
+    let _clients = [stage.ask(&job("view", "r1", "x")), stage.ask(&job("view", "r2", "x"))];
+    accept(&a);
+    accept(&b);
+}
+
 #[test]
 fn garbled_word_from_another_scheduler_changes_nothing() {
     let (stage, a, b, _watch) = two_servers();
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! - a server that discovery, in a whole line or in one that broke off, or a peer with a newer list has called
 //!   draining or gone is not [`Roster::ready`] from the same instant on;
-//! - only what this scheduler's own list has named can be ready; a peer's word never adds a server;
+//! - only what this scheduler's own list has named can be ready; a peer's word never adds a server, nor does it make
+//!   one ready again that was withdrawn, whoever withdrew it;
 //! - a stale table goes on being used, whatever its age: in a plain outage nobody is left without service. What is
 //!   held back meanwhile, on the servers' own word alone, is at most half of the servers listed as ready;
 //! - calls are paid from a bucket whose rate falls with the number of schedulers, so that doubt, outages and
@@ -129,6 +130,8 @@
     /// Any list has come from discovery in this life.
     told: bool,
     fresh: Freshness,
+    /// Since when it has been fresh without a break, if it is.
+    fresh_since: Option<Millis>,
     orders: std::collections::VecDeque<Order>,
     counts: Counts,
     /// The newest version that a peer claims and that we lack, and by when it should have come.
@@ -157,6 +160,7 @@
             unfinished: BTreeMap::new(),
             told: false,
             fresh: Freshness::Stale,
+            fresh_since: None,
             orders: Default::default(),
             counts: Counts::default(),
             lacking: None,
@@ -418,7 +422,7 @@
             ));
             self.link.doubt(now);
         }
-        self.table.forget(now);
+        self.table.forget(now, self.fresh_since);
         self.follow(now);
     }
 
@@ -448,6 +452,7 @@
         let fresh = self.link.freshness(now);
         if fresh != self.fresh {
             self.fresh = fresh;
+            self.fresh_since = (fresh == Freshness::Fresh).then_some(now);
             self.table.review(now, fresh);
             self.learn(now, ListKind::Delta);
         }
--- a/crates/roster/src/table.rs
+++ b/crates/roster/src/table.rs
@@ -2,7 +2,8 @@
 //!
 //! Four words meet here, the newer going before the older: what discovery's lists say, what a line said that broke
 //! off, what a peer with a newer list says, and what the server's own behaviour lets one guess. Only the first can
-//! make a server ready.
+//! make a server ready, be it for the first time or again: a withdrawal by one of the others ends when the own list is as
+//! new as it, or when a watch that has worked for long enough since has not confirmed it.
 
 use super::evidence::{ENOUGH, Evidence, Group, Release, STILL, ServerWord};
 use super::gossip::{Change, tag};
@@ -36,7 +37,8 @@
 /// Gone servers are forgotten after this long, and their numbers given to others: nothing of a job that was sent
 /// there is held any more, for a client waits some seconds only.
 const FORGET: Millis = 600_000.0;
-/// A withdrawal that no list has confirmed or undone is dropped after so long, lest one false word last for good.
+/// A withdrawal that no list has confirmed or undone is dropped once a watch has worked for so long since, lest one false
+/// word last for good. Time without a watch does not count: what is held then may be older than the withdrawal.
 const WORD_LIFE: Millis = 60_000.0;
 /// Servers' own word holds back no more than this part of those listed as ready.
 const HELD_BACK: f64 = 0.5;
@@ -94,6 +96,15 @@
     /// The list that says so; a version held that is as new answers it.
     version: u64,
     at: Millis,
+    /// Discovery has counted its versions from anew since, so that `version` says nothing about those to come.
+    renumbered: bool,
+}
+
+impl Word {
+    /// Whether what a list of this version says of the server is newer than the withdrawal.
+    fn is_answered_by(&self, version: u64) -> bool {
+        self.version <= version || self.renumbered
+    }
 }
 
 pub(super) struct Server {
@@ -232,6 +243,9 @@
         self.version = None;
         for server in self.servers.iter_mut().flatten() {
             server.version = 0;
+            if let Some(word) = &mut server.word {
+                word.renumbered = true;
+            }
         }
     }
 
@@ -259,7 +273,7 @@
         server.round = round;
         (server.version, server.source) = (version, source);
         let before = server.believed().0;
-        let had_word = server.word.take().is_some();
+        let had_word = server.word.take_if(|word| word.is_answered_by(version)).is_some();
         if same && !had_word && server.evidence.nothing(now) {
             return None;
         }
@@ -282,8 +296,10 @@
                 self.release.came(now, group);
             }
         }
+        if server.word.is_none() {
+            self.marked.remove(&id);
+        }
         self.note(now, id, was.0, is, group);
-        self.marked.remove(&id);
         self.changed.insert(id);
         let tag = tag(self.get(id)?.hash);
         (is != was.0 || is != before).then_some(Change { tag, readiness: is, version })
@@ -350,10 +366,13 @@
                     continue;
                 }
                 server.listed.readiness = Readiness::Gone;
-                (server.since, server.version, server.word) = (now, version, None);
+                (server.since, server.version) = (now, version);
+                server.word = server.word.filter(|word| !word.is_answered_by(version));
+                if server.word.is_none() {
+                    self.marked.remove(&id);
+                }
                 let (group, tag) = (server.group(), tag(server.hash));
                 self.note(now, id, was, Readiness::Gone, group);
-                self.marked.remove(&id);
                 self.changed.insert(id);
                 away.push(Change { tag, readiness: Readiness::Gone, version });
             }
@@ -365,13 +384,17 @@
         away
     }
 
-    /// Drops the words that a complete line has answered: the list held is as new as they, or it is a whole one
-    /// that was asked for after they were heard.
+    /// Drops the words that a complete line has answered: the list held is as new as they, or it is a whole one that was
+    /// asked for after they were heard, and versions were counted from anew meanwhile. A whole list that is merely older
+    /// comes from a discovery that lags, and answers nothing.
     pub(super) fn answer_words(&mut self, asked_at: Millis, snapshot: bool) {
         let held = self.version.unwrap_or(0);
         for id in self.marked.clone() {
             let Some(server) = self.servers[id].as_mut() else { continue };
-            if server.word.is_some_and(|word| word.version <= held || snapshot && word.at < asked_at) {
+            if server
+                .word
+                .is_some_and(|word| word.version <= held || snapshot && word.renumbered && word.at < asked_at)
+            {
                 server.word = None;
                 self.changed.insert(id);
             }
@@ -384,9 +407,9 @@
         self.word(now, id, readiness, version, Source::BrokenLine);
     }
 
-    /// Another scheduler's word on a server. Older words, and those that would make one ready, change nothing but
-    /// that a server called ready again by a newer list is not held back for an older word of the same kind. Tells
-    /// whether something is taken away by it.
+    /// Another scheduler's word on a server. Older words, and those that would make one ready, change nothing: below a
+    /// withdrawal lies the own list, which is older than it, and so older than the server's return. Tells whether
+    /// something is taken away by it.
     pub(super) fn word(
         &mut self,
         now: Millis,
@@ -397,18 +420,19 @@
     ) -> bool {
         let held = self.version.unwrap_or(0);
         let Some(server) = self.servers.get_mut(id).and_then(Option::as_mut) else { return false };
-        if version <= held || server.word.is_some_and(|word| word.version > version) {
+        if readiness == Readiness::Ready
+            || version <= held
+            || server.word.is_some_and(|word| word.version > version)
+        {
             return false;
         }
         if server.listed.readiness != Readiness::Ready {
             return false;
         }
         let before = server.believed().0;
-        server.word = (readiness != Readiness::Ready).then_some(Word { readiness, source, version, at: now });
+        server.word = Some(Word { readiness, source, version, at: now, renumbered: false });
         let after = server.believed().0;
-        if server.word.is_some() {
-            self.marked.insert(id);
-        }
+        self.marked.insert(id);
         if before != after {
             self.changed.insert(id);
         }
@@ -482,8 +506,9 @@
         }
     }
 
-    /// Forgets servers gone for long, and words that nothing has answered for long.
-    pub(super) fn forget(&mut self, now: Millis) {
+    /// Forgets servers gone for long, and words that nothing has answered for long. `fresh_since`: since when a watch has
+    /// worked without a break, if one does.
+    pub(super) fn forget(&mut self, now: Millis, fresh_since: Option<Millis>) {
         while let Some(&(at, id)) = self.gone.first()
             && now >= f64::from_bits(at) + FORGET
         {
@@ -500,7 +525,9 @@
         }
         for id in self.marked.clone() {
             let Some(server) = self.servers[id].as_mut() else { continue };
-            if server.word.is_some_and(|word| now >= word.at + WORD_LIFE) {
+            let unanswered =
+                |word: Word| fresh_since.is_some_and(|since| now >= word.at.max(since) + WORD_LIFE);
+            if server.word.is_some_and(unanswered) {
                 server.word = None;
                 self.changed.insert(id);
             }
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -5,7 +5,7 @@
 mod world;
 
 use brackenledge_policy::Readiness;
-use brackenledge_roster::{Freshness, Listed, Order, Roster, RosterSettings, ServerWord, Source};
+use brackenledge_roster::{CallKind, Freshness, Listed, Order, Roster, RosterSettings, ServerWord, Source};
 use std::collections::BTreeSet;
 use world::{ASK_WITHIN, FAULTS, Fault, SERVICE, World, roster, server};
 
@@ -278,6 +278,143 @@
     }
 }
 
+/// The messages that a scheduler sends to another when its own watch brings these lines, one after another.
+fn messages_of_a_watch(lines: &[(u64, &str, Readiness)]) -> Vec<String> {
+    let mut sender = roster(0.0, 1, 2, true);
+    sender.know(0.0, 0, vec![server("a", Readiness::Ready), server("b", Readiness::Ready)]);
+    sender.want(0.0, true);
+    let watch = calls(&mut sender).0[0];
+    sender.call_answered(1.0, watch);
+    let mut messages = Vec::new();
+    for &(version, name, readiness) in lines {
+        sender.call_entry(2.0, watch, server(name, readiness));
+        sender.call_line(2.0, watch, version, false);
+        while let Some(order) = sender.next_order() {
+            if let Order::Tell { text, .. } = order {
+                messages.push(text);
+            }
+        }
+    }
+    messages
+}
+
+/// A scheduler that has started anew holds the list from before its start, and its watch has brought nothing yet.
+fn restarted() -> (Roster, u64) {
+    let mut node = roster(0.0, 0, 2, true);
+    node.know(0.0, 0, vec![server("a", Readiness::Ready), server("b", Readiness::Ready)]);
+    node.want(0.0, true);
+    let watch = calls(&mut node).0[0];
+    node.call_up(1.0, watch);
+    (node, watch)
+}
+
+/// Seen on `zone+mass`, each time: peers told a restarted scheduler that a server was gone and then that it was back;
+/// the second message uncovered the list from before the start, and a job was sent on it 1.6 s after the start.
+#[test]
+fn a_server_that_peers_withdrew_is_ready_again_only_by_the_own_list() {
+    for away in [Readiness::Gone, Readiness::Draining] {
+        let (mut node, watch) = restarted();
+        for text in messages_of_a_watch(&[(1, "a", away), (3, "a", Readiness::Ready)]) {
+            node.heard(10.0, 1, &text);
+        }
+        assert!(
+            !is_ready(&node, "a"),
+            "a peer's word of the return uncovered a list that is older than the loss"
+        );
+        assert!(is_ready(&node, "b"));
+        // The own list decides once it is as new as the withdrawal.
+        node.call_answered(20.0, watch);
+        node.call_entry(20.0, watch, server("a", Readiness::Ready));
+        node.call_line(20.0, watch, 3, false);
+        assert!(is_ready(&node, "a"));
+    }
+}
+
+#[test]
+fn a_server_that_a_broken_line_withdrew_is_not_made_ready_by_a_peer() {
+    let (mut node, watch) = restarted();
+    node.call_answered(5.0, watch);
+    node.call_entry(6.0, watch, server("a", Readiness::Gone));
+    node.call_ended(7.0, watch, brackenledge_roster::Ending::Broken);
+    assert!(!is_ready(&node, "a"));
+    for text in messages_of_a_watch(&[(8, "a", Readiness::Draining), (9, "a", Readiness::Ready)]) {
+        node.heard(10.0, 1, &text);
+    }
+    assert!(!is_ready(&node, "a"), "only the own list makes a server ready");
+}
+
+#[test]
+fn a_withdrawal_outlives_an_outage_and_ends_once_a_watch_that_works_has_not_confirmed_it() {
+    let (mut node, watch) = restarted();
+    for text in messages_of_a_watch(&[(5, "a", Readiness::Gone)]) {
+        node.heard(10.0, 1, &text);
+    }
+    // Discovery says nothing for two minutes: nothing has confirmed or undone the withdrawal.
+    node.call_ended(20.0, watch, brackenledge_roster::Ending::Broken);
+    let mut asked = Vec::new();
+    for second in 1..=120 {
+        let now = 1_000.0 * f64::from(second);
+        node.on_time(now);
+        for call in calls(&mut node).0 {
+            asked.push(call);
+            node.call_ended(now, call, brackenledge_roster::Ending::NoConnection);
+        }
+        assert!(!is_ready(&node, "a"), "sent to on the list from before the start after {second} s");
+    }
+    // A watch is open again, on time, and never says a thing of it: the word was false.
+    let mut watches = BTreeSet::new();
+    for step in 0..200 {
+        let now = 121_000.0 + 500.0 * f64::from(step);
+        node.on_time(now);
+        let (asked, dropped) = calls(&mut node);
+        for call in asked {
+            node.call_up(now, call);
+            node.call_answered(now, call);
+            node.call_line(now, call, 2, false);
+            watches.insert(call);
+        }
+        watches.retain(|call| !dropped.contains(call));
+        watches.iter().for_each(|&call| node.call_beat(now, call));
+        assert!(
+            now > 180_000.0 || !is_ready(&node, "a"),
+            "undone {} ms after the watch came up",
+            now - 121_000.0
+        );
+    }
+    assert!(is_ready(&node, "a"), "one false message would withdraw a server for good");
+}
+
+/// After SIGHUP a scheduler may ask a discovery that lags behind the one that its peers still hear.
+#[test]
+fn a_whole_list_that_is_older_than_a_withdrawal_does_not_undo_it() {
+    let (mut node, watch) = restarted();
+    node.call_answered(2.0, watch);
+    node.call_line(2.0, watch, 5, false);
+    for text in messages_of_a_watch(&[(7, "a", Readiness::Gone)]) {
+        node.heard(10.0, 1, &text);
+    }
+    node.moved(20.0);
+    node.fetch(20.0);
+    let mut whole = 0;
+    for step in 0..40 {
+        let now = 20.0 + 100.0 * f64::from(step);
+        node.on_time(now);
+        while let Some(order) = node.next_order() {
+            if let Order::Ask { call, kind: CallKind::Fetch, .. } = order {
+                node.call_up(now, call);
+                node.call_answered(now, call);
+                node.call_entry(now, call, server("a", Readiness::Ready));
+                node.call_entry(now, call, server("b", Readiness::Ready));
+                node.call_line(now, call, 5, true);
+                node.call_ended(now, call, brackenledge_roster::Ending::Done);
+                whole += 1;
+            }
+        }
+    }
+    assert!(whole > 0, "no whole list was asked for");
+    assert!(!is_ready(&node, "a"), "version 5 undid what version 7 said");
+}
+
 #[test]
 fn a_large_tier_passes_a_change_on_by_rumour() {
     let mut world = settled(40, &["a", "b"], true);
