Rename the crate ownership to leases, with its pages

Cause: the operators' engineers look for the field's terms; the name ownership is ours. Result: cargo check of the workspace with all targets passes; no behaviour is touched.

--- a/crates/daemon/src/net/state.rs
+++ b/crates/daemon/src/net/state.rs
@@ -4,7 +4,7 @@
 //! One small file for each scheduler's number, replaced whole and synced before any message leaves that could rest on it.
 //! Two processes under one number may share it: each takes in what the other wrote before it writes.
 
-use brackenledge_ownership::Epoch;
+use brackenledge_leases::Epoch;
 use std::io::{self, ErrorKind, Write};
 use std::path::{Path, PathBuf};
 
--- a/crates/daemon/src/net/tier.rs
+++ b/crates/daemon/src/net/tier.rs
@@ -7,8 +7,8 @@
 use super::event_loop::Millis;
 use super::peer::Peer;
 use super::state::State;
+use brackenledge_leases::{Deed, Fence, Living, Message, Order, Ownership, Settings, Term};
 use brackenledge_membership::{Membership, Order as MemberOrder, Process, Standing, Times};
-use brackenledge_ownership::{Deed, Fence, Living, Message, Order, Ownership, Settings, Term};
 use brackenledge_policy::split_sums;
 use brackenledge_protocol::operations::Operations;
 use slog::{Logger, info, warn};
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -189,7 +189,7 @@
 
 #[test]
 fn what_a_member_has_heard_of_epochs_is_kept_and_told_after_a_sudden_end() {
-    use brackenledge_ownership::{Epoch, Message, Process};
+    use brackenledge_leases::{Epoch, Message, Process};
     let folder = tempfile::tempdir().expect("a directory");
     let file = folder.path().join("operations.toml");
     let state = folder.path().join("state");
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -7,8 +7,8 @@
 //! fault.
 
 use brackenledge_handover::{Frame, Handover, Session};
+use brackenledge_leases::{Deed, Epoch, Fence, MESSAGE_MOST, Message, Order, Ownership, View};
 use brackenledge_membership::{Membership, Process, Times};
-use brackenledge_ownership::{Deed, Epoch, Fence, MESSAGE_MOST, Message, Order, Ownership, View};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
 use brackenledge_protocol::http::{BODY_MOST, Body, Buffer, HEAD_MOST, take_answer_head};
 use brackenledge_protocol::list_stream::{ListReader, Piece};
@@ -62,7 +62,7 @@
 /// Datagrams of ownership, at a voter of three and at one that has just started: each message as if its sender had sent it.
 pub fn ownership(input: &[u8]) {
     let settings =
-        brackenledge_ownership::Settings { stay: 2_500_000, ..brackenledge_ownership::Settings::new(5, 2) };
+        brackenledge_leases::Settings { stay: 2_500_000, ..brackenledge_leases::Settings::new(5, 2) };
     let view = View { epoch: Epoch { era: 1, number: 1 }, voters: (0..3).map(process).collect() };
     let begun = Ownership::begun(1_000_000, process(0), settings, view);
     let new = Ownership::new(1_000_000, process(0), 1, settings);
@@ -109,7 +109,7 @@
     let mut session = Session::new(process(1));
     let mut holder = Handover::new(process(0), 0, brackenledge_handover::Settings::default());
     let roll = (0..3).map(|ordinal| (ordinal, 1)).collect();
-    let term = brackenledge_ownership::Term { epoch: Epoch { era: 1, number: 1 }, ..Default::default() };
+    let term = brackenledge_leases::Term { epoch: Epoch { era: 1, number: 1 }, ..Default::default() };
     holder.stays(1_000_000, 3_000_000);
     holder.roll(1_000_000, term, &roll);
     for (at, bytes) in messages(input).into_iter().enumerate() {
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -47,7 +47,7 @@
 mod record;
 mod session;
 
-pub use brackenledge_ownership::{Micros, Process, Term};
+pub use brackenledge_leases::{Micros, Process, Term};
 pub use message::{FRAME_MOST, Frame, Message};
 pub use record::{Ballot, Fate, Key, Ran, Record, Sent, Tried};
 pub use session::{Nonsense, Session};
--- a/crates/handover/src/message.rs
+++ b/crates/handover/src/message.rs
@@ -1,7 +1,7 @@
 //! What processes tell one another of jobs, and its bytes: `postcard`, framed by COBS, so that a zero byte ends each.
 
 use crate::record::{Ballot, Fate, Key, Ran, Sent};
-use brackenledge_ownership::{Process, Term};
+use brackenledge_leases::{Process, Term};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
--- a/crates/handover/src/record.rs
+++ b/crates/handover/src/record.rs
@@ -1,6 +1,6 @@
 //! What is kept of a job, and by whom.
 
-use brackenledge_ownership::{Micros, Process, Term};
+use brackenledge_leases::{Micros, Process, Term};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/handover/src/session.rs
+++ b/crates/handover/src/session.rs
@@ -2,7 +2,7 @@
 //! and go, and what the other has not said it has is said again on the next one. No I/O, no clock.
 
 use crate::message::{Frame, Message};
-use brackenledge_ownership::Process;
+use brackenledge_leases::Process;
 use std::collections::VecDeque;
 
 /// What has come is said after so many messages at the latest; it goes along with whatever is sent before.
@@ -170,7 +170,7 @@
     use proptest::prelude::*;
 
     fn word(number: u32) -> Message {
-        let term = brackenledge_ownership::Term { step: number, ..Default::default() };
+        let term = brackenledge_leases::Term { step: number, ..Default::default() };
         Message::Reported { roll: term }
     }
 
--- a/crates/handover/tests/golden.rs
+++ b/crates/handover/tests/golden.rs
@@ -6,7 +6,7 @@
 #![allow(missing_docs)]
 
 use brackenledge_handover::{Ballot, Fate, Frame, Key, Message, Process, Ran, Sent, Term};
-use brackenledge_ownership::{Epoch, Round};
+use brackenledge_leases::{Epoch, Round};
 use std::sync::Arc;
 
 fn hex(bytes: &[u8]) -> String {
--- a/crates/ownership/tests/golden.rs
+++ b/crates/leases/tests/golden.rs
@@ -5,7 +5,7 @@
 //! wire format has changed.
 #![allow(missing_docs)]
 
-use brackenledge_ownership::{Deed, Epoch, Message, Process, Round, Term, View};
+use brackenledge_leases::{Deed, Epoch, Message, Process, Round, Term, View};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
--- a/crates/ownership/tests/model.rs
+++ b/crates/leases/tests/model.rs
@@ -3,7 +3,7 @@
 //! looked at (default: what CI has time for).
 #![allow(missing_docs)]
 
-use brackenledge_ownership::{Epoch, Fence, Message, Order, Ownership, Process, Settings, Term, View};
+use brackenledge_leases::{Epoch, Fence, Message, Order, Ownership, Process, Settings, Term, View};
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::BTreeMap;
 
--- a/crates/ownership/tests/tier.rs
+++ b/crates/leases/tests/tier.rs
@@ -2,7 +2,7 @@
 //! splits, a pause, a clean leave; drift within its bound; and any bytes.
 #![allow(missing_docs)]
 
-use brackenledge_ownership::{
+use brackenledge_leases::{
     Deed, Fence, MESSAGE_MOST, Message, Micros, Order, Ownership, Process, Settings, Term,
 };
 use proptest::prelude::*;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -118,7 +118,7 @@
 impl Times {
     /// For a tier of so many. What is suspected must hear of it and its answer must come round before it is given up:
     /// both travel by gossip, in rounds that grow with the logarithm of the number; at 30% loss a round reaches half
-    /// as many. Figures: docs/measurements/ownership.md.
+    /// as many. Figures: docs/measurements/leases.md.
     pub fn for_tier(schedulers: usize) -> Times {
         let rounds = (schedulers.max(2) as f64).log2();
         Times {
--- a/crates/rig/src/tier.rs
+++ b/crates/rig/src/tier.rs
@@ -13,7 +13,7 @@
 use crate::traffic::{Crowd, Front, Next, TENANTS};
 use crate::weather::{Parcel, Pipe, Weather};
 use crate::worker::{Attempt, Fleet, Said};
-use brackenledge_ownership::Message;
+use brackenledge_leases::Message;
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use rand::SeedableRng;
@@ -1154,11 +1154,11 @@
     fn watch_duties(&mut self, from: usize, to: Option<usize>, bytes: &[u8]) {
         let at = self.at();
         let Some((&kind, bytes)) = bytes.split_first() else { return };
-        let flat = |term: brackenledge_ownership::Term| {
+        let flat = |term: brackenledge_leases::Term| {
             [term.epoch.era, term.epoch.number, term.round.count, u32::from(term.round.by), term.step]
         };
         if kind == DEED
-            && let Some((deed, _)) = brackenledge_ownership::Deed::read(bytes)
+            && let Some((deed, _)) = brackenledge_leases::Deed::read(bytes)
         {
             let (duty, term) = (deed.duty, flat(deed.term));
             self.note(Event::Duty { at, duty, term, owner: from, deed: true, reached: to });
