Rename the crate handover to failover, with its pages

Cause: the operators' engineers look for the field's terms; the name handover is ours. Change: the folder, the package, its users, its pages and the links to them (docs/GLOSSARY.md); no code but the crate's name in its users.

--- a/crates/daemon/src/net/cover.rs
+++ b/crates/daemon/src/net/cover.rs
@@ -8,7 +8,7 @@
 use super::event_loop::Millis;
 use super::tier::{Tier, micros};
 use brackenledge_engine::{Answer, Arrival, ClientId, DispatchId, Request, Times};
-use brackenledge_handover::{
+use brackenledge_failover::{
     Brought, Fate, Frame, Handover, Key, Message, Nonsense, Order, Process, Session, Settings, Waiter,
 };
 use brackenledge_policy::{Effect, JobId, NewJob, WorkerId};
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -5,7 +5,7 @@
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive};
 use super::link::Link;
 use brackenledge_engine::{Answer, Arrival, ClientId, Request};
-use brackenledge_handover::Waiter;
+use brackenledge_failover::Waiter;
 use brackenledge_policy::settings::SettingsDocument;
 use brackenledge_policy::{Effect, JobId, NewJob, Settings};
 use brackenledge_protocol::http::{
--- a/crates/daemon/src/net/links.rs
+++ b/crates/daemon/src/net/links.rs
@@ -6,7 +6,7 @@
 use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive, push_out};
 use super::link::Link;
-use brackenledge_handover::{FRAME_MOST, Frame, Process};
+use brackenledge_failover::{FRAME_MOST, Frame, Process};
 use mio::net::{TcpListener, TcpStream};
 use slab::Slab;
 use std::io::ErrorKind;
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -26,7 +26,7 @@
 use brackenledge_engine::drain::Drain;
 use brackenledge_engine::stop::Stop;
 use brackenledge_engine::{Answer, Core, Order};
-use brackenledge_handover::{Fate, Order as CoverOrder};
+use brackenledge_failover::{Fate, Order as CoverOrder};
 use brackenledge_policy::{Outcome, Settings};
 use brackenledge_protocol::config::{Config, IDLE_LIMIT};
 use brackenledge_protocol::operations::Operations;
--- a/crates/handover/tests/golden.rs
+++ b/crates/failover/tests/golden.rs
@@ -5,7 +5,7 @@
 //! that the wire format has changed.
 #![allow(missing_docs)]
 
-use brackenledge_handover::{Ballot, Fate, Frame, Key, Message, Process, Ran, Sent, Term};
+use brackenledge_failover::{Ballot, Fate, Frame, Key, Message, Process, Ran, Sent, Term};
 use brackenledge_leases::{Epoch, Round};
 use std::sync::Arc;
 
--- a/crates/handover/tests/model.rs
+++ b/crates/failover/tests/model.rs
@@ -4,7 +4,7 @@
 //! (default: what CI has time for).
 #![allow(missing_docs)]
 
-use brackenledge_handover::{Brought, Fate, Handover, Key, Message, Order, Process, Settings, Term, Waiter};
+use brackenledge_failover::{Brought, Fate, Handover, Key, Message, Order, Process, Settings, Term, Waiter};
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
--- a/crates/handover/tests/tier.rs
+++ b/crates/failover/tests/tier.rs
@@ -2,7 +2,7 @@
 //! zones, ages, a planned end.
 #![allow(missing_docs)]
 
-use brackenledge_handover::{Brought, Fate, Handover, Key, Message, Order, Process, Settings, Term};
+use brackenledge_failover::{Brought, Fate, Handover, Key, Message, Order, Process, Settings, Term};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -6,7 +6,7 @@
 //! ownership` lets libFuzzer look for as long as one likes. An input that failed goes into the unit tests of the crate at
 //! fault.
 
-use brackenledge_handover::{Frame, Handover, Session};
+use brackenledge_failover::{Frame, Handover, Session};
 use brackenledge_leases::{Deed, Epoch, Fence, MESSAGE_MOST, Message, Order, Ownership, View};
 use brackenledge_membership::{Membership, Process, Times};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
@@ -107,7 +107,7 @@
 /// Frames between schedulers, through a session into the keeper and holder behind it.
 pub fn handover(input: &[u8]) {
     let mut session = Session::new(process(1));
-    let mut holder = Handover::new(process(0), 0, brackenledge_handover::Settings::default());
+    let mut holder = Handover::new(process(0), 0, brackenledge_failover::Settings::default());
     let roll = (0..3).map(|ordinal| (ordinal, 1)).collect();
     let term = brackenledge_leases::Term { epoch: Epoch { era: 1, number: 1 }, ..Default::default() };
     holder.stays(1_000_000, 3_000_000);
@@ -127,7 +127,7 @@
         }
         holder.on_time(now);
         while let Some(order) = holder.next_order() {
-            if let brackenledge_handover::Order::Send { message, soon, .. } = order {
+            if let brackenledge_failover::Order::Send { message, soon, .. } = order {
                 session.say(message, soon);
             }
         }
