Rename the crate roster to discovery, with its pages

Cause: the operators' engineers look for the field's terms; the name roster is ours. Result: cargo check of the workspace with all targets passes; no behaviour is touched.

--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -3,11 +3,11 @@
 use super::Context;
 use super::event_loop::{Alarm, Connection, EventLoop, Flow, Millis, Owner, drive};
 use super::link::Link;
+use brackenledge_discovery::{self as roster, CallKind, Ending, Listed};
 use brackenledge_policy::Readiness;
 use brackenledge_protocol::config::Endpoint;
 use brackenledge_protocol::http::{AnswerHead, HEAD_MOST, take_answer_head};
 use brackenledge_protocol::list_stream::{ListReader, Piece};
-use brackenledge_roster::{self as roster, CallKind, Ending, Listed};
 use mio::net::TcpStream;
 use slab::Slab;
 use slog::warn;
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -23,6 +23,7 @@
 use self::peer::Peer;
 use self::tier::Tier;
 use self::zones::Zones;
+use brackenledge_discovery::{Roster, RosterSettings};
 use brackenledge_engine::drain::Drain;
 use brackenledge_engine::stop::Stop;
 use brackenledge_engine::{Answer, Core, Order};
@@ -30,7 +31,6 @@
 use brackenledge_policy::{Outcome, Settings};
 use brackenledge_protocol::config::{Config, IDLE_LIMIT};
 use brackenledge_protocol::operations::Operations;
-use brackenledge_roster::{Roster, RosterSettings};
 use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -552,18 +552,18 @@
         }
     }
 
-    fn carry_out_roster(&mut self, order: brackenledge_roster::Order) {
+    fn carry_out_roster(&mut self, order: brackenledge_discovery::Order) {
         let cx = &mut context!(self);
         match order {
-            brackenledge_roster::Order::Ask { call, kind, since } => {
+            brackenledge_discovery::Order::Ask { call, kind, since } => {
                 self.discovery.ask(call, kind, since, cx)
             }
-            brackenledge_roster::Order::Drop { call } => self.discovery.drop_call(call, cx),
-            brackenledge_roster::Order::Tell { to, text } => self.tell(Some(to), &text),
-            brackenledge_roster::Order::Learn { kind, entries } => {
+            brackenledge_discovery::Order::Drop { call } => self.discovery.drop_call(call, cx),
+            brackenledge_discovery::Order::Tell { to, text } => self.tell(Some(to), &text),
+            brackenledge_discovery::Order::Learn { kind, entries } => {
                 cx.core.servers(kind, entries.into_iter().map(|learned| learned.0).collect());
             }
-            brackenledge_roster::Order::Log(text) => info!(self.log, "{}", text),
+            brackenledge_discovery::Order::Log(text) => info!(self.log, "{}", text),
         }
     }
 
--- a/crates/daemon/src/net/zones.rs
+++ b/crates/daemon/src/net/zones.rs
@@ -7,10 +7,10 @@
 use super::event_loop::Millis;
 use super::peer::Peer;
 use super::tier::{SEEN, Tier, ZONES, send};
+use brackenledge_discovery::Roster;
 use brackenledge_engine::Core;
 use brackenledge_policy::{LoadReport, Outcome, Readiness, WorkerId};
 use brackenledge_protocol::operations::ZoneOptions;
-use brackenledge_roster::Roster;
 use brackenledge_zones::{Digest, Evidence, Holder, Plan, Planner, Pricer, Seen, Settings, Use, Way};
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info};
--- a/crates/daemon/tests/roster.rs
+++ b/crates/daemon/tests/roster.rs
@@ -3,8 +3,8 @@
 
 mod stage;
 
+use brackenledge_discovery::{Listed, Order, Roster, RosterSettings};
 use brackenledge_policy::Readiness;
-use brackenledge_roster::{Listed, Order, Roster, RosterSettings};
 use serde_json::{Value, json};
 use stage::{
     HEAD, PATIENCE, Stage, accept, chunk, done, endpoint, job, list, listener, read_message, send, settings,
@@ -258,7 +258,7 @@
     all_go_to(&stage, &a, &b, 3);
 }
 
-/// Figures for `docs/measurements/roster.md`, by size of the list: `cargo test --release --locked -p brackenledge
+/// Figures for `docs/measurements/discovery.md`, by size of the list: `cargo test --release --locked -p brackenledge
 /// --test roster -- --ignored --nocapture`.
 #[test]
 #[ignore = "a measurement"]
--- a/crates/roster/examples/roster_load.rs
+++ b/crates/discovery/examples/roster_load.rs
@@ -1,13 +1,13 @@
 //! What schedulers cost discovery: calls in calm, in doubt and in an outage, for 4 and for 40 of them, by the roster
 //! and by the rules that it replaced. On a virtual clock; `cargo run --release -p
-//! brackenledge-roster --example roster_load`.
+//! brackenledge-discovery --example roster_load`.
 #![allow(missing_docs)]
 
 #[path = "../tests/common/roster_world.rs"]
 mod world;
 
+use brackenledge_discovery::{Call, CallKind, Ending, Listed, Order};
 use brackenledge_policy::Readiness;
-use brackenledge_roster::{Call, CallKind, Ending, Listed, Order};
 use fastrand::Rng;
 use std::collections::VecDeque;
 use world::{Fault, Millis, Node, World, roster, server};
--- a/crates/roster/tests/common/roster_world.rs
+++ b/crates/discovery/tests/common/roster_world.rs
@@ -2,8 +2,8 @@
 //! and lossy messages between schedulers. A function of its seed.
 #![allow(dead_code, missing_docs)]
 
+use brackenledge_discovery::{Call, CallKind, Ending, Listed, Order, Roster, RosterSettings};
 use brackenledge_policy::Readiness;
-use brackenledge_roster::{Call, CallKind, Ending, Listed, Order, Roster, RosterSettings};
 use fastrand::Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
--- a/crates/roster/tests/golden.rs
+++ b/crates/discovery/tests/golden.rs
@@ -5,8 +5,8 @@
 //! that the wire format has changed.
 #![allow(missing_docs)]
 
+use brackenledge_discovery::{Listed, Order, Roster, RosterSettings};
 use brackenledge_policy::Readiness;
-use brackenledge_roster::{Listed, Order, Roster, RosterSettings};
 
 fn listed(name: &str, readiness: Readiness) -> Listed {
     Listed {
--- a/crates/roster/tests/roster.rs
+++ b/crates/discovery/tests/roster.rs
@@ -4,8 +4,10 @@
 #[path = "common/roster_world.rs"]
 mod world;
 
+use brackenledge_discovery::{
+    CallKind, Freshness, Listed, Order, Roster, RosterSettings, ServerWord, Source,
+};
 use brackenledge_policy::Readiness;
-use brackenledge_roster::{CallKind, Freshness, Listed, Order, Roster, RosterSettings, ServerWord, Source};
 use std::collections::BTreeSet;
 use world::{ASK_WITHIN, FAULTS, Fault, SERVICE, World, roster, server};
 
@@ -235,7 +237,7 @@
     node.call_entry(3.0, call, server("a", Readiness::Draining));
     assert!(!is_ready(&node, "a") && is_ready(&node, "b") && node.find("c").is_none());
     // Nor does the word vanish with the call.
-    node.call_ended(4.0, call, brackenledge_roster::Ending::Broken);
+    node.call_ended(4.0, call, brackenledge_discovery::Ending::Broken);
     assert!(!is_ready(&node, "a"));
     node.on_time(2_000.0);
     let again = std::iter::from_fn(|| node.next_order())
@@ -335,7 +337,7 @@
     let (mut node, watch) = restarted();
     node.call_answered(5.0, watch);
     node.call_entry(6.0, watch, server("a", Readiness::Gone));
-    node.call_ended(7.0, watch, brackenledge_roster::Ending::Broken);
+    node.call_ended(7.0, watch, brackenledge_discovery::Ending::Broken);
     assert!(!is_ready(&node, "a"));
     for text in messages_of_a_watch(&[(8, "a", Readiness::Draining), (9, "a", Readiness::Ready)]) {
         node.heard(10.0, 1, &text);
@@ -350,14 +352,14 @@
         node.heard(10.0, 1, &text);
     }
     // Discovery says nothing for two minutes: nothing has confirmed or undone the withdrawal.
-    node.call_ended(20.0, watch, brackenledge_roster::Ending::Broken);
+    node.call_ended(20.0, watch, brackenledge_discovery::Ending::Broken);
     let mut asked = Vec::new();
     for second in 1..=120 {
         let now = 1_000.0 * f64::from(second);
         node.on_time(now);
         for call in calls(&mut node).0 {
             asked.push(call);
-            node.call_ended(now, call, brackenledge_roster::Ending::NoConnection);
+            node.call_ended(now, call, brackenledge_discovery::Ending::NoConnection);
         }
         assert!(!is_ready(&node, "a"), "sent to on the list from before the start after {second} s");
     }
@@ -406,7 +408,7 @@
                 node.call_entry(now, call, server("a", Readiness::Ready));
                 node.call_entry(now, call, server("b", Readiness::Ready));
                 node.call_line(now, call, 5, true);
-                node.call_ended(now, call, brackenledge_roster::Ending::Done);
+                node.call_ended(now, call, brackenledge_discovery::Ending::Done);
                 whole += 1;
             }
         }
@@ -516,7 +518,7 @@
         assert_eq!(calls(&mut node), (vec![], vec![out[dropped]]));
         assert_eq!(node.freshness(), Freshness::Fresh);
         // Nor is anything asked when the one that was let go breaks off.
-        node.call_ended(now + 11.0, out[dropped], brackenledge_roster::Ending::Broken);
+        node.call_ended(now + 11.0, out[dropped], brackenledge_discovery::Ending::Broken);
         node.call_beat(now + 1_500.0, out[1 - dropped]);
         node.on_time(now + 2_000.0);
         assert_eq!(calls(&mut node), (vec![], vec![]));
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -6,6 +6,7 @@
 //! ownership` lets libFuzzer look for as long as one likes. An input that failed goes into the unit tests of the crate at
 //! fault.
 
+use brackenledge_discovery::{Listed, Roster, RosterSettings};
 use brackenledge_failover::{Frame, Handover, Session};
 use brackenledge_leases::{Deed, Epoch, Fence, MESSAGE_MOST, Message, Order, Ownership, View};
 use brackenledge_membership::{Membership, Process, Times};
@@ -13,7 +14,6 @@
 use brackenledge_protocol::http::{BODY_MOST, Body, Buffer, HEAD_MOST, take_answer_head};
 use brackenledge_protocol::list_stream::{ListReader, Piece};
 use brackenledge_protocol::{control, operations::Operations, worker};
-use brackenledge_roster::{Listed, Roster, RosterSettings};
 use std::path::Path;
 
 /// Splits an input into messages: each is led by a byte that says how long it is.
