Rename the crate zones to zone-routing, with its pages

Cause: the operators' engineers look for the field's terms; the name zones is ours. Result: cargo check of the workspace with all targets passes; no behaviour is touched.

--- a/crates/daemon/src/net/zones.rs
+++ b/crates/daemon/src/net/zones.rs
@@ -11,7 +11,7 @@
 use brackenledge_engine::Core;
 use brackenledge_policy::{LoadReport, Outcome, Readiness, WorkerId};
 use brackenledge_protocol::operations::ZoneOptions;
-use brackenledge_zones::{Digest, Evidence, Holder, Plan, Planner, Pricer, Seen, Settings, Use, Way};
+use brackenledge_zone_routing::{Digest, Evidence, Holder, Plan, Planner, Pricer, Seen, Settings, Use, Way};
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info};
 use std::collections::{BTreeMap, HashMap};
--- a/crates/lab/src/zones.rs
+++ b/crates/lab/src/zones.rs
@@ -4,7 +4,7 @@
 //! What it leaves out: single jobs and workers. A zone does what its slots can; work beyond waits, is lost once it has
 //! waited for its deadline, and a long queue makes the zone slower, as crowded workers are.
 
-use brackenledge_zones::{Digest, Evidence, Holder, Planner, Settings, Use, Way};
+use brackenledge_zone_routing::{Digest, Evidence, Holder, Planner, Settings, Use, Way};
 
 /// How work is sent to other zones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/zones/tests/golden.rs
+++ b/crates/zone-routing/tests/golden.rs
@@ -5,7 +5,7 @@
 //! wire format has changed. None of these types has an optional field; empty and filled forms are pinned instead.
 #![allow(missing_docs)]
 
-use brackenledge_zones::{Digest, PLAN_MOST, Plan, Seen, Stamp, Way};
+use brackenledge_zone_routing::{Digest, PLAN_MOST, Plan, Seen, Stamp, Way};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::fmt::Debug;
--- a/crates/zones/tests/plans.rs
+++ b/crates/zone-routing/tests/plans.rs
@@ -1,7 +1,7 @@
 //! What holds of every plan, over random grounds; and plans by hand.
 #![allow(missing_docs)]
 
-use brackenledge_zones::{Cause, Digest, Evidence, Millis, Planner, Settings, Way};
+use brackenledge_zone_routing::{Cause, Digest, Evidence, Millis, Planner, Settings, Way};
 use proptest::prelude::*;
 
 /// Demand and slots of each zone; ways that fail.
