Rename the crate rig to test-cluster, with its pages

Cause: the operators' engineers look for the field's terms; the name rig is ours. Change: the folder, the package, its users, its pages and the links to them (docs/GLOSSARY.md); no code but the crate's name in its users.

--- a/crates/daemon/tests/tier.rs
+++ b/crates/daemon/tests/tier.rs
@@ -2,9 +2,9 @@
 //! must come to what it expects. What several runs of it show stands in `docs/measurements/tier.md`.
 #![allow(missing_docs)]
 
-use brackenledge_rig::ledger::audit;
-use brackenledge_rig::tier::Options;
-use brackenledge_rig::{Scenario, report, run};
+use brackenledge_test_cluster::ledger::audit;
+use brackenledge_test_cluster::tier::Options;
+use brackenledge_test_cluster::{Scenario, report, run};
 use std::path::{Path, PathBuf};
 
 fn folder() -> PathBuf {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -35,7 +35,7 @@
         json: bool,
     },
     /// Plays scenarios on real processes of the scheduler, with faults on every link, and judges what came of it.
-    /// Exits with 2 if a scenario fell short of its file. docs/rig.md has every key.
+    /// Exits with 2 if a scenario fell short of its file. docs/test-cluster.md has every key.
     Tier(tier::Options),
     /// Plays membership in tiers of several sizes under loss: how soon a death is noticed, how often it is wrong, and
     /// what it costs.
--- a/crates/lab/src/tier.rs
+++ b/crates/lab/src/tier.rs
@@ -1,8 +1,8 @@
 //! `brackenledge-lab tier`: scenarios of the rig by hand, and many of them drawn from seeds.
 
-use brackenledge_rig::ledger::audit;
-use brackenledge_rig::tier::{self, program_beside};
-use brackenledge_rig::{Scenario, report, run, soak};
+use brackenledge_test_cluster::ledger::audit;
+use brackenledge_test_cluster::tier::{self, program_beside};
+use brackenledge_test_cluster::{Scenario, report, run, soak};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
--- a/crates/rig/src/tier.rs
+++ b/crates/test-cluster/src/tier.rs
@@ -348,7 +348,7 @@
 impl<'a> Tier<'a> {
     fn new(scenario: &'a Scenario, options: &'a Options) -> Result<Tier<'a>, String> {
         let folder = tempfile::Builder::new()
-            .prefix("brackenledge-rig-")
+            .prefix("brackenledge-test-cluster-")
             .tempdir()
             .map_err(bad("a folder for the run"))?;
         let mut tier = Tier {
--- a/crates/rig/tests/ledger.rs
+++ b/crates/test-cluster/tests/ledger.rs
@@ -1,8 +1,8 @@
 //! The auditor can fail: for each rule a history that breaks it, and one beside it that does not.
 #![allow(missing_docs)]
 
-use brackenledge_rig::Scenario;
-use brackenledge_rig::ledger::{Audit, Event, How, LATE, RULES, Turn, audit};
+use brackenledge_test_cluster::Scenario;
+use brackenledge_test_cluster::ledger::{Audit, Event, How, LATE, RULES, Turn, audit};
 use std::path::Path;
 
 const VIEW: usize = 0;
