Rename the crate lab to simulator, with its pages

Cause: the operators' engineers look for the field's terms; the name lab is ours. Change: the folder, the package, its users, its pages and the links to them (docs/GLOSSARY.md); no code but the crate's name in its users. Result: cargo check of the workspace with all targets passes; no behaviour is touched.

--- a/crates/lab/src/flows.rs
+++ b/crates/simulator/src/flows.rs
@@ -1,6 +1,6 @@
-//! `brackenledge-lab zones`: ways to send work to other zones, swept over the load.
+//! `brackenledge-simulator zones`: ways to send work to other zones, swept over the load.
 
-use brackenledge_lab::zones::{Flows, Policy};
+use brackenledge_simulator::zones::{Flows, Policy};
 use plotters::prelude::*;
 use std::path::PathBuf;
 
--- a/crates/lab/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -1,18 +1,18 @@
-//! `brackenledge-lab`: plays experiments on whole fleets of schedulers on a virtual clock, and scenarios on a tier of
+//! `brackenledge-simulator`: plays experiments on whole fleets of schedulers on a virtual clock, and scenarios on a tier of
 //! processes on loopback.
 
 mod flows;
 mod members;
 mod tier;
 
-use brackenledge_lab::{Experiment, Window, run};
+use brackenledge_simulator::{Experiment, Window, run};
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Plays whole fleets of schedulers on a virtual clock, with the scheduler's own decisions.
 ///
-/// An experiment is a TOML file; experiments/ has examples, docs/lab.md every key. Equal files and seeds give equal runs.
+/// An experiment is a TOML file; experiments/ has examples, docs/simulator.md every key. Equal files and seeds give equal runs.
 #[derive(Parser)]
 #[command(version)]
 struct Arguments {
@@ -121,7 +121,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(2),
         Err(error) => {
-            eprintln!("brackenledge-lab: {error}");
+            eprintln!("brackenledge-simulator: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/lab/src/members.rs
+++ b/crates/simulator/src/members.rs
@@ -1,4 +1,4 @@
-//! `brackenledge-lab members`: tiers of any size on a virtual clock, to see how soon membership notices a death, how
+//! `brackenledge-simulator members`: tiers of any size on a virtual clock, to see how soon membership notices a death, how
 //! often it is wrong, and what it costs.
 
 use brackenledge_membership::{Membership, Millis, Order, Process, Times};
--- a/crates/lab/src/tier.rs
+++ b/crates/simulator/src/tier.rs
@@ -1,4 +1,4 @@
-//! `brackenledge-lab tier`: scenarios of the rig by hand, and many of them drawn from seeds.
+//! `brackenledge-simulator tier`: scenarios of the rig by hand, and many of them drawn from seeds.
 
 use brackenledge_test_cluster::ledger::audit;
 use brackenledge_test_cluster::tier::{self, program_beside};
--- a/crates/lab/tests/experiment.rs
+++ b/crates/simulator/tests/experiment.rs
@@ -1,7 +1,7 @@
 //! Experiment files: what is wrong in them is named, and what is right plays the same each time.
 #![allow(missing_docs)]
 
-use brackenledge_lab::{Experiment, Rule, run};
+use brackenledge_simulator::{Experiment, Rule, run};
 
 const QUICK: &str = include_str!("../../../experiments/quick.toml");
 
--- a/crates/lab/tests/fleet.rs
+++ b/crates/simulator/tests/fleet.rs
@@ -2,8 +2,8 @@
 //! them do together, counted.
 #![allow(missing_docs)]
 
-use brackenledge_lab::{Fleet, Tally, settings};
 use brackenledge_policy::{Millis, Settings};
+use brackenledge_simulator::{Fleet, Tally, settings};
 
 const SLOTS: usize = 3;
 const RUN: Millis = 300.0;
--- a/crates/lab/tests/zones.rs
+++ b/crates/simulator/tests/zones.rs
@@ -1,7 +1,7 @@
 //! What plans must show at the full size, at any load.
 #![allow(missing_docs)]
 
-use brackenledge_lab::zones::{Flows, Policy};
+use brackenledge_simulator::zones::{Flows, Policy};
 
 #[test]
 fn at_no_load_does_a_zone_fall_to_the_work_of_another() {
