--- a/crates/daemon/src/net/cover.rs
+++ b/crates/daemon/src/net/cover.rs
@@ -9,7 +9,7 @@
 use super::tier::{Tier, micros};
 use brackenledge_engine::{Answer, Arrival, ClientId, DispatchId, Request, Times};
 use brackenledge_failover::{
-    Brought, Fate, Frame, Handover, Key, Message, Nonsense, Order, Process, Session, Settings, Waiter,
+    Brought, Fate, Frame, Handover, Key, Message, Nonsense, Order, ProcessId, Session, Settings, Waiter,
 };
 use brackenledge_policy::{Effect, JobId, NewJob, WorkerId};
 use brackenledge_protocol::operations::CoverOptions;
@@ -70,7 +70,7 @@
 /// See the module's page.
 pub struct Cover {
     handover: Handover,
-    me: Process,
+    me: ProcessId,
     zone: u32,
     care: Vec<Option<Care>>,
     sessions: BTreeMap<u16, Session>,
@@ -87,7 +87,7 @@
 
 impl Cover {
     /// `classes`: names and effects, by number.
-    pub fn new(options: &CoverOptions, me: Process, zone: u32, classes: &[(String, Effect)]) -> Cover {
+    pub fn new(options: &CoverOptions, me: ProcessId, zone: u32, classes: &[(String, Effect)]) -> Cover {
         let care = |(name, effect): &(String, Effect)| {
             let must = options.refused.contains(name);
             options.covered.contains(name).then_some(Care { effect: *effect, must })
@@ -338,14 +338,14 @@
     }
 
     /// Who we are.
-    pub fn me(&self) -> Process {
+    pub fn me(&self) -> ProcessId {
         self.me
     }
 
     /// A process has said who it is on a connection; our second word there. `None`: not on this one.
-    pub fn greet(&mut self, from: Process, zone: u32) -> Option<Frame> {
+    pub fn greet(&mut self, from: ProcessId, zone: u32) -> Option<Frame> {
         let session = self.sessions.entry(from.ordinal).or_insert_with(|| Session::new(from));
-        if session.peer().boot > from.boot {
+        if session.peer().incarnation > from.incarnation {
             return None;
         }
         if session.peer() != from {
@@ -356,7 +356,7 @@
     }
 
     /// A frame came from who has said who it is; whether it makes sense. `None`: another process has that number now.
-    pub fn frame(&mut self, from: Process, frame: Frame) -> Option<bool> {
+    pub fn frame(&mut self, from: ProcessId, frame: Frame) -> Option<bool> {
         let session = self.sessions.get_mut(&from.ordinal).filter(|session| session.peer() == from)?;
         match session.take(frame) {
             Ok(Some(message)) => self.handover.hear(micros(), from, message),
@@ -367,16 +367,16 @@
     }
 
     /// A connection is gone.
-    pub fn link_ended(&mut self, peer: Process) {
+    pub fn link_ended(&mut self, peer: ProcessId) {
         if let Some(session) = self.sessions.get_mut(&peer.ordinal).filter(|session| session.peer() == peer) {
             session.ended();
         }
     }
 
     /// Says something to another process, now or once there is a link.
-    pub fn say(&mut self, to: Process, message: Message, soon: bool) {
+    pub fn say(&mut self, to: ProcessId, message: Message, soon: bool) {
         let session = self.sessions.entry(to.ordinal).or_insert_with(|| Session::new(to));
-        if session.peer().boot < to.boot {
+        if session.peer().incarnation < to.incarnation {
             // Whoever was there before is gone.
             *session = Session::new(to);
         }
@@ -386,7 +386,7 @@
     }
 
     /// The next frame for a peer.
-    pub fn next_frame(&mut self, peer: Process) -> Option<Frame> {
+    pub fn next_frame(&mut self, peer: ProcessId) -> Option<Frame> {
         self.sessions.get_mut(&peer.ordinal).filter(|session| session.peer() == peer)?.next_frame()
     }
 
--- a/crates/daemon/src/net/links.rs
+++ b/crates/daemon/src/net/links.rs
@@ -6,7 +6,7 @@
 use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive, push_out};
 use super::link::Link;
-use brackenledge_failover::{FRAME_MOST, Frame, Process};
+use brackenledge_failover::{FRAME_MOST, Frame, ProcessId};
 use mio::net::{TcpListener, TcpStream};
 use slab::Slab;
 use std::io::ErrorKind;
@@ -27,11 +27,11 @@
     /// Whom we connected to, by number.
     dialed: Option<u16>,
     /// Who is there, once they have said so.
-    peer: Option<Process>,
+    peer: Option<ProcessId>,
     /// Schedulers there are.
     seats: usize,
     /// Who we were when it was made.
-    me: Process,
+    me: ProcessId,
 }
 
 impl Peering {
--- a/crates/daemon/src/net/tier.rs
+++ b/crates/daemon/src/net/tier.rs
@@ -8,7 +8,7 @@
 use super::peer::Peer;
 use super::state::State;
 use brackenledge_leases::{Deed, Fence, Living, Message, Order, Ownership, Settings, Term};
-use brackenledge_membership::{Membership, Order as MemberOrder, Process, Standing, Times};
+use brackenledge_membership::{Membership, Order as MemberOrder, ProcessId, Standing, Times};
 use brackenledge_policy::split_sums;
 use brackenledge_protocol::operations::Operations;
 use slog::{Logger, info, warn};
@@ -98,7 +98,7 @@
         let (number, size) = (ordinal, seats);
         let (ordinal, seats) = (ordinal as u16, seats as u16);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let me = Process { ordinal, boot: unix.as_millis() as u64 };
+        let me = ProcessId { ordinal, incarnation: unix.as_millis() as u64 };
         let seeds = (0..seats).filter(|&other| other != ordinal).collect();
         let times = Times::for_tier(usize::from(seats));
         let now = micros();
@@ -224,11 +224,11 @@
                 MemberOrder::Send { to, bytes } => send(peer, Some(to), MEMBERSHIP, &bytes),
                 MemberOrder::Up(process) => {
                     changed = true;
-                    info!(log, "member up"; "ordinal" => process.ordinal, "boot" => process.boot);
+                    info!(log, "member up"; "ordinal" => process.ordinal, "boot" => process.incarnation);
                 }
                 MemberOrder::Down(process) => {
                     changed = true;
-                    info!(log, "member down"; "ordinal" => process.ordinal, "boot" => process.boot);
+                    info!(log, "member down"; "ordinal" => process.ordinal, "boot" => process.incarnation);
                 }
                 MemberOrder::Replaced => {
                     info!(log, "another process has our number and is newer: we own nothing any more");
@@ -293,7 +293,7 @@
     }
 
     /// Who we are.
-    pub fn me(&self) -> Process {
+    pub fn me(&self) -> ProcessId {
         self.membership.me()
     }
 
@@ -326,7 +326,7 @@
     }
 
     /// Who owns a duty, as heard last.
-    pub fn owner_of(&self, duty: u8) -> Option<Process> {
+    pub fn owner_of(&self, duty: u8) -> Option<ProcessId> {
         let own = self.may(duty).map(|_| self.me());
         own.or_else(|| self.ownership.known(duty).map(|known| known.owner))
     }
@@ -340,7 +340,7 @@
     pub fn members(&self) -> Vec<String> {
         let shown = self.ownership.shown(micros());
         let name =
-            |process: Option<Process>| process.map_or("none".into(), |process| process.ordinal.to_string());
+            |process: Option<ProcessId>| process.map_or("none".into(), |process| process.ordinal.to_string());
         let mut lines = vec![match &shown.view {
             Some((view, age)) => {
                 let voters: Vec<String> = view.voters.iter().map(|voter| voter.ordinal.to_string()).collect();
@@ -357,7 +357,7 @@
             None => format!("view=none age_ms=0 steward=none voters=none living={}", self.living_told),
         }];
         let me = self.membership.me();
-        let mut all: Vec<(Process, &str)> = (self.membership.others())
+        let mut all: Vec<(ProcessId, &str)> = (self.membership.others())
             .map(|(process, standing)| {
                 let word = match standing {
                     Standing::Alive => "alive",
@@ -370,10 +370,10 @@
             .collect();
         all.sort();
         lines.extend(all.into_iter().map(|(process, word)| {
-            let agreed = shown.roll.1.get(&process.ordinal) == Some(&process.boot);
-            let (ordinal, boot) = (process.ordinal, process.boot);
+            let agreed = shown.roll.1.get(&process.ordinal) == Some(&process.incarnation);
+            let (ordinal, incarnation) = (process.ordinal, process.incarnation);
             let own = if process == me { "yes" } else { "no" };
-            format!("member={ordinal} boot={boot} standing={word} on_roll={agreed} self={own}")
+            format!("member={ordinal} boot={incarnation} standing={word} on_roll={agreed} self={own}")
         }));
         lines
     }
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -189,7 +189,7 @@
 
 #[test]
 fn what_a_member_has_heard_of_epochs_is_kept_and_told_after_a_sudden_end() {
-    use brackenledge_leases::{Epoch, Message, Process};
+    use brackenledge_leases::{Epoch, Message, ProcessId};
     let folder = tempfile::tempdir().expect("a directory");
     let file = folder.path().join("operations.toml");
     let state = folder.path().join("state");
@@ -208,7 +208,7 @@
     assert_eq!(hello(&stage), Epoch::default());
     // Another has heard of an epoch far ahead of all clocks.
     let far = Epoch { era: 4_000_000_000, number: 7 };
-    let word = Message::Hello { from: Process { ordinal: 1, boot: 1 }, seen: far }.write();
+    let word = Message::Hello { from: ProcessId { ordinal: 1, incarnation: 1 }, seen: far }.write();
     stage.peer.send_to(&[&[0xf2], &word[..]].concat(), stage.peer_address).expect("sent");
     while hello(&stage) != far {}
     stage.child.kill().expect("killed");
--- a/crates/failover/src/holder.rs
+++ b/crates/failover/src/holder.rs
@@ -1,7 +1,7 @@
 //! What we hold, and what our clients wait for.
 
 use crate::record::{Ballot, Fate, Key, Ran, Record};
-use crate::{Brought, COME_AGAIN, Handover, Message, Micros, Order, Process, Waiter};
+use crate::{Brought, COME_AGAIN, Handover, Message, Micros, Order, ProcessId, Waiter};
 use std::sync::Arc;
 
 /// Where we stand with a job that a client of ours, or nobody's any more, waits for.
@@ -229,7 +229,7 @@
     }
 
     /// The claim that a message is about, where that is of the home of its key.
-    fn claim_of(&mut self, from: Process, key: &Key, ask: u64) -> Option<&mut Claim> {
+    fn claim_of(&mut self, from: ProcessId, key: &Key, ask: u64) -> Option<&mut Claim> {
         let home = key.home(&self.members);
         let claim = self.claims.get_mut(key).filter(|claim| claim.record.ask == ask && home == Some(from));
         if claim.is_none() {
@@ -241,7 +241,7 @@
     pub(crate) fn hear_opened(
         &mut self,
         now: Micros,
-        from: Process,
+        from: ProcessId,
         key: Key,
         ask: u64,
         ballot: Ballot,
@@ -283,7 +283,7 @@
         }
     }
 
-    pub(crate) fn hear_lives(&mut self, from: Process, key: Key, ask: u64) {
+    pub(crate) fn hear_lives(&mut self, from: ProcessId, key: Key, ask: u64) {
         let Some(claim) = self.claim_of(from, &key, ask).filter(|claim| claim.stand == Stand::Asked) else {
             return;
         };
@@ -310,14 +310,14 @@
         }
     }
 
-    pub(crate) fn hear_full(&mut self, from: Process, key: Key, ask: u64) {
+    pub(crate) fn hear_full(&mut self, from: ProcessId, key: Key, ask: u64) {
         if self.claim_of(from, &key, ask).is_some_and(|claim| claim.stand == Stand::Asked) {
             self.go_bare(&key);
         }
     }
 
     /// It is not ours any more. Whoever waits here waits on.
-    pub(crate) fn hear_refused(&mut self, now: Micros, from: Process, key: Key, ask: u64) {
+    pub(crate) fn hear_refused(&mut self, now: Micros, from: ProcessId, key: Key, ask: u64) {
         if self.claim_of(from, &key, ask).is_some_and(|claim| claim.stand == Stand::Mine) {
             self.lose(&key);
             self.ask(now, &key);
@@ -508,7 +508,7 @@
         }
     }
 
-    pub(crate) fn acknowledged(&mut self, now: Micros, from: Process, key: &Key, ask: u64, version: u32) {
+    pub(crate) fn acknowledged(&mut self, now: Micros, from: ProcessId, key: &Key, ask: u64, version: u32) {
         let Some(claim) = self.claim_of(from, key, ask).filter(|claim| claim.stand == Stand::Mine) else {
             return;
         };
--- a/crates/failover/src/keeper.rs
+++ b/crates/failover/src/keeper.rs
@@ -1,7 +1,7 @@
 //! What we keep for others: as the home of a key, which decides who holds its job, and as a second keeper.
 
 use crate::record::{Ballot, Fate, Key, Ran, Record, Sent};
-use crate::{COME_AGAIN, Handover, Message, Micros, Process};
+use crate::{COME_AGAIN, Handover, Message, Micros, ProcessId};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -22,7 +22,7 @@
     /// The holder is to hear that it holds it.
     opening: bool,
     /// Whose clients wait for its end.
-    joiners: Vec<Process>,
+    joiners: Vec<ProcessId>,
     /// Since when keepers owe us an answer.
     pub(crate) since: Option<Micros>,
     /// The holder has placed it under this roll.
@@ -83,7 +83,7 @@
         Ballot { roll: self.roll, turn: self.turn }
     }
 
-    pub(crate) fn hear_open(&mut self, now: Micros, from: Process, record: Sent) {
+    pub(crate) fn hear_open(&mut self, now: Micros, from: ProcessId, record: Sent) {
         if !self.is_home(&record.key) {
             self.counts.stale += 1;
         } else if self.open {
@@ -94,7 +94,7 @@
     }
 
     /// Gives a job to who asks for it, or says where it lives or how it ended.
-    fn give(&mut self, now: Micros, from: Process, sent: Sent) {
+    fn give(&mut self, now: Micros, from: ProcessId, sent: Sent) {
         let (key, mut record) = sent.received(now);
         let (roll, ask) = (self.roll, record.ask);
         if let Some(kept) = self.kept.get(&key) {
@@ -197,14 +197,16 @@
     /// To the other keepers of a record.
     fn forward(&mut self, key: &Key, message: &Message, soon: bool) {
         let Some(kept) = self.kept.get(key) else { return };
-        let all: Vec<Process> = (kept.copies.keys())
-            .filter_map(|ordinal| Some(Process { ordinal: *ordinal, boot: *self.members.get(ordinal)? }))
+        let all: Vec<ProcessId> = (kept.copies.keys())
+            .filter_map(|ordinal| {
+                Some(ProcessId { ordinal: *ordinal, incarnation: *self.members.get(ordinal)? })
+            })
             .collect();
         all.into_iter().for_each(|other| self.send_by(other, message.clone(), soon));
     }
 
     /// As the home of a key: whether a message is of the job's holder, who is told if it is not.
-    fn of_holder(&mut self, from: Process, key: &Key, ask: u64) -> bool {
+    fn of_holder(&mut self, from: ProcessId, key: &Key, ask: u64) -> bool {
         if self.kept.get(key).is_some_and(|kept| kept.record.holder == from && kept.record.ask == ask) {
             return true;
         }
@@ -213,7 +215,7 @@
         false
     }
 
-    pub(crate) fn hear_keep(&mut self, now: Micros, from: Process, sent: Sent) {
+    pub(crate) fn hear_keep(&mut self, now: Micros, from: ProcessId, sent: Sent) {
         let (key, record) = sent.received(now);
         if key.home(&self.members) != Some(from) {
             self.counts.stale += 1;
@@ -225,12 +227,12 @@
         self.send_by(from, Message::Noted { roll, key, ask, version }, soon);
     }
 
-    pub(crate) fn hear_note(&mut self, now: Micros, from: Process, message: Message) {
+    pub(crate) fn hear_note(&mut self, now: Micros, from: ProcessId, message: Message) {
         let Message::Note { roll, ref key, ask, version, number, ref worker, ran } = message else { return };
         let home = key.home(&self.members);
         let ours = home == Some(self.me);
         let waits =
-            |asked: &&mut (Process, Sent)| asked.0 == from && asked.1.key == *key && asked.1.ask == ask;
+            |asked: &&mut (ProcessId, Sent)| asked.0 == from && asked.1.key == *key && asked.1.ask == ask;
         if let Some((_, record)) = self.asked.iter_mut().find(waits) {
             // It asks for the job, and has not been given it yet.
             record.tried.retain(|tried| tried.0 != number);
@@ -252,7 +254,7 @@
         }
     }
 
-    pub(crate) fn hear_done(&mut self, now: Micros, from: Process, message: Message) {
+    pub(crate) fn hear_done(&mut self, now: Micros, from: ProcessId, message: Message) {
         let Message::Done { roll, ref key, ask, version, ref fate } = message else { return };
         let home = key.home(&self.members);
         let ours = home == Some(self.me);
@@ -275,7 +277,7 @@
         self.keep_up(now, key);
     }
 
-    pub(crate) fn hear_forget(&mut self, from: Process, key: Key, ask: u64) {
+    pub(crate) fn hear_forget(&mut self, from: ProcessId, key: Key, ask: u64) {
         let (roll, home) = (self.roll, key.home(&self.members));
         if home == Some(self.me) {
             self.asked.retain(|(asker, record)| *asker != from || record.key != key || record.ask != ask);
@@ -297,7 +299,7 @@
         }
     }
 
-    pub(crate) fn hear_yield(&mut self, now: Micros, from: Process, key: Key, ask: u64) {
+    pub(crate) fn hear_yield(&mut self, now: Micros, from: ProcessId, key: Key, ask: u64) {
         if self.is_home(&key)
             && self.of_holder(from, &key, ask)
             && self.kept.get(&key).is_some_and(|kept| kept.record.fate.is_none())
@@ -320,7 +322,7 @@
         self.keep_up(now, key);
     }
 
-    pub(crate) fn hear_noted(&mut self, now: Micros, from: Process, key: Key, ask: u64, version: u32) {
+    pub(crate) fn hear_noted(&mut self, now: Micros, from: ProcessId, key: Key, ask: u64, version: u32) {
         if from != self.me && self.is_home(&key) {
             let kept = self.kept.get_mut(&key).filter(|kept| kept.record.ask == ask);
             if let Some(acked) = kept.and_then(|kept| kept.copies.get_mut(&from.ordinal)) {
@@ -332,7 +334,7 @@
         }
     }
 
-    pub(crate) fn hear_place(&mut self, now: Micros, from: Process, sent: Sent) {
+    pub(crate) fn hear_place(&mut self, now: Micros, from: ProcessId, sent: Sent) {
         if !self.is_home(&sent.key) {
             self.counts.stale += 1;
             return;
@@ -362,7 +364,7 @@
     /// Under a new roll: homes hear of jobs that have ended, and of those whose holders are gone.
     pub(crate) fn report_all(&mut self, now: Micros) {
         let roll = self.roll;
-        let told: Vec<(Process, Sent)> = (self.kept.iter())
+        let told: Vec<(ProcessId, Sent)> = (self.kept.iter())
             .filter(|(_, kept)| kept.record.fate.is_some() || !self.member(kept.record.holder))
             .filter_map(|(key, kept)| Some((key.home(&self.members)?, kept.record.sent(now, key))))
             .filter(|(home, _)| *home != self.me)
@@ -388,7 +390,7 @@
             let holder = kept.record.holder;
             // One that was left out for a while is on the roll again, and does not know any more what it had out.
             let lost = !kept.fresh && kept.record.may_have_run();
-            let gone = self.members.get(&holder.ordinal) != Some(&holder.boot) || lost;
+            let gone = self.members.get(&holder.ordinal) != Some(&holder.incarnation) || lost;
             if kept.record.fate.is_some() {
                 self.keep_up(now, &key);
             } else if gone && now + self.settings.margin >= kept.record.until {
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -47,7 +47,7 @@
 mod record;
 mod session;
 
-pub use brackenledge_leases::{Micros, Process, Term};
+pub use brackenledge_leases::{Micros, ProcessId, Term};
 pub use message::{FRAME_MOST, Frame, Message};
 pub use record::{Ballot, Fate, Key, Ran, Record, Sent, Tried};
 pub use session::{Nonsense, Session};
@@ -115,7 +115,7 @@
     /// Something for another process; it may wait a little for company unless it is wanted soon.
     Send {
         /// Whom.
-        to: Process,
+        to: ProcessId,
         /// What.
         message: Message,
         /// Somebody waits for it.
@@ -170,7 +170,7 @@
 /// One process's part. See the module's page.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Handover {
-    me: Process,
+    me: ProcessId,
     settings: Settings,
     zones: BTreeMap<u16, u32>,
     roll: Term,
@@ -192,11 +192,11 @@
     /// Counts what we held or asked for.
     asks: u64,
     /// Asked for before all had reported.
-    asked: VecDeque<(Process, Sent)>,
+    asked: VecDeque<(ProcessId, Sent)>,
     /// Placed under this roll: by whom, and its number for it.
-    placed: Vec<(Process, Key, u64)>,
+    placed: Vec<(ProcessId, Key, u64)>,
     /// Said under a roll that we have not heard of yet.
-    early: VecDeque<(Process, Message)>,
+    early: VecDeque<(ProcessId, Message)>,
     /// Peers that are too far behind to be given more.
     lagging: BTreeSet<u16>,
     local: VecDeque<Message>,
@@ -216,7 +216,7 @@
 
 impl Handover {
     /// A process that holds nothing and is on no roll.
-    pub fn new(me: Process, zone: u32, settings: Settings) -> Handover {
+    pub fn new(me: ProcessId, zone: u32, settings: Settings) -> Handover {
         Handover {
             me,
             settings,
@@ -246,7 +246,7 @@
     }
 
     /// We go by another start from now on, and are on no roll under it yet: what we held under the old one is the others'.
-    pub fn renew(&mut self, me: Process) {
+    pub fn renew(&mut self, me: ProcessId) {
         self.members.clear();
         self.left_out();
         self.me = me;
@@ -328,18 +328,18 @@
     }
 
     pub(crate) fn inside(&self) -> bool {
-        self.members.get(&self.me.ordinal) == Some(&self.me.boot)
+        self.members.get(&self.me.ordinal) == Some(&self.me.incarnation)
     }
 
-    pub(crate) fn member(&self, who: Process) -> bool {
-        self.members.get(&who.ordinal) == Some(&who.boot)
+    pub(crate) fn member(&self, who: ProcessId) -> bool {
+        self.members.get(&who.ordinal) == Some(&who.incarnation)
     }
 
-    pub(crate) fn send(&mut self, to: Process, message: Message) {
+    pub(crate) fn send(&mut self, to: ProcessId, message: Message) {
         self.send_by(to, message, true);
     }
 
-    pub(crate) fn send_by(&mut self, to: Process, message: Message, soon: bool) {
+    pub(crate) fn send_by(&mut self, to: ProcessId, message: Message, soon: bool) {
         if to == self.me {
             self.local.push_back(message);
         } else {
@@ -358,12 +358,12 @@
     }
 
     /// A message came from another process.
-    pub fn hear(&mut self, now: Micros, from: Process, message: Message) {
+    pub fn hear(&mut self, now: Micros, from: ProcessId, message: Message) {
         self.take(now, from, message);
         self.finish(now);
     }
 
-    fn take(&mut self, now: Micros, from: Process, message: Message) {
+    fn take(&mut self, now: Micros, from: ProcessId, message: Message) {
         match message.roll() {
             Some(roll) if roll > self.roll => {
                 if self.early.len() < EARLY_MOST {
@@ -426,8 +426,8 @@
         if self.inside() {
             self.place_all(now);
             self.report_all(now);
-            for (&ordinal, &boot) in &self.members.clone() {
-                let other = Process { ordinal, boot };
+            for (&ordinal, &incarnation) in &self.members.clone() {
+                let other = ProcessId { ordinal, incarnation };
                 self.send(other, Message::Reported { roll: term });
             }
         } else {
--- a/crates/failover/src/message.rs
+++ b/crates/failover/src/message.rs
@@ -1,7 +1,7 @@
 //! What processes tell one another of jobs, and its bytes: `postcard`, framed by COBS, so that a zero byte ends each.
 
 use crate::record::{Ballot, Fate, Key, Ran, Sent};
-use brackenledge_leases::{Process, Term};
+use brackenledge_leases::{ProcessId, Term};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -73,7 +73,7 @@
 #[allow(missing_docs)]
 pub enum Frame {
     /// The first on a connection: who we are, and in which zone.
-    Hello { from: Process, zone: u32 },
+    Hello { from: ProcessId, zone: u32 },
     /// The second: of what you have sent me, this is what I have.
     Welcome { got: u64 },
     /// A message by its number, and what we have of yours.
--- a/crates/failover/src/record.rs
+++ b/crates/failover/src/record.rs
@@ -1,6 +1,6 @@
 //! What is kept of a job, and by whom.
 
-use brackenledge_leases::{Micros, Process, Term};
+use brackenledge_leases::{Micros, ProcessId, Term};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -19,19 +19,19 @@
 
 impl Key {
     /// Members in this key's order: the first is its home (rendezvous hashing; D. Thaler, C. Ravishankar, 1998).
-    pub(crate) fn order(&self, members: &BTreeMap<u16, u64>) -> Vec<Process> {
-        let mut all: Vec<(u64, Process)> = members
+    pub(crate) fn order(&self, members: &BTreeMap<u16, u64>) -> Vec<ProcessId> {
+        let mut all: Vec<(u64, ProcessId)> = members
             .iter()
-            .map(|(&ordinal, &boot)| (self.place(ordinal), Process { ordinal, boot }))
+            .map(|(&ordinal, &incarnation)| (self.place(ordinal), ProcessId { ordinal, incarnation }))
             .collect();
         all.sort_unstable();
         all.into_iter().map(|place| place.1).collect()
     }
 
     /// The first in that order.
-    pub(crate) fn home(&self, members: &BTreeMap<u16, u64>) -> Option<Process> {
+    pub(crate) fn home(&self, members: &BTreeMap<u16, u64>) -> Option<ProcessId> {
         let first = members.iter().min_by_key(|(ordinal, _)| (self.place(**ordinal), **ordinal));
-        first.map(|(&ordinal, &boot)| Process { ordinal, boot })
+        first.map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation })
     }
 
     fn place(&self, ordinal: u16) -> u64 {
@@ -88,7 +88,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Record {
     /// Who may start attempts.
-    pub holder: Process,
+    pub holder: ProcessId,
     /// The holder's own number for it: what is said of an earlier holding of the same job is told apart by it.
     pub ask: u64,
     /// Since when.
@@ -183,7 +183,7 @@
 #[allow(missing_docs)]
 pub struct Sent {
     pub key: Key,
-    pub holder: Process,
+    pub holder: ProcessId,
     pub ask: u64,
     pub ballot: Ballot,
     pub version: u32,
@@ -226,7 +226,7 @@
     #[test]
     fn an_attempt_said_again_keeps_its_age_and_a_number_used_again_its_new_worker() {
         let mut record = Record {
-            holder: Process { ordinal: 0, boot: 1 },
+            holder: ProcessId { ordinal: 0, incarnation: 1 },
             ask: 1,
             ballot: Ballot::default(),
             version: 0,
--- a/crates/failover/src/session.rs
+++ b/crates/failover/src/session.rs
@@ -2,7 +2,7 @@
 //! and go, and what the other has not said it has is said again on the next one. No I/O, no clock.
 
 use crate::message::{Frame, Message};
-use brackenledge_leases::Process;
+use brackenledge_leases::ProcessId;
 use std::collections::VecDeque;
 
 /// What has come is said after so many messages at the latest; it goes along with whatever is sent before.
@@ -15,7 +15,7 @@
 /// Our side of what is said between us and one other process.
 #[derive(Clone, Debug)]
 pub struct Session {
-    peer: Process,
+    peer: ProcessId,
     /// The number of the next message we say.
     next: u64,
     /// Said, and not known to have come: numbers, and bytes of each.
@@ -32,7 +32,7 @@
 
 impl Session {
     /// With a process that has heard nothing from us yet.
-    pub fn new(peer: Process) -> Session {
+    pub fn new(peer: ProcessId) -> Session {
         Session {
             peer,
             next: 1,
@@ -47,7 +47,7 @@
     }
 
     /// Whom it is with.
-    pub fn peer(&self) -> Process {
+    pub fn peer(&self) -> ProcessId {
         self.peer
     }
 
@@ -184,7 +184,7 @@
 
     impl Pair {
         fn new() -> Pair {
-            let process = |ordinal| Process { ordinal, boot: 1 };
+            let process = |ordinal| ProcessId { ordinal, incarnation: 1 };
             let ends = [Session::new(process(1)), Session::new(process(0))];
             Pair { ends, way: Default::default(), said: [0; 2], heard: Default::default() }
         }
@@ -247,7 +247,7 @@
 
         #[test]
         fn any_bytes_are_a_frame_or_none(mut bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
-            let mut session = Session::new(Process { ordinal: 1, boot: 1 });
+            let mut session = Session::new(ProcessId { ordinal: 1, incarnation: 1 });
             session.say(word(1), true);
             if let Some(frame) = Frame::read(&mut bytes) {
                 let _ = session.take(frame);
--- a/crates/failover/tests/golden.rs
+++ b/crates/failover/tests/golden.rs
@@ -5,7 +5,7 @@
 //! that the wire format has changed.
 #![allow(missing_docs)]
 
-use brackenledge_failover::{Ballot, Fate, Frame, Key, Message, Process, Ran, Sent, Term};
+use brackenledge_failover::{Ballot, Fate, Frame, Key, Message, ProcessId, Ran, Sent, Term};
 use brackenledge_leases::{Epoch, Round};
 use std::sync::Arc;
 
@@ -51,7 +51,7 @@
 fn record(fate: Option<Fate>) -> Sent {
     Sent {
         key: key(),
-        holder: Process { ordinal: 300, boot: 1_700_000_000_300 },
+        holder: ProcessId { ordinal: 300, incarnation: 1_700_000_000_300 },
         ask: 70_000,
         ballot: ballot(),
         version: 6,
@@ -143,7 +143,7 @@
 
 #[test]
 fn each_frame_has_these_bytes_framed_so_that_a_zero_ends_it() {
-    let from = Process { ordinal: 300, boot: 1_700_000_000_300 };
+    let from = ProcessId { ordinal: 300, incarnation: 1_700_000_000_300 };
     pinned_frame(Frame::Hello { from, zone: 3 }, "010aac02acd295ffbc310300");
     pinned_frame(Frame::Welcome { got: 4_321 }, "0401e12100");
     let message = Message::Open { roll: roll(), record: record(None) };
--- a/crates/failover/tests/model.rs
+++ b/crates/failover/tests/model.rs
@@ -4,7 +4,9 @@
 //! (default: what CI has time for).
 #![allow(missing_docs)]
 
-use brackenledge_failover::{Brought, Fate, Handover, Key, Message, Order, Process, Settings, Term, Waiter};
+use brackenledge_failover::{
+    Brought, Fate, Handover, Key, Message, Order, ProcessId, Settings, Term, Waiter,
+};
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -100,8 +102,8 @@
     Key { class: 1, tenant: 0, name: Arc::from("order-7") }
 }
 
-fn process(node: u16) -> Process {
-    Process { ordinal: node, boot: 1 }
+fn process(node: u16) -> ProcessId {
+    ProcessId { ordinal: node, incarnation: 1 }
 }
 
 fn term(roll: usize) -> Term {
--- a/crates/failover/tests/tier.rs
+++ b/crates/failover/tests/tier.rs
@@ -2,7 +2,7 @@
 //! zones, ages, a planned end.
 #![allow(missing_docs)]
 
-use brackenledge_failover::{Brought, Fate, Handover, Key, Message, Order, Process, Settings, Term};
+use brackenledge_failover::{Brought, Fate, Handover, Key, Message, Order, ProcessId, Settings, Term};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -22,8 +22,8 @@
     boots: BTreeMap<u16, u64>,
 }
 
-fn process(node: u16) -> Process {
-    Process { ordinal: node, boot: 1 }
+fn process(node: u16) -> ProcessId {
+    ProcessId { ordinal: node, incarnation: 1 }
 }
 
 fn key(name: &str) -> Key {
@@ -51,14 +51,14 @@
         tier
     }
 
-    fn boot(&self, node: u16) -> u64 {
+    fn incarnation(&self, node: u16) -> u64 {
         self.boots.get(&node).copied().unwrap_or(1)
     }
 
     fn roll(&mut self, members: Vec<u16>) {
         self.roll += 1;
         let term = Term { step: self.roll, ..Term::default() };
-        let all: BTreeMap<u16, u64> = members.iter().map(|&node| (node, self.boot(node))).collect();
+        let all: BTreeMap<u16, u64> = members.iter().map(|&node| (node, self.incarnation(node))).collect();
         for node in members {
             let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
             one.stays(self.now, u64::MAX);
@@ -79,8 +79,10 @@
                     };
                     let from = node as u16;
                     self.said.push((from, to.ordinal, message.clone()));
-                    let (sender, meant) =
-                        (Process { ordinal: from, boot: self.boot(from) }, self.boot(to.ordinal) == to.boot);
+                    let (sender, meant) = (
+                        ProcessId { ordinal: from, incarnation: self.incarnation(from) },
+                        self.incarnation(to.ordinal) == to.incarnation,
+                    );
                     let heard = meant && !self.silent.contains(&from) && !self.silent.contains(&to.ordinal);
                     if let Some(other) = self.nodes[usize::from(to.ordinal)].as_mut().filter(|_| heard) {
                         other.hear(self.now, sender, message);
@@ -356,7 +358,7 @@
     let name = tier.name_away_from(4, &[0]);
     let first = tier.bring(0, &name, true, true);
     assert!(tier.dispatch(0, &name));
-    let again = Process { ordinal: 0, boot: 2 };
+    let again = ProcessId { ordinal: 0, incarnation: 2 };
     tier.nodes[0].as_mut().expect("it lives").renew(again);
     tier.carry_out();
     assert!(tier.orders[0].contains(&Order::Close(key(&name))), "it is the others' now");
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -9,7 +9,7 @@
 use brackenledge_discovery::{Listed, Roster, RosterSettings};
 use brackenledge_failover::{Frame, Handover, Session};
 use brackenledge_leases::{Deed, Epoch, Fence, MESSAGE_MOST, Message, Order, Ownership, View};
-use brackenledge_membership::{Membership, Process, Times};
+use brackenledge_membership::{Membership, ProcessId, Times};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
 use brackenledge_protocol::http::{BODY_MOST, Body, Buffer, HEAD_MOST, take_answer_head};
 use brackenledge_protocol::list_stream::{ListReader, Piece};
@@ -38,8 +38,8 @@
     bytes.iter().flat_map(number).collect()
 }
 
-const fn process(ordinal: u16) -> Process {
-    Process { ordinal, boot: 1 }
+const fn process(ordinal: u16) -> ProcessId {
+    ProcessId { ordinal, incarnation: 1 }
 }
 
 /// Datagrams of membership, at a member of five.
--- a/crates/leases/src/duties.rs
+++ b/crates/leases/src/duties.rs
@@ -1,6 +1,6 @@
 //! Duties: asked for by members in an order that all know, granted by the steward, fenced by those they are done to.
 
-use crate::{Duty, Epoch, Message, Micros, Ownership, Process, Round, Term, View};
+use crate::{Duty, Epoch, Message, Micros, Ownership, ProcessId, Round, Term, View};
 use std::collections::BTreeMap;
 
 /// What is known of a duty's owner.
@@ -9,7 +9,7 @@
     /// Under which term.
     pub term: Term,
     /// Who.
-    pub owner: Process,
+    pub owner: ProcessId,
 }
 
 /// A receiver's memory of terms: refuses a deed of an older term than it has heard of, and one of another owner under
@@ -25,7 +25,7 @@
 
 impl Fence {
     /// A term is in force, as the steward says.
-    pub fn heard(&mut self, duty: Duty, term: Term, owner: Process) {
+    pub fn heard(&mut self, duty: Duty, term: Term, owner: ProcessId) {
         let known = self.known.entry(duty).or_insert(Known { term, owner });
         if term > known.term {
             *known = Known { term, owner };
@@ -33,7 +33,7 @@
     }
 
     /// Whether a deed may be acted on; if not, what is known of its duty.
-    pub fn accept(&mut self, duty: Duty, term: Term, owner: Process) -> Result<(), Option<Known>> {
+    pub fn accept(&mut self, duty: Duty, term: Term, owner: ProcessId) -> Result<(), Option<Known>> {
         let known = self.known.get(&duty).copied();
         match known {
             // Nothing is known yet: a term may be an old one's.
@@ -62,7 +62,7 @@
 /// A duty as its steward has granted it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Granted {
-    owner: Process,
+    owner: ProcessId,
     term: Term,
     /// Until when it is not given to another, by the steward's clock.
     until: Micros,
@@ -84,7 +84,7 @@
     /// When each was asked for last.
     asked: BTreeMap<Duty, Micros>,
     /// Parts of a roll that came so far.
-    parts: BTreeMap<u8, Vec<Process>>,
+    parts: BTreeMap<u8, Vec<ProcessId>>,
     parts_of: Term,
 }
 
@@ -120,12 +120,12 @@
     }
 
     /// Duties granted now, for the steward's news.
-    pub(crate) fn told(&self, now: Micros) -> Vec<(Duty, Term, Process)> {
+    pub(crate) fn told(&self, now: Micros) -> Vec<(Duty, Term, ProcessId)> {
         let live = self.granted.iter().filter(|(_, granted)| now < granted.until);
         live.map(|(&duty, granted)| (duty, granted.term, granted.owner)).collect()
     }
 
-    pub(crate) fn shown(&self, now: Micros) -> BTreeMap<Duty, (Term, Process, Option<Micros>)> {
+    pub(crate) fn shown(&self, now: Micros) -> BTreeMap<Duty, (Term, ProcessId, Option<Micros>)> {
         let heard = self.heard.iter().map(|(&duty, (known, _))| (duty, (known.term, known.owner, None)));
         let mut all: BTreeMap<_, _> = heard.collect();
         for (&duty, &(term, until)) in self.own.iter().filter(|own| now < own.1.1) {
@@ -195,8 +195,9 @@
         }
     }
 
-    pub(crate) fn hear_want(&mut self, now: Micros, from: Process, duty: Duty, asked: Micros) {
-        if duty >= self.duties.number || self.alive.get(&from.ordinal).is_some_and(|&boot| boot != from.boot)
+    pub(crate) fn hear_want(&mut self, now: Micros, from: ProcessId, duty: Duty, asked: Micros) {
+        if duty >= self.duties.number
+            || self.alive.get(&from.ordinal).is_some_and(|&incarnation| incarnation != from.incarnation)
         {
             self.dropped += 1;
             return;
@@ -205,7 +206,7 @@
     }
 
     /// As the steward: gives a duty to who asks, if it is free or theirs.
-    fn grant(&mut self, now: Micros, to: Process, duty: Duty, asked: Micros) {
+    fn grant(&mut self, now: Micros, to: ProcessId, duty: Duty, asked: Micros) {
         let Some(lasts) = self.lasts(now) else { return };
         let live = self.duties.granted.get(&duty).copied().filter(|granted| now < granted.until);
         if live.is_some_and(|granted| granted.owner != to) {
@@ -249,7 +250,7 @@
     pub(crate) fn hear_given(
         &mut self,
         now: Micros,
-        from: Process,
+        from: ProcessId,
         duty: Duty,
         term: Term,
         asked: Micros,
@@ -264,7 +265,7 @@
         self.take(now, duty, term, asked, lasts);
     }
 
-    pub(crate) fn hear_return(&mut self, now: Micros, from: Process, duty: Duty, term: Term) {
+    pub(crate) fn hear_return(&mut self, now: Micros, from: ProcessId, duty: Duty, term: Term) {
         let granted = self.duties.granted.get(&duty).copied();
         if granted.is_some_and(|granted| granted.owner == from && granted.term == term) {
             self.duties.granted.remove(&duty);
@@ -278,11 +279,11 @@
     pub(crate) fn hear_news(
         &mut self,
         now: Micros,
-        from: Process,
+        from: ProcessId,
         view: View,
-        steward: Option<Process>,
+        steward: Option<ProcessId>,
         round: Round,
-        duties: Vec<(Duty, Term, Process)>,
+        duties: Vec<(Duty, Term, ProcessId)>,
     ) {
         if view.epoch == Epoch::default() {
             self.dropped += 1;
@@ -324,11 +325,11 @@
 
     pub(crate) fn hear_roll(
         &mut self,
-        from: Process,
+        from: ProcessId,
         term: Term,
         part: u8,
         parts: u8,
-        members: Vec<Process>,
+        members: Vec<ProcessId>,
     ) {
         let known = self.steward.is_some_and(|steward| steward.0 == from);
         if !known || term <= self.roll.0 || term < self.duties.parts_of {
@@ -340,7 +341,7 @@
         self.duties.parts.insert(part, members);
         if self.duties.parts.len() == usize::from(parts) {
             let all = std::mem::take(&mut self.duties.parts).into_values().flatten();
-            self.roll = (term, all.map(|process| (process.ordinal, process.boot)).collect());
+            self.roll = (term, all.map(|process| (process.ordinal, process.incarnation)).collect());
         }
     }
 
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -45,7 +45,7 @@
 mod steward;
 mod voter;
 
-pub use brackenledge_membership::Process;
+pub use brackenledge_membership::ProcessId;
 pub use duties::{Fence, Known};
 pub use living::Living;
 pub use message::{Deed, MESSAGE_MOST, Message};
@@ -104,7 +104,7 @@
     /// Its place.
     pub epoch: Epoch,
     /// In order of their numbers.
-    pub voters: Vec<Process>,
+    pub voters: Vec<ProcessId>,
 }
 
 /// Times and sizes.
@@ -175,19 +175,19 @@
     /// The view held, and how long ago its steward was heard.
     pub view: Option<(View, Micros)>,
     /// The steward, as heard last.
-    pub steward: Option<Process>,
+    pub steward: Option<ProcessId>,
     /// Our own lease as a steward, as far as it lasts.
     pub lease_left: Option<Micros>,
     /// Members by the steward's roll, and its term.
     pub roll: (Term, BTreeMap<u16, u64>),
     /// Duties: the term, the owner, and what is left of the lease if it is ours.
-    pub duties: BTreeMap<Duty, (Term, Process, Option<Micros>)>,
+    pub duties: BTreeMap<Duty, (Term, ProcessId, Option<Micros>)>,
 }
 
 /// One process's part in the tier.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Ownership {
-    me: Process,
+    me: ProcessId,
     settings: Settings,
     /// Unix seconds when we started, for the era of a tier that begins.
     unix: u32,
@@ -200,7 +200,7 @@
     /// Views up to this one were given up: we don't vote in them any more.
     given_up: Epoch,
     heard_at: Micros,
-    steward: Option<(Process, Round)>,
+    steward: Option<(ProcessId, Round)>,
     voter: Voter,
     stewardship: Steward,
     duties: Duties,
@@ -217,7 +217,7 @@
 
 impl Ownership {
     /// A process that has just started and remembers nothing.
-    pub fn new(now: Micros, me: Process, unix: u32, settings: Settings) -> Ownership {
+    pub fn new(now: Micros, me: ProcessId, unix: u32, settings: Settings) -> Ownership {
         Ownership {
             me,
             settings,
@@ -243,7 +243,7 @@
     }
 
     /// The same in a view that others are in too; for models and tests, which then need no beginning.
-    pub fn begun(now: Micros, me: Process, settings: Settings, view: View) -> Ownership {
+    pub fn begun(now: Micros, me: ProcessId, settings: Settings, view: View) -> Ownership {
         let mut one = Ownership::new(now, me, 1, settings);
         one.seen = view.epoch;
         one.view = view;
@@ -261,14 +261,14 @@
     }
 
     /// Who we are.
-    pub fn me(&self) -> Process {
+    pub fn me(&self) -> ProcessId {
         self.me
     }
 
     /// Membership says who is alive.
-    pub fn alive(&mut self, members: impl IntoIterator<Item = Process>) {
-        self.alive = members.into_iter().map(|process| (process.ordinal, process.boot)).collect();
-        self.alive.insert(self.me.ordinal, self.me.boot);
+    pub fn alive(&mut self, members: impl IntoIterator<Item = ProcessId>) {
+        self.alive = members.into_iter().map(|process| (process.ordinal, process.incarnation)).collect();
+        self.alive.insert(self.me.ordinal, self.me.incarnation);
     }
 
     /// The term under which we own a duty at this moment, if we do. To be asked before each deed.
@@ -295,7 +295,7 @@
     /// How many members the roll has, if we are one of them and its steward was heard lately.
     pub fn on_roll(&self, now: Micros) -> Option<usize> {
         let heard = now < self.heard_at + self.settings.wait || self.is_steward(now);
-        let ours = self.roll.1.get(&self.me.ordinal) == Some(&self.me.boot);
+        let ours = self.roll.1.get(&self.me.ordinal) == Some(&self.me.incarnation);
         (heard && ours && !self.void()).then_some(self.roll.1.len())
     }
 
@@ -325,7 +325,7 @@
         self.orders.pop_front()
     }
 
-    fn send(&mut self, to: Process, message: Message) {
+    fn send(&mut self, to: ProcessId, message: Message) {
         if to == self.me {
             // Never queued: what we tell ourselves is heard in the same step.
             debug_assert!(false, "told ourselves {message:?}");
@@ -347,7 +347,7 @@
     }
 
     /// Whether a process is a voter of the view.
-    fn votes(&self, who: Process) -> bool {
+    fn votes(&self, who: ProcessId) -> bool {
         if self.void() { who.ordinal < self.settings.seats } else { self.view.voters.contains(&who) }
     }
 
@@ -396,7 +396,8 @@
         if self.void() || now < self.heard_at + self.settings.dead || self.stewardship.lease(now).is_some() {
             return;
         }
-        let living = self.view.voters.iter().filter(|v| self.alive.get(&v.ordinal) == Some(&v.boot)).count();
+        let living =
+            self.view.voters.iter().filter(|v| self.alive.get(&v.ordinal) == Some(&v.incarnation)).count();
         if living >= self.quorum() {
             return;
         }
@@ -417,7 +418,7 @@
     }
 
     /// Somebody is in a later view.
-    fn follow(&mut self, now: Micros, view: View, steward: Option<Process>) {
+    fn follow(&mut self, now: Micros, view: View, steward: Option<ProcessId>) {
         if view.epoch <= self.view.epoch || view.epoch <= self.given_up {
             return;
         }
@@ -511,7 +512,7 @@
     }
 
     /// Whether we vote in the view that somebody asks about; who is behind is told ours.
-    fn same_view(&mut self, now: Micros, from: Process, epoch: Epoch) -> bool {
+    fn same_view(&mut self, now: Micros, from: ProcessId, epoch: Epoch) -> bool {
         if epoch < self.view.epoch {
             self.tell_view(from);
             return false;
@@ -526,7 +527,7 @@
         ready && self.votes(self.me) && self.votes(from)
     }
 
-    fn tell_view(&mut self, to: Process) {
+    fn tell_view(&mut self, to: ProcessId) {
         let (steward, round) = match self.steward {
             Some((steward, round)) => (Some(steward), round),
             None => (None, Round::default()),
@@ -564,6 +565,6 @@
 }
 
 /// Processes by number, for the log.
-fn names(processes: &[Process]) -> String {
+fn names(processes: &[ProcessId]) -> String {
     processes.iter().map(|process| process.ordinal.to_string()).collect::<Vec<_>>().join(",")
 }
--- a/crates/leases/src/message.rs
+++ b/crates/leases/src/message.rs
@@ -1,7 +1,7 @@
 //! What processes tell one another, and its bytes: `postcard`, 255 at most, so that with the byte that says whose it
 //! is a datagram has 256.
 
-use crate::{Duty, Epoch, Micros, Process, Round, Term, View};
+use crate::{Duty, Epoch, Micros, ProcessId, Round, Term, View};
 use serde::{Deserialize, Serialize};
 
 /// The longest message in bytes.
@@ -18,50 +18,50 @@
 #[allow(missing_docs)]
 pub enum Message {
     /// A process without a view looks for one.
-    Hello { from: Process, seen: Epoch },
+    Hello { from: ProcessId, seen: Epoch },
     /// A candidate asks whether the lease is free, and to hear of no older round.
-    Ask { from: Process, epoch: Epoch, round: Round },
+    Ask { from: ProcessId, epoch: Epoch, round: Round },
     /// It is; and the next view, if the voter has taken one.
-    Yes { from: Process, epoch: Epoch, round: Round, accepted: Option<(Round, View)> },
+    Yes { from: ProcessId, epoch: Epoch, round: Round, accepted: Option<(Round, View)> },
     /// It is not for so long, or a later round has been promised.
-    No { from: Process, epoch: Epoch, promised: Round, left: Micros },
+    No { from: ProcessId, epoch: Epoch, promised: Round, left: Micros },
     /// A candidate, or the steward, asks for the lease from now on.
-    Lease { from: Process, epoch: Epoch, round: Round, asked: Micros },
+    Lease { from: ProcessId, epoch: Epoch, round: Round, asked: Micros },
     /// It has it.
-    Granted { from: Process, epoch: Epoch, round: Round, asked: Micros },
+    Granted { from: ProcessId, epoch: Epoch, round: Round, asked: Micros },
     /// The steward proposes the next view.
-    Propose { from: Process, epoch: Epoch, round: Round, next: View },
+    Propose { from: ProcessId, epoch: Epoch, round: Round, next: View },
     /// The voter takes it.
-    Taken { from: Process, epoch: Epoch, round: Round },
+    Taken { from: ProcessId, epoch: Epoch, round: Round },
     /// The steward gives its lease back.
-    Release { from: Process, epoch: Epoch, round: Round },
+    Release { from: ProcessId, epoch: Epoch, round: Round },
     /// The view, its steward, and who owns which duty.
     News {
-        from: Process,
+        from: ProcessId,
         view: View,
-        steward: Option<Process>,
+        steward: Option<ProcessId>,
         round: Round,
-        duties: Vec<(Duty, Term, Process)>,
+        duties: Vec<(Duty, Term, ProcessId)>,
     },
     /// A part of the steward's list of members.
-    Roll { from: Process, term: Term, part: u8, parts: u8, members: Vec<Process> },
+    Roll { from: ProcessId, term: Term, part: u8, parts: u8, members: Vec<ProcessId> },
     /// Somebody would own a duty, or goes on.
-    Want { from: Process, duty: Duty, asked: Micros },
+    Want { from: ProcessId, duty: Duty, asked: Micros },
     /// It does, for so long from when it asked.
-    Given { from: Process, duty: Duty, term: Term, asked: Micros, lasts: Micros },
+    Given { from: ProcessId, duty: Duty, term: Term, asked: Micros, lasts: Micros },
     /// It gives it back.
-    Return { from: Process, duty: Duty, term: Term },
+    Return { from: ProcessId, duty: Duty, term: Term },
     /// A member of the roll asks not to be left out of it for a while.
-    Stay { from: Process, asked: Micros },
+    Stay { from: ProcessId, asked: Micros },
     /// It won't be, for so long from when it asked.
-    Stays { from: Process, asked: Micros, lasts: Micros },
+    Stays { from: ProcessId, asked: Micros, lasts: Micros },
     /// It goes, and may be left out at once.
-    Unstay { from: Process },
+    Unstay { from: ProcessId },
 }
 
 impl Message {
     /// Whose it is.
-    pub fn from(&self) -> Process {
+    pub fn from(&self) -> ProcessId {
         match *self {
             Message::Hello { from, .. }
             | Message::Ask { from, .. }
@@ -120,7 +120,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Deed {
     /// Who does it.
-    pub owner: Process,
+    pub owner: ProcessId,
     /// Which duty's.
     pub duty: Duty,
     /// Under which term.
--- a/crates/leases/src/steward.rs
+++ b/crates/leases/src/steward.rs
@@ -2,7 +2,7 @@
 //! keeps the roll of members, and grants duties.
 
 use crate::message::{DUTIES_MOST, PART};
-use crate::{Epoch, Message, Micros, Order, Ownership, Process, Round, Settings, Term, View, names};
+use crate::{Epoch, Message, Micros, Order, Ownership, ProcessId, Round, Settings, Term, View, names};
 use std::collections::BTreeMap;
 
 /// A candidate asks so often in a beat: at 30% loss every second question stays without an answer.
@@ -15,11 +15,11 @@
     /// Not elected by then, it is tried again with a higher round.
     until: Micros,
     /// Voters that said yes, and the next view that each has taken.
-    yes: BTreeMap<Process, Option<(Round, View)>>,
+    yes: BTreeMap<ProcessId, Option<(Round, View)>>,
     /// Voters that granted the lease, each from when it was asked last.
-    granted: BTreeMap<Process, Micros>,
+    granted: BTreeMap<ProcessId, Micros>,
     /// What is proposed, and who has taken it.
-    proposed: Option<(View, Vec<Process>)>,
+    proposed: Option<(View, Vec<ProcessId>)>,
     /// Whether a majority has said yes.
     elected: bool,
 }
@@ -97,8 +97,8 @@
     }
 
     /// A member goes by itself.
-    pub(crate) fn let_go(&mut self, who: Process) {
-        if self.stays.get(&who.ordinal).is_some_and(|stay| stay.0 == who.boot) {
+    pub(crate) fn let_go(&mut self, who: ProcessId) {
+        if self.stays.get(&who.ordinal).is_some_and(|stay| stay.0 == who.incarnation) {
             self.stays.remove(&who.ordinal);
         }
     }
@@ -180,7 +180,7 @@
             self.tell_all(message);
             return;
         }
-        let others: Vec<Process> =
+        let others: Vec<ProcessId> =
             self.view.voters.iter().copied().filter(|&voter| voter != self.me).collect();
         others.into_iter().for_each(|voter| self.send(voter, message.clone()));
     }
@@ -188,7 +188,7 @@
     pub(crate) fn seen_yes(
         &mut self,
         now: Micros,
-        from: Process,
+        from: ProcessId,
         round: Round,
         accepted: Option<(Round, View)>,
     ) {
@@ -201,7 +201,7 @@
             return;
         }
         campaign.elected = true;
-        let voters: Vec<Process> = campaign.yes.keys().copied().collect();
+        let voters: Vec<ProcessId> = campaign.yes.keys().copied().collect();
         let taken = campaign.yes.values().flatten().max_by_key(|taken| taken.0).map(|taken| taken.1.clone());
         if void {
             // The first view is whatever was taken before, or made of those who are here.
@@ -218,7 +218,7 @@
         self.renew(now);
     }
 
-    fn first_view(&self, mut voters: Vec<Process>) -> View {
+    fn first_view(&self, mut voters: Vec<ProcessId>) -> View {
         let mut wanted = self.settings.voters.min(voters.len());
         wanted -= usize::from(wanted.is_multiple_of(2) && wanted > 1);
         voters.sort_by_key(|voter| (voter.ordinal != self.me.ordinal, voter.ordinal));
@@ -243,7 +243,7 @@
         }
     }
 
-    pub(crate) fn seen_granted(&mut self, now: Micros, from: Process, round: Round, asked: Micros) {
+    pub(crate) fn seen_granted(&mut self, now: Micros, from: ProcessId, round: Round, asked: Micros) {
         let (quorum, held, epoch) = (self.quorum(), self.settings.held(), self.view.epoch);
         let had = self.stewardship.lease(now);
         let Some(campaign) = self.stewardship.campaign.as_mut().filter(|c| c.elected && c.round == round)
@@ -296,32 +296,34 @@
         // Whoever was steward between it and us had a higher round than it, and we have a higher one still.
         let last = self.steward.filter(|(_, known)| known.count + 1 == round.count).map(|known| known.0);
         let until = now + stay + stay / self.settings.drift;
-        for (&ordinal, &boot) in self.roll.1.iter().filter(|member| *member.0 != self.me.ordinal) {
-            if last == Some(Process { ordinal, boot }) {
-                self.stewardship.lapsed.insert(ordinal, boot);
+        for (&ordinal, &incarnation) in self.roll.1.iter().filter(|member| *member.0 != self.me.ordinal) {
+            if last == Some(ProcessId { ordinal, incarnation }) {
+                self.stewardship.lapsed.insert(ordinal, incarnation);
             } else {
-                self.stewardship.stays.insert(ordinal, (boot, until));
+                self.stewardship.stays.insert(ordinal, (incarnation, until));
             }
         }
     }
 
-    pub(crate) fn hear_stay(&mut self, now: Micros, from: Process, asked: Micros) {
+    pub(crate) fn hear_stay(&mut self, now: Micros, from: ProcessId, asked: Micros) {
         let stay = self.settings.stay;
         let ours = self.stewardship.lease(now).is_some_and(|((epoch, _), _)| epoch == self.view.epoch);
         if !ours || stay == 0 {
             return;
         }
-        if self.stewardship.lapsed.get(&from.ordinal) == Some(&from.boot) {
+        if self.stewardship.lapsed.get(&from.ordinal) == Some(&from.incarnation) {
             self.stewardship.lapsed.remove(&from.ordinal);
         }
-        if self.roll.1.get(&from.ordinal) != Some(&from.boot) {
+        if self.roll.1.get(&from.ordinal) != Some(&from.incarnation) {
             return;
         }
-        self.stewardship.stays.insert(from.ordinal, (from.boot, now + stay + stay / self.settings.drift));
+        self.stewardship
+            .stays
+            .insert(from.ordinal, (from.incarnation, now + stay + stay / self.settings.drift));
         self.send(from, Message::Stays { from: self.me, asked, lasts: stay });
     }
 
-    pub(crate) fn hear_stays(&mut self, now: Micros, from: Process, asked: Micros, lasts: Micros) {
+    pub(crate) fn hear_stays(&mut self, now: Micros, from: ProcessId, asked: Micros, lasts: Micros) {
         let known = self.steward.is_some_and(|steward| steward.0 == from);
         if !known || asked > now || asked < self.started || self.leaving {
             self.dropped += 1;
@@ -347,14 +349,14 @@
         lapsed.extend(stays.iter().filter(|stay| now >= stay.1.1).map(|(&ordinal, stay)| (ordinal, stay.0)));
         stays.retain(|_, stay| now < stay.1);
         let mut wanted = self.alive.clone();
-        wanted.retain(|ordinal, boot| lapsed.get(ordinal) != Some(boot));
+        wanted.retain(|ordinal, incarnation| lapsed.get(ordinal) != Some(incarnation));
         wanted.extend(stays.iter().map(|(&ordinal, stay)| (ordinal, stay.0)));
         if self.settings.stay > 0 {
             // Whoever is new has as long to ask as who has asked.
             let until = now + self.settings.stay + self.settings.stay / self.settings.drift;
             let others = wanted.iter().filter(|member| *member.0 != self.me.ordinal);
-            for (&ordinal, &boot) in others {
-                stays.entry(ordinal).or_insert((boot, until));
+            for (&ordinal, &incarnation) in others {
+                stays.entry(ordinal).or_insert((incarnation, until));
             }
         }
         wanted
@@ -386,10 +388,10 @@
     /// Voters that are gone are replaced by members that are here; there are as many as wanted, an odd number, and
     /// never fewer than three where the tier has so many seats.
     fn wanted_view(&self) -> Option<View> {
-        let lives = |voter: &Process| self.alive.get(&voter.ordinal) == Some(&voter.boot);
-        let mut voters: Vec<Process> = self.view.voters.iter().copied().filter(lives).collect();
-        let others = self.alive.iter().map(|(&ordinal, &boot)| Process { ordinal, boot });
-        let mut spare: Vec<Process> = others.filter(|process| !voters.contains(process)).collect();
+        let lives = |voter: &ProcessId| self.alive.get(&voter.ordinal) == Some(&voter.incarnation);
+        let mut voters: Vec<ProcessId> = self.view.voters.iter().copied().filter(lives).collect();
+        let others = self.alive.iter().map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation });
+        let mut spare: Vec<ProcessId> = others.filter(|process| !voters.contains(process)).collect();
         let mut wanted = self.settings.voters.min(self.alive.len());
         wanted -= usize::from(wanted.is_multiple_of(2) && wanted > 1);
         let least = self.view.voters.len().min(3);
@@ -421,7 +423,7 @@
         }
     }
 
-    pub(crate) fn seen_taken(&mut self, now: Micros, from: Process, round: Round) {
+    pub(crate) fn seen_taken(&mut self, now: Micros, from: ProcessId, round: Round) {
         let quorum = self.quorum();
         let Some(campaign) = self.stewardship.campaign.as_mut().filter(|c| c.elected && c.round == round)
         else {
@@ -480,8 +482,8 @@
             self.stewardship.step += 1;
             self.roll = (Term { epoch, round, step: self.stewardship.step }, wanted);
         }
-        let members: Vec<Process> =
-            self.roll.1.iter().map(|(&ordinal, &boot)| Process { ordinal, boot }).collect();
+        let members: Vec<ProcessId> =
+            self.roll.1.iter().map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation }).collect();
         let (term, parts) = (self.roll.0, members.chunks(PART).count() as u8);
         for (part, members) in members.chunks(PART).enumerate() {
             let (part, members) = (part as u8, members.to_vec());
--- a/crates/leases/tests/golden.rs
+++ b/crates/leases/tests/golden.rs
@@ -5,7 +5,7 @@
 //! wire format has changed.
 #![allow(missing_docs)]
 
-use brackenledge_leases::{Deed, Epoch, Message, Process, Round, Term, View};
+use brackenledge_leases::{Deed, Epoch, Message, ProcessId, Round, Term, View};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -22,8 +22,8 @@
     assert_eq!(Message::read(&unhex(bytes)), Some(message));
 }
 
-fn process(ordinal: u16) -> Process {
-    Process { ordinal, boot: 1_700_000_000_000 + u64::from(ordinal) }
+fn process(ordinal: u16) -> ProcessId {
+    ProcessId { ordinal, incarnation: 1_700_000_000_000 + u64::from(ordinal) }
 }
 
 const ME: u16 = 300;
--- a/crates/leases/tests/model.rs
+++ b/crates/leases/tests/model.rs
@@ -3,7 +3,7 @@
 //! looked at (default: what CI has time for).
 #![allow(missing_docs)]
 
-use brackenledge_leases::{Epoch, Fence, Message, Order, Ownership, Process, Settings, Term, View};
+use brackenledge_leases::{Epoch, Fence, Message, Order, Ownership, ProcessId, Settings, Term, View};
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::BTreeMap;
 
@@ -49,7 +49,7 @@
     checked: Vec<Option<Term>>,
     /// Receivers, one for each node, and what they accepted last.
     fences: Vec<Fence>,
-    accepted: Vec<Vec<(Term, Process)>>,
+    accepted: Vec<Vec<(Term, ProcessId)>>,
     duplicates: u8,
     delays: u8,
     crashes: u8,
@@ -87,8 +87,8 @@
         }
     }
 
-    fn process(node: u16) -> Process {
-        Process { ordinal: node, boot: 1 }
+    fn process(node: u16) -> ProcessId {
+        ProcessId { ordinal: node, incarnation: 1 }
     }
 
     fn view(&self) -> View {
@@ -232,7 +232,7 @@
                 let mut again = if self.sabotage == Some(Sabotage::VotesAgain) {
                     Ownership::begun(state.now, Tier::process(node), settings, self.view())
                 } else {
-                    Ownership::new(state.now, Process { ordinal: node, boot: 2 }, 2, settings)
+                    Ownership::new(state.now, ProcessId { ordinal: node, incarnation: 2 }, 2, settings)
                 };
                 again.alive((0..self.nodes).map(Tier::process));
                 (state.nodes[at], state.checked[at]) = (again, None);
@@ -282,7 +282,7 @@
                 state.nodes.iter().filter(|node| node.is_steward(state.now)).count() <= 1
             }),
             Property::always("no two owners' deeds are accepted under one term", |_, state: &State| {
-                let mut owners: BTreeMap<Term, Process> = BTreeMap::new();
+                let mut owners: BTreeMap<Term, ProcessId> = BTreeMap::new();
                 state
                     .accepted
                     .iter()
--- a/crates/leases/tests/tier.rs
+++ b/crates/leases/tests/tier.rs
@@ -3,7 +3,7 @@
 #![allow(missing_docs)]
 
 use brackenledge_leases::{
-    Deed, Fence, MESSAGE_MOST, Message, Micros, Order, Ownership, Process, Settings, Term,
+    Deed, Fence, MESSAGE_MOST, Message, Micros, Order, Ownership, ProcessId, Settings, Term,
 };
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,7 +32,7 @@
     way: Vec<(Micros, usize, usize, Vec<u8>)>,
     dice: Dice,
     fences: Vec<Fence>,
-    owners: BTreeMap<(u8, Term), Process>,
+    owners: BTreeMap<(u8, Term), ProcessId>,
     /// Clocks run faster or slower by so many parts in 10,000.
     pace: Vec<i64>,
     /// Membership notices a change so late.
@@ -72,18 +72,18 @@
     }
 
     fn start(&mut self, at: usize) {
-        let boot = self.now / MS;
+        let incarnation = self.now / MS;
         let settings = Settings { stay: 2_500 * MS, ..Settings::new(self.nodes.len() as u16, DUTIES) };
-        let me = Process { ordinal: at as u16, boot };
+        let me = ProcessId { ordinal: at as u16, incarnation };
         self.nodes[at] = Some(Ownership::new(self.clock(at), me, (self.now / 1_000_000) as u32, settings));
         self.fences[at] = Fence::default();
-        self.noticed.push((self.now + 500 * MS, at, boot, true));
+        self.noticed.push((self.now + 500 * MS, at, incarnation, true));
     }
 
     fn kill(&mut self, at: usize) {
         let killed = self.nodes[at].take();
-        let boot = killed.map_or(0, |node| node.me().boot);
-        self.noticed.push((self.now + 5_000 * MS, at, boot, false));
+        let incarnation = killed.map_or(0, |node| node.me().incarnation);
+        self.noticed.push((self.now + 5_000 * MS, at, incarnation, false));
     }
 
     fn carry_out(&mut self, at: usize) {
@@ -113,11 +113,14 @@
                 let Some(node) = &self.nodes[at] else { continue };
                 let Some(term) = node.may(self.clock(at), duty) else { continue };
                 believe.push(at);
-                let owner =
-                    self.owners.entry((duty, term)).or_insert(Process { ordinal: at as u16, boot: 0 });
+                let owner = self
+                    .owners
+                    .entry((duty, term))
+                    .or_insert(ProcessId { ordinal: at as u16, incarnation: 0 });
                 assert_eq!(usize::from(owner.ordinal), at, "two owners under {term}");
                 for to in 0..self.fences.len() {
-                    let _ = self.fences[to].accept(duty, term, Process { ordinal: at as u16, boot: 0 });
+                    let _ =
+                        self.fences[to].accept(duty, term, ProcessId { ordinal: at as u16, incarnation: 0 });
                 }
             }
             assert!(believe.len() <= 1, "{believe:?} all own duty {duty} at {}", self.now);
@@ -139,7 +142,7 @@
                 let message = Message::read(&bytes).expect("a message");
                 if let Message::News { duties, .. } = &message {
                     duties.iter().for_each(|&(duty, term, owner)| {
-                        self.fences[to].heard(duty, term, Process { boot: 0, ..owner })
+                        self.fences[to].heard(duty, term, ProcessId { incarnation: 0, ..owner })
                     });
                 }
                 let clock = self.clock(to);
@@ -151,11 +154,11 @@
             let (seen, later): (Vec<_>, Vec<_>) =
                 std::mem::take(&mut self.noticed).into_iter().partition(|change| change.0 <= self.now);
             self.noticed = later;
-            for (_, at, boot, here) in seen {
+            for (_, at, incarnation, here) in seen {
                 let at = at as u16;
                 if here {
-                    self.alive.insert(at, boot);
-                } else if self.alive.get(&at) == Some(&boot) {
+                    self.alive.insert(at, incarnation);
+                } else if self.alive.get(&at) == Some(&incarnation) {
                     self.alive.remove(&at);
                 }
             }
@@ -168,9 +171,9 @@
                     let other = usize::from(*other);
                     !self.cut.contains(&(other, at)) || other == at
                 };
-                let alive: Vec<Process> = (self.alive.iter())
+                let alive: Vec<ProcessId> = (self.alive.iter())
                     .filter(|(ordinal, _)| heard(ordinal))
-                    .map(|(&ordinal, &boot)| Process { ordinal, boot })
+                    .map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation })
                     .collect();
                 if let Some(node) = &mut self.nodes[at] {
                     node.alive(alive);
@@ -190,7 +193,7 @@
         for (at, node) in nodes().filter(|(at, node)| stays(*at, node)) {
             for (other, steward) in nodes().filter(|(other, node)| node.is_steward(self.clock(*other))) {
                 let (term, members) = steward.roll();
-                let on = members.get(&(at as u16)) == Some(&node.me().boot);
+                let on = members.get(&(at as u16)) == Some(&node.me().incarnation);
                 assert!(on || term <= node.roll().0, "{other} leaves {at} out at {}: {members:?}", self.now);
             }
         }
@@ -379,7 +382,7 @@
 #[test]
 fn a_fence_refuses_what_is_old_what_is_another_s_and_what_it_cannot_judge() {
     let term = |step| Term { step, ..Term::default() };
-    let (a, b) = (Process { ordinal: 1, boot: 1 }, Process { ordinal: 2, boot: 1 });
+    let (a, b) = (ProcessId { ordinal: 1, incarnation: 1 }, ProcessId { ordinal: 2, incarnation: 1 });
     let mut fence = Fence::default();
     assert!(fence.accept(0, term(5), a).is_err(), "nothing is known yet");
     fence.heard(0, term(5), a);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -39,17 +39,17 @@
 
 /// A process: a scheduler's number, and when it started in Unix milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Process {
+pub struct ProcessId {
     /// Its number in the settings.
     pub ordinal: u16,
     /// Its start; a later one under the same number replaces it.
-    pub boot: u64,
+    pub incarnation: u64,
 }
 
 /// A process under the name by which it is known now: one that was given up by mistake takes the next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Known {
-    process: Process,
+    process: ProcessId,
     bump: u16,
 }
 
@@ -65,7 +65,7 @@
     }
 
     fn win_addr_conflict(&self, other: &Known) -> bool {
-        (self.process.boot, self.bump) > (other.process.boot, other.bump)
+        (self.process.incarnation, self.bump) > (other.process.incarnation, other.bump)
     }
 }
 
@@ -91,9 +91,9 @@
         bytes: Vec<u8>,
     },
     /// A process is there.
-    Up(Process),
+    Up(ProcessId),
     /// A process is gone, or has left.
-    Down(Process),
+    Down(ProcessId),
     /// Another process of our own number is newer: this one is to give up what it holds.
     Replaced,
 }
@@ -205,12 +205,12 @@
     timers: BinaryHeap<Reverse<Due>>,
     serial: u64,
     orders: VecDeque<Order>,
-    me: Process,
+    me: ProcessId,
     seeds: Vec<u16>,
     next_seed: usize,
     announce_at: Millis,
     /// Those told to be up.
-    up: BTreeSet<Process>,
+    up: BTreeSet<ProcessId>,
     alone: bool,
     left: bool,
     replaced: bool,
@@ -225,9 +225,9 @@
 
 impl Membership {
     /// A process that has just started and knows nobody. `seeds`: the numbers of others, asked in turn.
-    pub fn new(now: Millis, me: Process, seeds: Vec<u16>, times: &Times, seed: u64) -> Membership {
+    pub fn new(now: Millis, me: ProcessId, seeds: Vec<u16>, times: &Times, seed: u64) -> Membership {
         let schedulers = seeds.len() + 1;
-        let rng = ChaCha8Rng::seed_from_u64(seed ^ me.boot);
+        let rng = ChaCha8Rng::seed_from_u64(seed ^ me.incarnation);
         let known = Known { process: me, bump: 0 };
         Membership {
             foca: Foca::new(known, config(times, schedulers), rng, foca::PostcardCodec),
@@ -249,7 +249,7 @@
     }
 
     /// Who we are.
-    pub fn me(&self) -> Process {
+    pub fn me(&self) -> ProcessId {
         self.me
     }
 
@@ -259,7 +259,7 @@
     }
 
     /// All that are known, and what is believed of them; not ourselves.
-    pub fn others(&self) -> impl Iterator<Item = (Process, Standing)> {
+    pub fn others(&self) -> impl Iterator<Item = (ProcessId, Standing)> {
         self.foca.iter_membership_state().map(|member| {
             let standing = match member.state() {
                 State::Alive => Standing::Alive,
@@ -271,7 +271,7 @@
     }
 
     /// All that are not gone, ourselves included unless we have left.
-    pub fn alive(&self) -> impl Iterator<Item = Process> {
+    pub fn alive(&self) -> impl Iterator<Item = ProcessId> {
         let own = (!self.left).then_some(self.me);
         self.foca.iter_members().map(|member| member.id().process).chain(own)
     }
@@ -299,7 +299,7 @@
             let missing = after.enumerate().find(|(_, seed)| !here.contains(seed));
             if let Some((passed, &ordinal)) = missing {
                 self.next_seed = (self.next_seed + passed + 1) % self.seeds.len();
-                let to = Known { process: Process { ordinal, boot: 0 }, bump: 0 };
+                let to = Known { process: ProcessId { ordinal, incarnation: 0 }, bump: 0 };
                 let _ = self.foca.announce(to, &mut self.runtime);
                 self.settle(now);
             }
@@ -333,7 +333,7 @@
         header.is_some_and(|header| {
             let meant = header.dst.process;
             let call = header.message == foca::Message::Announce;
-            !call && meant.ordinal == self.me.ordinal && meant.boot > self.me.boot
+            !call && meant.ordinal == self.me.ordinal && meant.incarnation > self.me.incarnation
         })
     }
 
@@ -352,7 +352,7 @@
     }
 
     /// Tells each change once, however many ways it is heard.
-    fn told(&mut self, process: Process, up: bool) {
+    fn told(&mut self, process: ProcessId, up: bool) {
         if up && self.up.insert(process) {
             self.orders.push_back(Order::Up(process));
         } else if !up && self.up.remove(&process) {
--- a/crates/membership/tests/golden.rs
+++ b/crates/membership/tests/golden.rs
@@ -5,7 +5,7 @@
 //! wire format has changed. All random choices come from the fixed seed.
 #![allow(missing_docs)]
 
-use brackenledge_membership::{Membership, Order, Process, Times};
+use brackenledge_membership::{Membership, Order, ProcessId, Times};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -16,10 +16,10 @@
     (0..text.len()).step_by(2).map(digit).collect()
 }
 
-const ONE: Process = Process { ordinal: 0, boot: 1_700_000_000_123 };
-const OTHER: Process = Process { ordinal: 1, boot: 1_700_000_000_456 };
+const ONE: ProcessId = ProcessId { ordinal: 0, incarnation: 1_700_000_000_123 };
+const OTHER: ProcessId = ProcessId { ordinal: 1, incarnation: 1_700_000_000_456 };
 
-fn member(me: Process, seeds: Vec<u16>) -> Membership {
+fn member(me: ProcessId, seeds: Vec<u16>) -> Membership {
     let times = Times::for_tier(seeds.len() + 1);
     Membership::new(0.0, me, seeds, &times, 7)
 }
@@ -43,11 +43,11 @@
 
 #[test]
 fn a_process_has_these_bytes() {
-    let process = Process { ordinal: 300, boot: 1_700_000_000_300 };
+    let process = ProcessId { ordinal: 300, incarnation: 1_700_000_000_300 };
     let bytes = "ac02acd295ffbc31";
     let written = postcard::to_allocvec(&process).expect("bytes");
     assert_eq!(hex(&written), bytes);
-    assert_eq!(postcard::from_bytes::<Process>(&unhex(bytes)), Ok(process));
+    assert_eq!(postcard::from_bytes::<ProcessId>(&unhex(bytes)), Ok(process));
 }
 
 #[test]
--- a/crates/membership/tests/tier.rs
+++ b/crates/membership/tests/tier.rs
@@ -1,7 +1,7 @@
 //! Whole tiers on a virtual clock over a lossy network.
 #![allow(missing_docs)]
 
-use brackenledge_membership::{MESSAGE_MOST, Membership, Millis, Order, Process, Standing, Times};
+use brackenledge_membership::{MESSAGE_MOST, Membership, Millis, Order, ProcessId, Standing, Times};
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -16,12 +16,12 @@
     /// Pairs (from, to) that hear nothing.
     cut: BTreeSet<(usize, usize)>,
     rng: ChaCha8Rng,
-    downs: Vec<(Millis, usize, Process)>,
+    downs: Vec<(Millis, usize, ProcessId)>,
     replaced: Vec<usize>,
 }
 
-fn process(ordinal: usize, boot: u64) -> Process {
-    Process { ordinal: ordinal as u16, boot }
+fn process(ordinal: usize, incarnation: u64) -> ProcessId {
+    ProcessId { ordinal: ordinal as u16, incarnation }
 }
 
 impl Tier {
@@ -42,11 +42,11 @@
         tier
     }
 
-    fn start(&mut self, at: usize, boot: u64) {
+    fn start(&mut self, at: usize, incarnation: u64) {
         let number = self.members.len();
         let seeds = (0..number).filter(|&other| other != at).map(|other| other as u16).collect();
         let times = Times::for_tier(number);
-        self.members[at] = Some(Membership::new(self.now, process(at, boot), seeds, &times, 7));
+        self.members[at] = Some(Membership::new(self.now, process(at, incarnation), seeds, &times, 7));
     }
 
     fn carry_out(&mut self, at: usize) {
@@ -128,7 +128,7 @@
     tier.start(1, 6_000);
     tier.play(10_000.0);
     for at in [0, 2, 3, 4] {
-        let seen: Vec<Process> = tier.members[at].iter().flat_map(Membership::alive).collect();
+        let seen: Vec<ProcessId> = tier.members[at].iter().flat_map(Membership::alive).collect();
         assert!(seen.contains(&process(1, 6_000)) && !seen.contains(&process(1, 1_000)), "{at}: {seen:?}");
     }
     assert!(
@@ -175,7 +175,7 @@
     assert!(tier.replaced.contains(&5), "the older one is told");
     tier.members[5] = newer;
     tier.play(80_000.0);
-    let seen: Vec<Process> = tier.members[0].iter().flat_map(Membership::alive).collect();
+    let seen: Vec<ProcessId> = tier.members[0].iter().flat_map(Membership::alive).collect();
     assert!(seen.contains(&process(5, 99_000)) && !seen.contains(&process(5, 1_000)), "{seen:?}");
 }
 
--- a/crates/simulator/src/members.rs
+++ b/crates/simulator/src/members.rs
@@ -1,7 +1,7 @@
 //! `brackenledge-simulator members`: tiers of any size on a virtual clock, to see how soon membership notices a death, how
 //! often it is wrong, and what it costs.
 
-use brackenledge_membership::{Membership, Millis, Order, Process, Times};
+use brackenledge_membership::{Membership, Millis, Order, ProcessId, Times};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -80,8 +80,8 @@
     members: Vec<Option<Membership>>,
     armed: Vec<u64>,
     /// The dead, when they died, and who has noticed.
-    dead: BTreeMap<Process, (Millis, usize)>,
-    wrong: BTreeMap<Process, Millis>,
+    dead: BTreeMap<ProcessId, (Millis, usize)>,
+    wrong: BTreeMap<ProcessId, Millis>,
     figures: Figures,
 }
 
@@ -95,7 +95,7 @@
     fn start(&mut self, at: usize) {
         let number = self.members.len();
         let seeds = (0..number).filter(|&other| other != at).map(|other| other as u16).collect();
-        let me = Process { ordinal: at as u16, boot: 1 + self.now as u64 };
+        let me = ProcessId { ordinal: at as u16, incarnation: 1 + self.now as u64 };
         let times = Times::for_tier(number);
         self.members[at] = Some(Membership::new(self.now, me, seeds, &times, self.serial));
         self.arm(at);
