--- a/crates/daemon/src/net/cover.rs
+++ b/crates/daemon/src/net/cover.rs
@@ -9,7 +9,7 @@
 use super::tier::{Tier, micros};
 use brackenledge_engine::{Answer, Arrival, ClientId, DispatchId, Request, Times};
 use brackenledge_failover::{
-    Brought, Fate, Frame, Handover, Key, Message, Nonsense, Order, ProcessId, Session, Settings, Waiter,
+    Brought, Command, Fate, Frame, Handover, Key, Message, Nonsense, ProcessId, Session, Settings, Waiter,
 };
 use brackenledge_policy::{Effect, JobId, NewJob, WorkerId};
 use brackenledge_protocol::operations::CoverOptions;
@@ -134,9 +134,9 @@
     }
 
     /// Does what is due.
-    pub fn on_time(&mut self) {
+    pub fn handle_timeout(&mut self) {
         let now = micros();
-        self.handover.on_time(now);
+        self.handover.handle_timeout(now);
         let hurry = now >= self.hurried + COMPANY;
         if hurry {
             self.hurried = now;
@@ -321,8 +321,8 @@
     }
 
     /// What is to be done next.
-    pub fn next_order(&mut self) -> Option<Order> {
-        self.handover.next_order()
+    pub fn poll_command(&mut self) -> Option<Command> {
+        self.handover.poll_command()
     }
 
     /// A planned end: what was not sent is given to others.
@@ -359,7 +359,7 @@
     pub fn frame(&mut self, from: ProcessId, frame: Frame) -> Option<bool> {
         let session = self.sessions.get_mut(&from.ordinal).filter(|session| session.peer() == from)?;
         match session.take(frame) {
-            Ok(Some(message)) => self.handover.hear(micros(), from, message),
+            Ok(Some(message)) => self.handover.handle_message(micros(), from, message),
             Ok(None) => {}
             Err(Nonsense) => return Some(false),
         }
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -214,12 +214,12 @@
         if cx.now >= self.armed {
             self.armed = f64::INFINITY;
         }
-        cx.roster.on_time(cx.now);
+        cx.roster.handle_timeout(cx.now);
     }
 
     /// Keeps an alarm set for whatever the roster waits for.
     pub fn arm(&mut self, cx: &mut Context) {
-        let next = cx.roster.next_time();
+        let next = cx.roster.next_timeout();
         if next < self.armed {
             self.armed = next;
             cx.event_loop.set_alarm(next, Alarm::Roster);
--- a/crates/daemon/src/net/links.rs
+++ b/crates/daemon/src/net/links.rs
@@ -183,7 +183,7 @@
     }
 
     /// Tries connections that are missing, and ends those that came to nothing.
-    pub fn on_time(&mut self, cx: &mut Context) {
+    pub fn handle_timeout(&mut self, cx: &mut Context) {
         let Some(me) = cx.cover.as_ref().map(Cover::me) else { return };
         // Those that came to nothing, and those that were made under another name of ours.
         let late = |c: &Peering| c.peer.is_none() && cx.now >= c.since + COMES_UP || c.me != me;
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -26,8 +26,8 @@
 use brackenledge_discovery::{Roster, RosterSettings};
 use brackenledge_engine::drain::Drain;
 use brackenledge_engine::stop::Stop;
-use brackenledge_engine::{Answer, Core, Order};
-use brackenledge_failover::{Fate, Order as CoverOrder};
+use brackenledge_engine::{Answer, Command, Core};
+use brackenledge_failover::{Command as FailoverCommand, Fate};
 use brackenledge_policy::{Outcome, Settings};
 use brackenledge_protocol::config::{Config, IDLE_LIMIT};
 use brackenledge_protocol::operations::Operations;
@@ -330,7 +330,7 @@
             let entries = known.endpoints.into_iter().map(|endpoint| places.listed(endpoint)).collect();
             scheduler.roster.know(now, known.index, entries);
         }
-        scheduler.roster.on_time(now);
+        scheduler.roster.handle_timeout(now);
         scheduler.core.wake();
         scheduler.settle();
         Ok(scheduler)
@@ -434,7 +434,7 @@
             }
             Alarm::Tier => {
                 if let (Some(tier), Some(peer)) = (cx.tier.as_mut(), &self.peer) {
-                    let wait = tier.on_time(peer, cx.log);
+                    let wait = tier.handle_timeout(peer, cx.log);
                     if let Some(living) = tier.living_changed() {
                         cx.core.living(living);
                     }
@@ -448,7 +448,8 @@
                 if let (Some(zones), Some(tier), Some(peer)) =
                     (cx.zones.as_mut(), cx.tier.as_mut(), &self.peer)
                 {
-                    if let Some(prices) = zones.on_time(cx.now, tier, peer, cx.core, cx.roster, cx.log) {
+                    if let Some(prices) = zones.handle_timeout(cx.now, tier, peer, cx.core, cx.roster, cx.log)
+                    {
                         cx.core.zones(prices);
                     }
                     cx.event_loop.set_alarm(cx.now + zones::LOOK, Alarm::Zones);
@@ -459,10 +460,10 @@
                     if let Some(tier) = cx.tier.as_ref() {
                         cover.sync(tier);
                     }
-                    cover.on_time();
+                    cover.handle_timeout();
                 }
                 if let Some(links) = &mut self.links {
-                    links.on_time(cx);
+                    links.handle_timeout(cx);
                 }
                 cx.event_loop.set_alarm(cx.now + COVER_EVERY, Alarm::Cover);
             }
@@ -482,11 +483,11 @@
     fn settle(&mut self) {
         loop {
             // What the roster has learned goes first: a job must not be sent by an older belief.
-            if let Some(order) = self.roster.next_order() {
+            if let Some(order) = self.roster.poll_command() {
                 self.carry_out_roster(order);
-            } else if let Some(order) = self.cover.as_mut().and_then(Cover::next_order) {
+            } else if let Some(order) = self.cover.as_mut().and_then(Cover::poll_command) {
                 self.carry_out_cover(order);
-            } else if let Some(order) = self.core.next_order(self.event_loop.now()) {
+            } else if let Some(order) = self.core.poll_command(self.event_loop.now()) {
                 self.carry_out(order);
             } else {
                 break;
@@ -499,12 +500,12 @@
         }
     }
 
-    fn carry_out_cover(&mut self, order: CoverOrder) {
+    fn carry_out_cover(&mut self, order: FailoverCommand) {
         let cx = &mut context!(self);
         let Some(cover) = cx.cover.as_mut() else { return };
         match order {
-            CoverOrder::Send { to, message, soon } => cover.say(to, message, soon),
-            CoverOrder::Start { key, what, until, ran, .. } => {
+            FailoverCommand::Send { to, message, soon } => cover.say(to, message, soon),
+            FailoverCommand::Start { key, what, until, ran, .. } => {
                 // What repeats are bound to is not known here: there can be none.
                 let place = ran.as_ref().map(|(name, _)| cx.roster.find(name));
                 if place == Some(None) {
@@ -519,23 +520,23 @@
                     None => cover.not_taken(&key, Fate::Denied(Some(1_000))),
                 }
             }
-            CoverOrder::Go(key, attempt) => {
+            FailoverCommand::Go(key, attempt) => {
                 if let Some(Leaving { id, worker, request, times }) = cover.leaves(&key, attempt) {
                     self.backend.dispatch(id, worker, request, times, cx);
                 }
             }
-            CoverOrder::Moot(key, attempt) => {
+            FailoverCommand::Moot(key, attempt) => {
                 if let Some(id) = cover.moot(&key, attempt) {
                     cx.core.dispatch_ended(id, Outcome::Moot, None);
                 }
             }
-            CoverOrder::Close(key) => {
+            FailoverCommand::Close(key) => {
                 if let Some((job, waiting)) = cover.close(&key) {
                     waiting.into_iter().for_each(|id| cx.core.dispatch_ended(id, Outcome::Moot, None));
                     cx.core.client_gone(job);
                 }
             }
-            CoverOrder::Answer(waiters, fate) => {
+            FailoverCommand::Answer(waiters, fate) => {
                 for waiter in waiters {
                     let Some(client) = cx.cover.as_mut().and_then(|cover| cover.client(waiter)) else {
                         continue;
@@ -548,34 +549,34 @@
                     self.frontend.answer_covered(client, waiter, answer, cx);
                 }
             }
-            CoverOrder::Log(text) => info!(cx.log, "handover"; "what" => text),
+            FailoverCommand::Log(text) => info!(cx.log, "handover"; "what" => text),
         }
     }
 
-    fn carry_out_roster(&mut self, order: brackenledge_discovery::Order) {
+    fn carry_out_roster(&mut self, order: brackenledge_discovery::Command) {
         let cx = &mut context!(self);
         match order {
-            brackenledge_discovery::Order::Ask { call, kind, since } => {
+            brackenledge_discovery::Command::Ask { call, kind, since } => {
                 self.discovery.ask(call, kind, since, cx)
             }
-            brackenledge_discovery::Order::Drop { call } => self.discovery.drop_call(call, cx),
-            brackenledge_discovery::Order::Tell { to, text } => self.tell(Some(to), &text),
-            brackenledge_discovery::Order::Learn { kind, entries } => {
+            brackenledge_discovery::Command::Drop { call } => self.discovery.drop_call(call, cx),
+            brackenledge_discovery::Command::Tell { to, text } => self.tell(Some(to), &text),
+            brackenledge_discovery::Command::Learn { kind, entries } => {
                 cx.core.servers(kind, entries.into_iter().map(|learned| learned.0).collect());
             }
-            brackenledge_discovery::Order::Log(text) => info!(self.log, "{}", text),
+            brackenledge_discovery::Command::Log(text) => info!(self.log, "{}", text),
         }
     }
 
-    fn carry_out(&mut self, order: Order) {
+    fn carry_out(&mut self, order: Command) {
         let cx = &mut context!(self);
         match order {
-            Order::Answer { client, job, answer } => {
+            Command::Answer { client, job, answer } => {
                 if !cx.cover.as_mut().is_some_and(|cover| cover.answered(job, &answer)) {
                     self.frontend.answer(client, job, answer, cx);
                 }
             }
-            Order::Dispatch { id, worker, request, times } => {
+            Command::Dispatch { id, worker, request, times } => {
                 let leaving = Leaving { id, worker, request, times };
                 let leaving = match cx.cover {
                     Some(cover) => {
@@ -587,25 +588,25 @@
                     self.backend.dispatch(id, worker, request, times, cx);
                 }
             }
-            Order::Ended { id, never_ran } => {
+            Command::Ended { id, never_ran } => {
                 if let Some(cover) = cx.cover {
                     cover.ended(id, never_ran);
                 }
             }
-            Order::Cancel { id } | Order::TakeBack { id }
+            Command::Cancel { id } | Command::TakeBack { id }
                 if cx.cover.as_mut().is_some_and(|cover| cover.cancel(id)) =>
             {
                 cx.core.dispatch_ended(id, Outcome::Moot, None);
             }
-            Order::Cancel { id } => self.backend.cancel(id, Outcome::Cancelled, cx),
-            Order::TakeBack { id } => self.backend.take_back(id, cx),
-            Order::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
-            Order::Watch { on } => cx.roster.want(cx.now, on),
-            Order::FetchList => cx.roster.fetch(cx.now),
-            Order::Probe { worker } => self.backend.probe(worker, cx),
-            Order::Tell { to, text } => self.tell(to, &text),
-            Order::CloseIdle { worker } => self.backend.close_idle(worker, cx),
-            Order::Log(text) => info!(self.log, "{}", text),
+            Command::Cancel { id } => self.backend.cancel(id, Outcome::Cancelled, cx),
+            Command::TakeBack { id } => self.backend.take_back(id, cx),
+            Command::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
+            Command::Watch { on } => cx.roster.want(cx.now, on),
+            Command::FetchList => cx.roster.fetch(cx.now),
+            Command::Probe { worker } => self.backend.probe(worker, cx),
+            Command::Tell { to, text } => self.tell(to, &text),
+            Command::CloseIdle { worker } => self.backend.close_idle(worker, cx),
+            Command::Log(text) => info!(self.log, "{}", text),
         }
     }
 
--- a/crates/daemon/src/net/peer.rs
+++ b/crates/daemon/src/net/peer.rs
@@ -73,7 +73,7 @@
             let whole = length <= MESSAGE_MOST;
             let known = from.filter(|&from| whole && from != self.ordinal as usize);
             if let (Some(from), Some(tier)) = (known, cx.tier.as_mut())
-                && let Some(heard) = tier.hear(from as u16, &buffer[..length])
+                && let Some(heard) = tier.handle_message(from as u16, &buffer[..length])
             {
                 // Sums told under a term that holds, or what is the tier's own.
                 match (heard, &mut *cx.zones) {
--- a/crates/daemon/src/net/tier.rs
+++ b/crates/daemon/src/net/tier.rs
@@ -7,8 +7,8 @@
 use super::event_loop::Millis;
 use super::peer::Peer;
 use super::state::State;
-use brackenledge_leases::{Deed, Fence, Living, Message, Order, Ownership, Settings, Term};
-use brackenledge_membership::{Membership, Order as MemberOrder, ProcessId, Standing, Times};
+use brackenledge_leases::{Command, Deed, Fence, Living, Message, Ownership, Settings, Term};
+use brackenledge_membership::{Command as MembershipCommand, Membership, ProcessId, Standing, Times};
 use brackenledge_policy::split_sums;
 use brackenledge_protocol::operations::Operations;
 use slog::{Logger, info, warn};
@@ -153,7 +153,7 @@
     }
 
     /// Takes a datagram in, if it is one of the tier's; `None`: it is none.
-    pub fn hear(&mut self, from: u16, bytes: &[u8]) -> Option<Heard> {
+    pub fn handle_message(&mut self, from: u16, bytes: &[u8]) -> Option<Heard> {
         let (kind, bytes) = bytes.split_first()?;
         let now = micros();
         match *kind {
@@ -163,7 +163,7 @@
                 }
             }
             MEMBERSHIP => {
-                self.membership.hear(millis(now), bytes);
+                self.membership.handle_message(millis(now), bytes);
             }
             OWNERSHIP => match Message::read(bytes) {
                 Some(message) => {
@@ -172,7 +172,7 @@
                     {
                         duties.iter().for_each(|&(duty, term, owner)| self.fence.heard(duty, term, owner));
                     }
-                    self.ownership.hear(now, from, message);
+                    self.ownership.handle_message(now, from, message);
                 }
                 None => self.nonsense += 1,
             },
@@ -199,7 +199,7 @@
     }
 
     /// Does what is due; how long until something is due again.
-    pub fn on_time(&mut self, peer: &Peer, log: &Logger) -> Millis {
+    pub fn handle_timeout(&mut self, peer: &Peer, log: &Logger) -> Millis {
         let now = micros();
         if let Some(last) = self.replaced {
             if now < last + REPLACED || self.leaving {
@@ -207,11 +207,11 @@
             }
             self.come_back(log);
         }
-        self.membership.on_time(millis(now));
+        self.membership.handle_timeout(millis(now));
         self.carry_out(peer, log);
-        self.ownership.on_time(now);
+        self.ownership.handle_timeout(now);
         self.carry_out(peer, log);
-        let next = self.membership.next_time().min(millis(self.ownership.next_time(now)));
+        let next = self.membership.next_timeout().min(millis(self.ownership.next_timeout(now)));
         // Never at once again: what is due now was done now.
         (next - millis(now)).clamp(1.0, 1_000.0)
     }
@@ -219,18 +219,18 @@
     /// Carries out what both have ordered.
     pub fn carry_out(&mut self, peer: &Peer, log: &Logger) {
         let mut changed = false;
-        while let Some(order) = self.membership.next_order() {
+        while let Some(order) = self.membership.poll_command() {
             match order {
-                MemberOrder::Send { to, bytes } => send(peer, Some(to), MEMBERSHIP, &bytes),
-                MemberOrder::Up(process) => {
+                MembershipCommand::Send { to, bytes } => send(peer, Some(to), MEMBERSHIP, &bytes),
+                MembershipCommand::Up(process) => {
                     changed = true;
                     info!(log, "member up"; "ordinal" => process.ordinal, "boot" => process.incarnation);
                 }
-                MemberOrder::Down(process) => {
+                MembershipCommand::Down(process) => {
                     changed = true;
                     info!(log, "member down"; "ordinal" => process.ordinal, "boot" => process.incarnation);
                 }
-                MemberOrder::Replaced => {
+                MembershipCommand::Replaced => {
                     info!(log, "another process has our number and is newer: we own nothing any more");
                     self.ownership.leave(micros());
                     self.replaced = Some(micros());
@@ -240,14 +240,14 @@
         if changed {
             self.ownership.alive(self.membership.alive());
         }
-        while let Some(order) = self.ownership.next_order() {
+        while let Some(order) = self.ownership.poll_command() {
             match order {
-                Order::Send(to, message) => {
+                Command::Send(to, message) => {
                     if self.remembered(log) {
                         send(peer, to, OWNERSHIP, &message.write());
                     }
                 }
-                Order::Owns(duty, term) => {
+                Command::Owns(duty, term) => {
                     let name = DUTIES.get(usize::from(duty)).copied().unwrap_or("unknown");
                     let term = term.map_or("none".into(), |term| term.to_string());
                     info!(log, "duty"; "name" => name, "our_term" => term);
@@ -255,7 +255,7 @@
                         self.fence.heard(duty, known.term, known.owner);
                     }
                 }
-                Order::Log(text) => info!(log, "tier"; "what" => text),
+                Command::Log(text) => info!(log, "tier"; "what" => text),
             }
         }
     }
--- a/crates/daemon/src/net/zones.rs
+++ b/crates/daemon/src/net/zones.rs
@@ -161,7 +161,7 @@
     }
 
     /// Does what is due; the prices of zones, where they have changed.
-    pub fn on_time(
+    pub fn handle_timeout(
         &mut self,
         now: Millis,
         tier: &mut Tier,
--- a/crates/daemon/tests/roster.rs
+++ b/crates/daemon/tests/roster.rs
@@ -3,7 +3,7 @@
 
 mod stage;
 
-use brackenledge_discovery::{Listed, Order, Roster, RosterSettings};
+use brackenledge_discovery::{Command, Listed, Roster, RosterSettings};
 use brackenledge_policy::Readiness;
 use serde_json::{Value, json};
 use stage::{
@@ -139,8 +139,8 @@
     roster.know(0.0, 1, known.into_iter().map(|name| listed(name, Readiness::Ready)).collect());
     roster.want(0.0, true);
     let mut texts = Vec::new();
-    while let Some(order) = roster.next_order() {
-        if let Order::Ask { call, .. } = order {
+    while let Some(order) = roster.poll_command() {
+        if let Command::Ask { call, .. } = order {
             roster.call_answered(1.0, call);
             for &(index, entries) in lines {
                 for (name, readiness) in entries {
@@ -148,7 +148,7 @@
                 }
                 roster.call_line(1.0, call, index, false);
             }
-        } else if let Order::Tell { text, .. } = order {
+        } else if let Command::Tell { text, .. } = order {
             texts.push(text);
         }
     }
--- a/crates/discovery/examples/roster_load.rs
+++ b/crates/discovery/examples/roster_load.rs
@@ -6,7 +6,7 @@
 #[path = "../tests/common/roster_world.rs"]
 mod world;
 
-use brackenledge_discovery::{Call, CallKind, Ending, Listed, Order};
+use brackenledge_discovery::{Call, CallKind, Command, Ending, Listed};
 use brackenledge_policy::Readiness;
 use fastrand::Rng;
 use std::collections::VecDeque;
@@ -21,20 +21,20 @@
     wake: Millis,
     version: u64,
     rng: Rng,
-    orders: VecDeque<Order>,
+    commands: VecDeque<Command>,
 }
 
 impl Before {
     fn new(seed: u64) -> Self {
         let (ask_at, wake) = (f64::INFINITY, f64::INFINITY);
-        let (calls, orders) = (Vec::new(), VecDeque::new());
-        Before { calls, last: 0, ask_at, wake, version: 0, rng: Rng::with_seed(seed), orders }
+        let (calls, commands) = (Vec::new(), VecDeque::new());
+        Before { calls, last: 0, ask_at, wake, version: 0, rng: Rng::with_seed(seed), commands }
     }
 
     fn ask(&mut self, now: Millis) {
         self.last += 1;
         self.calls.push((self.last, false, now, now, false));
-        self.orders.push_back(Order::Ask { call: self.last, kind: CallKind::Watch, since: self.version });
+        self.commands.push_back(Command::Ask { call: self.last, kind: CallKind::Watch, since: self.version });
         self.set(now);
     }
 
@@ -79,7 +79,7 @@
             (state.1, state.3) = (true, now);
             let others: Vec<Call> = self.calls.iter().map(|c| c.0).filter(|&c| c != call).collect();
             self.calls.retain(|c| c.0 == call);
-            self.orders.extend(others.into_iter().map(|call| Order::Drop { call }));
+            self.commands.extend(others.into_iter().map(|call| Command::Drop { call }));
         }
         self.set(now);
     }
@@ -102,7 +102,7 @@
         self.failed(now);
     }
     fn heard(&mut self, _: Millis, _: u32, _: &str) {}
-    fn on_time(&mut self, now: Millis) {
+    fn handle_timeout(&mut self, now: Millis) {
         if now >= self.ask_at {
             self.ask_at = f64::INFINITY;
             self.ask(now);
@@ -131,16 +131,16 @@
         }
         for call in dead {
             self.calls.retain(|known| known.0 != call);
-            self.orders.push_back(Order::Drop { call });
+            self.commands.push_back(Command::Drop { call });
             self.failed(now);
         }
         self.set(now);
     }
-    fn next_time(&self) -> Millis {
+    fn next_timeout(&self) -> Millis {
         self.wake
     }
-    fn next_order(&mut self) -> Option<Order> {
-        self.orders.pop_front()
+    fn poll_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
     }
 }
 
--- a/crates/discovery/src/gossip.rs
+++ b/crates/discovery/src/gossip.rs
@@ -237,7 +237,7 @@
         Some(Heard { changes: message.changes, version: message.held })
     }
 
-    pub(super) fn next_time(&self) -> Millis {
+    pub(super) fn next_timeout(&self) -> Millis {
         let asks = if self.asked < ASK_AGAIN.len() { self.ask_at } else { f64::INFINITY };
         self.telling.iter().map(|telling| telling.next).fold(asks, f64::min)
     }
@@ -367,8 +367,8 @@
         let reply = replies.iter().find(|(to, _)| *to == 0).expect("a reply");
         gossip.hear(12.0, 1, &reply.1, 7);
         let mut later: Vec<u32> = Vec::new();
-        while gossip.next_time().is_finite() {
-            later.extend(gossip.due(gossip.next_time(), 7, &mut rng).into_iter().map(|(to, _)| to));
+        while gossip.next_timeout().is_finite() {
+            later.extend(gossip.due(gossip.next_timeout(), 7, &mut rng).into_iter().map(|(to, _)| to));
         }
         assert!(later.len() == AGAIN.len() && later.iter().all(|&to| to == 2), "{later:?}");
     }
@@ -379,14 +379,14 @@
         let (mut old, mut new) = (Gossip::new(0.0, 0, 2), Gossip::new(5_000.0, 1, 2));
         old.due(0.0, 0, &mut rng);
         old.changed(10.0, 7, &[change(5, Readiness::Draining, 7)]);
-        while old.next_time().is_finite() {
-            old.due(old.next_time(), 7, &mut rng);
+        while old.next_timeout().is_finite() {
+            old.due(old.next_timeout(), 7, &mut rng);
         }
         let asks = new.due(5_000.0, 0, &mut rng);
         old.hear(5_001.0, 1, &asks[0].1, 7);
         let answers = old.due(5_001.0, 7, &mut rng);
         let heard = new.hear(5_002.0, 0, &answers[0].1, 0).expect("a message");
         assert_eq!(heard.changes, [change(5, Readiness::Draining, 7)]);
-        assert_eq!(new.next_time(), f64::INFINITY, "it has been answered");
+        assert_eq!(new.next_timeout(), f64::INFINITY, "it has been answered");
     }
 }
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -2,7 +2,7 @@
 //! discovery is silent, slow or cut off.
 //!
 //! It does no I/O, reads no clock and knows no HTTP: calls of discovery, messages of peers and outcomes of
-//! dispatches go in with the time at which they happened; [`Order`]s come out, to be carried out in the order
+//! dispatches go in with the time at which they happened; [`Command`]s come out, to be carried out in the order
 //! given. It promises that
 //!
 //! - a server that discovery, in a whole line or in one that broke off, or a peer with a newer list has called
@@ -52,7 +52,7 @@
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Order {
+pub enum Command {
     /// Open this call to discovery.
     Ask {
         /// Names the call from now on.
@@ -132,7 +132,7 @@
     fresh: Freshness,
     /// Since when it has been fresh without a break, if it is.
     fresh_since: Option<Millis>,
-    orders: std::collections::VecDeque<Order>,
+    commands: std::collections::VecDeque<Command>,
     counts: Counts,
     /// The newest version that a peer claims and that we lack, and by when it should have come.
     lacking: Option<(u64, Millis)>,
@@ -161,7 +161,7 @@
             told: false,
             fresh: Freshness::Stale,
             fresh_since: None,
-            orders: Default::default(),
+            commands: Default::default(),
             counts: Counts::default(),
             lacking: None,
             lacking_wait: LACKING.max(LACKING_EACH * f64::from(settings.schedulers)),
@@ -403,15 +403,15 @@
 
     // ---- Time and orders.
 
-    /// When [`Roster::on_time`] is to be called next.
-    pub fn next_time(&self) -> Millis {
-        let gossip = self.gossip.as_ref().map_or(f64::INFINITY, Gossip::next_time);
+    /// When [`Roster::handle_timeout`] is to be called next.
+    pub fn next_timeout(&self) -> Millis {
+        let gossip = self.gossip.as_ref().map_or(f64::INFINITY, Gossip::next_timeout);
         let lacking = self.lacking.map_or(f64::INFINITY, |(_, by)| by);
-        self.link.next_time().min(gossip).min(lacking).min(self.table.next_time())
+        self.link.next_timeout().min(gossip).min(lacking).min(self.table.next_timeout())
     }
 
     /// Time has passed.
-    pub fn on_time(&mut self, now: Millis) {
+    pub fn handle_timeout(&mut self, now: Millis) {
         if let Some((version, by)) = self.lacking
             && now >= by
         {
@@ -427,25 +427,25 @@
     }
 
     /// The next thing to do.
-    pub fn next_order(&mut self) -> Option<Order> {
-        self.orders.pop_front()
+    pub fn poll_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
     }
 
     /// Lets what follows from the latest event follow.
     fn follow(&mut self, now: Millis) {
-        self.link.on_time(now);
-        while let Some(order) = self.link.next_order() {
+        self.link.handle_timeout(now);
+        while let Some(order) = self.link.poll_command() {
             match order {
-                link::LinkOrder::Ask { call, kind, beside } => {
+                link::LinkCommand::Ask { call, kind, beside } => {
                     self.counts.calls += 1;
                     self.counts.doubled += u64::from(beside);
                     self.unfinished.insert(call, Unfinished { asked_at: now, entries: Vec::new() });
                     let since = self.table.version().unwrap_or(0);
-                    self.orders.push_back(Order::Ask { call, kind, since });
+                    self.commands.push_back(Command::Ask { call, kind, since });
                 }
-                link::LinkOrder::Drop { call } => {
+                link::LinkCommand::Drop { call } => {
                     self.unfinished.remove(&call);
-                    self.orders.push_back(Order::Drop { call });
+                    self.commands.push_back(Command::Drop { call });
                 }
             }
         }
@@ -461,7 +461,7 @@
             for (to, text) in gossip.due(now, held, &mut self.rng) {
                 self.counts.told += 1;
                 self.counts.told_bytes += text.len() as u64;
-                self.orders.push_back(Order::Tell { to, text });
+                self.commands.push_back(Command::Tell { to, text });
             }
         }
     }
@@ -473,11 +473,12 @@
         }
         let entries = self.table.take_changes();
         if !entries.is_empty() {
-            self.orders.push_back(Order::Learn { kind, entries: entries.into_iter().map(Learned).collect() });
+            self.commands
+                .push_back(Command::Learn { kind, entries: entries.into_iter().map(Learned).collect() });
         }
     }
 
     fn log(&mut self, text: String) {
-        self.orders.push_back(Order::Log(text));
+        self.commands.push_back(Command::Log(text));
     }
 }
--- a/crates/discovery/src/link.rs
+++ b/crates/discovery/src/link.rs
@@ -134,7 +134,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum LinkOrder {
+pub(super) enum LinkCommand {
     Ask { call: Call, kind: CallKind, beside: bool },
     Drop { call: Call },
 }
@@ -164,7 +164,7 @@
     refused_most: Millis,
     answer_late: Millis,
     rng: Rng,
-    orders: VecDeque<LinkOrder>,
+    commands: VecDeque<LinkCommand>,
 }
 
 impl Link {
@@ -200,7 +200,7 @@
                 RETRY.1.max(REFUSED_EACH * each).min(longest_wait)
             },
             rng: Rng::with_seed(seed),
-            orders: VecDeque::new(),
+            commands: VecDeque::new(),
         }
     }
 
@@ -350,7 +350,7 @@
         }
     }
 
-    pub(super) fn next_time(&self) -> Millis {
+    pub(super) fn next_timeout(&self) -> Millis {
         let limit = |state: &State| {
             let (doubt, dead) = state.limits(self.answer_late, self.dead);
             if state.doubted { dead } else { doubt }
@@ -381,7 +381,7 @@
             || self.wanted && (out == 0 || hopeful == 0 && out < WATCHES || self.doubt && out < 2)
     }
 
-    pub(super) fn on_time(&mut self, now: Millis) {
+    pub(super) fn handle_timeout(&mut self, now: Millis) {
         let (mut dead, answer_late) = (Vec::new(), self.answer_late);
         for state in &mut self.states {
             let (doubt, give_up) = state.limits(answer_late, self.dead);
@@ -401,7 +401,7 @@
         for (call, _) in &dead {
             let kind = self.state(*call).map(|state| state.kind);
             self.states.retain(|state| state.call != *call);
-            self.orders.push_back(LinkOrder::Drop { call: *call });
+            self.commands.push_back(LinkCommand::Drop { call: *call });
             self.fetch_wanted |= kind == Some(CallKind::Fetch);
             self.fail(now, false);
         }
@@ -442,21 +442,21 @@
             proven: false,
         });
         let beside = kind == CallKind::Watch && watches > 0;
-        self.orders.push_back(LinkOrder::Ask { call, kind, beside });
+        self.commands.push_back(LinkCommand::Ask { call, kind, beside });
     }
 
     fn drop_watches(&mut self, which: impl Fn(&State) -> bool) {
-        let orders = &mut self.orders;
+        let commands = &mut self.commands;
         self.states.retain(|state| {
             let drop = state.kind == CallKind::Watch && which(state);
             if drop {
-                orders.push_back(LinkOrder::Drop { call: state.call });
+                commands.push_back(LinkCommand::Drop { call: state.call });
             }
             !drop
         });
     }
 
-    pub(super) fn next_order(&mut self) -> Option<LinkOrder> {
-        self.orders.pop_front()
+    pub(super) fn poll_command(&mut self) -> Option<LinkCommand> {
+        self.commands.pop_front()
     }
 }
--- a/crates/discovery/src/table.rs
+++ b/crates/discovery/src/table.rs
@@ -538,7 +538,7 @@
     }
 
     /// When something is to be forgotten next.
-    pub(super) fn next_time(&self) -> Millis {
+    pub(super) fn next_timeout(&self) -> Millis {
         self.gone.first().map_or(f64::INFINITY, |&(at, _)| f64::from_bits(at) + FORGET)
     }
 
--- a/crates/discovery/tests/common/roster_world.rs
+++ b/crates/discovery/tests/common/roster_world.rs
@@ -2,7 +2,7 @@
 //! and lossy messages between schedulers. A function of its seed.
 #![allow(dead_code, missing_docs)]
 
-use brackenledge_discovery::{Call, CallKind, Ending, Listed, Order, Roster, RosterSettings};
+use brackenledge_discovery::{Call, CallKind, Command, Ending, Listed, Roster, RosterSettings};
 use brackenledge_policy::Readiness;
 use fastrand::Rng;
 use std::cmp::Reverse;
@@ -21,9 +21,9 @@
     fn bytes(&mut self, now: Millis, call: Call, midway: bool);
     fn ended(&mut self, now: Millis, call: Call, ending: Ending);
     fn heard(&mut self, now: Millis, from: u32, text: &str);
-    fn on_time(&mut self, now: Millis);
-    fn next_time(&self) -> Millis;
-    fn next_order(&mut self) -> Option<Order>;
+    fn handle_timeout(&mut self, now: Millis);
+    fn next_timeout(&self) -> Millis;
+    fn poll_command(&mut self) -> Option<Command>;
 }
 
 impl Node for Roster {
@@ -54,14 +54,14 @@
     fn heard(&mut self, now: Millis, from: u32, text: &str) {
         Roster::heard(self, now, from, text);
     }
-    fn on_time(&mut self, now: Millis) {
-        Roster::on_time(self, now);
+    fn handle_timeout(&mut self, now: Millis) {
+        Roster::handle_timeout(self, now);
     }
-    fn next_time(&self) -> Millis {
-        Roster::next_time(self)
+    fn next_timeout(&self) -> Millis {
+        Roster::next_timeout(self)
     }
-    fn next_order(&mut self) -> Option<Order> {
-        Roster::next_order(self)
+    fn poll_command(&mut self) -> Option<Command> {
+        Roster::poll_command(self)
     }
 }
 
@@ -290,9 +290,9 @@
     }
 
     fn carry_out(&mut self, node: usize) {
-        while let Some(order) = self.nodes[node].next_order() {
+        while let Some(order) = self.nodes[node].poll_command() {
             match order {
-                Order::Ask { call, kind, since } => {
+                Command::Ask { call, kind, since } => {
                     self.asked += 1;
                     self.open[node].insert(call, Open { kind, since, told: None, stuck: false, dead: false });
                     match self.faults[node] {
@@ -301,10 +301,10 @@
                         _ => self.at(0.5, Event::Up(node, call)),
                     }
                 }
-                Order::Drop { call } => {
+                Command::Drop { call } => {
                     self.open[node].remove(&call);
                 }
-                Order::Tell { to, text } => {
+                Command::Tell { to, text } => {
                     assert!(text.len() <= 256);
                     self.tells += 1;
                     if self.rng.f64() >= self.loss {
@@ -312,10 +312,10 @@
                         self.at(trip, Event::Message(to as usize, node as u32, text));
                     }
                 }
-                Order::Learn { .. } | Order::Log(_) => {}
+                Command::Learn { .. } | Command::Log(_) => {}
             }
         }
-        let next = self.nodes[node].next_time();
+        let next = self.nodes[node].next_timeout();
         if next < self.armed[node] {
             self.armed[node] = next;
             // A thousandth on, lest rounding bring it a hair early for ever.
@@ -419,7 +419,7 @@
                 if now + 0.001 >= self.armed[node] {
                     self.armed[node] = f64::INFINITY;
                 }
-                self.nodes[node].on_time(now);
+                self.nodes[node].handle_timeout(now);
                 node
             }
         };
--- a/crates/discovery/tests/golden.rs
+++ b/crates/discovery/tests/golden.rs
@@ -5,7 +5,7 @@
 //! that the wire format has changed.
 #![allow(missing_docs)]
 
-use brackenledge_discovery::{Listed, Order, Roster, RosterSettings};
+use brackenledge_discovery::{Command, Listed, Roster, RosterSettings};
 use brackenledge_policy::Readiness;
 
 fn listed(name: &str, readiness: Readiness) -> Listed {
@@ -43,9 +43,9 @@
 fn told(entries: &[(&str, Readiness)], version: u64) -> (Vec<String>, Vec<String>) {
     let mut roster = roster(1, Readiness::Draining);
     let (mut at_start, mut later, mut heard) = (Vec::new(), Vec::new(), false);
-    while let Some(order) = roster.next_order() {
+    while let Some(order) = roster.poll_command() {
         match order {
-            Order::Ask { call, .. } if !heard => {
+            Command::Ask { call, .. } if !heard => {
                 heard = true;
                 roster.call_answered(1.0, call);
                 for (name, readiness) in entries {
@@ -53,7 +53,7 @@
                 }
                 // What was to be done before the line is from the start.
                 let mut rest = Vec::new();
-                while let Some(order) = roster.next_order() {
+                while let Some(order) = roster.poll_command() {
                     rest.push(order);
                 }
                 at_start.extend(texts(rest));
@@ -66,15 +66,15 @@
     (at_start, later)
 }
 
-fn texts(orders: Vec<Order>) -> Vec<String> {
+fn texts(commands: Vec<Command>) -> Vec<String> {
     let text = |order| match order {
-        Order::Tell { to, text } => {
+        Command::Tell { to, text } => {
             assert_eq!(to, 0);
             Some(text)
         }
         _ => None,
     };
-    orders.into_iter().filter_map(text).collect()
+    commands.into_iter().filter_map(text).collect()
 }
 
 /// The question of a scheduler that has just started.
@@ -112,7 +112,7 @@
 /// A roster that has done what is due at its start.
 fn listener_with(third: Readiness) -> Roster {
     let mut roster = roster(0, third);
-    while roster.next_order().is_some() {}
+    while roster.poll_command().is_some() {}
     roster
 }
 
@@ -156,10 +156,10 @@
 fn answers(text: &str) -> Vec<String> {
     let mut roster = listener();
     assert!(roster.heard(2.0, 1, text));
-    roster.on_time(2.0);
+    roster.handle_timeout(2.0);
     let mut answers = Vec::new();
-    while let Some(order) = roster.next_order() {
-        if let Order::Tell { to, text } = order {
+    while let Some(order) = roster.poll_command() {
+        if let Command::Tell { to, text } = order {
             assert_eq!(to, 1);
             answers.push(text);
         }
--- a/crates/discovery/tests/roster.rs
+++ b/crates/discovery/tests/roster.rs
@@ -5,7 +5,7 @@
 mod world;
 
 use brackenledge_discovery::{
-    CallKind, Freshness, Listed, Order, Roster, RosterSettings, ServerWord, Source,
+    CallKind, Command, Freshness, Listed, Roster, RosterSettings, ServerWord, Source,
 };
 use brackenledge_policy::Readiness;
 use std::collections::BTreeSet;
@@ -228,8 +228,8 @@
     let mut node = roster(0.0, 0, 1, false);
     node.know(0.0, 3, vec![server("a", Readiness::Ready), server("b", Readiness::Ready)]);
     node.want(0.0, true);
-    let call = std::iter::from_fn(|| node.next_order())
-        .find_map(|order| if let Order::Ask { call, .. } = order { Some(call) } else { None })
+    let call = std::iter::from_fn(|| node.poll_command())
+        .find_map(|order| if let Command::Ask { call, .. } = order { Some(call) } else { None })
         .expect("a call");
     node.call_up(1.0, call);
     node.call_answered(2.0, call);
@@ -239,9 +239,9 @@
     // Nor does the word vanish with the call.
     node.call_ended(4.0, call, brackenledge_discovery::Ending::Broken);
     assert!(!is_ready(&node, "a"));
-    node.on_time(2_000.0);
-    let again = std::iter::from_fn(|| node.next_order())
-        .find_map(|order| if let Order::Ask { call, since: 3, .. } = order { Some(call) } else { None })
+    node.handle_timeout(2_000.0);
+    let again = std::iter::from_fn(|| node.poll_command())
+        .find_map(|order| if let Command::Ask { call, since: 3, .. } = order { Some(call) } else { None })
         .expect("a call from the version held");
     node.call_up(2_001.0, again);
     node.call_answered(2_002.0, again);
@@ -291,8 +291,8 @@
     for &(version, name, readiness) in lines {
         sender.call_entry(2.0, watch, server(name, readiness));
         sender.call_line(2.0, watch, version, false);
-        while let Some(order) = sender.next_order() {
-            if let Order::Tell { text, .. } = order {
+        while let Some(order) = sender.poll_command() {
+            if let Command::Tell { text, .. } = order {
                 messages.push(text);
             }
         }
@@ -356,7 +356,7 @@
     let mut asked = Vec::new();
     for second in 1..=120 {
         let now = 1_000.0 * f64::from(second);
-        node.on_time(now);
+        node.handle_timeout(now);
         for call in calls(&mut node).0 {
             asked.push(call);
             node.call_ended(now, call, brackenledge_discovery::Ending::NoConnection);
@@ -367,7 +367,7 @@
     let mut watches = BTreeSet::new();
     for step in 0..200 {
         let now = 121_000.0 + 500.0 * f64::from(step);
-        node.on_time(now);
+        node.handle_timeout(now);
         let (asked, dropped) = calls(&mut node);
         for call in asked {
             node.call_up(now, call);
@@ -400,9 +400,9 @@
     let mut whole = 0;
     for step in 0..40 {
         let now = 20.0 + 100.0 * f64::from(step);
-        node.on_time(now);
-        while let Some(order) = node.next_order() {
-            if let Order::Ask { call, kind: CallKind::Fetch, .. } = order {
+        node.handle_timeout(now);
+        while let Some(order) = node.poll_command() {
+            if let Command::Ask { call, kind: CallKind::Fetch, .. } = order {
                 node.call_up(now, call);
                 node.call_answered(now, call);
                 node.call_entry(now, call, server("a", Readiness::Ready));
@@ -484,10 +484,10 @@
 /// Calls ordered, and those dropped.
 fn calls(node: &mut Roster) -> (Vec<u64>, Vec<u64>) {
     let (mut asked, mut dropped) = (Vec::new(), Vec::new());
-    while let Some(order) = node.next_order() {
+    while let Some(order) = node.poll_command() {
         match order {
-            Order::Ask { call, .. } => asked.push(call),
-            Order::Drop { call } => dropped.push(call),
+            Command::Ask { call, .. } => asked.push(call),
+            Command::Drop { call } => dropped.push(call),
             _ => {}
         }
     }
@@ -511,7 +511,7 @@
             assert!(now < 60_000.0, "a second look is due by then");
             now += 1_000.0;
             node.call_beat(now, out[0]);
-            node.on_time(now);
+            node.handle_timeout(now);
             out.extend(calls(&mut node).0);
         }
         answer(&mut node, now + 1.0, out[1], 3 + news);
@@ -520,7 +520,7 @@
         // Nor is anything asked when the one that was let go breaks off.
         node.call_ended(now + 11.0, out[dropped], brackenledge_discovery::Ending::Broken);
         node.call_beat(now + 1_500.0, out[1 - dropped]);
-        node.on_time(now + 2_000.0);
+        node.handle_timeout(now + 2_000.0);
         assert_eq!(calls(&mut node), (vec![], vec![]));
     }
 }
@@ -614,9 +614,9 @@
     let mut doubts = std::collections::BTreeMap::new();
     world.run_until(8_000.0);
     let node = &mut world.nodes[0];
-    node.on_time(20_000.0);
-    while let Some(order) = node.next_order() {
-        if let Order::Learn { entries, .. } = order {
+    node.handle_timeout(20_000.0);
+    while let Some(order) = node.poll_command() {
+        if let Command::Learn { entries, .. } = order {
             doubts.extend(entries.into_iter().map(|entry| (entry.0.name.clone(), entry.0.doubt)));
         }
     }
@@ -657,14 +657,14 @@
     node.know(0.0, 1, vec![server("a", Readiness::Ready), server("b", Readiness::Ready)]);
     let now = world.now;
     node.want(now, true);
-    let call = std::iter::from_fn(|| node.next_order())
-        .find_map(|o| if let Order::Ask { call, .. } = o { Some(call) } else { None })
+    let call = std::iter::from_fn(|| node.poll_command())
+        .find_map(|o| if let Command::Ask { call, .. } = o { Some(call) } else { None })
         .expect("a call");
     node.call_answered(now, call);
     node.call_entry(now, call, server("b", Readiness::Draining));
     node.call_line(now, call, 2, false);
-    while let Some(order) = node.next_order() {
-        if let Order::Tell { text, .. } = order {
+    while let Some(order) = node.poll_command() {
+        if let Command::Tell { text, .. } = order {
             texts.push(text);
         }
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -77,7 +77,7 @@
 }
 
 /// What is to be done, in order.
-pub enum Order {
+pub enum Command {
     /// Give a client its job's final answer.
     Answer {
         /// The client.
@@ -235,7 +235,7 @@
     counts: Counts,
     figures: Figures,
     events: VecDeque<Event>,
-    orders: VecDeque<Order>,
+    commands: VecDeque<Command>,
     actions: Vec<Action>,
 }
 
@@ -254,7 +254,7 @@
             counts: Counts::default(),
             figures,
             events: VecDeque::new(),
-            orders: VecDeque::new(),
+            commands: VecDeque::new(),
             actions: Vec::new(),
         }
     }
@@ -368,7 +368,7 @@
         if let Some((client, class)) = self.settle(id.0) {
             self.counts.served += 1;
             self.figures.ended(class, End::Fulfilled);
-            self.orders.push_back(Order::Answer { client, job: id.0, answer: Answer::Served(result) });
+            self.commands.push_back(Command::Answer { client, job: id.0, answer: Answer::Served(result) });
         }
         self.dispatch_ended(id, Outcome::Ok, report);
         self.take_back(id.0);
@@ -381,7 +381,7 @@
         let Some(job) = self.jobs.get(&id.0) else { return };
         let settled = job.answered;
         if job.request.watched {
-            self.orders.push_back(Order::Ended { id, never_ran: outcome.never_ran() });
+            self.commands.push_back(Command::Ended { id, never_ran: outcome.never_ran() });
         }
         self.events.push_back(Event::Response(Response {
             job: id.0,
@@ -428,9 +428,9 @@
     }
 
     /// The next thing to do; events are played until there is one. `None`: all is done for now.
-    pub fn next_order(&mut self, now: Millis) -> Option<Order> {
+    pub fn poll_command(&mut self, now: Millis) -> Option<Command> {
         loop {
-            if let Some(order) = self.orders.pop_front() {
+            if let Some(order) = self.commands.pop_front() {
                 return Some(order);
             }
             let event = self.events.pop_front()?;
@@ -464,16 +464,16 @@
                 self.answer(job, Answer::Failed);
                 return;
             }
-            Action::Cancel { job, attempt } => Order::Cancel { id: (job, attempt) },
-            Action::Wake { after } => Order::Wake { after },
-            Action::Watch { on } => Order::Watch { on },
-            Action::FetchList => Order::FetchList,
-            Action::Probe { worker } => Order::Probe { worker },
-            Action::Tell { to, text } => Order::Tell { to, text },
-            Action::CloseIdle { worker } => Order::CloseIdle { worker },
-            Action::Log(text) => Order::Log(text),
+            Action::Cancel { job, attempt } => Command::Cancel { id: (job, attempt) },
+            Action::Wake { after } => Command::Wake { after },
+            Action::Watch { on } => Command::Watch { on },
+            Action::FetchList => Command::FetchList,
+            Action::Probe { worker } => Command::Probe { worker },
+            Action::Tell { to, text } => Command::Tell { to, text },
+            Action::CloseIdle { worker } => Command::CloseIdle { worker },
+            Action::Log(text) => Command::Log(text),
         };
-        self.orders.push_back(order);
+        self.commands.push_back(order);
     }
 
     /// Starts a dispatch, or ends it at once as moot: its job is finished, its time has run out, or it has
@@ -490,7 +490,7 @@
             return;
         }
         let request = Rc::clone(&job.request);
-        self.orders.push_back(Order::Dispatch { id: (id, attempt), worker, request, times });
+        self.commands.push_back(Command::Dispatch { id: (id, attempt), worker, request, times });
     }
 
     /// A dispatch that is out.
@@ -511,7 +511,7 @@
             let denied = matches!(answer, Answer::Denied { .. });
             *(if denied { &mut self.counts.denied } else { &mut self.counts.failed }) += 1;
             self.figures.ended(class, if denied { End::Throttled } else { End::Faulted });
-            self.orders.push_back(Order::Answer { client, job: id, answer });
+            self.commands.push_back(Command::Answer { client, job: id, answer });
             self.take_back(id);
         }
         self.forget_ended(id);
@@ -521,7 +521,7 @@
     fn take_back(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let out = job.dispatches.iter().enumerate().filter(|(_, dispatch)| dispatch.state.is_out());
-        self.orders.extend(out.map(|(attempt, _)| Order::TakeBack { id: (id, attempt) }));
+        self.commands.extend(out.map(|(attempt, _)| Command::TakeBack { id: (id, attempt) }));
     }
 
     /// Ends what is owed for a job: its client and class; `None`: nothing was.
--- a/crates/engine/tests/endings.rs
+++ b/crates/engine/tests/endings.rs
@@ -1,7 +1,7 @@
 //! Random orders of everything that can end: each job gets exactly one end, and nothing of it leaves after that.
 #![allow(missing_docs)]
 
-use brackenledge_engine::{Answer, Arrival, Core, DispatchId, Order, Request, Times};
+use brackenledge_engine::{Answer, Arrival, Command, Core, DispatchId, Request, Times};
 use brackenledge_policy::{
     Class, Effect, JobId, ListKind, NewJob, Outcome, Readiness, Settings, WorkerEntry,
 };
@@ -152,9 +152,9 @@
             self.core.wake();
         }
         let seed = self.seed;
-        while let Some(order) = self.core.next_order(self.now) {
+        while let Some(order) = self.core.poll_command(self.now) {
             match order {
-                Order::Answer { job, answer, .. } => {
+                Command::Answer { job, answer, .. } => {
                     self.answers += 1;
                     let untouched = self.risky.get(&job).is_none_or(|&risky| risky == 0);
                     assert!(
@@ -163,16 +163,16 @@
                     );
                     assert!(self.owed.remove(&job), "seed {seed}: {job} had its end before");
                 }
-                Order::Dispatch { id, times, .. } => {
+                Command::Dispatch { id, times, .. } => {
                     assert!(self.owed.contains(&id.0), "seed {seed}: {id:?} starts though nothing is owed");
                     assert!(self.out.insert(id, Out { times, written: false }).is_none());
                 }
-                Order::Cancel { id } => self.end(id, Outcome::Cancelled),
-                Order::TakeBack { id } if self.out.get(&id).is_some_and(|out| !out.written) => {
+                Command::Cancel { id } => self.end(id, Outcome::Cancelled),
+                Command::TakeBack { id } if self.out.get(&id).is_some_and(|out| !out.written) => {
                     self.taken_back += 1;
                     self.end(id, Outcome::Moot);
                 }
-                Order::Wake { after } => self.wake_at = self.wake_at.min(self.now + after),
+                Command::Wake { after } => self.wake_at = self.wake_at.min(self.now + after),
                 _ => {}
             }
         }
--- a/crates/engine/tests/figures.rs
+++ b/crates/engine/tests/figures.rs
@@ -2,7 +2,7 @@
 //! on a virtual clock. Every answer the core orders is written down; the figures must say the same.
 #![allow(missing_docs)]
 
-use brackenledge_engine::{Answer, Arrival, Core, DispatchId, Order, Request};
+use brackenledge_engine::{Answer, Arrival, Command, Core, DispatchId, Request};
 use brackenledge_policy::{
     Class, Effect, JobId, ListKind, NewJob, Outcome, Readiness, Settings, WorkerEntry,
 };
@@ -123,9 +123,9 @@
             wake_at = f64::INFINITY;
             core.wake();
         }
-        while let Some(order) = core.next_order(now) {
+        while let Some(order) = core.poll_command(now) {
             match order {
-                Order::Answer { job, answer, .. } => {
+                Command::Answer { job, answer, .. } => {
                     let kind = match answer {
                         Answer::Served(_) => 0,
                         Answer::Denied { .. } => 1,
@@ -139,14 +139,14 @@
                     );
                     ledger.ends[ledger.class[&job]][kind] += 1;
                 }
-                Order::Dispatch { id, .. } => out.push(id),
-                Order::Cancel { id } => {
+                Command::Dispatch { id, .. } => out.push(id),
+                Command::Cancel { id } => {
                     if let Some(at) = out.iter().position(|&o| o == id) {
                         out.swap_remove(at);
                         core.dispatch_ended(id, Outcome::Cancelled, None);
                     }
                 }
-                Order::Wake { after } => wake_at = wake_at.min(now + after),
+                Command::Wake { after } => wake_at = wake_at.min(now + after),
                 _ => {}
             }
         }
--- a/crates/failover/src/holder.rs
+++ b/crates/failover/src/holder.rs
@@ -1,7 +1,7 @@
 //! What we hold, and what our clients wait for.
 
 use crate::record::{Ballot, Fate, Key, Ran, Record};
-use crate::{Brought, COME_AGAIN, Handover, Message, Micros, Order, ProcessId, Waiter};
+use crate::{Brought, COME_AGAIN, Command, Handover, Message, Micros, ProcessId, Waiter};
 use std::sync::Arc;
 
 /// Where we stand with a job that a client of ours, or nobody's any more, waits for.
@@ -116,7 +116,7 @@
         if let Some(claim) = self.claims.get_mut(&key) {
             self.counts.joined += 1;
             match claim.record.fate.clone().filter(|_| claim.unsure.is_none()) {
-                Some(fate) => self.orders.push_back(Order::Answer(vec![waiter], fate)),
+                Some(fate) => self.commands.push_back(Command::Answer(vec![waiter], fate)),
                 None => claim.waiters.push((waiter, until)),
             }
             return;
@@ -124,7 +124,7 @@
         if let Some(fate) = self.kept.get(&key).and_then(|kept| kept.record.fate.clone()) {
             self.counts.joined += 1;
             self.counts.from_record += 1;
-            self.orders.push_back(Order::Answer(vec![waiter], fate));
+            self.commands.push_back(Command::Answer(vec![waiter], fate));
             return;
         }
         self.asks += 1;
@@ -179,7 +179,7 @@
             self.counts.adopted += 1;
             self.counts.adopted_at_risk += u64::from(ran.is_some());
         }
-        self.orders.push_back(Order::Start { key: key.clone(), what, until, ran, adopted });
+        self.commands.push_back(Command::Start { key: key.clone(), what, until, ran, adopted });
     }
 
     /// There is no cover to be had: a job that must have it is refused, another runs without.
@@ -199,15 +199,21 @@
         let gates: Vec<u32> = claim.gates.drain(..).map(|gate| gate.number - base).collect();
         if !std::mem::replace(&mut claim.started, true) {
             let (what, until) = (Arc::clone(&claim.record.what), claim.record.until);
-            self.orders.push_back(Order::Start { key: key.clone(), what, until, ran: None, adopted: false });
+            self.commands.push_back(Command::Start {
+                key: key.clone(),
+                what,
+                until,
+                ran: None,
+                adopted: false,
+            });
         }
-        self.orders.extend(gates.into_iter().map(|attempt| Order::Go(key.clone(), attempt)));
+        self.commands.extend(gates.into_iter().map(|attempt| Command::Go(key.clone(), attempt)));
     }
 
     /// The caller drops what it has of a job.
     fn close(&mut self, key: &Key) {
         if self.claims.get_mut(key).is_some_and(|claim| std::mem::take(&mut claim.started)) {
-            self.orders.push_back(Order::Close(key.clone()));
+            self.commands.push_back(Command::Close(key.clone()));
         }
     }
 
@@ -224,7 +230,7 @@
         claim.waiters = on;
         if !told.is_empty() {
             let told = told.into_iter().map(|waiter| waiter.0).collect();
-            self.orders.push_back(Order::Answer(told, fate.clone()));
+            self.commands.push_back(Command::Answer(told, fate.clone()));
         }
     }
 
@@ -403,7 +409,7 @@
     pub fn dispatch(&mut self, now: Micros, key: &Key, attempt: u32, worker: &str, until: Micros) -> bool {
         let (roll, home) = (self.roll, key.home(&self.members));
         let Some(claim) = self.claims.get_mut(key) else {
-            self.orders.push_back(Order::Moot(key.clone(), attempt));
+            self.commands.push_back(Command::Moot(key.clone(), attempt));
             return false;
         };
         if claim.stand == Stand::Bare || !claim.record.gated {
@@ -538,7 +544,7 @@
             claim.gates.drain(..).partition(|gate| gate.version <= acked);
         claim.gates = wait;
         let base = claim.base;
-        self.orders.extend(go.into_iter().map(|gate| Order::Go(key.clone(), gate.number - base)));
+        self.commands.extend(go.into_iter().map(|gate| Command::Go(key.clone(), gate.number - base)));
         // Our stay lasts, so nobody else has ended it otherwise.
         if let Some(fate) = claim.unsure.take() {
             self.answer(key, &fate, |_| true);
@@ -586,14 +592,14 @@
                 self.send(home, Message::Yield { roll, key: key.clone(), ask });
             }
             self.counts.yielded += 1;
-            self.orders.push_back(Order::Close(key.clone()));
+            self.commands.push_back(Command::Close(key.clone()));
             self.end_claim(key, Fate::Denied(Some(COME_AGAIN)));
         }
         self.finish(now);
         keys.len()
     }
 
-    pub(crate) fn claims_on_time(&mut self, now: Micros) {
+    pub(crate) fn handle_claim_timeouts(&mut self, now: Micros) {
         let (patience, margin) = (self.settings.patience, self.settings.margin);
         let keys: Vec<Key> = self.claims.keys().cloned().collect();
         for key in keys {
@@ -607,7 +613,7 @@
                 claim.gates.retain(|gate| now + margin < gate.until);
                 for gate in over {
                     self.never_ran(now, &key, gate.number - base);
-                    self.orders.push_back(Order::Moot(key.clone(), gate.number - base));
+                    self.commands.push_back(Command::Moot(key.clone(), gate.number - base));
                 }
             }
             let Some(claim) = self.claims.get_mut(&key) else { continue };
--- a/crates/failover/src/keeper.rs
+++ b/crates/failover/src/keeper.rs
@@ -421,7 +421,7 @@
         }
     }
 
-    pub(crate) fn kept_on_time(&mut self, now: Micros) {
+    pub(crate) fn handle_replica_timeouts(&mut self, now: Micros) {
         for key in self.pending.clone() {
             let hedge = self.settings.hedge;
             let late =
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -111,7 +111,7 @@
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Order {
+pub enum Command {
     /// Something for another process; it may wait a little for company unless it is wanted soon.
     Send {
         /// Whom.
@@ -200,7 +200,7 @@
     /// Peers that are too far behind to be given more.
     lagging: BTreeSet<u16>,
     local: VecDeque<Message>,
-    orders: VecDeque<Order>,
+    commands: VecDeque<Command>,
     scanned: Micros,
     swept: Micros,
     counts: Counts,
@@ -238,7 +238,7 @@
             early: VecDeque::new(),
             lagging: BTreeSet::new(),
             local: VecDeque::new(),
-            orders: VecDeque::new(),
+            commands: VecDeque::new(),
             scanned: 0,
             swept: 0,
             counts: Counts::default(),
@@ -306,12 +306,12 @@
     }
 
     /// What is to be done next.
-    pub fn next_order(&mut self) -> Option<Order> {
-        self.orders.pop_front()
+    pub fn poll_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
     }
 
-    /// When [`Handover::on_time`] is to be called next.
-    pub fn next_time(&self) -> Micros {
+    /// When [`Handover::handle_timeout`] is to be called next.
+    pub fn next_timeout(&self) -> Micros {
         let idle = self.claims.is_empty() && self.pending.is_empty();
         self.scanned + if idle { SCAN_IDLE } else { SCAN_BUSY }
     }
@@ -343,7 +343,7 @@
         if to == self.me {
             self.local.push_back(message);
         } else {
-            self.orders.push_back(Order::Send { to, message, soon });
+            self.commands.push_back(Command::Send { to, message, soon });
         }
     }
 
@@ -358,7 +358,7 @@
     }
 
     /// A message came from another process.
-    pub fn hear(&mut self, now: Micros, from: ProcessId, message: Message) {
+    pub fn handle_message(&mut self, now: Micros, from: ProcessId, message: Message) {
         self.take(now, from, message);
         self.finish(now);
     }
@@ -449,17 +449,17 @@
     }
 
     /// Does what is due.
-    pub fn on_time(&mut self, now: Micros) {
-        if now < self.next_time() {
+    pub fn handle_timeout(&mut self, now: Micros) {
+        if now < self.next_timeout() {
             return;
         }
         self.scanned = now;
-        self.claims_on_time(now);
-        self.kept_on_time(now);
+        self.handle_claim_timeouts(now);
+        self.handle_replica_timeouts(now);
         self.finish(now);
     }
 
     pub(crate) fn log(&mut self, text: String) {
-        self.orders.push_back(Order::Log(text));
+        self.commands.push_back(Command::Log(text));
     }
 }
--- a/crates/failover/tests/model.rs
+++ b/crates/failover/tests/model.rs
@@ -5,7 +5,7 @@
 #![allow(missing_docs)]
 
 use brackenledge_failover::{
-    Brought, Fate, Handover, Key, Message, Order, ProcessId, Settings, Term, Waiter,
+    Brought, Command, Fate, Handover, Key, Message, ProcessId, Settings, Term, Waiter,
 };
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -128,14 +128,14 @@
 
     fn carry_out(&self, state: &mut State, node: u16) {
         let at = usize::from(node);
-        while let Some(order) = state.nodes[at].as_mut().and_then(Handover::next_order) {
+        while let Some(order) = state.nodes[at].as_mut().and_then(Handover::poll_command) {
             match order {
-                Order::Send { to, message, .. } => {
+                Command::Send { to, message, .. } => {
                     if state.nodes[usize::from(to.ordinal)].is_some() {
                         state.way.entry((node, to.ordinal)).or_default().push_back(message);
                     }
                 }
-                Order::Start { ran, adopted, .. } => {
+                Command::Start { ran, adopted, .. } => {
                     state.adopted += u8::from(adopted);
                     state.callers[at].running = Some(0);
                     if ran.is_some() && self.sabotage != Some(Sabotage::RiskIgnored) {
@@ -144,23 +144,23 @@
                         self.dispatch(state, node);
                     }
                 }
-                Order::Go(_, attempt) => state.callers[at].deeds.push_back(Deed::Attempt(attempt)),
-                Order::Moot(_, attempt) => {
+                Command::Go(_, attempt) => state.callers[at].deeds.push_back(Deed::Attempt(attempt)),
+                Command::Moot(_, attempt) => {
                     state.callers[at].deeds.retain(|deed| *deed != Deed::Attempt(attempt));
                     if state.callers[at].running.is_some() {
                         self.end(state, node, Fate::Denied(None));
                     }
                 }
-                Order::Answer(waiters, fate) => {
+                Command::Answer(waiters, fate) => {
                     state.callers[at].deeds.push_back(Deed::Answer(waiters, fate));
                 }
-                Order::Close(_) => {
+                Command::Close(_) => {
                     let caller = &mut state.callers[at];
                     caller.running = None;
                     caller.deeds.retain(|deed| matches!(deed, Deed::Answer(..)));
                     caller.out.clear();
                 }
-                Order::Log(_) => {}
+                Command::Log(_) => {}
             }
         }
     }
@@ -223,9 +223,9 @@
             one.stays(NOW, NEVER);
             one.roll(NOW, term(0), &members(&all));
             for other in (0..self.nodes).filter(|&other| other != node) {
-                one.hear(NOW, process(other), Message::Reported { roll: term(0) });
+                one.handle_message(NOW, process(other), Message::Reported { roll: term(0) });
             }
-            while one.next_order().is_some() {}
+            while one.poll_command().is_some() {}
             assert!(one.settled(NOW));
         }
         // Wherever it is brought, some node is the key's home, and some are not.
@@ -287,7 +287,7 @@
                 if state.way[&(from, to)].is_empty() {
                     state.way.remove(&(from, to));
                 }
-                state.nodes[usize::from(to)].as_mut()?.hear(NOW, process(from), message);
+                state.nodes[usize::from(to)].as_mut()?.handle_message(NOW, process(from), message);
                 self.carry_out(&mut state, to);
             }
             Action::Deed(node) => match state.callers[usize::from(node)].deeds.pop_front()? {
@@ -366,7 +366,7 @@
                 }
                 if self.sabotage == Some(Sabotage::NoReports) {
                     for &other in roll.iter().filter(|&&other| other != node) {
-                        one.hear(NOW, process(other), Message::Reported { roll: term(newest) });
+                        one.handle_message(NOW, process(other), Message::Reported { roll: term(newest) });
                     }
                 }
                 self.carry_out(&mut state, node);
--- a/crates/failover/tests/tier.rs
+++ b/crates/failover/tests/tier.rs
@@ -2,7 +2,7 @@
 //! zones, ages, a planned end.
 #![allow(missing_docs)]
 
-use brackenledge_failover::{Brought, Fate, Handover, Key, Message, Order, ProcessId, Settings, Term};
+use brackenledge_failover::{Brought, Command, Fate, Handover, Key, Message, ProcessId, Settings, Term};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -15,7 +15,7 @@
     silent: BTreeSet<u16>,
     roll: u32,
     /// What each node has ordered beside messages, in order.
-    orders: Vec<Vec<Order>>,
+    commands: Vec<Vec<Command>>,
     said: Vec<(u16, u16, Message)>,
     waiter: u64,
     /// Starts of nodes that go by another than the first.
@@ -37,7 +37,7 @@
             nodes: Vec::new(),
             silent: BTreeSet::new(),
             roll: 0,
-            orders: vec![Vec::new(); usize::from(number)],
+            commands: vec![Vec::new(); usize::from(number)],
             said: Vec::new(),
             waiter: 0,
             boots: BTreeMap::new(),
@@ -71,10 +71,10 @@
         loop {
             let mut quiet = true;
             for node in 0..self.nodes.len() {
-                while let Some(order) = self.nodes[node].as_mut().and_then(Handover::next_order) {
+                while let Some(order) = self.nodes[node].as_mut().and_then(Handover::poll_command) {
                     quiet = false;
-                    let Order::Send { to, message, .. } = order else {
-                        self.orders[node].push(order);
+                    let Command::Send { to, message, .. } = order else {
+                        self.commands[node].push(order);
                         continue;
                     };
                     let from = node as u16;
@@ -85,7 +85,7 @@
                     );
                     let heard = meant && !self.silent.contains(&from) && !self.silent.contains(&to.ordinal);
                     if let Some(other) = self.nodes[usize::from(to.ordinal)].as_mut().filter(|_| heard) {
-                        other.hear(self.now, sender, message);
+                        other.handle_message(self.now, sender, message);
                     }
                 }
             }
@@ -109,7 +109,7 @@
         for _ in 0..ms / 20 {
             self.now += 20 * MS;
             for one in self.nodes.iter_mut().flatten() {
-                one.on_time(self.now);
+                one.handle_timeout(self.now);
             }
             self.carry_out();
         }
@@ -120,7 +120,7 @@
         let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
         let at_once = one.dispatch(self.now, &key(name), 0, "w1", until);
         self.carry_out();
-        at_once || self.orders[usize::from(node)].contains(&Order::Go(key(name), 0))
+        at_once || self.commands[usize::from(node)].contains(&Command::Go(key(name), 0))
     }
 
     fn ended(&mut self, node: u16, name: &str, fate: Fate) {
@@ -130,15 +130,15 @@
     }
 
     fn answer(&self, node: u16, waiter: u64) -> Option<Fate> {
-        self.orders[usize::from(node)].iter().find_map(|order| match order {
-            Order::Answer(waiters, fate) if waiters.contains(&waiter) => Some(fate.clone()),
+        self.commands[usize::from(node)].iter().find_map(|order| match order {
+            Command::Answer(waiters, fate) if waiters.contains(&waiter) => Some(fate.clone()),
             _ => None,
         })
     }
 
     fn started(&self, node: u16, name: &str) -> Option<(Option<u64>, bool)> {
-        self.orders[usize::from(node)].iter().rev().find_map(|order| match order {
-            Order::Start { key: of, ran, adopted, .. } if *of == key(name) => {
+        self.commands[usize::from(node)].iter().rev().find_map(|order| match order {
+            Command::Start { key: of, ran, adopted, .. } if *of == key(name) => {
                 Some((ran.as_ref().map(|ran| ran.1), *adopted))
             }
             _ => None,
@@ -217,7 +217,7 @@
     tier.bring(0, &name, true, true);
     let at_once = tier.dispatch(0, &name);
     tier.pass(500);
-    assert!(at_once || tier.orders[0].contains(&Order::Go(key(&name), 0)));
+    assert!(at_once || tier.commands[0].contains(&Command::Go(key(&name), 0)));
 
     let mut tier = Tier::new(5, Settings::default());
     tier.silent.insert(home);
@@ -233,7 +233,7 @@
     tier.bring(0, &name, true, false);
     tier.dispatch(0, &name);
     tier.pass(4_200);
-    assert!(tier.orders[0].contains(&Order::Go(key(&name), 0)));
+    assert!(tier.commands[0].contains(&Command::Go(key(&name), 0)));
 }
 
 #[test]
@@ -361,7 +361,7 @@
     let again = ProcessId { ordinal: 0, incarnation: 2 };
     tier.nodes[0].as_mut().expect("it lives").renew(again);
     tier.carry_out();
-    assert!(tier.orders[0].contains(&Order::Close(key(&name))), "it is the others' now");
+    assert!(tier.commands[0].contains(&Command::Close(key(&name))), "it is the others' now");
     tier.boots.insert(0, 2);
     tier.roll((0..4).collect());
     assert!(tier.nodes[0].as_ref().expect("it lives").settled(tier.now));
@@ -407,7 +407,7 @@
         tier.silent.clear();
         tier.nodes[0].as_mut().expect("it lives").gone(now, waiter);
         tier.carry_out();
-        assert_eq!(tier.orders[0].contains(&Order::Close(key("k"))), stage != "sent", "{stage}");
+        assert_eq!(tier.commands[0].contains(&Command::Close(key("k"))), stage != "sent", "{stage}");
         // Nor does another go on with it when its holder is lost.
         tier.nodes[0] = None;
         tier.roll((1..4).collect());
@@ -424,7 +424,7 @@
     assert!(!tier.dispatch(0, "k"));
     tier.nodes[0].as_mut().expect("it lives").stays(tier.now, u64::MAX);
     tier.carry_out();
-    assert!(tier.orders[0].contains(&Order::Go(key("k"), 0)));
+    assert!(tier.commands[0].contains(&Command::Go(key("k"), 0)));
     tier.nodes[0].as_mut().expect("it lives").stays(tier.now, 0);
     // Nobody hears that it has ended.
     tier.silent = (1..4).collect();
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -8,7 +8,7 @@
 
 use brackenledge_discovery::{Listed, Roster, RosterSettings};
 use brackenledge_failover::{Frame, Handover, Session};
-use brackenledge_leases::{Deed, Epoch, Fence, MESSAGE_MOST, Message, Order, Ownership, View};
+use brackenledge_leases::{Command, Deed, Epoch, Fence, MESSAGE_MOST, Message, Ownership, View};
 use brackenledge_membership::{Membership, ProcessId, Times};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
 use brackenledge_protocol::http::{BODY_MOST, Body, Buffer, HEAD_MOST, take_answer_head};
@@ -46,10 +46,10 @@
 pub fn membership(input: &[u8]) {
     let mut member = Membership::new(0.0, process(0), vec![1, 2, 3, 4], &Times::for_tier(5), 1);
     for (at, bytes) in messages(input).into_iter().enumerate() {
-        member.hear(at as f64, bytes);
-        member.on_time(at as f64);
-        while let Some(order) = member.next_order() {
-            if let brackenledge_membership::Order::Send { bytes, .. } = order {
+        member.handle_message(at as f64, bytes);
+        member.handle_timeout(at as f64);
+        while let Some(order) = member.poll_command() {
+            if let brackenledge_membership::Command::Send { bytes, .. } = order {
                 assert!(bytes.len() <= brackenledge_membership::MESSAGE_MOST);
             }
         }
@@ -78,12 +78,13 @@
                 texts.extend((1..=text.len()).map(|end| text[..end].to_vec()));
             }
             for message in texts.iter().filter_map(|text| Message::read(text)) {
-                one.hear(now, message.from().ordinal, message);
+                one.handle_message(now, message.from().ordinal, message);
             }
-            one.on_time(now);
-            let _ = (one.next_time(now), one.stays(now), one.on_roll(now), one.shown(now), one.may(now, 0));
-            while let Some(order) = one.next_order() {
-                if let Order::Send(_, message) = order {
+            one.handle_timeout(now);
+            let _ =
+                (one.next_timeout(now), one.stays(now), one.on_roll(now), one.shown(now), one.may(now, 0));
+            while let Some(order) = one.poll_command() {
+                if let Command::Send(_, message) = order {
                     assert!(message.write().len() <= MESSAGE_MOST, "{message:?}");
                 }
             }
@@ -117,17 +118,17 @@
         if let Some(frame) = Frame::read(&mut bytes.to_vec())
             && let Ok(Some(message)) = session.take(frame)
         {
-            holder.hear(now, process(1), message);
+            holder.handle_message(now, process(1), message);
         }
         // What a frame carries, without the frame: random bytes are seldom one.
         for text in [bytes.to_vec(), small(bytes)] {
             if let Ok((message, _)) = postcard::take_from_bytes(&text) {
-                holder.hear(now, process(1), message);
+                holder.handle_message(now, process(1), message);
             }
         }
-        holder.on_time(now);
-        while let Some(order) = holder.next_order() {
-            if let brackenledge_failover::Order::Send { message, soon, .. } = order {
+        holder.handle_timeout(now);
+        while let Some(order) = holder.poll_command() {
+            if let brackenledge_failover::Command::Send { message, soon, .. } = order {
                 session.say(message, soon);
             }
         }
@@ -178,7 +179,7 @@
                 dispatcher.handle(now, Event::Message { from: 1, text }, &mut actions);
             }
         }
-        while roster.next_order().is_some() {}
+        while roster.poll_command().is_some() {}
         actions.clear();
     }
 }
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -160,7 +160,7 @@
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Order {
+pub enum Command {
     /// A message for the scheduler of this number; `None`: for all others.
     Send(Option<u16>, Message),
     /// We own a duty from now on, or do no longer.
@@ -210,7 +210,7 @@
     stay: Micros,
     stay_asked: Micros,
     leaving: bool,
-    orders: VecDeque<Order>,
+    commands: VecDeque<Command>,
     /// Messages of other epochs, rounds or senders than could be: counted, and dropped.
     pub dropped: u64,
 }
@@ -237,7 +237,7 @@
             stay: 0,
             stay_asked: 0,
             leaving: false,
-            orders: VecDeque::new(),
+            commands: VecDeque::new(),
             dropped: 0,
         }
     }
@@ -321,8 +321,8 @@
     }
 
     /// What is to be done next.
-    pub fn next_order(&mut self) -> Option<Order> {
-        self.orders.pop_front()
+    pub fn poll_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
     }
 
     fn send(&mut self, to: ProcessId, message: Message) {
@@ -331,15 +331,15 @@
             debug_assert!(false, "told ourselves {message:?}");
             return;
         }
-        self.orders.push_back(Order::Send(Some(to.ordinal), message));
+        self.commands.push_back(Command::Send(Some(to.ordinal), message));
     }
 
     fn tell_all(&mut self, message: Message) {
-        self.orders.push_back(Order::Send(None, message));
+        self.commands.push_back(Command::Send(None, message));
     }
 
     fn log(&mut self, text: String) {
-        self.orders.push_back(Order::Log(text));
+        self.commands.push_back(Command::Log(text));
     }
 
     fn void(&self) -> bool {
@@ -364,8 +364,8 @@
         before as u64
     }
 
-    /// When [`Ownership::on_time`] is to be called next.
-    pub fn next_time(&self, now: Micros) -> Micros {
+    /// When [`Ownership::handle_timeout`] is to be called next.
+    pub fn next_timeout(&self, now: Micros) -> Micros {
         let own =
             [self.hello_at, self.stewardship.next(), self.duties.next(), self.heard_at + self.settings.dead];
         own.into_iter()
@@ -376,7 +376,7 @@
     }
 
     /// Does what is due.
-    pub fn on_time(&mut self, now: Micros) {
+    pub fn handle_timeout(&mut self, now: Micros) {
         if self.leaving {
             return;
         }
@@ -433,7 +433,7 @@
     }
 
     /// Takes a message in. `from` is the number of the scheduler whose address it came from.
-    pub fn hear(&mut self, now: Micros, from: u16, message: Message) {
+    pub fn handle_message(&mut self, now: Micros, from: u16, message: Message) {
         // Who goes does nothing more for the others, but may still be on the roll and must know which one.
         let rolls = matches!(message, Message::News { .. } | Message::Roll { .. });
         if self.leaving && !(rolls && self.settings.stay > 0) {
@@ -553,7 +553,7 @@
             if let Some((steward, _)) = self.steward.filter(|steward| steward.0 != self.me) {
                 self.send(steward, Message::Return { from: self.me, duty, term });
             }
-            self.orders.push_back(Order::Owns(duty, None));
+            self.commands.push_back(Command::Owns(duty, None));
         }
         if let Some(round) = self.stewardship.resign(now) {
             let epoch = self.view.epoch;
--- a/crates/leases/src/steward.rs
+++ b/crates/leases/src/steward.rs
@@ -2,7 +2,7 @@
 //! keeps the roll of members, and grants duties.
 
 use crate::message::{DUTIES_MOST, PART};
-use crate::{Epoch, Message, Micros, Order, Ownership, ProcessId, Round, Settings, Term, View, names};
+use crate::{Command, Epoch, Message, Micros, Ownership, ProcessId, Round, Settings, Term, View, names};
 use std::collections::BTreeMap;
 
 /// A candidate asks so often in a beat: at 30% loss every second question stays without an answer.
@@ -503,6 +503,6 @@
     }
 
     pub(crate) fn owns(&mut self, duty: u8, term: Option<Term>) {
-        self.orders.push_back(Order::Owns(duty, term));
+        self.commands.push_back(Command::Owns(duty, term));
     }
 }
--- a/crates/leases/tests/model.rs
+++ b/crates/leases/tests/model.rs
@@ -3,7 +3,7 @@
 //! looked at (default: what CI has time for).
 #![allow(missing_docs)]
 
-use brackenledge_leases::{Epoch, Fence, Message, Order, Ownership, ProcessId, Settings, Term, View};
+use brackenledge_leases::{Command, Epoch, Fence, Message, Ownership, ProcessId, Settings, Term, View};
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::BTreeMap;
 
@@ -97,8 +97,8 @@
 
     /// Puts what a node has to say on its way.
     fn carry_out(&self, state: &mut State, node: u16) {
-        while let Some(order) = state.nodes[usize::from(node)].next_order() {
-            let Order::Send(to, message) = order else { continue };
+        while let Some(order) = state.nodes[usize::from(node)].poll_command() {
+            let Command::Send(to, message) = order else { continue };
             // Every message must survive its bytes.
             assert_eq!(Message::read(&message.write()).as_ref(), Some(&message));
             let all = (0..self.nodes).filter(|&other| other != node);
@@ -123,7 +123,7 @@
             }
         }
         let now = state.now;
-        state.nodes[usize::from(to)].hear(now, from, message);
+        state.nodes[usize::from(to)].handle_message(now, from, message);
         self.carry_out(state, to);
     }
 }
@@ -220,7 +220,7 @@
                 for node in 0..self.nodes {
                     if !state.paused[usize::from(node)] {
                         let now = state.now;
-                        state.nodes[usize::from(node)].on_time(now);
+                        state.nodes[usize::from(node)].handle_timeout(now);
                         self.carry_out(&mut state, node);
                     }
                 }
@@ -248,7 +248,7 @@
                 // What it had checked before may be done before it looks at the clock again.
                 if state.checked[usize::from(node)].is_none() {
                     let now = state.now;
-                    state.nodes[usize::from(node)].on_time(now);
+                    state.nodes[usize::from(node)].handle_timeout(now);
                     self.carry_out(&mut state, node);
                 }
             }
--- a/crates/leases/tests/tier.rs
+++ b/crates/leases/tests/tier.rs
@@ -3,7 +3,7 @@
 #![allow(missing_docs)]
 
 use brackenledge_leases::{
-    Deed, Fence, MESSAGE_MOST, Message, Micros, Order, Ownership, ProcessId, Settings, Term,
+    Command, Deed, Fence, MESSAGE_MOST, Message, Micros, Ownership, ProcessId, Settings, Term,
 };
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -87,9 +87,9 @@
     }
 
     fn carry_out(&mut self, at: usize) {
-        while let Some(order) = self.nodes[at].as_mut().and_then(Ownership::next_order) {
+        while let Some(order) = self.nodes[at].as_mut().and_then(Ownership::poll_command) {
             match order {
-                Order::Send(to, message) => {
+                Command::Send(to, message) => {
                     let bytes = message.write();
                     assert!(bytes.len() <= MESSAGE_MOST, "{} bytes: {message:?}", bytes.len());
                     for to in to.map_or((0..self.nodes.len()).collect(), |to| vec![usize::from(to)]) {
@@ -99,8 +99,8 @@
                         }
                     }
                 }
-                Order::Owns(duty, Some(_)) => self.changes.push((self.now, duty, at)),
-                Order::Owns(..) | Order::Log(_) => {}
+                Command::Owns(duty, Some(_)) => self.changes.push((self.now, duty, at)),
+                Command::Owns(..) | Command::Log(_) => {}
             }
         }
     }
@@ -147,7 +147,7 @@
                 }
                 let clock = self.clock(to);
                 if let Some(node) = &mut self.nodes[to] {
-                    node.hear(clock, from as u16, message);
+                    node.handle_message(clock, from as u16, message);
                     self.carry_out(to);
                 }
             }
@@ -177,7 +177,7 @@
                     .collect();
                 if let Some(node) = &mut self.nodes[at] {
                     node.alive(alive);
-                    node.on_time(clock);
+                    node.handle_timeout(clock);
                     self.carry_out(at);
                 }
             }
@@ -418,10 +418,10 @@
             let clock = tier.clock(0);
             if let (Some(message), Some(node)) = (Message::read(&bytes), &mut tier.nodes[0]) {
                 prop_assert!(message.write().len() <= MESSAGE_MOST);
-                node.hear(clock, from as u16, message);
-                node.on_time(clock + MS);
-                while let Some(order) = node.next_order() {
-                    if let Order::Send(_, message) = order {
+                node.handle_message(clock, from as u16, message);
+                node.handle_timeout(clock + MS);
+                while let Some(order) = node.poll_command() {
+                    if let Command::Send(_, message) = order {
                         prop_assert!(message.write().len() <= MESSAGE_MOST);
                     }
                 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! SWIM with suspicion (A. Das, I. Gupta, A. Motivala, "SWIM: Scalable weakly-consistent infection-style process group
 //! membership protocol", 2002), by the crate `foca`; here are the identity of a process, the times by tier size, the
-//! count of what made no sense, and one door: [`Membership::hear`] and [`Membership::on_time`] in,
-//! [`Membership::next_order`] out. No I/O, no clock.
+//! count of what made no sense, and one door: [`Membership::handle_message`] and [`Membership::handle_timeout`] in,
+//! [`Membership::poll_command`] out. No I/O, no clock.
 //!
 //! **What it promises.** Never a panic on any bytes. No message over [`MESSAGE_MOST`]. A process is known by its number
 //! and its start: one that has restarted is another process, and the older one of two under one number is gone.
@@ -82,7 +82,7 @@
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Order {
+pub enum Command {
     /// A message for the scheduler of this number.
     Send {
         /// To whom.
@@ -204,7 +204,7 @@
     runtime: AccumulatingRuntime<Known>,
     timers: BinaryHeap<Reverse<Due>>,
     serial: u64,
-    orders: VecDeque<Order>,
+    commands: VecDeque<Command>,
     me: ProcessId,
     seeds: Vec<u16>,
     next_seed: usize,
@@ -234,7 +234,7 @@
             runtime: AccumulatingRuntime::new(),
             timers: BinaryHeap::new(),
             serial: 0,
-            orders: VecDeque::new(),
+            commands: VecDeque::new(),
             me,
             // Not all the same one first.
             next_seed: usize::from(me.ordinal) % schedulers.max(2),
@@ -276,14 +276,14 @@
         self.foca.iter_members().map(|member| member.id().process).chain(own)
     }
 
-    /// When [`Membership::on_time`] is to be called next.
-    pub fn next_time(&self) -> Millis {
+    /// When [`Membership::handle_timeout`] is to be called next.
+    pub fn next_timeout(&self) -> Millis {
         let asks = if self.left || self.seeds.is_empty() { f64::INFINITY } else { self.announce_at };
         self.timers.peek().map_or(asks, |due| due.0.at.min(asks))
     }
 
     /// Does what is due.
-    pub fn on_time(&mut self, now: Millis) {
+    pub fn handle_timeout(&mut self, now: Millis) {
         while let Some(Reverse(due)) = self.timers.peek()
             && due.at <= now
         {
@@ -307,14 +307,14 @@
     }
 
     /// Takes a message in; whether it made sense.
-    pub fn hear(&mut self, now: Millis, bytes: &[u8]) -> bool {
+    pub fn handle_message(&mut self, now: Millis, bytes: &[u8]) -> bool {
         self.counts.heard += 1;
         if self.left {
             return true;
         }
         if !self.replaced && self.for_newer(bytes) {
             self.replaced = true;
-            self.orders.push_back(Order::Replaced);
+            self.commands.push_back(Command::Replaced);
         }
         let sense = match self.foca.handle_data(bytes, &mut self.runtime) {
             // A newer process of our number tells others, and they tell us; a message of our own is no news.
@@ -347,22 +347,22 @@
     }
 
     /// What is to be done next.
-    pub fn next_order(&mut self) -> Option<Order> {
-        self.orders.pop_front()
+    pub fn poll_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
     }
 
     /// Tells each change once, however many ways it is heard.
     fn told(&mut self, process: ProcessId, up: bool) {
         if up && self.up.insert(process) {
-            self.orders.push_back(Order::Up(process));
+            self.commands.push_back(Command::Up(process));
         } else if !up && self.up.remove(&process) {
-            self.orders.push_back(Order::Down(process));
+            self.commands.push_back(Command::Down(process));
         }
     }
 
     fn settle(&mut self, now: Millis) {
         while let Some((to, bytes)) = self.runtime.to_send() {
-            self.orders.push_back(Order::Send { to: to.process.ordinal, bytes: bytes.to_vec() });
+            self.commands.push_back(Command::Send { to: to.process.ordinal, bytes: bytes.to_vec() });
         }
         while let Some((after, timer)) = self.runtime.to_schedule() {
             self.serial += 1;
--- a/crates/membership/tests/golden.rs
+++ b/crates/membership/tests/golden.rs
@@ -5,7 +5,7 @@
 //! wire format has changed. All random choices come from the fixed seed.
 #![allow(missing_docs)]
 
-use brackenledge_membership::{Membership, Order, ProcessId, Times};
+use brackenledge_membership::{Command, Membership, ProcessId, Times};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -25,11 +25,11 @@
 }
 
 /// All that is to be sent, by receiver, and everything else that is to be done.
-fn orders(member: &mut Membership) -> (Vec<(u16, String)>, Vec<Order>) {
+fn commands(member: &mut Membership) -> (Vec<(u16, String)>, Vec<Command>) {
     let (mut sent, mut others) = (Vec::new(), Vec::new());
-    while let Some(order) = member.next_order() {
+    while let Some(order) = member.poll_command() {
         match order {
-            Order::Send { to, bytes } => sent.push((to, hex(&bytes))),
+            Command::Send { to, bytes } => sent.push((to, hex(&bytes))),
             other => others.push(other),
         }
     }
@@ -53,8 +53,8 @@
 #[test]
 fn a_newcomers_first_message_calls_for_another_with_these_bytes() {
     let mut one = member(ONE, vec![1]);
-    one.on_time(0.0);
-    let (sent, others) = orders(&mut one);
+    one.handle_timeout(0.0);
+    let (sent, others) = commands(&mut one);
     assert_eq!((sent, others), (vec![(1, CALL.to_owned())], Vec::new()));
 }
 
@@ -62,17 +62,17 @@
 fn the_call_is_heard_and_answered_with_these_bytes() {
     let mut other = member(OTHER, vec![0]);
     let call = CALL;
-    assert!(other.hear(5.0, &unhex(call)));
-    let (sent, others) = orders(&mut other);
-    assert_eq!((sent, others), (vec![(0, ANSWER.to_owned())], vec![Order::Up(ONE)]));
+    assert!(other.handle_message(5.0, &unhex(call)));
+    let (sent, others) = commands(&mut other);
+    assert_eq!((sent, others), (vec![(0, ANSWER.to_owned())], vec![Command::Up(ONE)]));
     assert!(other.alive().any(|process| process == ONE));
 }
 
 #[test]
 fn the_answer_is_heard_and_makes_the_other_a_member() {
     let mut one = member(ONE, vec![1]);
-    one.on_time(0.0);
-    assert!(one.hear(10.0, &unhex(ANSWER)));
-    assert!(orders(&mut one).1.contains(&Order::Up(OTHER)));
+    one.handle_timeout(0.0);
+    assert!(one.handle_message(10.0, &unhex(ANSWER)));
+    assert!(commands(&mut one).1.contains(&Command::Up(OTHER)));
     assert!(one.alive().any(|process| process == OTHER));
 }
--- a/crates/membership/tests/tier.rs
+++ b/crates/membership/tests/tier.rs
@@ -1,7 +1,7 @@
 //! Whole tiers on a virtual clock over a lossy network.
 #![allow(missing_docs)]
 
-use brackenledge_membership::{MESSAGE_MOST, Membership, Millis, Order, ProcessId, Standing, Times};
+use brackenledge_membership::{Command, MESSAGE_MOST, Membership, Millis, ProcessId, Standing, Times};
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -50,9 +50,9 @@
     }
 
     fn carry_out(&mut self, at: usize) {
-        while let Some(order) = self.members[at].as_mut().and_then(Membership::next_order) {
+        while let Some(order) = self.members[at].as_mut().and_then(Membership::poll_command) {
             match order {
-                Order::Send { to, bytes } => {
+                Command::Send { to, bytes } => {
                     assert!(bytes.len() <= MESSAGE_MOST, "{} bytes", bytes.len());
                     let cut = self.cut.contains(&(at, usize::from(to)));
                     if !cut && self.rng.random::<f64>() >= self.loss {
@@ -60,16 +60,16 @@
                         self.way.push((due, at, to, bytes));
                     }
                 }
-                Order::Down(process) => self.downs.push((self.now, at, process)),
-                Order::Replaced => self.replaced.push(at),
-                Order::Up(_) => {}
+                Command::Down(process) => self.downs.push((self.now, at, process)),
+                Command::Replaced => self.replaced.push(at),
+                Command::Up(_) => {}
             }
         }
     }
 
     fn play(&mut self, until: Millis) {
         loop {
-            let timers = self.members.iter().flatten().map(Membership::next_time);
+            let timers = self.members.iter().flatten().map(Membership::next_timeout);
             let messages = self.way.iter().map(|message| message.0);
             let next = timers.chain(messages).fold(f64::INFINITY, f64::min);
             if next > until {
@@ -83,13 +83,13 @@
             for (_, _, to, bytes) in due {
                 let to = usize::from(to);
                 if let Some(member) = &mut self.members[to] {
-                    assert!(member.hear(self.now, &bytes));
+                    assert!(member.handle_message(self.now, &bytes));
                     self.carry_out(to);
                 }
             }
             for at in 0..self.members.len() {
                 if let Some(member) = &mut self.members[at] {
-                    member.on_time(self.now);
+                    member.handle_timeout(self.now);
                     self.carry_out(at);
                 }
             }
@@ -206,7 +206,7 @@
         tier.play(500.0);
         let mut member = tier.members[0].take().expect("a member");
         for text in texts {
-            member.hear(600.0, &text);
+            member.handle_message(600.0, &text);
         }
         // Real messages with some bits turned over.
         tier.play(1_200.0);
@@ -216,10 +216,10 @@
                 let at = at % bytes.len();
                 bytes[at] ^= bits;
             }
-            member.hear(1_300.0, &bytes);
+            member.handle_message(1_300.0, &bytes);
         }
-        member.on_time(10_000.0);
+        member.handle_timeout(10_000.0);
         prop_assert!(member.counts().nonsense <= member.counts().heard);
-        while member.next_order().is_some() {}
+        while member.poll_command().is_some() {}
     }
 }
--- a/crates/simulator/src/members.rs
+++ b/crates/simulator/src/members.rs
@@ -1,7 +1,7 @@
 //! `brackenledge-simulator members`: tiers of any size on a virtual clock, to see how soon membership notices a death, how
 //! often it is wrong, and what it costs.
 
-use brackenledge_membership::{Membership, Millis, Order, ProcessId, Times};
+use brackenledge_membership::{Command, Membership, Millis, ProcessId, Times};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -102,7 +102,7 @@
     }
 
     fn arm(&mut self, at: usize) {
-        let Some(next) = self.members[at].as_ref().map(Membership::next_time) else { return };
+        let Some(next) = self.members[at].as_ref().map(Membership::next_timeout) else { return };
         if next.is_finite() {
             self.armed[at] += 1;
             let armed = self.armed[at];
@@ -112,9 +112,9 @@
 
     fn carry_out(&mut self, at: usize) {
         let counts = self.now >= SETTLING;
-        while let Some(order) = self.members[at].as_mut().and_then(Membership::next_order) {
+        while let Some(order) = self.members[at].as_mut().and_then(Membership::poll_command) {
             match order {
-                Order::Send { to, bytes } => {
+                Command::Send { to, bytes } => {
                     if counts {
                         self.figures.bytes += bytes.len() as u64;
                         self.figures.messages += 1;
@@ -125,7 +125,7 @@
                         self.push(self.now + way, Event::Message(usize::from(to), bytes));
                     }
                 }
-                Order::Down(process) if counts => {
+                Command::Down(process) if counts => {
                     let running = self.members[usize::from(process.ordinal)].as_ref();
                     if let Some((died, noticed)) = self.dead.get_mut(&process) {
                         *noticed += 1;
@@ -173,13 +173,13 @@
                 if world.armed[at] == armed
                     && let Some(member) = &mut world.members[at]
                 {
-                    member.on_time(world.now);
+                    member.handle_timeout(world.now);
                     world.carry_out(at);
                 }
             }
             Event::Message(to, bytes) => {
                 if let Some(member) = &mut world.members[to] {
-                    member.hear(world.now, &bytes);
+                    member.handle_message(world.now, &bytes);
                     world.carry_out(to);
                 }
             }
