Files and types of the daemon's drivers get standard names

Cause: tier, cover, links, link, state and stop say nothing to a newcomer. Result: cargo check of the workspace with all targets passes; names only.

--- a/crates/daemon/src/net/backend.rs
+++ b/crates/daemon/src/net/backend.rs
@@ -1,9 +1,9 @@
 //! The backend servers' side: a pool of connections, and the dispatches and probes that travel on them.
 
 use super::Context;
+use super::buffered_stream::BufferedStream;
 use super::discovery::deregister;
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive, push_out};
-use super::link::Link;
 use brackenledge_discovery::ServerWord;
 use brackenledge_engine::{DispatchId, Request, Times};
 use brackenledge_policy::{Effect, LoadReport, Outcome, WorkerId};
@@ -43,7 +43,7 @@
 
 /// A connection to a backend server. One request at a time travels on it.
 struct ServerConnection {
-    link: Link,
+    link: BufferedStream,
     server: WorkerId,
     address: SocketAddr,
     serial: u64,
@@ -268,7 +268,7 @@
 }
 
 impl Connection<Context<'_>> for ServerConnection {
-    fn link(&mut self) -> &mut Link {
+    fn link(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -490,7 +490,7 @@
         let stream = TcpStream::connect(address).ok()?;
         let serial = cx.event_loop.next_serial();
         let at = self.connections.insert(ServerConnection {
-            link: Link::new(stream),
+            link: BufferedStream::new(stream),
             server,
             address,
             serial,
--- a/crates/daemon/src/net/link.rs
+++ b/crates/daemon/src/net/buffered_stream.rs
@@ -16,16 +16,16 @@
 }
 
 /// A socket and its buffer.
-pub struct Link {
+pub struct BufferedStream {
     pub stream: TcpStream,
     pub buffer: Buffer,
 }
 
-impl Link {
+impl BufferedStream {
     pub fn new(stream: TcpStream) -> Self {
         // Small messages must not wait for one another; a socket without the option still works.
         let _ = stream.set_nodelay(true);
-        Link { stream, buffer: Buffer::default() }
+        BufferedStream { stream, buffer: Buffer::default() }
     }
 
     /// Reads what has come, until there are `most` bytes of input. The poll tells of new input only, so a
--- a/crates/daemon/src/net/tier.rs
+++ b/crates/daemon/src/net/cluster.rs
@@ -4,9 +4,9 @@
 //! The clock is CLOCK_BOOTTIME: it counts the time that the process was stopped, and that the machine slept. A pause
 //! between asking the lease and the deed makes the deed late; its receivers refuse it by its term.
 
+use super::epoch_store::EpochStore;
 use super::event_loop::Millis;
 use super::peer::Peer;
-use super::state::State;
 use brackenledge_leases::{Command, Deed, Fence, Living, Message, Ownership, Settings, Term};
 use brackenledge_membership::{Command as MembershipCommand, Membership, ProcessId, Standing, Times};
 use brackenledge_policy::split_sums;
@@ -45,7 +45,7 @@
 }
 
 /// See the module's page.
-pub struct Tier {
+pub struct Cluster {
     membership: Membership,
     ownership: Ownership,
     fence: Fence,
@@ -53,7 +53,7 @@
     living: Living,
     living_told: usize,
     /// Where the latest epoch is kept, if anywhere; its last failure has been told.
-    state: Option<State>,
+    state: Option<EpochStore>,
     state_fails: bool,
     /// Sums that were ours to compute and not ours to tell.
     withheld: u64,
@@ -86,15 +86,21 @@
     micros as Millis / 1_000.0
 }
 
-impl Tier {
+impl Cluster {
     /// A process that has just started.
-    pub fn new(ordinal: u32, seats: usize, operations: &Operations, seed: u64) -> Result<Tier, String> {
-        let state = operations.state_dir.as_deref().map(|at| State::open(at, ordinal)).transpose();
+    pub fn new(ordinal: u32, seats: usize, operations: &Operations, seed: u64) -> Result<Cluster, String> {
+        let state = operations.state_dir.as_deref().map(|at| EpochStore::open(at, ordinal)).transpose();
         let state = state.map_err(|error| format!("tier.state_dir: {error}"))?;
-        Ok(Tier::with(state, ordinal, seats, operations, seed))
+        Ok(Cluster::with(state, ordinal, seats, operations, seed))
     }
 
-    fn with(state: Option<State>, ordinal: u32, seats: usize, operations: &Operations, seed: u64) -> Tier {
+    fn with(
+        state: Option<EpochStore>,
+        ordinal: u32,
+        seats: usize,
+        operations: &Operations,
+        seed: u64,
+    ) -> Cluster {
         let (number, size) = (ordinal, seats);
         let (ordinal, seats) = (ordinal as u16, seats as u16);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -121,7 +127,7 @@
         if let Some(state) = &state {
             ownership.recall(state.kept());
         }
-        Tier {
+        Cluster {
             membership: Membership::new(millis(now), me, seeds, &times, seed),
             ownership,
             fence: Fence::default(),
@@ -146,7 +152,7 @@
         let (withheld, nonsense, fence) = (self.withheld, self.nonsense, std::mem::take(&mut self.fence));
         // What the decision module was told stands until it is told otherwise.
         let told = self.living_told;
-        *self = Tier::with(self.state.take(), self.ordinal, self.seats, &self.operations, self.seed);
+        *self = Cluster::with(self.state.take(), self.ordinal, self.seats, &self.operations, self.seed);
         self.living_told = told;
         (self.withheld, self.nonsense, self.fence) = (withheld, nonsense, fence);
         info!(log, "the newer process of our number is gone: we take part again");
--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -7,9 +7,9 @@
 //! the engine's.
 
 use super::Context;
+use super::buffered_stream::BufferedStream;
 use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive};
-use super::link::Link;
 use brackenledge_engine::stats::{Gauges, lines};
 use brackenledge_protocol::control::{self, Call, Read, Refusal};
 use mio::net::TcpListener;
@@ -24,7 +24,7 @@
 
 /// One caller's connection.
 struct Caller {
-    link: Link,
+    link: BufferedStream,
     since: Millis,
     /// Its place in the order of arrival: callers taken in one turn share their time.
     serial: u64,
@@ -56,15 +56,16 @@
                     text.push_str(&line);
                     text.push('\n');
                 }
-                for line in cx.cover.iter().flat_map(|cover| cover.lines(&self.classes)) {
+                for line in cx.job_failover.iter().flat_map(|job_failover| job_failover.lines(&self.classes))
+                {
                     text.push_str(&line);
                     text.push('\n');
                 }
                 text.push_str("end\n");
                 text
             }
-            Call::Members => cx.tier.as_ref().map_or_else(off, |tier| whole(tier.members())),
-            Call::Duties => cx.tier.as_ref().map_or_else(off, |tier| whole(tier.duties())),
+            Call::Members => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.members())),
+            Call::Duties => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.duties())),
             Call::Zones => match &mut *cx.zones {
                 Some(zones) => whole(zones.lines(cx.now)),
                 None => "error zones are off: set zones.on in the operators' file\n".into(),
@@ -87,7 +88,7 @@
 }
 
 impl Connection<Context<'_>> for Caller {
-    fn link(&mut self) -> &mut Link {
+    fn link(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -180,7 +181,7 @@
             let entry = self.callers.vacant_entry();
             let at = entry.key();
             let caller = entry.insert(Caller {
-                link: Link::new(stream),
+                link: BufferedStream::new(stream),
                 since: cx.now,
                 serial: self.taken,
                 replied: false,
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -1,8 +1,8 @@
 //! The calls to discovery that the roster asks for, and what they say, piece by piece.
 
 use super::Context;
+use super::buffered_stream::BufferedStream;
 use super::event_loop::{Alarm, Connection, EventLoop, Flow, Millis, Owner, drive};
-use super::link::Link;
 use brackenledge_discovery::{self as roster, CallKind, Ending, Listed};
 use brackenledge_policy::Readiness;
 use brackenledge_protocol::config::Endpoint;
@@ -53,7 +53,7 @@
 
 /// One call: a watch, or the whole list once.
 struct Call {
-    link: Link,
+    link: BufferedStream,
     id: roster::Call,
     connecting: bool,
     head: Option<AnswerHead>,
@@ -97,7 +97,7 @@
 }
 
 impl Connection<Context<'_>> for Call {
-    fn link(&mut self) -> &mut Link {
+    fn link(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -169,7 +169,7 @@
             CallKind::Watch => format!("/discovery/hosts?follow=1&since={since}"),
             CallKind::Fetch => "/discovery/hosts".to_owned(),
         };
-        let mut link = Link::new(stream);
+        let mut link = BufferedStream::new(stream);
         let request =
             format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
         link.buffer.push(request.as_bytes());
@@ -228,7 +228,7 @@
 }
 
 /// Takes a socket off the poll before it is closed.
-pub fn deregister(link: &mut Link, event_loop: &EventLoop) {
+pub fn deregister(link: &mut BufferedStream, event_loop: &EventLoop) {
     // A socket that the poll does not know any more is closed all the same.
     let _ = event_loop.registry().deregister(&mut link.stream);
 }
--- a/crates/daemon/src/net/state.rs
+++ b/crates/daemon/src/net/epoch_store.rs
@@ -12,14 +12,14 @@
 const SIZE_MOST: u64 = 256;
 
 /// The file, and what it holds.
-pub struct State {
+pub struct EpochStore {
     file: PathBuf,
     kept: Epoch,
 }
 
-impl State {
+impl EpochStore {
     /// Reads what was kept; the directory is made if it is missing.
-    pub fn open(directory: &Path, ordinal: u32) -> Result<State, String> {
+    pub fn open(directory: &Path, ordinal: u32) -> Result<EpochStore, String> {
         std::fs::create_dir_all(directory).map_err(|error| format!("{}: {error}", directory.display()))?;
         let file = directory.join(format!("tier-{ordinal}.json"));
         let kept = read(&file).map_err(|error| {
@@ -28,7 +28,7 @@
                 file.display()
             )
         })?;
-        let mut state = State { file, kept: kept.unwrap_or_default() };
+        let mut state = EpochStore { file, kept: kept.unwrap_or_default() };
         // A directory that can't be written is found out now, not at the first change.
         state.write(state.kept).map_err(|error| format!("{}: {error}", state.file.display()))?;
         Ok(state)
@@ -84,17 +84,17 @@
     fn the_latest_epoch_is_there_again_whoever_wrote_it() {
         let directory = tempfile::tempdir().expect("a directory");
         let at = directory.path().join("new");
-        let mut one = State::open(&at, 3).expect("it is made");
+        let mut one = EpochStore::open(&at, 3).expect("it is made");
         assert_eq!(one.kept(), Epoch::default());
         one.keep(epoch(7, 2)).expect("kept");
         // A second process under the same number, and an older word of it.
-        let mut two = State::open(&at, 3).expect("shared");
+        let mut two = EpochStore::open(&at, 3).expect("shared");
         assert_eq!(two.kept(), epoch(7, 2));
         two.keep(epoch(9, 1)).expect("kept");
         one.keep(epoch(8, 1)).expect("kept");
         one.keep(epoch(5, 5)).expect("older: nothing to do");
-        assert_eq!(State::open(&at, 3).expect("again").kept(), epoch(9, 1));
-        assert_eq!(State::open(&at, 4).expect("another's").kept(), Epoch::default());
+        assert_eq!(EpochStore::open(&at, 3).expect("again").kept(), epoch(9, 1));
+        assert_eq!(EpochStore::open(&at, 4).expect("another's").kept(), Epoch::default());
     }
 
     #[test]
@@ -103,10 +103,10 @@
         let file = directory.path().join("tier-0.json");
         for text in ["", "{\"era\":1", "[1,2,3]", &"x".repeat(10_000)] {
             std::fs::write(&file, text).expect("written");
-            let error = State::open(directory.path(), 0).err().expect("it is no state");
+            let error = EpochStore::open(directory.path(), 0).err().expect("it is no state");
             assert!(error.contains("tier-0.json: ") && error.contains("remove it only when"), "{error}");
         }
-        let error = State::open(&file, 0).err().expect("no directory");
+        let error = EpochStore::open(&file, 0).err().expect("no directory");
         assert!(error.contains("tier-0.json"), "{error}");
     }
 
@@ -114,7 +114,7 @@
     #[test]
     fn the_file_has_this_name_and_text_and_a_file_of_that_text_is_read() {
         let directory = tempfile::tempdir().expect("a directory");
-        let mut state = State::open(directory.path(), 12).expect("it opens");
+        let mut state = EpochStore::open(directory.path(), 12).expect("it opens");
         state.keep(epoch(7, 2)).expect("kept");
         let names: Vec<_> = std::fs::read_dir(directory.path())
             .expect("a directory")
@@ -124,6 +124,6 @@
         let text = std::fs::read_to_string(directory.path().join("tier-12.json")).expect("a file");
         assert_eq!(text, r#"{"era":7,"number":2}"#);
         std::fs::write(directory.path().join("tier-13.json"), r#"{"era":7,"number":2}"#).expect("written");
-        assert_eq!(State::open(directory.path(), 13).expect("it is read").kept(), epoch(7, 2));
+        assert_eq!(EpochStore::open(directory.path(), 13).expect("it is read").kept(), epoch(7, 2));
     }
 }
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -1,6 +1,6 @@
 //! The event loop's parts: the poll, the one clock, the timers, and what a connection is.
 
-use super::link::{Filled, Link};
+use super::buffered_stream::{BufferedStream, Filled};
 
 use mio::{Events, Interest, Poll, Registry, Token, event::Source};
 use std::cmp::Reverse;
@@ -54,15 +54,15 @@
     /// A line for the log on what was done.
     Report,
     /// A step of stopping is due.
-    Stop,
+    Shutdown,
     /// The program is about to end: whatever is owed an answer gets it now.
     AnswerAll,
     /// Membership or ownership has something due.
-    Tier,
+    Cluster,
     /// The plan for zones is looked at.
-    Zones,
+    ZoneRouting,
     /// Handover has something due, or a link to another scheduler is to be tried again.
-    Cover,
+    JobFailover,
 }
 
 /// Which part of the program owns a token.
@@ -73,8 +73,8 @@
     Peer,
     ControlListener,
     Control(usize),
-    LinkListener,
-    Link(usize),
+    PeerLinkListener,
+    PeerLink(usize),
     Frontend(usize),
     Backend(usize),
     Discovery(usize),
@@ -87,9 +87,9 @@
             Owner::Signal => 4,
             Owner::Peer => 8,
             Owner::ControlListener => 12,
-            Owner::LinkListener => 16,
+            Owner::PeerLinkListener => 16,
             Owner::Control(at) => (2 * at + 5) << 2,
-            Owner::Link(at) => (2 * at + 6) << 2,
+            Owner::PeerLink(at) => (2 * at + 6) << 2,
             Owner::Frontend(at) => at << 2 | 1,
             Owner::Backend(at) => at << 2 | 2,
             Owner::Discovery(at) => at << 2 | 3,
@@ -106,9 +106,9 @@
             (_, 1) => Owner::Signal,
             (_, 2) => Owner::Peer,
             (_, 3) => Owner::ControlListener,
-            (_, 4) => Owner::LinkListener,
+            (_, 4) => Owner::PeerLinkListener,
             _ if at % 2 == 1 => Owner::Control((at - 5) / 2),
-            _ => Owner::Link((at - 6) / 2),
+            _ => Owner::PeerLink((at - 6) / 2),
         }
     }
 }
@@ -212,7 +212,7 @@
 /// A connection: an object that is called back. What it hands on goes through `C`.
 pub trait Connection<C> {
     /// Its socket and buffer.
-    fn link(&mut self) -> &mut Link;
+    fn link(&mut self) -> &mut BufferedStream;
     /// Whether it waits to be connected.
     fn connecting(&self) -> bool {
         false
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -1,9 +1,9 @@
 //! The clients' side: the platform's protocol read into jobs, and answers written back.
 
 use super::Context;
+use super::buffered_stream::BufferedStream;
 use super::discovery::deregister;
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive};
-use super::link::Link;
 use brackenledge_engine::{Answer, Arrival, ClientId, Request};
 use brackenledge_failover::Waiter;
 use brackenledge_policy::settings::SettingsDocument;
@@ -167,7 +167,7 @@
 
 /// A client's connection. It carries one request at a time.
 struct ClientConnection {
-    link: Link,
+    link: BufferedStream,
     id: ClientId,
     rules: Rc<Rules>,
     state: State,
@@ -268,9 +268,9 @@
 
     /// Its job, if one is open, is owed nothing any more.
     fn leave(&self, cx: &mut Context) {
-        match (&self.state, &mut *cx.cover) {
+        match (&self.state, &mut *cx.job_failover) {
             (State::Job(job), _) => cx.core.client_gone(*job),
-            (State::Covered(waiter), Some(cover)) => cover.client_gone(*waiter),
+            (State::Covered(waiter), Some(job_failover)) => job_failover.client_gone(*waiter),
             _ => {}
         }
     }
@@ -360,8 +360,10 @@
             Awaited::Job(mut arrival) => {
                 arrival.request.body = body;
                 arrival.job.time_left = arrival.job.time_left.min(cx.time_left());
-                if let Some(cover) = cx.cover.as_mut().filter(|cover| cover.covers(&arrival)) {
-                    self.state = State::Covered(cover.arrive(*arrival));
+                if let Some(job_failover) =
+                    cx.job_failover.as_mut().filter(|job_failover| job_failover.covers(&arrival))
+                {
+                    self.state = State::Covered(job_failover.arrive(*arrival));
                     return;
                 }
                 match cx.core.job_arrived(cx.now, *arrival) {
@@ -420,7 +422,7 @@
 }
 
 impl Connection<Context<'_>> for ClientConnection {
-    fn link(&mut self) -> &mut Link {
+    fn link(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -497,7 +499,7 @@
             match self.listener.accept() {
                 Ok((stream, _)) => {
                     self.accept_fails = false;
-                    self.take(Link::new(stream), cx);
+                    self.take(BufferedStream::new(stream), cx);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 // The connection was given up before it was taken.
@@ -522,7 +524,7 @@
         }
     }
 
-    fn take(&mut self, link: Link, cx: &mut Context) {
+    fn take(&mut self, link: BufferedStream, cx: &mut Context) {
         let entry = self.clients.vacant_entry();
         let id = entry.key();
         let client = entry.insert(ClientConnection {
--- a/crates/daemon/src/net/cover.rs
+++ b/crates/daemon/src/net/job_failover.rs
@@ -5,8 +5,8 @@
 //! any other. Its dispatches pass here on their way to the backend: those that must be noted wait for it. Its answer
 //! comes back here, for all clients that wait for it. Times are microseconds on the tier's clock.
 
+use super::cluster::{Cluster, micros};
 use super::event_loop::Millis;
-use super::tier::{Tier, micros};
 use brackenledge_engine::{Answer, Arrival, ClientId, DispatchId, Request, Times};
 use brackenledge_failover::{
     Brought, Command, Fate, Frame, Handover, Key, Message, Nonsense, ProcessId, Session, Settings, Waiter,
@@ -68,7 +68,7 @@
 }
 
 /// See the module's page.
-pub struct Cover {
+pub struct JobFailover {
     handover: Handover,
     me: ProcessId,
     zone: u32,
@@ -85,9 +85,14 @@
     pub nonsense: u64,
 }
 
-impl Cover {
+impl JobFailover {
     /// `classes`: names and effects, by number.
-    pub fn new(options: &CoverOptions, me: ProcessId, zone: u32, classes: &[(String, Effect)]) -> Cover {
+    pub fn new(
+        options: &CoverOptions,
+        me: ProcessId,
+        zone: u32,
+        classes: &[(String, Effect)],
+    ) -> JobFailover {
         let care = |(name, effect): &(String, Effect)| {
             let must = options.refused.contains(name);
             options.covered.contains(name).then_some(Care { effect: *effect, must })
@@ -101,7 +106,7 @@
             patience: micros(options.patience),
             ..Settings::default()
         };
-        Cover {
+        JobFailover {
             handover: Handover::new(me, zone, settings),
             me,
             zone,
@@ -118,15 +123,15 @@
     }
 
     /// Takes over what the tier has agreed on since.
-    pub fn sync(&mut self, tier: &Tier) {
+    pub fn sync(&mut self, cluster: &Cluster) {
         let now = micros();
-        if tier.me() != self.me {
+        if cluster.me() != self.me {
             // We were replaced, and are back: to the others we are another process.
-            self.me = tier.me();
+            self.me = cluster.me();
             self.handover.renew(self.me);
             self.sessions.clear();
         }
-        let (term, members, stays) = tier.roll();
+        let (term, members, stays) = cluster.roll();
         if term > self.handover.term() {
             self.handover.roll(now, term, members);
         }
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -1,31 +1,31 @@
 //! The real scheduler: sockets around the decision module.
 
 mod backend;
+mod buffered_stream;
+mod cluster;
 mod control;
-mod cover;
 mod discovery;
+mod epoch_store;
 mod event_loop;
 mod frontend;
-mod link;
-mod links;
+mod job_failover;
 mod peer;
-mod state;
-mod tier;
-mod zones;
+mod peer_links;
+mod zone_routing;
 
 use self::backend::Backend;
+use self::cluster::Cluster;
 use self::control::Control;
-use self::cover::{Cover, Leaving};
 use self::discovery::{Discovery, Places};
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
-use self::links::Links;
+use self::job_failover::{JobFailover, Leaving};
 use self::peer::Peer;
-use self::tier::Tier;
-use self::zones::Zones;
+use self::peer_links::PeerLinks;
+use self::zone_routing::ZoneRouting;
 use brackenledge_discovery::{Roster, RosterSettings};
 use brackenledge_engine::drain::Drain;
-use brackenledge_engine::stop::Stop;
+use brackenledge_engine::shutdown::Shutdown;
 use brackenledge_engine::{Answer, Command, Core};
 use brackenledge_failover::{Command as FailoverCommand, Fate};
 use brackenledge_policy::{Outcome, Settings};
@@ -69,21 +69,21 @@
     /// Until when connections that were kept are not trusted.
     distrust_until: &'a mut Millis,
     /// SIGTERM has come.
-    stopping: Option<Stop>,
+    stopping: Option<Shutdown>,
     /// Whether the operators have taken it out of rotation.
     drain: &'a mut Drain,
     /// Who is in the tier, and what we own on its behalf.
-    tier: &'a mut Option<Tier>,
+    cluster: &'a mut Option<Cluster>,
     /// Jobs that others go on with if we are lost.
-    cover: &'a mut Option<Cover>,
+    job_failover: &'a mut Option<JobFailover>,
     /// Where each zone's work goes.
-    zones: &'a mut Option<Zones>,
+    zones: &'a mut Option<ZoneRouting>,
 }
 
 impl Context<'_> {
     /// Jobs that clients wait for here.
     fn held(&self) -> usize {
-        self.core.owed() + self.cover.as_ref().map_or(0, Cover::waiting)
+        self.core.owed() + self.job_failover.as_ref().map_or(0, JobFailover::waiting)
     }
 
     /// Whether SIGTERM came so long ago that clients get no further request in.
@@ -108,10 +108,10 @@
     peer: Option<Peer>,
     control: Option<Control>,
     drain: Drain,
-    tier: Option<Tier>,
-    cover: Option<Cover>,
-    zones: Option<Zones>,
-    links: Option<Links>,
+    cluster: Option<Cluster>,
+    job_failover: Option<JobFailover>,
+    zones: Option<ZoneRouting>,
+    links: Option<PeerLinks>,
     /// When nothing was owed any more, after SIGTERM.
     idle_since: Option<Millis>,
     signals: Signals,
@@ -121,7 +121,7 @@
     discovery_in_file: Option<SocketAddr>,
     /// The longest deadline of a class.
     longest: Millis,
-    stopping: Option<Stop>,
+    stopping: Option<Shutdown>,
     distrust_until: Millis,
     log: Logger,
 }
@@ -202,8 +202,8 @@
             distrust_until: &mut $scheduler.distrust_until,
             stopping: $scheduler.stopping,
             drain: &mut $scheduler.drain,
-            tier: &mut $scheduler.tier,
-            cover: &mut $scheduler.cover,
+            cluster: &mut $scheduler.cluster,
+            job_failover: &mut $scheduler.job_failover,
             zones: &mut $scheduler.zones,
         }
     };
@@ -250,34 +250,34 @@
             peer = Some(bound);
         }
         // Without others there is nothing to agree on.
-        let tier = (peer.as_ref().filter(|peer| operations.tier && peer.seats() > 1))
-            .map(|peer| Tier::new(settings.ordinal, peer.seats(), &operations, config.seed))
+        let cluster = (peer.as_ref().filter(|peer| operations.tier && peer.seats() > 1))
+            .map(|peer| Cluster::new(settings.ordinal, peer.seats(), &operations, config.seed))
             .transpose()?;
-        if tier.is_some() {
-            event_loop.set_alarm(event_loop.now(), Alarm::Tier);
+        if cluster.is_some() {
+            event_loop.set_alarm(event_loop.now(), Alarm::Cluster);
         }
-        let zones = (tier.as_ref().filter(|_| operations.zones.on))
-            .map(|_| Zones::new(&operations.zones, document.zone_names(), &settings));
+        let zones = (cluster.as_ref().filter(|_| operations.zones.on))
+            .map(|_| ZoneRouting::new(&operations.zones, document.zone_names(), &settings));
         if zones.is_some() {
-            event_loop.set_alarm(event_loop.now() + zones::LOOK, Alarm::Zones);
+            event_loop.set_alarm(event_loop.now() + zone_routing::LOOK, Alarm::ZoneRouting);
         }
-        let (mut cover, mut links) = (None, None);
-        if let Some(tier) = tier.as_ref().filter(|_| operations.cover.on) {
+        let (mut job_failover, mut links) = (None, None);
+        if let Some(cluster) = cluster.as_ref().filter(|_| operations.cover.on) {
             let addresses = operations.cover.links.clone();
             let own = addresses.get(settings.ordinal as usize).copied();
             let own = own.ok_or("handover.links: no address for this scheduler's number")?;
             // Shared, as the listener for clients is, with a process that replaces this one.
             let listener = listen(own, true).map_err(|e| format!("handover.links {own}: {e}"))?;
-            let mut all = Links::new(listener, addresses, settings.ordinal as u16);
+            let mut all = PeerLinks::new(listener, addresses, settings.ordinal as u16);
             event_loop
                 .registry()
-                .register(all.listener(), Owner::LinkListener.token(), Interest::READABLE)
+                .register(all.listener(), Owner::PeerLinkListener.token(), Interest::READABLE)
                 .map_err(|e| format!("{watched}: {e}"))?;
             let effects = settings.classes.iter().map(|class| class.effect);
             let classes: Vec<_> = document.class_names().into_iter().zip(effects).collect();
-            cover = Some(Cover::new(&operations.cover, tier.me(), settings.zone, &classes));
+            job_failover = Some(JobFailover::new(&operations.cover, cluster.me(), settings.zone, &classes));
             links = Some(all);
-            event_loop.set_alarm(event_loop.now(), Alarm::Cover);
+            event_loop.set_alarm(event_loop.now(), Alarm::JobFailover);
         }
         let places = Places { zones: document.zone_names(), kinds: document.kind_names() };
         let idle_limit = document.idle_limit().unwrap_or(IDLE_LIMIT);
@@ -312,8 +312,8 @@
             peer,
             control,
             drain: Drain::new(operations.takes_work_for),
-            tier,
-            cover,
+            cluster,
+            job_failover,
             zones,
             links,
             idle_since: None,
@@ -358,18 +358,18 @@
             Owner::Peer => {
                 if let Some(peer) = &mut self.peer {
                     peer.on_input(cx);
-                    if let Some(tier) = cx.tier.as_mut() {
-                        tier.carry_out(peer, cx.log);
-                        if let Some(cover) = cx.cover.as_mut() {
-                            cover.sync(tier);
+                    if let Some(cluster) = cx.cluster.as_mut() {
+                        cluster.carry_out(peer, cx.log);
+                        if let Some(job_failover) = cx.job_failover.as_mut() {
+                            job_failover.sync(cluster);
                         }
                     }
                 }
             }
-            Owner::LinkListener | Owner::Link(_) => {
+            Owner::PeerLinkListener | Owner::PeerLink(_) => {
                 let Some(links) = &mut self.links else { return };
                 match owner {
-                    Owner::Link(at) => links.on_ready(at, cx),
+                    Owner::PeerLink(at) => links.on_ready(at, cx),
                     _ => links.accept(cx),
                 }
             }
@@ -391,13 +391,13 @@
                 }
                 if self.signals.stop.swap(false, Ordering::Relaxed) && self.stopping.is_none() {
                     info!(self.log, "told to stop"; "owed" => cx.core.owed());
-                    let stop = Stop::new(cx.now, self.longest);
-                    cx.event_loop.set_alarm(stop.serve_until(), Alarm::Stop);
+                    let stop = Shutdown::new(cx.now, self.longest);
+                    cx.event_loop.set_alarm(stop.serve_until(), Alarm::Shutdown);
                     cx.event_loop.set_alarm(stop.answer_by(), Alarm::AnswerAll);
                     self.stopping = Some(stop);
                     // Whoever is to follow us in what we own need not wait our leases out.
-                    if let (Some(tier), Some(peer)) = (cx.tier.as_mut(), &self.peer) {
-                        tier.leave(peer, cx.log);
+                    if let (Some(cluster), Some(peer)) = (cx.cluster.as_mut(), &self.peer) {
+                        cluster.leave(peer, cx.log);
                     }
                 }
             }
@@ -432,44 +432,47 @@
                     self.frontend.close_all_idle(cx);
                 }
             }
-            Alarm::Tier => {
-                if let (Some(tier), Some(peer)) = (cx.tier.as_mut(), &self.peer) {
-                    let wait = tier.handle_timeout(peer, cx.log);
-                    if let Some(living) = tier.living_changed() {
+            Alarm::Cluster => {
+                if let (Some(cluster), Some(peer)) = (cx.cluster.as_mut(), &self.peer) {
+                    let wait = cluster.handle_timeout(peer, cx.log);
+                    if let Some(living) = cluster.living_changed() {
                         cx.core.living(living);
                     }
-                    if let Some(cover) = cx.cover.as_mut() {
-                        cover.sync(tier);
+                    if let Some(job_failover) = cx.job_failover.as_mut() {
+                        job_failover.sync(cluster);
                     }
-                    cx.event_loop.set_alarm(cx.now + wait, Alarm::Tier);
+                    cx.event_loop.set_alarm(cx.now + wait, Alarm::Cluster);
                 }
             }
-            Alarm::Zones => {
-                if let (Some(zones), Some(tier), Some(peer)) =
-                    (cx.zones.as_mut(), cx.tier.as_mut(), &self.peer)
+            Alarm::ZoneRouting => {
+                if let (Some(zones), Some(cluster), Some(peer)) =
+                    (cx.zones.as_mut(), cx.cluster.as_mut(), &self.peer)
                 {
-                    if let Some(prices) = zones.handle_timeout(cx.now, tier, peer, cx.core, cx.roster, cx.log)
+                    if let Some(prices) =
+                        zones.handle_timeout(cx.now, cluster, peer, cx.core, cx.roster, cx.log)
                     {
                         cx.core.zones(prices);
                     }
-                    cx.event_loop.set_alarm(cx.now + zones::LOOK, Alarm::Zones);
+                    cx.event_loop.set_alarm(cx.now + zone_routing::LOOK, Alarm::ZoneRouting);
                 }
             }
-            Alarm::Cover => {
-                if let Some(cover) = cx.cover.as_mut() {
-                    if let Some(tier) = cx.tier.as_ref() {
-                        cover.sync(tier);
+            Alarm::JobFailover => {
+                if let Some(job_failover) = cx.job_failover.as_mut() {
+                    if let Some(cluster) = cx.cluster.as_ref() {
+                        job_failover.sync(cluster);
                     }
-                    cover.handle_timeout();
+                    job_failover.handle_timeout();
                 }
                 if let Some(links) = &mut self.links {
                     links.handle_timeout(cx);
                 }
-                cx.event_loop.set_alarm(cx.now + COVER_EVERY, Alarm::Cover);
+                cx.event_loop.set_alarm(cx.now + COVER_EVERY, Alarm::JobFailover);
             }
             // On time, and not at the next sweep: what arrives later than this may meet SIGKILL.
-            Alarm::Stop => {
-                if let Some(given) = cx.cover.as_mut().map(Cover::yield_all).filter(|&given| given > 0) {
+            Alarm::Shutdown => {
+                if let Some(given) =
+                    cx.job_failover.as_mut().map(JobFailover::yield_all).filter(|&given| given > 0)
+                {
                     info!(cx.log, "jobs that were not sent are given to others"; "jobs" => given);
                 }
                 self.frontend.accept(cx);
@@ -485,7 +488,7 @@
             // What the roster has learned goes first: a job must not be sent by an older belief.
             if let Some(order) = self.roster.poll_command() {
                 self.carry_out_roster(order);
-            } else if let Some(order) = self.cover.as_mut().and_then(Cover::poll_command) {
+            } else if let Some(order) = self.job_failover.as_mut().and_then(JobFailover::poll_command) {
                 self.carry_out_cover(order);
             } else if let Some(order) = self.core.poll_command(self.event_loop.now()) {
                 self.carry_out(order);
@@ -502,43 +505,45 @@
 
     fn carry_out_cover(&mut self, order: FailoverCommand) {
         let cx = &mut context!(self);
-        let Some(cover) = cx.cover.as_mut() else { return };
+        let Some(job_failover) = cx.job_failover.as_mut() else { return };
         match order {
-            FailoverCommand::Send { to, message, soon } => cover.say(to, message, soon),
+            FailoverCommand::Send { to, message, soon } => job_failover.say(to, message, soon),
             FailoverCommand::Start { key, what, until, ran, .. } => {
                 // What repeats are bound to is not known here: there can be none.
                 let place = ran.as_ref().map(|(name, _)| cx.roster.find(name));
                 if place == Some(None) {
-                    cover.not_taken(&key, Fate::Failed);
+                    job_failover.not_taken(&key, Fate::Failed);
                     return;
                 }
                 let ran = place.flatten().zip(ran).map(|(at, (_, ago))| (at, ago as Millis / 1_000.0));
-                let arrival = cover.arrival(&key, &what, until, ran);
+                let arrival = job_failover.arrival(&key, &what, until, ran);
                 match arrival.and_then(|arrival| cx.core.job_arrived(cx.now, arrival)) {
-                    Some(job) => cover.taken(key, job),
+                    Some(job) => job_failover.taken(key, job),
                     // Its request's id is open here: it may be brought again.
-                    None => cover.not_taken(&key, Fate::Denied(Some(1_000))),
+                    None => job_failover.not_taken(&key, Fate::Denied(Some(1_000))),
                 }
             }
             FailoverCommand::Go(key, attempt) => {
-                if let Some(Leaving { id, worker, request, times }) = cover.leaves(&key, attempt) {
+                if let Some(Leaving { id, worker, request, times }) = job_failover.leaves(&key, attempt) {
                     self.backend.dispatch(id, worker, request, times, cx);
                 }
             }
             FailoverCommand::Moot(key, attempt) => {
-                if let Some(id) = cover.moot(&key, attempt) {
+                if let Some(id) = job_failover.moot(&key, attempt) {
                     cx.core.dispatch_ended(id, Outcome::Moot, None);
                 }
             }
             FailoverCommand::Close(key) => {
-                if let Some((job, waiting)) = cover.close(&key) {
+                if let Some((job, waiting)) = job_failover.close(&key) {
                     waiting.into_iter().for_each(|id| cx.core.dispatch_ended(id, Outcome::Moot, None));
                     cx.core.client_gone(job);
                 }
             }
             FailoverCommand::Answer(waiters, fate) => {
                 for waiter in waiters {
-                    let Some(client) = cx.cover.as_mut().and_then(|cover| cover.client(waiter)) else {
+                    let Some(client) =
+                        cx.job_failover.as_mut().and_then(|job_failover| job_failover.client(waiter))
+                    else {
                         continue;
                     };
                     let answer = match &fate {
@@ -572,15 +577,15 @@
         let cx = &mut context!(self);
         match order {
             Command::Answer { client, job, answer } => {
-                if !cx.cover.as_mut().is_some_and(|cover| cover.answered(job, &answer)) {
+                if !cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.answered(job, &answer)) {
                     self.frontend.answer(client, job, answer, cx);
                 }
             }
             Command::Dispatch { id, worker, request, times } => {
                 let leaving = Leaving { id, worker, request, times };
-                let leaving = match cx.cover {
-                    Some(cover) => {
-                        cover.dispatch(cx.now, leaving, cx.roster.name(worker).unwrap_or_default())
+                let leaving = match cx.job_failover {
+                    Some(job_failover) => {
+                        job_failover.dispatch(cx.now, leaving, cx.roster.name(worker).unwrap_or_default())
                     }
                     None => Some(leaving),
                 };
@@ -589,12 +594,12 @@
                 }
             }
             Command::Ended { id, never_ran } => {
-                if let Some(cover) = cx.cover {
-                    cover.ended(id, never_ran);
+                if let Some(job_failover) = cx.job_failover {
+                    job_failover.ended(id, never_ran);
                 }
             }
             Command::Cancel { id } | Command::TakeBack { id }
-                if cx.cover.as_mut().is_some_and(|cover| cover.cancel(id)) =>
+                if cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.cancel(id)) =>
             {
                 cx.core.dispatch_ended(id, Outcome::Moot, None);
             }
@@ -612,8 +617,10 @@
 
     fn tell(&mut self, to: Option<u32>, text: &str) {
         let Some(peer) = &self.peer else { return };
-        match &mut self.tier {
-            Some(tier) if to.is_none() && brackenledge_policy::is_sums(text) => tier.tell_sums(peer, text),
+        match &mut self.cluster {
+            Some(cluster) if to.is_none() && brackenledge_policy::is_sums(text) => {
+                cluster.tell_sums(peer, text)
+            }
             _ => peer.tell(to, text),
         }
     }
@@ -645,13 +652,13 @@
         // What others must know of what we held goes out before we do.
         let now = self.event_loop.now();
         let idle_since = *self.idle_since.get_or_insert(now);
-        let said = self.cover.as_mut().is_none_or(|cover| cover.last_words())
-            && self.links.as_ref().is_none_or(Links::quiet);
+        let said = self.job_failover.as_mut().is_none_or(|job_failover| job_failover.last_words())
+            && self.links.as_ref().is_none_or(PeerLinks::quiet);
         if !said && now < idle_since + LAST_WORDS {
             return false;
         }
-        if let (Some(tier), Some(peer)) = (&mut self.tier, &self.peer) {
-            tier.let_go(peer, &self.log);
+        if let (Some(cluster), Some(peer)) = (&mut self.cluster, &self.peer) {
+            cluster.let_go(peer, &self.log);
         }
         true
     }
--- a/crates/daemon/src/net/peer.rs
+++ b/crates/daemon/src/net/peer.rs
@@ -1,7 +1,7 @@
 //! Short messages between schedulers, over UDP. They may come late or never.
 
 use super::Context;
-use super::tier::Heard;
+use super::cluster::Heard;
 use brackenledge_protocol::config::PeerConfig;
 use mio::net::UdpSocket;
 use std::io::{self, ErrorKind};
@@ -72,8 +72,8 @@
             let from = self.config.peers.iter().position(|&peer| peer == sender);
             let whole = length <= MESSAGE_MOST;
             let known = from.filter(|&from| whole && from != self.ordinal as usize);
-            if let (Some(from), Some(tier)) = (known, cx.tier.as_mut())
-                && let Some(heard) = tier.handle_message(from as u16, &buffer[..length])
+            if let (Some(from), Some(cluster)) = (known, cx.cluster.as_mut())
+                && let Some(heard) = cluster.handle_message(from as u16, &buffer[..length])
             {
                 // Sums told under a term that holds, or what is the tier's own.
                 match (heard, &mut *cx.zones) {
--- a/crates/daemon/src/net/links.rs
+++ b/crates/daemon/src/net/peer_links.rs
@@ -2,10 +2,10 @@
 //! a connection that is lost is made again, and what had not come is said again on it (`handover`'s sessions).
 
 use super::Context;
-use super::cover::Cover;
+use super::buffered_stream::BufferedStream;
 use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive, push_out};
-use super::link::Link;
+use super::job_failover::JobFailover;
 use brackenledge_failover::{FRAME_MOST, Frame, ProcessId};
 use mio::net::{TcpListener, TcpStream};
 use slab::Slab;
@@ -21,7 +21,7 @@
 const STRANGERS_MOST: usize = 16;
 
 struct Peering {
-    link: Link,
+    link: BufferedStream,
     connecting: bool,
     since: Millis,
     /// Whom we connected to, by number.
@@ -41,7 +41,7 @@
 
     /// Takes a frame in; whether it makes sense, and whether the connection is to stay.
     fn take(&mut self, frame: Frame, cx: &mut Context) -> (bool, Flow) {
-        let Some(cover) = cx.cover else { return (true, Flow::Close) };
+        let Some(job_failover) = cx.job_failover else { return (true, Flow::Close) };
         match (frame, self.peer) {
             (Frame::Hello { from, zone }, None) => {
                 let other = usize::from(from.ordinal) < self.seats && from.ordinal != self.me.ordinal;
@@ -49,12 +49,12 @@
                     return (false, Flow::Close);
                 }
                 // Of two processes under one number the older one is not heard.
-                let Some(welcome) = cover.greet(from, zone) else { return (true, Flow::Close) };
+                let Some(welcome) = job_failover.greet(from, zone) else { return (true, Flow::Close) };
                 self.peer = Some(from);
                 self.say(&welcome);
                 (true, Flow::Keep)
             }
-            (frame, Some(peer)) => match cover.frame(peer, frame) {
+            (frame, Some(peer)) => match job_failover.frame(peer, frame) {
                 Some(true) => (true, Flow::Keep),
                 Some(false) => (false, Flow::Close),
                 None => (true, Flow::Close),
@@ -65,7 +65,7 @@
 }
 
 impl Connection<Context<'_>> for Peering {
-    fn link(&mut self) -> &mut Link {
+    fn link(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -75,8 +75,8 @@
 
     fn on_open(&mut self, cx: &mut Context) -> Flow {
         self.connecting = false;
-        if let Some(cover) = cx.cover {
-            let hello = cover.hello();
+        if let Some(job_failover) = cx.job_failover {
+            let hello = job_failover.hello();
             self.say(&hello);
         }
         Flow::Keep
@@ -93,8 +93,8 @@
             self.link.buffer.consume(end + 1);
             let frame = Frame::read(&mut bytes);
             let (sense, flow) = frame.map_or((false, Flow::Close), |frame| self.take(frame, cx));
-            if let (false, Some(cover)) = (sense, cx.cover.as_mut()) {
-                cover.nonsense += 1;
+            if let (false, Some(job_failover)) = (sense, cx.job_failover.as_mut()) {
+                job_failover.nonsense += 1;
             }
             if flow == Flow::Close {
                 return Flow::Close;
@@ -110,7 +110,7 @@
 }
 
 /// The listener and all connections.
-pub struct Links {
+pub struct PeerLinks {
     listener: TcpListener,
     addresses: Vec<SocketAddr>,
     me: u16,
@@ -118,11 +118,11 @@
     tried: Vec<Millis>,
 }
 
-impl Links {
+impl PeerLinks {
     /// On a listener that is bound already; `addresses` by number.
-    pub fn new(listener: TcpListener, addresses: Vec<SocketAddr>, me: u16) -> Links {
+    pub fn new(listener: TcpListener, addresses: Vec<SocketAddr>, me: u16) -> PeerLinks {
         let tried = vec![f64::NEG_INFINITY; addresses.len()];
-        Links { listener, addresses, me, connections: Slab::new(), tried }
+        PeerLinks { listener, addresses, me, connections: Slab::new(), tried }
     }
 
     /// The listener, for the poll.
@@ -148,15 +148,15 @@
     }
 
     fn add(&mut self, stream: TcpStream, dialed: Option<u16>, cx: &mut Context) {
-        let Some(cover) = cx.cover else { return };
-        let (connecting, me, seats) = (dialed.is_some(), cover.me(), self.addresses.len());
-        let link = Link::new(stream);
+        let Some(job_failover) = cx.job_failover else { return };
+        let (connecting, me, seats) = (dialed.is_some(), job_failover.me(), self.addresses.len());
+        let link = BufferedStream::new(stream);
         let mut peering = Peering { link, connecting, since: cx.now, dialed, peer: None, seats, me };
         if !connecting {
-            peering.say(&cover.hello());
+            peering.say(&job_failover.hello());
         }
         let at = self.connections.insert(peering);
-        if cx.event_loop.watch(&mut self.connections[at].link.stream, Owner::Link(at)).is_err() {
+        if cx.event_loop.watch(&mut self.connections[at].link.stream, Owner::PeerLink(at)).is_err() {
             self.connections.remove(at);
         }
     }
@@ -177,14 +177,14 @@
         }
         match flow {
             Flow::Keep => {}
-            Flow::Again => cx.event_loop.call_again(Owner::Link(at)),
+            Flow::Again => cx.event_loop.call_again(Owner::PeerLink(at)),
             Flow::Close => self.remove(at, cx),
         }
     }
 
     /// Tries connections that are missing, and ends those that came to nothing.
     pub fn handle_timeout(&mut self, cx: &mut Context) {
-        let Some(me) = cx.cover.as_ref().map(Cover::me) else { return };
+        let Some(me) = cx.job_failover.as_ref().map(JobFailover::me) else { return };
         // Those that came to nothing, and those that were made under another name of ours.
         let late = |c: &Peering| c.peer.is_none() && cx.now >= c.since + COMES_UP || c.me != me;
         let late: Vec<usize> = self.connections.iter().filter(|(_, c)| late(c)).map(|(at, _)| at).collect();
@@ -209,7 +209,8 @@
             let Some(peer) = connection.peer else { continue };
             let mut new = false;
             while connection.link.buffer.output().len() < OUTPUT_MOST
-                && let Some(frame) = cx.cover.as_mut().and_then(|cover| cover.next_frame(peer))
+                && let Some(frame) =
+                    cx.job_failover.as_mut().and_then(|job_failover| job_failover.next_frame(peer))
             {
                 connection.say(&frame);
                 new = true;
@@ -227,8 +228,8 @@
     }
 
     fn remove(&mut self, at: usize, cx: &mut Context) {
-        if let (Some(peer), Some(cover)) = (self.connections[at].peer, cx.cover.as_mut()) {
-            cover.link_ended(peer);
+        if let (Some(peer), Some(job_failover)) = (self.connections[at].peer, cx.job_failover.as_mut()) {
+            job_failover.link_ended(peer);
         }
         self.drop_connection(at, cx);
     }
--- a/crates/daemon/src/net/zones.rs
+++ b/crates/daemon/src/net/zone_routing.rs
@@ -4,9 +4,9 @@
 //! Reports go to the owner in datagrams of their own; the plan comes as the owner's deed, under its term. Times are Unix
 //! milliseconds, by the clock that all machines read.
 
+use super::cluster::{Cluster, SEEN, ZONES, send};
 use super::event_loop::Millis;
 use super::peer::Peer;
-use super::tier::{SEEN, Tier, ZONES, send};
 use brackenledge_discovery::Roster;
 use brackenledge_engine::Core;
 use brackenledge_policy::{LoadReport, Outcome, Readiness, WorkerId};
@@ -54,7 +54,7 @@
 }
 
 /// See the module's page.
-pub struct Zones {
+pub struct ZoneRouting {
     names: Vec<String>,
     zone: usize,
     cold_share: f64,
@@ -75,15 +75,19 @@
     plans: u64,
 }
 
-impl Zones {
+impl ZoneRouting {
     /// `names`: the settings' zones, in order.
-    pub fn new(options: &ZoneOptions, names: Vec<String>, policy: &brackenledge_policy::Settings) -> Zones {
+    pub fn new(
+        options: &ZoneOptions,
+        names: Vec<String>,
+        policy: &brackenledge_policy::Settings,
+    ) -> ZoneRouting {
         let region = |name: &String| {
             options.regions.iter().position(|region| region.contains(name)).unwrap_or(options.regions.len())
         };
         let regions: Vec<usize> = names.iter().map(region).collect();
         let (zone, zones) = (policy.zone as usize, names.len());
-        Zones {
+        ZoneRouting {
             zone,
             cold_share: policy.cold_share,
             warm_within: policy.warm_within,
@@ -164,16 +168,16 @@
     pub fn handle_timeout(
         &mut self,
         now: Millis,
-        tier: &mut Tier,
+        cluster: &mut Cluster,
         peer: &Peer,
         core: &Core,
         roster: &Roster,
         log: &Logger,
     ) -> Option<Vec<f64>> {
         if now >= self.sight.since + REPORT {
-            self.report(now, tier, peer, core, roster);
+            self.report(now, cluster, peer, core, roster);
         }
-        self.own(now, tier, peer, log);
+        self.own(now, cluster, peer, log);
         let rule = self.holder.rule(now as u64);
         let alone = matches!(rule, Use::Alone { .. });
         if std::mem::replace(&mut self.alone, alone) != alone {
@@ -190,7 +194,7 @@
         })
     }
 
-    fn report(&mut self, now: Millis, tier: &mut Tier, peer: &Peer, core: &Core, roster: &Roster) {
+    fn report(&mut self, now: Millis, cluster: &mut Cluster, peer: &Peer, core: &Core, roster: &Roster) {
         let span = now - self.sight.since;
         let first = self.sight.since == 0.0;
         let arrived = core.arrived_slots() - self.sight.arrived;
@@ -219,8 +223,8 @@
         self.sight.offered = Some(steady);
         let offered = steady.round() as u32;
         let report = Report { zone: self.zone as u8, seen: Seen { offered, ways } };
-        match tier.owner_of(ZONES) {
-            Some(owner) if owner == tier.me() => {
+        match cluster.owner_of(ZONES) {
+            Some(owner) if owner == cluster.me() => {
                 self.heard.insert(owner.ordinal, (now, report));
             }
             Some(owner) => {
@@ -232,8 +236,8 @@
     }
 
     /// Makes and tells the plan, if that is ours to do.
-    fn own(&mut self, now: Millis, tier: &mut Tier, peer: &Peer, log: &Logger) {
-        let Some(term) = tier.may(ZONES) else {
+    fn own(&mut self, now: Millis, cluster: &mut Cluster, peer: &Peer, log: &Logger) {
+        let Some(term) = cluster.may(ZONES) else {
             self.planner = None;
             return;
         };
@@ -262,7 +266,7 @@
         let Some(plan) = planner.plan().cloned() else { return };
         if new.is_some() || now >= self.told_at + TELL {
             self.told_at = now;
-            tier.tell_deed(peer, ZONES, term, &plan.write());
+            cluster.tell_deed(peer, ZONES, term, &plan.write());
         }
         let _ = self.holder.hear(now as u64, plan);
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,8 +13,8 @@
 use std::rc::Rc;
 
 pub mod drain;
+pub mod shutdown;
 pub mod stats;
-pub mod stop;
 
 use stats::{End, Figures};
 
--- a/crates/engine/src/stop.rs
+++ b/crates/engine/src/shutdown.rs
@@ -22,15 +22,15 @@
 
 /// A stop under way.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Stop {
+pub struct Shutdown {
     since: Millis,
     longest: Millis,
 }
 
-impl Stop {
+impl Shutdown {
     /// SIGTERM came; `longest` is the longest deadline in the settings.
     pub fn new(now: Millis, longest: Millis) -> Self {
-        Stop { since: now, longest: longest.clamp(0.0, WAITED_FOR) }
+        Shutdown { since: now, longest: longest.clamp(0.0, WAITED_FOR) }
     }
 
     /// When everything that was taken must have its answer.
@@ -62,7 +62,7 @@
     #[test]
     fn all_is_answered_before_the_protocols_sigkill_whatever_the_deadlines() {
         for longest in [50.0, 200.0, 800.0, 1_500.0, 3_000.0, 5_000.0, 60_000.0] {
-            let stop = Stop::new(10.0, longest);
+            let stop = Shutdown::new(10.0, longest);
             let sigkill = 10.0 + longest.min(3_000.0) + 700.0;
             assert!(stop.answer_by() < sigkill, "{longest}");
             // Whoever comes while the front still sends new clients is served.
@@ -74,7 +74,7 @@
 
     #[test]
     fn with_long_deadlines_clients_are_served_on_for_two_seconds() {
-        let stop = Stop::new(0.0, 6_000.0);
+        let stop = Shutdown::new(0.0, 6_000.0);
         assert_eq!((stop.answer_by(), stop.serve_until()), (3_400.0, 2_040.0));
     }
 }
