--- a/crates/daemon/src/net/tier.rs
+++ b/crates/daemon/src/net/cluster.rs
@@ -4,11 +4,11 @@
 //! The clock is CLOCK_BOOTTIME: it counts the time that the process was stopped, and that the machine slept. A pause
 //! between asking the lease and the deed makes the deed late; its receivers refuse it by its term.
 
+use super::epoch_store::EpochStore;
 use super::event_loop::Millis;
 use super::peer::Peer;
-use super::state::State;
-use brackenledge_membership::{Membership, Order as MemberOrder, Process, Standing, Times};
-use brackenledge_ownership::{Deed, Fence, Living, Message, Order, Ownership, Settings, Term};
+use brackenledge_leases::{Command, Deed, Fence, Living, Message, Ownership, Settings, Term};
+use brackenledge_membership::{Command as MembershipCommand, Membership, ProcessId, Standing, Times};
 use brackenledge_policy::split_sums;
 use brackenledge_protocol::operations::Operations;
 use slog::{Logger, info, warn};
@@ -45,7 +45,7 @@
 }
 
 /// See the module's page.
-pub struct Tier {
+pub struct Cluster {
     membership: Membership,
     ownership: Ownership,
     fence: Fence,
@@ -53,7 +53,7 @@
     living: Living,
     living_told: usize,
     /// Where the latest epoch is kept, if anywhere; its last failure has been told.
-    state: Option<State>,
+    state: Option<EpochStore>,
     state_fails: bool,
     /// Sums that were ours to compute and not ours to tell.
     withheld: u64,
@@ -86,19 +86,25 @@
     micros as Millis / 1_000.0
 }
 
-impl Tier {
+impl Cluster {
     /// A process that has just started.
-    pub fn new(ordinal: u32, seats: usize, operations: &Operations, seed: u64) -> Result<Tier, String> {
-        let state = operations.state_dir.as_deref().map(|at| State::open(at, ordinal)).transpose();
+    pub fn new(ordinal: u32, seats: usize, operations: &Operations, seed: u64) -> Result<Cluster, String> {
+        let state = operations.state_dir.as_deref().map(|at| EpochStore::open(at, ordinal)).transpose();
         let state = state.map_err(|error| format!("tier.state_dir: {error}"))?;
-        Ok(Tier::with(state, ordinal, seats, operations, seed))
+        Ok(Cluster::with(state, ordinal, seats, operations, seed))
     }
 
-    fn with(state: Option<State>, ordinal: u32, seats: usize, operations: &Operations, seed: u64) -> Tier {
+    fn with(
+        state: Option<EpochStore>,
+        ordinal: u32,
+        seats: usize,
+        operations: &Operations,
+        seed: u64,
+    ) -> Cluster {
         let (number, size) = (ordinal, seats);
         let (ordinal, seats) = (ordinal as u16, seats as u16);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let me = Process { ordinal, boot: unix.as_millis() as u64 };
+        let me = ProcessId { ordinal, incarnation: unix.as_millis() as u64 };
         let seeds = (0..seats).filter(|&other| other != ordinal).collect();
         let times = Times::for_tier(usize::from(seats));
         let now = micros();
@@ -121,7 +127,7 @@
         if let Some(state) = &state {
             ownership.recall(state.kept());
         }
-        Tier {
+        Cluster {
             membership: Membership::new(millis(now), me, seeds, &times, seed),
             ownership,
             fence: Fence::default(),
@@ -146,14 +152,14 @@
         let (withheld, nonsense, fence) = (self.withheld, self.nonsense, std::mem::take(&mut self.fence));
         // What the decision module was told stands until it is told otherwise.
         let told = self.living_told;
-        *self = Tier::with(self.state.take(), self.ordinal, self.seats, &self.operations, self.seed);
+        *self = Cluster::with(self.state.take(), self.ordinal, self.seats, &self.operations, self.seed);
         self.living_told = told;
         (self.withheld, self.nonsense, self.fence) = (withheld, nonsense, fence);
         info!(log, "the newer process of our number is gone: we take part again");
     }
 
     /// Takes a datagram in, if it is one of the tier's; `None`: it is none.
-    pub fn hear(&mut self, from: u16, bytes: &[u8]) -> Option<Heard> {
+    pub fn handle_message(&mut self, from: u16, bytes: &[u8]) -> Option<Heard> {
         let (kind, bytes) = bytes.split_first()?;
         let now = micros();
         match *kind {
@@ -163,7 +169,7 @@
                 }
             }
             MEMBERSHIP => {
-                self.membership.hear(millis(now), bytes);
+                self.membership.handle_message(millis(now), bytes);
             }
             OWNERSHIP => match Message::read(bytes) {
                 Some(message) => {
@@ -172,7 +178,7 @@
                     {
                         duties.iter().for_each(|&(duty, term, owner)| self.fence.heard(duty, term, owner));
                     }
-                    self.ownership.hear(now, from, message);
+                    self.ownership.handle_message(now, from, message);
                 }
                 None => self.nonsense += 1,
             },
@@ -199,7 +205,7 @@
     }
 
     /// Does what is due; how long until something is due again.
-    pub fn on_time(&mut self, peer: &Peer, log: &Logger) -> Millis {
+    pub fn handle_timeout(&mut self, peer: &Peer, log: &Logger) -> Millis {
         let now = micros();
         if let Some(last) = self.replaced {
             if now < last + REPLACED || self.leaving {
@@ -207,11 +213,11 @@
             }
             self.come_back(log);
         }
-        self.membership.on_time(millis(now));
+        self.membership.handle_timeout(millis(now));
         self.carry_out(peer, log);
-        self.ownership.on_time(now);
+        self.ownership.handle_timeout(now);
         self.carry_out(peer, log);
-        let next = self.membership.next_time().min(millis(self.ownership.next_time(now)));
+        let next = self.membership.next_timeout().min(millis(self.ownership.next_timeout(now)));
         // Never at once again: what is due now was done now.
         (next - millis(now)).clamp(1.0, 1_000.0)
     }
@@ -219,18 +225,18 @@
     /// Carries out what both have ordered.
     pub fn carry_out(&mut self, peer: &Peer, log: &Logger) {
         let mut changed = false;
-        while let Some(order) = self.membership.next_order() {
+        while let Some(order) = self.membership.poll_command() {
             match order {
-                MemberOrder::Send { to, bytes } => send(peer, Some(to), MEMBERSHIP, &bytes),
-                MemberOrder::Up(process) => {
+                MembershipCommand::Send { to, bytes } => send(peer, Some(to), MEMBERSHIP, &bytes),
+                MembershipCommand::Up(process) => {
                     changed = true;
-                    info!(log, "member up"; "ordinal" => process.ordinal, "boot" => process.boot);
+                    info!(log, "member up"; "ordinal" => process.ordinal, "boot" => process.incarnation);
                 }
-                MemberOrder::Down(process) => {
+                MembershipCommand::Down(process) => {
                     changed = true;
-                    info!(log, "member down"; "ordinal" => process.ordinal, "boot" => process.boot);
+                    info!(log, "member down"; "ordinal" => process.ordinal, "boot" => process.incarnation);
                 }
-                MemberOrder::Replaced => {
+                MembershipCommand::Replaced => {
                     info!(log, "another process has our number and is newer: we own nothing any more");
                     self.ownership.leave(micros());
                     self.replaced = Some(micros());
@@ -240,14 +246,14 @@
         if changed {
             self.ownership.alive(self.membership.alive());
         }
-        while let Some(order) = self.ownership.next_order() {
+        while let Some(order) = self.ownership.poll_command() {
             match order {
-                Order::Send(to, message) => {
+                Command::Send(to, message) => {
                     if self.remembered(log) {
                         send(peer, to, OWNERSHIP, &message.write());
                     }
                 }
-                Order::Owns(duty, term) => {
+                Command::Owns(duty, term) => {
                     let name = DUTIES.get(usize::from(duty)).copied().unwrap_or("unknown");
                     let term = term.map_or("none".into(), |term| term.to_string());
                     info!(log, "duty"; "name" => name, "our_term" => term);
@@ -255,7 +261,7 @@
                         self.fence.heard(duty, known.term, known.owner);
                     }
                 }
-                Order::Log(text) => info!(log, "tier"; "what" => text),
+                Command::Log(text) => info!(log, "tier"; "what" => text),
             }
         }
     }
@@ -293,7 +299,7 @@
     }
 
     /// Who we are.
-    pub fn me(&self) -> Process {
+    pub fn me(&self) -> ProcessId {
         self.membership.me()
     }
 
@@ -326,7 +332,7 @@
     }
 
     /// Who owns a duty, as heard last.
-    pub fn owner_of(&self, duty: u8) -> Option<Process> {
+    pub fn owner_of(&self, duty: u8) -> Option<ProcessId> {
         let own = self.may(duty).map(|_| self.me());
         own.or_else(|| self.ownership.known(duty).map(|known| known.owner))
     }
@@ -340,7 +346,7 @@
     pub fn members(&self) -> Vec<String> {
         let shown = self.ownership.shown(micros());
         let name =
-            |process: Option<Process>| process.map_or("none".into(), |process| process.ordinal.to_string());
+            |process: Option<ProcessId>| process.map_or("none".into(), |process| process.ordinal.to_string());
         let mut lines = vec![match &shown.view {
             Some((view, age)) => {
                 let voters: Vec<String> = view.voters.iter().map(|voter| voter.ordinal.to_string()).collect();
@@ -357,7 +363,7 @@
             None => format!("view=none age_ms=0 steward=none voters=none living={}", self.living_told),
         }];
         let me = self.membership.me();
-        let mut all: Vec<(Process, &str)> = (self.membership.others())
+        let mut all: Vec<(ProcessId, &str)> = (self.membership.others())
             .map(|(process, standing)| {
                 let word = match standing {
                     Standing::Alive => "alive",
@@ -370,10 +376,10 @@
             .collect();
         all.sort();
         lines.extend(all.into_iter().map(|(process, word)| {
-            let agreed = shown.roll.1.get(&process.ordinal) == Some(&process.boot);
-            let (ordinal, boot) = (process.ordinal, process.boot);
+            let agreed = shown.roll.1.get(&process.ordinal) == Some(&process.incarnation);
+            let (ordinal, incarnation) = (process.ordinal, process.incarnation);
             let own = if process == me { "yes" } else { "no" };
-            format!("member={ordinal} boot={boot} standing={word} on_roll={agreed} self={own}")
+            format!("member={ordinal} boot={incarnation} standing={word} on_roll={agreed} self={own}")
         }));
         lines
     }
@@ -412,3 +418,6 @@
     datagram.extend_from_slice(bytes);
     peer.send(to.map(u32::from), &datagram);
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/net/cover.rs
+++ b/crates/daemon/src/net/job_failover.rs
@@ -5,11 +5,11 @@
 //! any other. Its dispatches pass here on their way to the backend: those that must be noted wait for it. Its answer
 //! comes back here, for all clients that wait for it. Times are microseconds on the tier's clock.
 
+use super::cluster::{Cluster, micros};
 use super::event_loop::Millis;
-use super::tier::{Tier, micros};
 use brackenledge_engine::{Answer, Arrival, ClientId, DispatchId, Request, Times};
-use brackenledge_handover::{
-    Brought, Fate, Frame, Handover, Key, Message, Nonsense, Order, Process, Session, Settings, Waiter,
+use brackenledge_failover::{
+    Brought, Command, Fate, Frame, Handover, Key, Message, Nonsense, ProcessId, Session, Settings, Waiter,
 };
 use brackenledge_policy::{Effect, JobId, NewJob, WorkerId};
 use brackenledge_protocol::operations::CoverOptions;
@@ -68,9 +68,9 @@
 }
 
 /// See the module's page.
-pub struct Cover {
+pub struct JobFailover {
     handover: Handover,
-    me: Process,
+    me: ProcessId,
     zone: u32,
     care: Vec<Option<Care>>,
     sessions: BTreeMap<u16, Session>,
@@ -85,9 +85,14 @@
     pub nonsense: u64,
 }
 
-impl Cover {
+impl JobFailover {
     /// `classes`: names and effects, by number.
-    pub fn new(options: &CoverOptions, me: Process, zone: u32, classes: &[(String, Effect)]) -> Cover {
+    pub fn new(
+        options: &CoverOptions,
+        me: ProcessId,
+        zone: u32,
+        classes: &[(String, Effect)],
+    ) -> JobFailover {
         let care = |(name, effect): &(String, Effect)| {
             let must = options.refused.contains(name);
             options.covered.contains(name).then_some(Care { effect: *effect, must })
@@ -101,7 +106,7 @@
             patience: micros(options.patience),
             ..Settings::default()
         };
-        Cover {
+        JobFailover {
             handover: Handover::new(me, zone, settings),
             me,
             zone,
@@ -118,15 +123,15 @@
     }
 
     /// Takes over what the tier has agreed on since.
-    pub fn sync(&mut self, tier: &Tier) {
+    pub fn sync(&mut self, cluster: &Cluster) {
         let now = micros();
-        if tier.me() != self.me {
+        if cluster.me() != self.me {
             // We were replaced, and are back: to the others we are another process.
-            self.me = tier.me();
+            self.me = cluster.me();
             self.handover.renew(self.me);
             self.sessions.clear();
         }
-        let (term, members, stays) = tier.roll();
+        let (term, members, stays) = cluster.roll();
         if term > self.handover.term() {
             self.handover.roll(now, term, members);
         }
@@ -134,9 +139,9 @@
     }
 
     /// Does what is due.
-    pub fn on_time(&mut self) {
+    pub fn handle_timeout(&mut self) {
         let now = micros();
-        self.handover.on_time(now);
+        self.handover.handle_timeout(now);
         let hurry = now >= self.hurried + COMPANY;
         if hurry {
             self.hurried = now;
@@ -321,8 +326,8 @@
     }
 
     /// What is to be done next.
-    pub fn next_order(&mut self) -> Option<Order> {
-        self.handover.next_order()
+    pub fn poll_command(&mut self) -> Option<Command> {
+        self.handover.poll_command()
     }
 
     /// A planned end: what was not sent is given to others.
@@ -338,14 +343,14 @@
     }
 
     /// Who we are.
-    pub fn me(&self) -> Process {
+    pub fn me(&self) -> ProcessId {
         self.me
     }
 
     /// A process has said who it is on a connection; our second word there. `None`: not on this one.
-    pub fn greet(&mut self, from: Process, zone: u32) -> Option<Frame> {
+    pub fn greet(&mut self, from: ProcessId, zone: u32) -> Option<Frame> {
         let session = self.sessions.entry(from.ordinal).or_insert_with(|| Session::new(from));
-        if session.peer().boot > from.boot {
+        if session.peer().incarnation > from.incarnation {
             return None;
         }
         if session.peer() != from {
@@ -356,10 +361,10 @@
     }
 
     /// A frame came from who has said who it is; whether it makes sense. `None`: another process has that number now.
-    pub fn frame(&mut self, from: Process, frame: Frame) -> Option<bool> {
+    pub fn frame(&mut self, from: ProcessId, frame: Frame) -> Option<bool> {
         let session = self.sessions.get_mut(&from.ordinal).filter(|session| session.peer() == from)?;
         match session.take(frame) {
-            Ok(Some(message)) => self.handover.hear(micros(), from, message),
+            Ok(Some(message)) => self.handover.handle_message(micros(), from, message),
             Ok(None) => {}
             Err(Nonsense) => return Some(false),
         }
@@ -367,16 +372,16 @@
     }
 
     /// A connection is gone.
-    pub fn link_ended(&mut self, peer: Process) {
+    pub fn link_ended(&mut self, peer: ProcessId) {
         if let Some(session) = self.sessions.get_mut(&peer.ordinal).filter(|session| session.peer() == peer) {
             session.ended();
         }
     }
 
     /// Says something to another process, now or once there is a link.
-    pub fn say(&mut self, to: Process, message: Message, soon: bool) {
+    pub fn say(&mut self, to: ProcessId, message: Message, soon: bool) {
         let session = self.sessions.entry(to.ordinal).or_insert_with(|| Session::new(to));
-        if session.peer().boot < to.boot {
+        if session.peer().incarnation < to.incarnation {
             // Whoever was there before is gone.
             *session = Session::new(to);
         }
@@ -386,7 +391,7 @@
     }
 
     /// The next frame for a peer.
-    pub fn next_frame(&mut self, peer: Process) -> Option<Frame> {
+    pub fn next_frame(&mut self, peer: ProcessId) -> Option<Frame> {
         self.sessions.get_mut(&peer.ordinal).filter(|session| session.peer() == peer)?.next_frame()
     }
 
@@ -428,3 +433,6 @@
         lines
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -6,14 +6,14 @@
 //! ownership` lets libFuzzer look for as long as one likes. An input that failed goes into the unit tests of the crate at
 //! fault.
 
-use brackenledge_handover::{Frame, Handover, Session};
-use brackenledge_membership::{Membership, Process, Times};
-use brackenledge_ownership::{Deed, Epoch, Fence, MESSAGE_MOST, Message, Order, Ownership, View};
+use brackenledge_discovery::{Listed, Roster, RosterSettings};
+use brackenledge_failover::{Frame, Handover, Session};
+use brackenledge_leases::{Command, Deed, Epoch, Fence, MESSAGE_MOST, Message, Ownership, View};
+use brackenledge_membership::{Membership, ProcessId, Times};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
 use brackenledge_protocol::http::{BODY_MOST, Body, Buffer, HEAD_MOST, take_answer_head};
 use brackenledge_protocol::list_stream::{ListReader, Piece};
 use brackenledge_protocol::{control, operations::Operations, worker};
-use brackenledge_roster::{Listed, Roster, RosterSettings};
 use std::path::Path;
 
 /// Splits an input into messages: each is led by a byte that says how long it is.
@@ -38,18 +38,18 @@
     bytes.iter().flat_map(number).collect()
 }
 
-const fn process(ordinal: u16) -> Process {
-    Process { ordinal, boot: 1 }
+const fn process(ordinal: u16) -> ProcessId {
+    ProcessId { ordinal, incarnation: 1 }
 }
 
 /// Datagrams of membership, at a member of five.
 pub fn membership(input: &[u8]) {
     let mut member = Membership::new(0.0, process(0), vec![1, 2, 3, 4], &Times::for_tier(5), 1);
     for (at, bytes) in messages(input).into_iter().enumerate() {
-        member.hear(at as f64, bytes);
-        member.on_time(at as f64);
-        while let Some(order) = member.next_order() {
-            if let brackenledge_membership::Order::Send { bytes, .. } = order {
+        member.handle_message(at as f64, bytes);
+        member.handle_timeout(at as f64);
+        while let Some(order) = member.poll_command() {
+            if let brackenledge_membership::Command::Send { bytes, .. } = order {
                 assert!(bytes.len() <= brackenledge_membership::MESSAGE_MOST);
             }
         }
@@ -62,7 +62,7 @@
 /// Datagrams of ownership, at a voter of three and at one that has just started: each message as if its sender had sent it.
 pub fn ownership(input: &[u8]) {
     let settings =
-        brackenledge_ownership::Settings { stay: 2_500_000, ..brackenledge_ownership::Settings::new(5, 2) };
+        brackenledge_leases::Settings { stay: 2_500_000, ..brackenledge_leases::Settings::new(5, 2) };
     let view = View { epoch: Epoch { era: 1, number: 1 }, voters: (0..3).map(process).collect() };
     let begun = Ownership::begun(1_000_000, process(0), settings, view);
     let new = Ownership::new(1_000_000, process(0), 1, settings);
@@ -78,12 +78,13 @@
                 texts.extend((1..=text.len()).map(|end| text[..end].to_vec()));
             }
             for message in texts.iter().filter_map(|text| Message::read(text)) {
-                one.hear(now, message.from().ordinal, message);
+                one.handle_message(now, message.from().ordinal, message);
             }
-            one.on_time(now);
-            let _ = (one.next_time(now), one.stays(now), one.on_roll(now), one.shown(now), one.may(now, 0));
-            while let Some(order) = one.next_order() {
-                if let Order::Send(_, message) = order {
+            one.handle_timeout(now);
+            let _ =
+                (one.next_timeout(now), one.stays(now), one.on_roll(now), one.shown(now), one.may(now, 0));
+            while let Some(order) = one.poll_command() {
+                if let Command::Send(_, message) = order {
                     assert!(message.write().len() <= MESSAGE_MOST, "{message:?}");
                 }
             }
@@ -107,9 +108,9 @@
 /// Frames between schedulers, through a session into the keeper and holder behind it.
 pub fn handover(input: &[u8]) {
     let mut session = Session::new(process(1));
-    let mut holder = Handover::new(process(0), 0, brackenledge_handover::Settings::default());
+    let mut holder = Handover::new(process(0), 0, brackenledge_failover::Settings::default());
     let roll = (0..3).map(|ordinal| (ordinal, 1)).collect();
-    let term = brackenledge_ownership::Term { epoch: Epoch { era: 1, number: 1 }, ..Default::default() };
+    let term = brackenledge_leases::Term { epoch: Epoch { era: 1, number: 1 }, ..Default::default() };
     holder.stays(1_000_000, 3_000_000);
     holder.roll(1_000_000, term, &roll);
     for (at, bytes) in messages(input).into_iter().enumerate() {
@@ -117,17 +118,17 @@
         if let Some(frame) = Frame::read(&mut bytes.to_vec())
             && let Ok(Some(message)) = session.take(frame)
         {
-            holder.hear(now, process(1), message);
+            holder.handle_message(now, process(1), message);
         }
         // What a frame carries, without the frame: random bytes are seldom one.
         for text in [bytes.to_vec(), small(bytes)] {
             if let Ok((message, _)) = postcard::take_from_bytes(&text) {
-                holder.hear(now, process(1), message);
+                holder.handle_message(now, process(1), message);
             }
         }
-        holder.on_time(now);
-        while let Some(order) = holder.next_order() {
-            if let brackenledge_handover::Order::Send { message, soon, .. } = order {
+        holder.handle_timeout(now);
+        while let Some(order) = holder.poll_command() {
+            if let brackenledge_failover::Command::Send { message, soon, .. } = order {
                 session.say(message, soon);
             }
         }
@@ -178,7 +179,7 @@
                 dispatcher.handle(now, Event::Message { from: 1, text }, &mut actions);
             }
         }
-        while roster.next_order().is_some() {}
+        while roster.poll_command().is_some() {}
         actions.clear();
     }
 }
--- a/crates/ownership/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -45,7 +45,7 @@
 mod steward;
 mod voter;
 
-pub use brackenledge_membership::Process;
+pub use brackenledge_membership::ProcessId;
 pub use duties::{Fence, Known};
 pub use living::Living;
 pub use message::{Deed, MESSAGE_MOST, Message};
@@ -104,7 +104,7 @@
     /// Its place.
     pub epoch: Epoch,
     /// In order of their numbers.
-    pub voters: Vec<Process>,
+    pub voters: Vec<ProcessId>,
 }
 
 /// Times and sizes.
@@ -160,7 +160,7 @@
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Order {
+pub enum Command {
     /// A message for the scheduler of this number; `None`: for all others.
     Send(Option<u16>, Message),
     /// We own a duty from now on, or do no longer.
@@ -175,19 +175,19 @@
     /// The view held, and how long ago its steward was heard.
     pub view: Option<(View, Micros)>,
     /// The steward, as heard last.
-    pub steward: Option<Process>,
+    pub steward: Option<ProcessId>,
     /// Our own lease as a steward, as far as it lasts.
     pub lease_left: Option<Micros>,
     /// Members by the steward's roll, and its term.
     pub roll: (Term, BTreeMap<u16, u64>),
     /// Duties: the term, the owner, and what is left of the lease if it is ours.
-    pub duties: BTreeMap<Duty, (Term, Process, Option<Micros>)>,
+    pub duties: BTreeMap<Duty, (Term, ProcessId, Option<Micros>)>,
 }
 
 /// One process's part in the tier.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Ownership {
-    me: Process,
+    me: ProcessId,
     settings: Settings,
     /// Unix seconds when we started, for the era of a tier that begins.
     unix: u32,
@@ -200,7 +200,7 @@
     /// Views up to this one were given up: we don't vote in them any more.
     given_up: Epoch,
     heard_at: Micros,
-    steward: Option<(Process, Round)>,
+    steward: Option<(ProcessId, Round)>,
     voter: Voter,
     stewardship: Steward,
     duties: Duties,
@@ -210,14 +210,14 @@
     stay: Micros,
     stay_asked: Micros,
     leaving: bool,
-    orders: VecDeque<Order>,
+    commands: VecDeque<Command>,
     /// Messages of other epochs, rounds or senders than could be: counted, and dropped.
     pub dropped: u64,
 }
 
 impl Ownership {
     /// A process that has just started and remembers nothing.
-    pub fn new(now: Micros, me: Process, unix: u32, settings: Settings) -> Ownership {
+    pub fn new(now: Micros, me: ProcessId, unix: u32, settings: Settings) -> Ownership {
         Ownership {
             me,
             settings,
@@ -237,13 +237,13 @@
             stay: 0,
             stay_asked: 0,
             leaving: false,
-            orders: VecDeque::new(),
+            commands: VecDeque::new(),
             dropped: 0,
         }
     }
 
     /// The same in a view that others are in too; for models and tests, which then need no beginning.
-    pub fn begun(now: Micros, me: Process, settings: Settings, view: View) -> Ownership {
+    pub fn begun(now: Micros, me: ProcessId, settings: Settings, view: View) -> Ownership {
         let mut one = Ownership::new(now, me, 1, settings);
         one.seen = view.epoch;
         one.view = view;
@@ -261,14 +261,14 @@
     }
 
     /// Who we are.
-    pub fn me(&self) -> Process {
+    pub fn me(&self) -> ProcessId {
         self.me
     }
 
     /// Membership says who is alive.
-    pub fn alive(&mut self, members: impl IntoIterator<Item = Process>) {
-        self.alive = members.into_iter().map(|process| (process.ordinal, process.boot)).collect();
-        self.alive.insert(self.me.ordinal, self.me.boot);
+    pub fn alive(&mut self, members: impl IntoIterator<Item = ProcessId>) {
+        self.alive = members.into_iter().map(|process| (process.ordinal, process.incarnation)).collect();
+        self.alive.insert(self.me.ordinal, self.me.incarnation);
     }
 
     /// The term under which we own a duty at this moment, if we do. To be asked before each deed.
@@ -295,7 +295,7 @@
     /// How many members the roll has, if we are one of them and its steward was heard lately.
     pub fn on_roll(&self, now: Micros) -> Option<usize> {
         let heard = now < self.heard_at + self.settings.wait || self.is_steward(now);
-        let ours = self.roll.1.get(&self.me.ordinal) == Some(&self.me.boot);
+        let ours = self.roll.1.get(&self.me.ordinal) == Some(&self.me.incarnation);
         (heard && ours && !self.void()).then_some(self.roll.1.len())
     }
 
@@ -321,25 +321,25 @@
     }
 
     /// What is to be done next.
-    pub fn next_order(&mut self) -> Option<Order> {
-        self.orders.pop_front()
+    pub fn poll_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
     }
 
-    fn send(&mut self, to: Process, message: Message) {
+    fn send(&mut self, to: ProcessId, message: Message) {
         if to == self.me {
             // Never queued: what we tell ourselves is heard in the same step.
             debug_assert!(false, "told ourselves {message:?}");
             return;
         }
-        self.orders.push_back(Order::Send(Some(to.ordinal), message));
+        self.commands.push_back(Command::Send(Some(to.ordinal), message));
     }
 
     fn tell_all(&mut self, message: Message) {
-        self.orders.push_back(Order::Send(None, message));
+        self.commands.push_back(Command::Send(None, message));
     }
 
     fn log(&mut self, text: String) {
-        self.orders.push_back(Order::Log(text));
+        self.commands.push_back(Command::Log(text));
     }
 
     fn void(&self) -> bool {
@@ -347,7 +347,7 @@
     }
 
     /// Whether a process is a voter of the view.
-    fn votes(&self, who: Process) -> bool {
+    fn votes(&self, who: ProcessId) -> bool {
         if self.void() { who.ordinal < self.settings.seats } else { self.view.voters.contains(&who) }
     }
 
@@ -364,8 +364,8 @@
         before as u64
     }
 
-    /// When [`Ownership::on_time`] is to be called next.
-    pub fn next_time(&self, now: Micros) -> Micros {
+    /// When [`Ownership::handle_timeout`] is to be called next.
+    pub fn next_timeout(&self, now: Micros) -> Micros {
         let own =
             [self.hello_at, self.stewardship.next(), self.duties.next(), self.heard_at + self.settings.dead];
         own.into_iter()
@@ -376,7 +376,7 @@
     }
 
     /// Does what is due.
-    pub fn on_time(&mut self, now: Micros) {
+    pub fn handle_timeout(&mut self, now: Micros) {
         if self.leaving {
             return;
         }
@@ -396,7 +396,8 @@
         if self.void() || now < self.heard_at + self.settings.dead || self.stewardship.lease(now).is_some() {
             return;
         }
-        let living = self.view.voters.iter().filter(|v| self.alive.get(&v.ordinal) == Some(&v.boot)).count();
+        let living =
+            self.view.voters.iter().filter(|v| self.alive.get(&v.ordinal) == Some(&v.incarnation)).count();
         if living >= self.quorum() {
             return;
         }
@@ -417,7 +418,7 @@
     }
 
     /// Somebody is in a later view.
-    fn follow(&mut self, now: Micros, view: View, steward: Option<Process>) {
+    fn follow(&mut self, now: Micros, view: View, steward: Option<ProcessId>) {
         if view.epoch <= self.view.epoch || view.epoch <= self.given_up {
             return;
         }
@@ -432,7 +433,7 @@
     }
 
     /// Takes a message in. `from` is the number of the scheduler whose address it came from.
-    pub fn hear(&mut self, now: Micros, from: u16, message: Message) {
+    pub fn handle_message(&mut self, now: Micros, from: u16, message: Message) {
         // Who goes does nothing more for the others, but may still be on the roll and must know which one.
         let rolls = matches!(message, Message::News { .. } | Message::Roll { .. });
         if self.leaving && !(rolls && self.settings.stay > 0) {
@@ -511,7 +512,7 @@
     }
 
     /// Whether we vote in the view that somebody asks about; who is behind is told ours.
-    fn same_view(&mut self, now: Micros, from: Process, epoch: Epoch) -> bool {
+    fn same_view(&mut self, now: Micros, from: ProcessId, epoch: Epoch) -> bool {
         if epoch < self.view.epoch {
             self.tell_view(from);
             return false;
@@ -526,7 +527,7 @@
         ready && self.votes(self.me) && self.votes(from)
     }
 
-    fn tell_view(&mut self, to: Process) {
+    fn tell_view(&mut self, to: ProcessId) {
         let (steward, round) = match self.steward {
             Some((steward, round)) => (Some(steward), round),
             None => (None, Round::default()),
@@ -552,7 +553,7 @@
             if let Some((steward, _)) = self.steward.filter(|steward| steward.0 != self.me) {
                 self.send(steward, Message::Return { from: self.me, duty, term });
             }
-            self.orders.push_back(Order::Owns(duty, None));
+            self.commands.push_back(Command::Owns(duty, None));
         }
         if let Some(round) = self.stewardship.resign(now) {
             let epoch = self.view.epoch;
@@ -564,6 +565,6 @@
 }
 
 /// Processes by number, for the log.
-fn names(processes: &[Process]) -> String {
+fn names(processes: &[ProcessId]) -> String {
     processes.iter().map(|process| process.ordinal.to_string()).collect::<Vec<_>>().join(",")
 }
--- a/crates/ownership/tests/model.rs
+++ b/crates/leases/tests/model.rs
@@ -3,7 +3,7 @@
 //! looked at (default: what CI has time for).
 #![allow(missing_docs)]
 
-use brackenledge_ownership::{Epoch, Fence, Message, Order, Ownership, Process, Settings, Term, View};
+use brackenledge_leases::{Command, Epoch, Fence, Message, Ownership, ProcessId, Settings, Term, View};
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::BTreeMap;
 
@@ -49,7 +49,7 @@
     checked: Vec<Option<Term>>,
     /// Receivers, one for each node, and what they accepted last.
     fences: Vec<Fence>,
-    accepted: Vec<Vec<(Term, Process)>>,
+    accepted: Vec<Vec<(Term, ProcessId)>>,
     duplicates: u8,
     delays: u8,
     crashes: u8,
@@ -87,8 +87,8 @@
         }
     }
 
-    fn process(node: u16) -> Process {
-        Process { ordinal: node, boot: 1 }
+    fn process(node: u16) -> ProcessId {
+        ProcessId { ordinal: node, incarnation: 1 }
     }
 
     fn view(&self) -> View {
@@ -97,8 +97,8 @@
 
     /// Puts what a node has to say on its way.
     fn carry_out(&self, state: &mut State, node: u16) {
-        while let Some(order) = state.nodes[usize::from(node)].next_order() {
-            let Order::Send(to, message) = order else { continue };
+        while let Some(order) = state.nodes[usize::from(node)].poll_command() {
+            let Command::Send(to, message) = order else { continue };
             // Every message must survive its bytes.
             assert_eq!(Message::read(&message.write()).as_ref(), Some(&message));
             let all = (0..self.nodes).filter(|&other| other != node);
@@ -123,7 +123,7 @@
             }
         }
         let now = state.now;
-        state.nodes[usize::from(to)].hear(now, from, message);
+        state.nodes[usize::from(to)].handle_message(now, from, message);
         self.carry_out(state, to);
     }
 }
@@ -220,7 +220,7 @@
                 for node in 0..self.nodes {
                     if !state.paused[usize::from(node)] {
                         let now = state.now;
-                        state.nodes[usize::from(node)].on_time(now);
+                        state.nodes[usize::from(node)].handle_timeout(now);
                         self.carry_out(&mut state, node);
                     }
                 }
@@ -232,7 +232,7 @@
                 let mut again = if self.sabotage == Some(Sabotage::VotesAgain) {
                     Ownership::begun(state.now, Tier::process(node), settings, self.view())
                 } else {
-                    Ownership::new(state.now, Process { ordinal: node, boot: 2 }, 2, settings)
+                    Ownership::new(state.now, ProcessId { ordinal: node, incarnation: 2 }, 2, settings)
                 };
                 again.alive((0..self.nodes).map(Tier::process));
                 (state.nodes[at], state.checked[at]) = (again, None);
@@ -248,7 +248,7 @@
                 // What it had checked before may be done before it looks at the clock again.
                 if state.checked[usize::from(node)].is_none() {
                     let now = state.now;
-                    state.nodes[usize::from(node)].on_time(now);
+                    state.nodes[usize::from(node)].handle_timeout(now);
                     self.carry_out(&mut state, node);
                 }
             }
@@ -282,7 +282,7 @@
                 state.nodes.iter().filter(|node| node.is_steward(state.now)).count() <= 1
             }),
             Property::always("no two owners' deeds are accepted under one term", |_, state: &State| {
-                let mut owners: BTreeMap<Term, Process> = BTreeMap::new();
+                let mut owners: BTreeMap<Term, ProcessId> = BTreeMap::new();
                 state
                     .accepted
                     .iter()
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! SWIM with suspicion (A. Das, I. Gupta, A. Motivala, "SWIM: Scalable weakly-consistent infection-style process group
 //! membership protocol", 2002), by the crate `foca`; here are the identity of a process, the times by tier size, the
-//! count of what made no sense, and one door: [`Membership::hear`] and [`Membership::on_time`] in,
-//! [`Membership::next_order`] out. No I/O, no clock.
+//! count of what made no sense, and one door: [`Membership::handle_message`] and [`Membership::handle_timeout`] in,
+//! [`Membership::poll_command`] out. No I/O, no clock.
 //!
 //! **What it promises.** Never a panic on any bytes. No message over [`MESSAGE_MOST`]. A process is known by its number
 //! and its start: one that has restarted is another process, and the older one of two under one number is gone.
@@ -39,17 +39,17 @@
 
 /// A process: a scheduler's number, and when it started in Unix milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Process {
+pub struct ProcessId {
     /// Its number in the settings.
     pub ordinal: u16,
     /// Its start; a later one under the same number replaces it.
-    pub boot: u64,
+    pub incarnation: u64,
 }
 
 /// A process under the name by which it is known now: one that was given up by mistake takes the next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Known {
-    process: Process,
+    process: ProcessId,
     bump: u16,
 }
 
@@ -65,7 +65,7 @@
     }
 
     fn win_addr_conflict(&self, other: &Known) -> bool {
-        (self.process.boot, self.bump) > (other.process.boot, other.bump)
+        (self.process.incarnation, self.bump) > (other.process.incarnation, other.bump)
     }
 }
 
@@ -82,7 +82,7 @@
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Order {
+pub enum Command {
     /// A message for the scheduler of this number.
     Send {
         /// To whom.
@@ -91,9 +91,9 @@
         bytes: Vec<u8>,
     },
     /// A process is there.
-    Up(Process),
+    Up(ProcessId),
     /// A process is gone, or has left.
-    Down(Process),
+    Down(ProcessId),
     /// Another process of our own number is newer: this one is to give up what it holds.
     Replaced,
 }
@@ -118,7 +118,7 @@
 impl Times {
     /// For a tier of so many. What is suspected must hear of it and its answer must come round before it is given up:
     /// both travel by gossip, in rounds that grow with the logarithm of the number; at 30% loss a round reaches half
-    /// as many. Figures: docs/measurements/ownership.md.
+    /// as many. Figures: docs/measurements/leases.md.
     pub fn for_tier(schedulers: usize) -> Times {
         let rounds = (schedulers.max(2) as f64).log2();
         Times {
@@ -204,13 +204,13 @@
     runtime: AccumulatingRuntime<Known>,
     timers: BinaryHeap<Reverse<Due>>,
     serial: u64,
-    orders: VecDeque<Order>,
-    me: Process,
+    commands: VecDeque<Command>,
+    me: ProcessId,
     seeds: Vec<u16>,
     next_seed: usize,
     announce_at: Millis,
     /// Those told to be up.
-    up: BTreeSet<Process>,
+    up: BTreeSet<ProcessId>,
     alone: bool,
     left: bool,
     replaced: bool,
@@ -225,16 +225,16 @@
 
 impl Membership {
     /// A process that has just started and knows nobody. `seeds`: the numbers of others, asked in turn.
-    pub fn new(now: Millis, me: Process, seeds: Vec<u16>, times: &Times, seed: u64) -> Membership {
+    pub fn new(now: Millis, me: ProcessId, seeds: Vec<u16>, times: &Times, seed: u64) -> Membership {
         let schedulers = seeds.len() + 1;
-        let rng = ChaCha8Rng::seed_from_u64(seed ^ me.boot);
+        let rng = ChaCha8Rng::seed_from_u64(seed ^ me.incarnation);
         let known = Known { process: me, bump: 0 };
         Membership {
             foca: Foca::new(known, config(times, schedulers), rng, foca::PostcardCodec),
             runtime: AccumulatingRuntime::new(),
             timers: BinaryHeap::new(),
             serial: 0,
-            orders: VecDeque::new(),
+            commands: VecDeque::new(),
             me,
             // Not all the same one first.
             next_seed: usize::from(me.ordinal) % schedulers.max(2),
@@ -249,7 +249,7 @@
     }
 
     /// Who we are.
-    pub fn me(&self) -> Process {
+    pub fn me(&self) -> ProcessId {
         self.me
     }
 
@@ -259,7 +259,7 @@
     }
 
     /// All that are known, and what is believed of them; not ourselves.
-    pub fn others(&self) -> impl Iterator<Item = (Process, Standing)> {
+    pub fn others(&self) -> impl Iterator<Item = (ProcessId, Standing)> {
         self.foca.iter_membership_state().map(|member| {
             let standing = match member.state() {
                 State::Alive => Standing::Alive,
@@ -271,19 +271,19 @@
     }
 
     /// All that are not gone, ourselves included unless we have left.
-    pub fn alive(&self) -> impl Iterator<Item = Process> {
+    pub fn alive(&self) -> impl Iterator<Item = ProcessId> {
         let own = (!self.left).then_some(self.me);
         self.foca.iter_members().map(|member| member.id().process).chain(own)
     }
 
-    /// When [`Membership::on_time`] is to be called next.
-    pub fn next_time(&self) -> Millis {
+    /// When [`Membership::handle_timeout`] is to be called next.
+    pub fn next_timeout(&self) -> Millis {
         let asks = if self.left || self.seeds.is_empty() { f64::INFINITY } else { self.announce_at };
         self.timers.peek().map_or(asks, |due| due.0.at.min(asks))
     }
 
     /// Does what is due.
-    pub fn on_time(&mut self, now: Millis) {
+    pub fn handle_timeout(&mut self, now: Millis) {
         while let Some(Reverse(due)) = self.timers.peek()
             && due.at <= now
         {
@@ -299,7 +299,7 @@
             let missing = after.enumerate().find(|(_, seed)| !here.contains(seed));
             if let Some((passed, &ordinal)) = missing {
                 self.next_seed = (self.next_seed + passed + 1) % self.seeds.len();
-                let to = Known { process: Process { ordinal, boot: 0 }, bump: 0 };
+                let to = Known { process: ProcessId { ordinal, incarnation: 0 }, bump: 0 };
                 let _ = self.foca.announce(to, &mut self.runtime);
                 self.settle(now);
             }
@@ -307,14 +307,14 @@
     }
 
     /// Takes a message in; whether it made sense.
-    pub fn hear(&mut self, now: Millis, bytes: &[u8]) -> bool {
+    pub fn handle_message(&mut self, now: Millis, bytes: &[u8]) -> bool {
         self.counts.heard += 1;
         if self.left {
             return true;
         }
         if !self.replaced && self.for_newer(bytes) {
             self.replaced = true;
-            self.orders.push_back(Order::Replaced);
+            self.commands.push_back(Command::Replaced);
         }
         let sense = match self.foca.handle_data(bytes, &mut self.runtime) {
             // A newer process of our number tells others, and they tell us; a message of our own is no news.
@@ -333,7 +333,7 @@
         header.is_some_and(|header| {
             let meant = header.dst.process;
             let call = header.message == foca::Message::Announce;
-            !call && meant.ordinal == self.me.ordinal && meant.boot > self.me.boot
+            !call && meant.ordinal == self.me.ordinal && meant.incarnation > self.me.incarnation
         })
     }
 
@@ -347,22 +347,22 @@
     }
 
     /// What is to be done next.
-    pub fn next_order(&mut self) -> Option<Order> {
-        self.orders.pop_front()
+    pub fn poll_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
     }
 
     /// Tells each change once, however many ways it is heard.
-    fn told(&mut self, process: Process, up: bool) {
+    fn told(&mut self, process: ProcessId, up: bool) {
         if up && self.up.insert(process) {
-            self.orders.push_back(Order::Up(process));
+            self.commands.push_back(Command::Up(process));
         } else if !up && self.up.remove(&process) {
-            self.orders.push_back(Order::Down(process));
+            self.commands.push_back(Command::Down(process));
         }
     }
 
     fn settle(&mut self, now: Millis) {
         while let Some((to, bytes)) = self.runtime.to_send() {
-            self.orders.push_back(Order::Send { to: to.process.ordinal, bytes: bytes.to_vec() });
+            self.commands.push_back(Command::Send { to: to.process.ordinal, bytes: bytes.to_vec() });
         }
         while let Some((after, timer)) = self.runtime.to_schedule() {
             self.serial += 1;
--- a/crates/membership/tests/tier.rs
+++ b/crates/membership/tests/tier.rs
@@ -1,7 +1,7 @@
 //! Whole tiers on a virtual clock over a lossy network.
 #![allow(missing_docs)]
 
-use brackenledge_membership::{MESSAGE_MOST, Membership, Millis, Order, Process, Standing, Times};
+use brackenledge_membership::{Command, MESSAGE_MOST, Membership, Millis, ProcessId, Standing, Times};
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -16,12 +16,12 @@
     /// Pairs (from, to) that hear nothing.
     cut: BTreeSet<(usize, usize)>,
     rng: ChaCha8Rng,
-    downs: Vec<(Millis, usize, Process)>,
+    downs: Vec<(Millis, usize, ProcessId)>,
     replaced: Vec<usize>,
 }
 
-fn process(ordinal: usize, boot: u64) -> Process {
-    Process { ordinal: ordinal as u16, boot }
+fn process(ordinal: usize, incarnation: u64) -> ProcessId {
+    ProcessId { ordinal: ordinal as u16, incarnation }
 }
 
 impl Tier {
@@ -42,17 +42,17 @@
         tier
     }
 
-    fn start(&mut self, at: usize, boot: u64) {
+    fn start(&mut self, at: usize, incarnation: u64) {
         let number = self.members.len();
         let seeds = (0..number).filter(|&other| other != at).map(|other| other as u16).collect();
         let times = Times::for_tier(number);
-        self.members[at] = Some(Membership::new(self.now, process(at, boot), seeds, &times, 7));
+        self.members[at] = Some(Membership::new(self.now, process(at, incarnation), seeds, &times, 7));
     }
 
     fn carry_out(&mut self, at: usize) {
-        while let Some(order) = self.members[at].as_mut().and_then(Membership::next_order) {
+        while let Some(order) = self.members[at].as_mut().and_then(Membership::poll_command) {
             match order {
-                Order::Send { to, bytes } => {
+                Command::Send { to, bytes } => {
                     assert!(bytes.len() <= MESSAGE_MOST, "{} bytes", bytes.len());
                     let cut = self.cut.contains(&(at, usize::from(to)));
                     if !cut && self.rng.random::<f64>() >= self.loss {
@@ -60,16 +60,16 @@
                         self.way.push((due, at, to, bytes));
                     }
                 }
-                Order::Down(process) => self.downs.push((self.now, at, process)),
-                Order::Replaced => self.replaced.push(at),
-                Order::Up(_) => {}
+                Command::Down(process) => self.downs.push((self.now, at, process)),
+                Command::Replaced => self.replaced.push(at),
+                Command::Up(_) => {}
             }
         }
     }
 
     fn play(&mut self, until: Millis) {
         loop {
-            let timers = self.members.iter().flatten().map(Membership::next_time);
+            let timers = self.members.iter().flatten().map(Membership::next_timeout);
             let messages = self.way.iter().map(|message| message.0);
             let next = timers.chain(messages).fold(f64::INFINITY, f64::min);
             if next > until {
@@ -83,13 +83,13 @@
             for (_, _, to, bytes) in due {
                 let to = usize::from(to);
                 if let Some(member) = &mut self.members[to] {
-                    assert!(member.hear(self.now, &bytes));
+                    assert!(member.handle_message(self.now, &bytes));
                     self.carry_out(to);
                 }
             }
             for at in 0..self.members.len() {
                 if let Some(member) = &mut self.members[at] {
-                    member.on_time(self.now);
+                    member.handle_timeout(self.now);
                     self.carry_out(at);
                 }
             }
@@ -128,7 +128,7 @@
     tier.start(1, 6_000);
     tier.play(10_000.0);
     for at in [0, 2, 3, 4] {
-        let seen: Vec<Process> = tier.members[at].iter().flat_map(Membership::alive).collect();
+        let seen: Vec<ProcessId> = tier.members[at].iter().flat_map(Membership::alive).collect();
         assert!(seen.contains(&process(1, 6_000)) && !seen.contains(&process(1, 1_000)), "{at}: {seen:?}");
     }
     assert!(
@@ -175,7 +175,7 @@
     assert!(tier.replaced.contains(&5), "the older one is told");
     tier.members[5] = newer;
     tier.play(80_000.0);
-    let seen: Vec<Process> = tier.members[0].iter().flat_map(Membership::alive).collect();
+    let seen: Vec<ProcessId> = tier.members[0].iter().flat_map(Membership::alive).collect();
     assert!(seen.contains(&process(5, 99_000)) && !seen.contains(&process(5, 1_000)), "{seen:?}");
 }
 
@@ -206,7 +206,7 @@
         tier.play(500.0);
         let mut member = tier.members[0].take().expect("a member");
         for text in texts {
-            member.hear(600.0, &text);
+            member.handle_message(600.0, &text);
         }
         // Real messages with some bits turned over.
         tier.play(1_200.0);
@@ -216,10 +216,10 @@
                 let at = at % bytes.len();
                 bytes[at] ^= bits;
             }
-            member.hear(1_300.0, &bytes);
+            member.handle_message(1_300.0, &bytes);
         }
-        member.on_time(10_000.0);
+        member.handle_timeout(10_000.0);
         prop_assert!(member.counts().nonsense <= member.counts().heard);
-        while member.next_order().is_some() {}
+        while member.poll_command().is_some() {}
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -1,18 +1,18 @@
-//! `brackenledge-lab`: plays experiments on whole fleets of schedulers on a virtual clock, and scenarios on a tier of
+//! `brackenledge-simulator`: plays experiments on whole fleets of schedulers on a virtual clock, and scenarios on a tier of
 //! processes on loopback.
 
 mod flows;
 mod members;
 mod tier;
 
-use brackenledge_lab::{Experiment, Window, run};
+use brackenledge_simulator::{Experiment, Window, run};
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Plays whole fleets of schedulers on a virtual clock, with the scheduler's own decisions.
 ///
-/// An experiment is a TOML file; experiments/ has examples, docs/lab.md every key. Equal files and seeds give equal runs.
+/// An experiment is a TOML file; experiments/ has examples, docs/simulator.md every key. Equal files and seeds give equal runs.
 #[derive(Parser)]
 #[command(version)]
 struct Arguments {
@@ -35,7 +35,7 @@
         json: bool,
     },
     /// Plays scenarios on real processes of the scheduler, with faults on every link, and judges what came of it.
-    /// Exits with 2 if a scenario fell short of its file. docs/rig.md has every key.
+    /// Exits with 2 if a scenario fell short of its file. docs/test-cluster.md has every key.
     Tier(tier::Options),
     /// Plays membership in tiers of several sizes under loss: how soon a death is noticed, how often it is wrong, and
     /// what it costs.
@@ -121,7 +121,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(2),
         Err(error) => {
-            eprintln!("brackenledge-lab: {error}");
+            eprintln!("brackenledge-simulator: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/lab/src/members.rs
+++ b/crates/simulator/src/members.rs
@@ -1,7 +1,7 @@
-//! `brackenledge-lab members`: tiers of any size on a virtual clock, to see how soon membership notices a death, how
+//! `brackenledge-simulator members`: tiers of any size on a virtual clock, to see how soon membership notices a death, how
 //! often it is wrong, and what it costs.
 
-use brackenledge_membership::{Membership, Millis, Order, Process, Times};
+use brackenledge_membership::{Command, Membership, Millis, ProcessId, Times};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -80,8 +80,8 @@
     members: Vec<Option<Membership>>,
     armed: Vec<u64>,
     /// The dead, when they died, and who has noticed.
-    dead: BTreeMap<Process, (Millis, usize)>,
-    wrong: BTreeMap<Process, Millis>,
+    dead: BTreeMap<ProcessId, (Millis, usize)>,
+    wrong: BTreeMap<ProcessId, Millis>,
     figures: Figures,
 }
 
@@ -95,14 +95,14 @@
     fn start(&mut self, at: usize) {
         let number = self.members.len();
         let seeds = (0..number).filter(|&other| other != at).map(|other| other as u16).collect();
-        let me = Process { ordinal: at as u16, boot: 1 + self.now as u64 };
+        let me = ProcessId { ordinal: at as u16, incarnation: 1 + self.now as u64 };
         let times = Times::for_tier(number);
         self.members[at] = Some(Membership::new(self.now, me, seeds, &times, self.serial));
         self.arm(at);
     }
 
     fn arm(&mut self, at: usize) {
-        let Some(next) = self.members[at].as_ref().map(Membership::next_time) else { return };
+        let Some(next) = self.members[at].as_ref().map(Membership::next_timeout) else { return };
         if next.is_finite() {
             self.armed[at] += 1;
             let armed = self.armed[at];
@@ -112,9 +112,9 @@
 
     fn carry_out(&mut self, at: usize) {
         let counts = self.now >= SETTLING;
-        while let Some(order) = self.members[at].as_mut().and_then(Membership::next_order) {
+        while let Some(order) = self.members[at].as_mut().and_then(Membership::poll_command) {
             match order {
-                Order::Send { to, bytes } => {
+                Command::Send { to, bytes } => {
                     if counts {
                         self.figures.bytes += bytes.len() as u64;
                         self.figures.messages += 1;
@@ -125,7 +125,7 @@
                         self.push(self.now + way, Event::Message(usize::from(to), bytes));
                     }
                 }
-                Order::Down(process) if counts => {
+                Command::Down(process) if counts => {
                     let running = self.members[usize::from(process.ordinal)].as_ref();
                     if let Some((died, noticed)) = self.dead.get_mut(&process) {
                         *noticed += 1;
@@ -173,13 +173,13 @@
                 if world.armed[at] == armed
                     && let Some(member) = &mut world.members[at]
                 {
-                    member.on_time(world.now);
+                    member.handle_timeout(world.now);
                     world.carry_out(at);
                 }
             }
             Event::Message(to, bytes) => {
                 if let Some(member) = &mut world.members[to] {
-                    member.hear(world.now, &bytes);
+                    member.handle_message(world.now, &bytes);
                     world.carry_out(to);
                 }
             }
