Pin the program's commands and the admin endpoint's lines; zones is zones again

Cause: the rename of the driver's types also renamed the subcommand zones of the command line (seen on reading the change), and no test noticed.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -28,7 +28,7 @@
     /// Ask a running scheduler who owns which duty on behalf of the tier
     Duties(Question),
     /// Ask a running scheduler where each zone's work goes
-    ZoneRouting(Question),
+    Zones(Question),
     /// Print the version
     Version,
 }
@@ -152,7 +152,7 @@
         }
         Command::Members(question) => ask("MEMBERS", &question),
         Command::Duties(question) => ask("DUTIES", &question),
-        Command::ZoneRouting(question) => ask("ZONES", &question),
+        Command::Zones(question) => ask("ZONES", &question),
         Command::Version => {
             println!("brackenledge {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/daemon/src/net/job_failover/tests.rs
+++ b/crates/daemon/src/net/job_failover/tests.rs
@@ -64,3 +64,35 @@
     assert_eq!((read.slots, read.memory, read.is_retry), (1.0, 0.0, false));
     assert!(read.body.is_empty());
 }
+
+/// Operators' scripts read these figures: names and order stay.
+#[test]
+fn the_figures_have_these_names() {
+    let options = CoverOptions { on: true, covered: vec!["sale".into()], ..CoverOptions::default() };
+    let classes = [("view".to_owned(), Effect::Safe), ("sale".to_owned(), Effect::Unsafe)];
+    let me = ProcessId { ordinal: 0, incarnation: 1 };
+    let failover = JobFailover::new(&options, me, 0, &classes);
+    let lines = failover.lines(&["view".to_owned(), "sale".to_owned()]);
+    assert_eq!(
+        lines,
+        [
+            "handover.held.sale=0",
+            "handover.waited_for.sale=0",
+            "handover.kept_open.sale=0",
+            "handover.kept_ended.sale=0",
+            "handover.settled=0",
+            "handover.bytes=0",
+            "handover.bytes_unsaid=0",
+            "handover.adopted=0",
+            "handover.adopted_at_risk=0",
+            "handover.joined=0",
+            "handover.from_record=0",
+            "handover.refused=0",
+            "handover.uncovered=0",
+            "handover.lost=0",
+            "handover.yielded=0",
+            "handover.stale=0",
+            "handover.nonsense=0",
+        ]
+    );
+}
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -226,3 +226,14 @@
     assert!(!output.status.success(), "{message}");
     assert!(message.contains("tier.state_dir: ") && message.contains("tier-0.json: "), "{message}");
 }
+
+/// The operators' scripts call these: they keep their names whatever the code calls them.
+#[test]
+fn the_programs_commands_keep_their_names() {
+    let help = stage::run(&["--help"], None);
+    let text = String::from_utf8_lossy(&help.stdout).into_owned();
+    let commands =
+        text.split("Commands:").nth(1).and_then(|rest| rest.split("Options:").next()).unwrap_or("");
+    let names: Vec<&str> = commands.lines().filter_map(|line| line.split_whitespace().next()).collect();
+    assert_eq!(names, ["serve", "check", "members", "duties", "zones", "version", "help"]);
+}
