zone-routing: standard terms, one job per file, typed decode errors

The operators' engineers know locality-aware routing by Envoy's and raft's words, not by ours.

Load reports, routes, plan versions, suspect routes, the capacity model, water-filling and the change budget are now types of their own; the planner's function of 60 lines is five. Plan::decode and the driver's ZoneReport::decode say why bytes are no message. The driver is split into observations, the leader's part, the report message and the admin lines. Unit tests are in test files. Log events have names: zone_plan_made, zone_routing_source_changed.

--- a/crates/daemon/src/net/backend.rs
+++ b/crates/daemon/src/net/backend.rs
@@ -125,7 +125,7 @@
     fn tell_zones(&self, outcome: Outcome, report: Option<LoadReport>, cx: &mut Context) {
         let zone = cx.roster.zone(self.server);
         if let Some(zones) = cx.zones {
-            zones.ended(self.server, zone, outcome, report);
+            zones.on_attempt_finished(self.server, zone, outcome, report);
         }
     }
 
@@ -185,7 +185,7 @@
                 self.task = None;
                 cx.roster.server_says(cx.now, self.server, ServerWord::Served);
                 if let Some(zones) = cx.zones {
-                    zones.ran(cx.now - self.started);
+                    zones.on_job_served(cx.now - self.started);
                 }
                 self.tell_zones(Outcome::Ok, report, cx);
                 cx.core.dispatch_served(id, result, report);
@@ -361,7 +361,7 @@
         }
         let zone = cx.roster.zone(server);
         if let Some(zones) = cx.zones {
-            zones.sent(zone);
+            zones.on_attempt_started(zone);
         }
         let task = Task::Dispatch { id, request, times };
         match self.carry(task, server, cx) {
--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -67,7 +67,7 @@
             Call::Members => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.members())),
             Call::Duties => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.duties())),
             Call::Zones => match &mut *cx.zones {
-                Some(zones) => whole(zones.lines(cx.now)),
+                Some(zones) => whole(zones.status_lines(cx.now)),
                 None => "error zones are off: set zones.on in the operators' file\n".into(),
             },
             Call::LameDuck => format!("done {}\n", cx.drain.lame_duck(cx.now).words()),
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -259,7 +259,7 @@
         let zones = (cluster.as_ref().filter(|_| operations.zones.on))
             .map(|_| ZoneRouting::new(&operations.zones, document.zone_names(), &settings));
         if zones.is_some() {
-            event_loop.set_alarm(event_loop.now() + zone_routing::LOOK, Alarm::ZoneRouting);
+            event_loop.set_alarm(event_loop.now() + zone_routing::TICK_INTERVAL, Alarm::ZoneRouting);
         }
         let (mut job_failover, mut links) = (None, None);
         if let Some(cluster) = cluster.as_ref().filter(|_| operations.cover.on) {
@@ -453,7 +453,7 @@
                     {
                         cx.core.zones(prices);
                     }
-                    cx.event_loop.set_alarm(cx.now + zone_routing::LOOK, Alarm::ZoneRouting);
+                    cx.event_loop.set_alarm(cx.now + zone_routing::TICK_INTERVAL, Alarm::ZoneRouting);
                 }
             }
             Alarm::JobFailover => {
--- a/crates/daemon/src/net/peer.rs
+++ b/crates/daemon/src/net/peer.rs
@@ -78,8 +78,8 @@
                 // Sums told under a term that holds, or what is the tier's own.
                 match (heard, &mut *cx.zones) {
                     (Heard::Sums(text), _) => cx.core.message(from as u32, text),
-                    (Heard::Plan(bytes), Some(zones)) => zones.hear_plan(cx.now, &bytes),
-                    (Heard::Seen(bytes), Some(zones)) => zones.hear_report(cx.now, from as u16, &bytes),
+                    (Heard::Plan(bytes), Some(zones)) => zones.handle_plan(cx.now, &bytes),
+                    (Heard::Seen(bytes), Some(zones)) => zones.handle_report(cx.now, from as u16, &bytes),
                     _ => {}
                 }
                 continue;
--- /dev/null
+++ b/crates/daemon/src/net/zone_routing/observations.rs
@@ -0,0 +1,143 @@
+//! What this scheduler observes of zones between two reports.
+
+use crate::net::event_loop::Millis;
+use brackenledge_discovery::{Listed, Roster};
+use brackenledge_policy::{LoadReport, Outcome, Readiness, WorkerId};
+use brackenledge_zone_routing::{RouteStats, SchedulerZoneReport};
+use std::collections::HashMap;
+
+/// Smoothing of the offered load over reports: a second of one scheduler's traffic is a few dozen jobs, and its chance
+/// must not move other zones' work.
+const OFFERED_SMOOTHING: f64 = 0.25;
+/// Smoothing of the run time over jobs.
+const RUN_TIME_SMOOTHING: f64 = 0.05;
+/// Smoothing of a worker's slots over its load reports.
+const SLOTS_SMOOTHING: f64 = 0.2;
+
+/// Routes, load and workers as one scheduler observes them.
+pub(super) struct Observations {
+    /// The share of its slots that a worker has when it starts, and how long it takes to have all.
+    cold_share: f64,
+    warm_within: Millis,
+    routes: Vec<RouteStats>,
+    interval_start: Millis,
+    /// Slots of all jobs that had arrived at the start of the interval.
+    arrived_slots: f64,
+    /// Slots that the work of this scheduler's clients needs, in hundredths, smoothed.
+    offered_centislots: Option<f64>,
+    /// How long a job runs, smoothed.
+    run_time: Option<Millis>,
+    /// Slots of each worker that has reported them.
+    worker_slots: HashMap<WorkerId, f64>,
+}
+
+impl Observations {
+    pub fn new(zone_count: usize, policy: &brackenledge_policy::Settings) -> Observations {
+        Observations {
+            cold_share: policy.cold_share,
+            warm_within: policy.warm_within,
+            routes: vec![RouteStats::default(); zone_count],
+            interval_start: 0.0,
+            arrived_slots: 0.0,
+            offered_centislots: None,
+            run_time: None,
+            worker_slots: HashMap::new(),
+        }
+    }
+
+    /// When the interval began that the next report is of.
+    pub fn interval_start(&self) -> Millis {
+        self.interval_start
+    }
+
+    pub fn on_attempt_finished(
+        &mut self,
+        worker: WorkerId,
+        zone: Option<u32>,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    ) {
+        if let Some(route) = zone.and_then(|zone| self.routes.get_mut(zone as usize)) {
+            match outcome {
+                Outcome::ConnectFailed | Outcome::Reset => route.failed += 1,
+                Outcome::Moot | Outcome::Cancelled => {}
+                _ => route.reached += 1,
+            }
+        }
+        if let Some((free, held)) = report.and_then(|report| Some((report.free_slots?, report.held?))) {
+            self.on_slots_reported(worker, free, held);
+        }
+    }
+
+    fn on_slots_reported(&mut self, worker: WorkerId, free: f64, held: f64) {
+        let slots = free + held;
+        if !slots.is_finite() {
+            return;
+        }
+        let known = self.worker_slots.entry(worker).or_insert(slots);
+        // A worker without a free slot also holds jobs that wait: then the sum says nothing of its slots.
+        if free >= 1.0 {
+            *known = (1.0 - SLOTS_SMOOTHING) * *known + SLOTS_SMOOTHING * slots;
+        }
+    }
+
+    pub fn on_job_served(&mut self, run_time: Millis) {
+        let smoothed = self.run_time.get_or_insert(run_time);
+        *smoothed += RUN_TIME_SMOOTHING * (run_time - *smoothed);
+    }
+
+    /// Ends the interval; its report, unless too little is known for one.
+    pub fn take_report(
+        &mut self,
+        now: Millis,
+        arrived_slots: f64,
+        roster: &Roster,
+    ) -> Option<SchedulerZoneReport> {
+        let interval = now - self.interval_start;
+        let is_first = self.interval_start == 0.0;
+        let arrived = arrived_slots - self.arrived_slots;
+        (self.interval_start, self.arrived_slots) = (now, arrived_slots);
+        let no_routes = vec![RouteStats::default(); self.routes.len()];
+        let mut routes = std::mem::replace(&mut self.routes, no_routes);
+        // Without any job's run time or any worker's slots the load can't be told in slots.
+        let run_time = self.run_time?;
+        if self.worker_slots.is_empty() || is_first {
+            return None;
+        }
+        for (route, slots) in routes.iter_mut().zip(self.ready_slots(now, roster)) {
+            route.ready_slots = slots.round() as u32;
+        }
+        let offered_centislots = self.smooth_offered(100.0 * arrived * run_time / interval.max(1.0));
+        Some(SchedulerZoneReport { offered_centislots, routes })
+    }
+
+    fn smooth_offered(&mut self, offered: f64) -> u32 {
+        let smoothed = match self.offered_centislots {
+            Some(smoothed) => smoothed + OFFERED_SMOOTHING * (offered - smoothed),
+            None => offered,
+        };
+        self.offered_centislots = Some(smoothed);
+        smoothed.round() as u32
+    }
+
+    /// Slots of the ready workers in each zone. A worker that has reported none counts with the mean.
+    fn ready_slots(&self, now: Millis, roster: &Roster) -> Vec<f64> {
+        let mean = self.worker_slots.values().sum::<f64>() / self.worker_slots.len() as f64;
+        let mut ready_slots = vec![0.0; self.routes.len()];
+        for (id, worker, readiness) in roster.servers() {
+            if readiness != Readiness::Ready {
+                continue;
+            }
+            if let Some(sum) = ready_slots.get_mut(worker.zone as usize) {
+                *sum += self.worker_slots.get(&id).copied().unwrap_or(mean) * self.warmth(now, worker);
+            }
+        }
+        ready_slots
+    }
+
+    /// The part of its slots that a worker has while it warms up.
+    fn warmth(&self, now: Millis, worker: &Listed) -> f64 {
+        let age = worker.launched.map_or(1.0, |launched| (now - launched) / self.warm_within.max(1.0));
+        self.cold_share + (1.0 - self.cold_share) * age.clamp(0.0, 1.0)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/net/zone_routing/plan_leader.rs
@@ -0,0 +1,87 @@
+//! The leader's part: sums up the schedulers' reports, plans, and decides when the plan is published.
+
+use super::report::ZoneReport;
+use crate::net::event_loop::Millis;
+use brackenledge_zone_routing::{
+    ClusterLoad, Plan, PlanFollower, Planner, PlannerTerm, Replan, Settings, ZoneLoadReport,
+};
+use std::collections::BTreeMap;
+
+/// How long a report counts that is not followed by another: a lost datagram must not look like a lost scheduler.
+const REPORT_TTL: Millis = 3_500.0;
+/// Between two publications of the same plan.
+const PUBLISH_INTERVAL: Millis = 500.0;
+
+/// A scheduler's newest report.
+struct ReceivedReport {
+    received_at: Millis,
+    report: ZoneReport,
+}
+
+/// Plans while this scheduler is the leader. Reports that arrive before its lease is held count once it is.
+#[derive(Default)]
+pub(super) struct PlanLeader {
+    /// By the scheduler's ordinal.
+    reports: BTreeMap<u16, ReceivedReport>,
+    planner: Option<Planner>,
+    published_at: Millis,
+}
+
+impl PlanLeader {
+    pub fn handle_report(&mut self, now: Millis, from: u16, report: ZoneReport) {
+        self.reports.insert(from, ReceivedReport { received_at: now, report });
+    }
+
+    /// The role lease is not held.
+    pub fn step_down(&mut self) {
+        self.planner = None;
+    }
+
+    /// The role lease is held under this term; a new planner goes on from the plan in effect.
+    pub fn ensure_planner(
+        &mut self,
+        now: Millis,
+        settings: &Settings,
+        term: PlannerTerm,
+        follower: &mut PlanFollower,
+    ) {
+        if self.planner.as_ref().is_none_or(|planner| planner.term() != term) {
+            let known_plan = follower.active_plan(now as u64).cloned();
+            self.planner = Some(Planner::new(now as u64, settings.clone(), term, known_plan));
+        }
+    }
+
+    /// A new plan, if there is reason for one.
+    pub fn replan(&mut self, now: Millis, zone_count: usize) -> Option<Replan> {
+        self.reports.retain(|_, report| now < report.received_at + REPORT_TTL);
+        let load = self.cluster_load(now, zone_count);
+        // Until a scheduler has reported there is nothing to plan by.
+        if self.reports.is_empty() { None } else { self.planner.as_mut()?.replan(now as u64, &load) }
+    }
+
+    fn cluster_load(&self, now: Millis, zone_count: usize) -> ClusterLoad {
+        let mut zones = vec![ZoneLoadReport::default(); zone_count];
+        for ReceivedReport { report, .. } in self.reports.values() {
+            zones[usize::from(report.zone)].add(&report.observed);
+        }
+        let mut load = ClusterLoad::new(zone_count);
+        for (zone, report) in zones.into_iter().enumerate().filter(|(_, report)| report.scheduler_count > 0) {
+            load.handle_report(now as u64, zone, report);
+        }
+        load
+    }
+
+    /// The plan in effect or about to be.
+    pub fn plan(&self) -> Option<&Plan> {
+        self.planner.as_ref()?.plan()
+    }
+
+    /// Whether the plan is to be published now; counts as published then.
+    pub fn is_publication_due(&mut self, now: Millis, is_new: bool) -> bool {
+        let is_due = is_new || now >= self.published_at + PUBLISH_INTERVAL;
+        if is_due {
+            self.published_at = now;
+        }
+        is_due
+    }
+}
--- a/crates/daemon/src/net/zone_routing/tests.rs
+++ b/crates/daemon/src/net/zone_routing/tests.rs
@@ -1,7 +1,8 @@
-//! The bytes of a scheduler's report of zones, pinned: the owner that it goes to may be of another build. The expected
+//! Pins the bytes of a zone report: the leader that it goes to may be of another build. The expected
 //! bytes were written by the build of commit 72e1d57.
 
 use super::*;
+use brackenledge_zone_routing::{RouteStats, SchedulerZoneReport};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -15,10 +16,13 @@
 #[test]
 fn a_report_has_these_bytes() {
     let bytes = "01b96002ac02290207f0a2048407";
-    let ways = vec![Way { slots: 300, came: 41, failed: 2 }, Way { slots: 7, came: 70_000, failed: 900 }];
-    let seen = Seen { offered: 12_345, ways };
-    let report = Report { zone: 1, seen: seen.clone() };
-    assert_eq!(hex(&postcard::to_allocvec(&report).expect("bytes")), bytes);
-    let read: Report = postcard::from_bytes(&unhex(bytes)).expect("a report");
-    assert_eq!((read.zone, read.seen), (1, seen));
+    let routes = vec![
+        RouteStats { ready_slots: 300, reached: 41, failed: 2 },
+        RouteStats { ready_slots: 7, reached: 70_000, failed: 900 },
+    ];
+    let observed = SchedulerZoneReport { offered_centislots: 12_345, routes };
+    let report = ZoneReport { zone: 1, observed: observed.clone() };
+    assert_eq!(hex(&report.encode()), bytes);
+    let read = ZoneReport::decode(&unhex(bytes), 2).expect("a report");
+    assert_eq!((read.zone, read.observed), (1, observed));
 }
--- a/crates/simulator/src/flows.rs
+++ b/crates/simulator/src/flows.rs
@@ -1,6 +1,6 @@
-//! `brackenledge-simulator zones`: ways to send work to other zones, swept over the load.
+//! `brackenledge-simulator zones`: strategies to route work to other zones, swept over the load.
 
-use brackenledge_simulator::zones::{Flows, Policy};
+use brackenledge_simulator::zones::{FlowScenario, Strategy};
 use plotters::prelude::*;
 use std::path::PathBuf;
 
@@ -14,29 +14,29 @@
     plot: Option<PathBuf>,
 }
 
-const HEAD: &str = "| load | way | served | crossed | worst zone | untouched zones | too much for 3 s | cold pushed over | plans |\n\
+const HEAD: &str = "| load | strategy | served | crossed | worst zone | untouched zones | cascades | severe overloads | plans |\n\
                     | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 
 pub fn run(options: &Options) -> Result<bool, String> {
     println!("{HEAD}");
-    let mut lines: Vec<(Policy, Vec<(f64, f64)>)> =
-        Policy::ALL.iter().map(|&policy| (policy, Vec::new())).collect();
+    let mut lines: Vec<(Strategy, Vec<(f64, f64)>)> =
+        Strategy::ALL.iter().map(|&strategy| (strategy, Vec::new())).collect();
     for &load in &options.load {
-        let flows = Flows::six_zones(f64::from(load) / 100.0);
-        for (policy, line) in &mut lines {
-            let seen = flows.play(*policy);
+        let scenario = FlowScenario::six_zones(f64::from(load) / 100.0);
+        for (strategy, line) in &mut lines {
+            let result = scenario.run(*strategy);
             println!(
                 "| {load}% | {} | {:.3} | {:.3} | {:.3} | {:.3} | {} | {} | {} |",
-                policy.name(),
-                seen.served,
-                seen.crossed,
-                seen.worst,
-                seen.untouched,
-                seen.cascades,
-                seen.pushed_over,
-                seen.plans
+                strategy.name(),
+                result.served,
+                result.crossed,
+                result.worst_zone,
+                result.untouched_zones,
+                result.cascades,
+                result.severe_overloads,
+                result.plans
             );
-            line.push((f64::from(load), seen.served));
+            line.push((f64::from(load), result.served));
         }
     }
     if let Some(path) = &options.plot {
@@ -45,7 +45,7 @@
     Ok(true)
 }
 
-fn plot(path: &PathBuf, lines: &[(Policy, Vec<(f64, f64)>)]) -> Result<(), Box<dyn std::error::Error>> {
+fn plot(path: &PathBuf, lines: &[(Strategy, Vec<(f64, f64)>)]) -> Result<(), Box<dyn std::error::Error>> {
     let all = || lines.iter().flat_map(|(_, line)| line);
     let bound = |of: fn(&(f64, f64)) -> f64, least: bool| {
         all()
@@ -61,11 +61,11 @@
         .y_label_area_size(48)
         .build_cartesian_2d(from..to, (bound(|p| p.1, true) - 0.02).max(0.0)..1.0)?;
     chart.configure_mesh().x_desc("load, % of what all can do").y_desc("part of the work served").draw()?;
-    for (at, (policy, line)) in lines.iter().enumerate() {
+    for (at, (strategy, line)) in lines.iter().enumerate() {
         let color = Palette99::pick(at).to_rgba();
         chart
             .draw_series(LineSeries::new(line.iter().copied(), color.stroke_width(2)))?
-            .label(policy.name())
+            .label(strategy.name())
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
     }
     chart.configure_series_labels().border_style(BLACK.mix(0.3)).background_style(WHITE).draw()?;
--- a/crates/zone-routing/src/plan.rs
+++ b/crates/zone-routing/src/plan.rs
@@ -1,150 +1,204 @@
-//! The plan, and its bytes.
+//! The plan, its version, and its encoding.
 
-use crate::{Millis, ZONES_MOST};
+use crate::{MAX_ZONES, Millis};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
-/// The longest plan in bytes: with an owner's head and the byte that says whose it is a datagram has 256.
-pub const PLAN_MOST: usize = 217;
+/// The longest encoded plan: a datagram has 256 bytes, of which the rest is for the fencing token and the kind.
+pub const MAX_PLAN_BYTES: usize = 217;
 
-/// Shares are told in so many parts.
-pub(crate) const PARTS: u8 = 200;
+/// Shares are encoded in units of 1/200.
+pub(crate) const SHARE_UNITS: u8 = 200;
 
-/// A plan's place in the order of all plans: the owner's term, as numbers in the order in which they count, then its own
-/// count.
+/// Shares of work by origin zone, then by target zone, each from 0 to 1.
+pub type ShareMatrix = Vec<Vec<f64>>;
+
+/// The term of the leader that plans. Ordered by its fields from first to last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Stamp {
-    /// Grows with each owner.
-    pub term: [u32; 5],
-    /// Grows with each plan of one owner.
-    pub count: u32,
+pub struct PlannerTerm {
+    /// The era of the view's epoch.
+    pub era: u32,
+    /// The number of the view's epoch.
+    pub epoch: u32,
+    /// The ballot under which the leader was elected.
+    pub ballot: u32,
+    /// The ordinal of the process that proposed that ballot.
+    pub proposer: u32,
+    /// Counts grants under that ballot.
+    pub step: u32,
+}
+
+impl From<[u32; 5]> for PlannerTerm {
+    fn from([era, epoch, ballot, proposer, step]: [u32; 5]) -> PlannerTerm {
+        PlannerTerm { era, epoch, ballot, proposer, step }
+    }
+}
+
+impl fmt::Display for PlannerTerm {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}.{}.{}", self.era, self.epoch, self.ballot, self.proposer, self.step)
+    }
 }
 
-/// Which part of each zone's work goes to which zone.
+/// A plan's place in the order of all plans: the leader's term, then the leader's own sequence number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PlanVersion {
+    /// Grows with each leader.
+    pub term: PlannerTerm,
+    /// Grows with each plan of one leader.
+    pub sequence: u32,
+}
+
+/// Which share of each zone's work goes to which zone.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Plan {
-    /// Its place among all plans.
-    pub stamp: Stamp,
-    /// From when it holds.
-    pub from: Millis,
-    zones: u8,
-    /// By origin, then by target, in parts of 200; what is missing to the whole is refused. Rows are packed.
-    parts: Vec<u8>,
+    /// Its place in the order of all plans.
+    pub version: PlanVersion,
+    /// The time that it takes effect.
+    pub active_from: Millis,
+    zone_count: u8,
+    /// In units of 1/200, row by row: by origin, then by target. What a row lacks to the whole is rejected.
+    share_units: Vec<u8>,
+}
+
+/// Why bytes are not a plan.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DecodePlanError {
+    /// More bytes than any plan has.
+    #[error("{length} bytes, at most {MAX_PLAN_BYTES} are a plan")]
+    TooLong {
+        /// How many there are.
+        length: usize,
+    },
+    /// The bytes end early or hold a number out of range.
+    #[error("malformed plan")]
+    Malformed(#[from] postcard::Error),
+    /// Bytes follow the plan.
+    #[error("{length} bytes after the plan")]
+    TrailingBytes {
+        /// How many.
+        length: usize,
+    },
+    /// No zones, or too many.
+    #[error("{zone_count} zones, a plan has 1 to {MAX_ZONES}")]
+    ZoneCount {
+        /// How many there are.
+        zone_count: usize,
+    },
+    /// The number of shares is not the number of zones squared.
+    #[error("{share_count} shares for {zone_count} zones")]
+    ShareCount {
+        /// How many shares there are.
+        share_count: usize,
+        /// How many zones there are.
+        zone_count: usize,
+    },
+    /// A zone's shares sum to more than one.
+    #[error("the shares of zone {origin} sum to more than one")]
+    ShareSum {
+        /// The zone whose work is shared out.
+        origin: usize,
+    },
 }
 
 impl Plan {
-    /// All work stays near.
-    pub fn near(zones: usize) -> Plan {
-        let zones = zones.min(ZONES_MOST);
-        let shares: Vec<Vec<f64>> =
-            (0..zones).map(|i| (0..zones).map(|j| f64::from(u8::from(i == j))).collect()).collect();
-        Plan::new(Stamp::default(), 0, &shares)
+    /// All work stays in its zone.
+    pub fn local_only(zone_count: usize) -> Plan {
+        let zone_count = zone_count.min(MAX_ZONES);
+        let shares: ShareMatrix = (0..zone_count).map(|origin| local_row(origin, zone_count)).collect();
+        Plan::new(PlanVersion::default(), 0, &shares)
     }
 
-    /// Of shares by origin and target; what they lack to one is refused.
-    pub fn new(stamp: Stamp, from: Millis, shares: &[Vec<f64>]) -> Plan {
-        let zones = shares.len().min(ZONES_MOST);
-        let parts = shares.iter().take(zones).flat_map(|row| rounded(row, zones)).collect();
-        Plan { stamp, from, zones: zones as u8, parts }
+    /// Of shares by origin and target; what a row lacks to one is rejected.
+    pub fn new(version: PlanVersion, active_from: Millis, shares: &[Vec<f64>]) -> Plan {
+        let zone_count = shares.len().min(MAX_ZONES);
+        let share_units =
+            shares.iter().take(zone_count).flat_map(|row| round_to_units(row, zone_count)).collect();
+        Plan { version, active_from, zone_count: zone_count as u8, share_units }
     }
 
     /// How many zones it is for.
-    pub fn zones(&self) -> usize {
-        usize::from(self.zones)
+    pub fn zone_count(&self) -> usize {
+        usize::from(self.zone_count)
     }
 
-    /// The part of a zone's work that goes to another.
+    /// The share of a zone's work that goes to another; 0 for a zone that is not in the plan.
     pub fn share(&self, origin: usize, target: usize) -> f64 {
-        let zones = self.zones();
-        if origin >= zones || target >= zones {
+        let zone_count = self.zone_count();
+        if origin >= zone_count || target >= zone_count {
             return 0.0;
         }
-        f64::from(self.parts[origin * zones + target]) / f64::from(PARTS)
+        f64::from(self.share_units[origin * zone_count + target]) / f64::from(SHARE_UNITS)
     }
 
-    /// The part of a zone's work that nobody has room for.
-    pub fn refused(&self, origin: usize) -> f64 {
-        1.0 - (0..self.zones()).map(|target| self.share(origin, target)).sum::<f64>()
+    /// The share of a zone's work that no zone has capacity for.
+    pub fn rejected_share(&self, origin: usize) -> f64 {
+        1.0 - (0..self.zone_count()).map(|target| self.share(origin, target)).sum::<f64>()
     }
 
-    /// Its bytes.
-    pub fn write(&self) -> Vec<u8> {
+    /// The plan as bytes, [`MAX_PLAN_BYTES`] at most.
+    pub fn encode(&self) -> Vec<u8> {
         postcard::to_allocvec(self).unwrap_or_default()
     }
 
-    /// A plan, if these bytes are one and nothing else.
-    pub fn read(bytes: &[u8]) -> Option<Plan> {
-        if bytes.len() > PLAN_MOST {
-            return None;
+    /// The plan that these bytes are, and nothing else.
+    pub fn decode(bytes: &[u8]) -> Result<Plan, DecodePlanError> {
+        if bytes.len() > MAX_PLAN_BYTES {
+            return Err(DecodePlanError::TooLong { length: bytes.len() });
+        }
+        let (plan, rest) = postcard::take_from_bytes::<Plan>(bytes)?;
+        if !rest.is_empty() {
+            return Err(DecodePlanError::TrailingBytes { length: rest.len() });
         }
-        let (plan, rest) = postcard::take_from_bytes::<Plan>(bytes).ok()?;
-        let zones = plan.zones();
-        let whole = |row: &[u8]| row.iter().map(|&part| u32::from(part)).sum::<u32>() <= u32::from(PARTS);
-        let sound = rest.is_empty()
-            && (1..=ZONES_MOST).contains(&zones)
-            && plan.parts.len() == zones * zones
-            && plan.parts.chunks(zones).all(whole);
-        sound.then_some(plan)
+        plan.validate()?;
+        Ok(plan)
     }
-}
 
-/// Shares in whole parts: what rounding leaves over goes where most was cut off, so that the sum is kept.
-fn rounded(row: &[f64], zones: usize) -> Vec<u8> {
-    let exact: Vec<f64> =
-        (0..zones).map(|at| row.get(at).copied().unwrap_or(0.0).clamp(0.0, 1.0) * f64::from(PARTS)).collect();
-    let mut parts: Vec<u8> = exact.iter().map(|part| part.floor() as u8).collect();
-    let sum = exact.iter().sum::<f64>().min(f64::from(PARTS)).round() as u32;
-    let mut order: Vec<usize> = (0..zones).collect();
-    order.sort_by(|&a, &b| {
-        (exact[b] - exact[b].floor()).total_cmp(&(exact[a] - exact[a].floor())).then(a.cmp(&b))
-    });
-    let mut left = sum.saturating_sub(parts.iter().map(|&part| u32::from(part)).sum());
-    for at in order {
-        if left > 0 && exact[at] > 0.0 {
-            parts[at] += 1;
-            left -= 1;
+    fn validate(&self) -> Result<(), DecodePlanError> {
+        let zone_count = self.zone_count();
+        if !(1..=MAX_ZONES).contains(&zone_count) {
+            return Err(DecodePlanError::ZoneCount { zone_count });
+        }
+        let share_count = self.share_units.len();
+        if share_count != zone_count * zone_count {
+            return Err(DecodePlanError::ShareCount { share_count, zone_count });
+        }
+        let exceeds_whole = |row: &[u8]| sum_of_units(row) > u32::from(SHARE_UNITS);
+        match self.share_units.chunks(zone_count).position(exceeds_whole) {
+            Some(origin) => Err(DecodePlanError::ShareSum { origin }),
+            None => Ok(()),
         }
     }
-    parts
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    proptest! {
-        #[test]
-        fn any_shares_come_back_within_a_part_and_fit_their_datagram(
-            zones in 1..=ZONES_MOST,
-            weights in proptest::collection::vec(0.0..1.0f64, ZONES_MOST * ZONES_MOST),
-            whole in proptest::collection::vec(0.0..=1.0f64, ZONES_MOST),
-        ) {
-            let shares: Vec<Vec<f64>> = (0..zones)
-                .map(|i| {
-                    let row = &weights[i * zones..(i + 1) * zones];
-                    let sum = row.iter().sum::<f64>().max(1e-9);
-                    row.iter().map(|weight| weight / sum * whole[i]).collect()
-                })
-                .collect();
-            let plan = Plan::new(Stamp { term: [u32::MAX; 5], count: u32::MAX }, u64::MAX, &shares);
-            let bytes = plan.write();
-            prop_assert!(bytes.len() <= PLAN_MOST, "{} bytes", bytes.len());
-            prop_assert_eq!(Plan::read(&bytes), Some(plan.clone()));
-            for (i, row) in shares.iter().enumerate() {
-                prop_assert!((plan.refused(i) - (1.0 - whole[i])).abs() <= 1.0 / f64::from(PARTS), "{:?}", row);
-                for (j, share) in row.iter().enumerate() {
-                    prop_assert!((plan.share(i, j) - share).abs() <= 1.0 / f64::from(PARTS));
-                }
-            }
-        }
+/// The shares of a zone whose work all stays there.
+pub(crate) fn local_row(origin: usize, zone_count: usize) -> Vec<f64> {
+    (0..zone_count).map(|target| f64::from(u8::from(origin == target))).collect()
+}
+
+fn sum_of_units(units: &[u8]) -> u32 {
+    units.iter().map(|&units| u32::from(units)).sum()
+}
 
-        #[test]
-        fn any_bytes_are_a_sound_plan_or_none(bytes in proptest::collection::vec(any::<u8>(), 0..260)) {
-            if let Some(plan) = Plan::read(&bytes) {
-                for i in 0..plan.zones() {
-                    prop_assert!((-1e-9..=1.0).contains(&plan.refused(i)));
-                }
-            }
+/// Shares in whole units, by the largest remainder method, so that the sum is kept.
+fn round_to_units(row: &[f64], zone_count: usize) -> Vec<u8> {
+    let exact: Vec<f64> = (0..zone_count)
+        .map(|target| row.get(target).copied().unwrap_or(0.0).clamp(0.0, 1.0) * f64::from(SHARE_UNITS))
+        .collect();
+    let mut units: Vec<u8> = exact.iter().map(|exact| exact.floor() as u8).collect();
+    let sum = exact.iter().sum::<f64>().min(f64::from(SHARE_UNITS)).round() as u32;
+    let remainder = |target: usize| exact[target] - exact[target].floor();
+    let mut by_remainder: Vec<usize> = (0..zone_count).collect();
+    by_remainder.sort_by(|&a, &b| remainder(b).total_cmp(&remainder(a)).then(a.cmp(&b)));
+    let mut left = sum.saturating_sub(sum_of_units(&units));
+    for target in by_remainder {
+        if left > 0 && exact[target] > 0.0 {
+            units[target] += 1;
+            left -= 1;
         }
     }
+    units
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/zone-routing/src/plan/tests.rs
@@ -0,0 +1,38 @@
+use super::*;
+use proptest::prelude::*;
+
+proptest! {
+    #[test]
+    fn any_shares_round_trip_within_one_unit_and_fit_a_datagram(
+        zones in 1..=MAX_ZONES,
+        weights in proptest::collection::vec(0.0..1.0f64, MAX_ZONES * MAX_ZONES),
+        whole in proptest::collection::vec(0.0..=1.0f64, MAX_ZONES),
+    ) {
+        let shares: Vec<Vec<f64>> = (0..zones)
+            .map(|i| {
+                let row = &weights[i * zones..(i + 1) * zones];
+                let sum = row.iter().sum::<f64>().max(1e-9);
+                row.iter().map(|weight| weight / sum * whole[i]).collect()
+            })
+            .collect();
+        let plan = Plan::new(PlanVersion { term: [u32::MAX; 5].into(), sequence: u32::MAX }, u64::MAX, &shares);
+        let bytes = plan.encode();
+        prop_assert!(bytes.len() <= MAX_PLAN_BYTES, "{} bytes", bytes.len());
+        prop_assert_eq!(Plan::decode(&bytes), Ok(plan.clone()));
+        for (i, row) in shares.iter().enumerate() {
+            prop_assert!((plan.rejected_share(i) - (1.0 - whole[i])).abs() <= 1.0 / f64::from(SHARE_UNITS), "{:?}", row);
+            for (j, share) in row.iter().enumerate() {
+                prop_assert!((plan.share(i, j) - share).abs() <= 1.0 / f64::from(SHARE_UNITS));
+            }
+        }
+    }
+
+    #[test]
+    fn any_bytes_decode_to_a_valid_plan_or_an_error(bytes in proptest::collection::vec(any::<u8>(), 0..260)) {
+        if let Ok(plan) = Plan::decode(&bytes) {
+            for i in 0..plan.zone_count() {
+                prop_assert!((-1e-9..=1.0).contains(&plan.rejected_share(i)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/zone-routing/src/suspect_routes.rs
@@ -0,0 +1,78 @@
+//! Routes between zones that have failed and were not yet seen to work again.
+
+use crate::{ClusterLoad, Millis, RouteStats, Settings};
+use std::collections::BTreeMap;
+
+/// A suspect route is trusted again once it has worked for so long.
+const RECOVERY_PERIOD: Millis = 2_000;
+/// A suspect route that is not used is trusted again after this: the planner sends no probes between zones, and by then
+/// the endpoint list shows what has changed.
+const SUSPICION_TTL: Millis = 30_000;
+/// Fewer attempts than this do not make a route suspect.
+const MIN_ATTEMPTS: u32 = 5;
+/// The part of failed attempts that makes a route suspect.
+const FAILURE_THRESHOLD: f64 = 0.5;
+
+/// The route from an origin zone to a target zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Route {
+    origin: usize,
+    target: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    failed_at: Millis,
+    /// Since when the attempts there have succeeded, without a failure between.
+    working_since: Option<Millis>,
+}
+
+impl Suspicion {
+    /// Whether the route is to be trusted again.
+    fn is_over(&self, now: Millis) -> bool {
+        let recovered = self.working_since.is_some_and(|since| now >= since + RECOVERY_PERIOD);
+        recovered || now >= self.failed_at + SUSPICION_TTL
+    }
+}
+
+/// The set of suspect routes. A route stays suspect until it is observed to work, or its suspicion expires: that no
+/// attempt is sent there says nothing of it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SuspectRoutes {
+    suspicions: BTreeMap<Route, Suspicion>,
+}
+
+impl SuspectRoutes {
+    /// Whether a route is suspect.
+    pub fn contains(&self, origin: usize, target: usize) -> bool {
+        self.suspicions.contains_key(&Route { origin, target })
+    }
+
+    /// Takes in what was observed of each route.
+    pub fn update(&mut self, now: Millis, settings: &Settings, load: &ClusterLoad, zone_count: usize) {
+        let oldest = now.saturating_sub(settings.report_ttl);
+        for origin in 0..zone_count {
+            let Some(report) = load.fresh_report(origin, oldest) else { continue };
+            for (target, stats) in report.routes.iter().enumerate().take(zone_count) {
+                self.update_route(now, Route { origin, target }, stats);
+            }
+        }
+    }
+
+    fn update_route(&mut self, now: Millis, route: Route, stats: &RouteStats) {
+        let attempts = stats.reached.saturating_add(stats.failed);
+        let mostly_failed =
+            attempts > 0 && f64::from(stats.failed) >= FAILURE_THRESHOLD * f64::from(attempts);
+        if mostly_failed && (attempts >= MIN_ATTEMPTS || self.suspicions.contains_key(&route)) {
+            self.suspicions.insert(route, Suspicion { failed_at: now, working_since: None });
+            return;
+        }
+        let Some(suspicion) = self.suspicions.get_mut(&route) else { return };
+        if attempts > 0 {
+            suspicion.working_since.get_or_insert(now);
+        }
+        if suspicion.is_over(now) {
+            self.suspicions.remove(&route);
+        }
+    }
+}
