--- a/crates/daemon/src/net/cluster.rs
+++ b/crates/daemon/src/net/cluster.rs
@@ -8,7 +8,7 @@
 use super::event_loop::Millis;
 use super::peer::Peer;
 use brackenledge_leases::{Command, Deed, Fence, Living, Message, Ownership, Settings, Term};
-use brackenledge_membership::{Command as MembershipCommand, Membership, ProcessId, Standing, Times};
+use brackenledge_membership::{Command as MembershipCommand, MemberState, Membership, ProcessId, SwimConfig};
 use brackenledge_policy::split_sums;
 use brackenledge_protocol::operations::Operations;
 use slog::{Logger, info, warn};
@@ -106,7 +106,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let me = ProcessId { ordinal, incarnation: unix.as_millis() as u64 };
         let seeds = (0..seats).filter(|&other| other != ordinal).collect();
-        let times = Times::for_tier(usize::from(seats));
+        let times = SwimConfig::for_cluster_size(usize::from(seats));
         let now = micros();
         // A duty that nobody is asked to do is nobody's.
         let duties = if operations.zones.on { DUTIES.len() } else { DUTIES.len() - 1 };
@@ -164,7 +164,7 @@
         let now = micros();
         match *kind {
             MEMBERSHIP if self.replaced.is_some() => {
-                if self.membership.for_newer(bytes) {
+                if self.membership.is_for_newer_incarnation(bytes) {
                     self.replaced = Some(now);
                 }
             }
@@ -228,15 +228,15 @@
         while let Some(order) = self.membership.poll_command() {
             match order {
                 MembershipCommand::Send { to, bytes } => send(peer, Some(to), MEMBERSHIP, &bytes),
-                MembershipCommand::Up(process) => {
+                MembershipCommand::MemberUp(process) => {
                     changed = true;
                     info!(log, "member up"; "ordinal" => process.ordinal, "boot" => process.incarnation);
                 }
-                MembershipCommand::Down(process) => {
+                MembershipCommand::MemberDown(process) => {
                     changed = true;
                     info!(log, "member down"; "ordinal" => process.ordinal, "boot" => process.incarnation);
                 }
-                MembershipCommand::Replaced => {
+                MembershipCommand::Superseded => {
                     info!(log, "another process has our number and is newer: we own nothing any more");
                     self.ownership.leave(micros());
                     self.replaced = Some(micros());
@@ -244,7 +244,7 @@
             }
         }
         if changed {
-            self.ownership.alive(self.membership.alive());
+            self.ownership.alive(self.membership.active_members());
         }
         while let Some(order) = self.ownership.poll_command() {
             match order {
@@ -363,12 +363,12 @@
             None => format!("view=none age_ms=0 steward=none voters=none living={}", self.living_told),
         }];
         let me = self.membership.me();
-        let mut all: Vec<(ProcessId, &str)> = (self.membership.others())
+        let mut all: Vec<(ProcessId, &str)> = (self.membership.peers())
             .map(|(process, standing)| {
                 let word = match standing {
-                    Standing::Alive => "alive",
-                    Standing::Suspected => "suspected",
-                    Standing::Gone => "gone",
+                    MemberState::Alive => "alive",
+                    MemberState::Suspect => "suspected",
+                    MemberState::Down => "gone",
                 };
                 (process, word)
             })
@@ -404,9 +404,9 @@
             self.fence.accepted,
             self.fence.refused,
             self.withheld,
-            self.nonsense + counts.nonsense,
+            self.nonsense + counts.malformed,
             self.ownership.dropped,
-            counts.returned
+            counts.false_deaths
         ));
         lines
     }
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -9,7 +9,7 @@
 use brackenledge_discovery::{Listed, Roster, RosterSettings};
 use brackenledge_failover::{Frame, Handover, Session};
 use brackenledge_leases::{Command, Deed, Epoch, Fence, MESSAGE_MOST, Message, Ownership, View};
-use brackenledge_membership::{Membership, ProcessId, Times};
+use brackenledge_membership::{Membership, ProcessId, SwimConfig};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
 use brackenledge_protocol::http::{BODY_MOST, Body, Buffer, HEAD_MOST, take_answer_head};
 use brackenledge_protocol::list_stream::{ListReader, Piece};
@@ -44,13 +44,13 @@
 
 /// Datagrams of membership, at a member of five.
 pub fn membership(input: &[u8]) {
-    let mut member = Membership::new(0.0, process(0), vec![1, 2, 3, 4], &Times::for_tier(5), 1);
+    let mut member = Membership::new(0.0, process(0), vec![1, 2, 3, 4], &SwimConfig::for_cluster_size(5), 1);
     for (at, bytes) in messages(input).into_iter().enumerate() {
         member.handle_message(at as f64, bytes);
         member.handle_timeout(at as f64);
         while let Some(order) = member.poll_command() {
             if let brackenledge_membership::Command::Send { bytes, .. } = order {
-                assert!(bytes.len() <= brackenledge_membership::MESSAGE_MOST);
+                assert!(bytes.len() <= brackenledge_membership::MAX_MESSAGE_BYTES);
             }
         }
     }
--- a/crates/simulator/src/members.rs
+++ b/crates/simulator/src/members.rs
@@ -1,7 +1,7 @@
 //! `brackenledge-simulator members`: tiers of any size on a virtual clock, to see how soon membership notices a death, how
 //! often it is wrong, and what it costs.
 
-use brackenledge_membership::{Command, Membership, Millis, ProcessId, Times};
+use brackenledge_membership::{Command, Membership, Millis, ProcessId, SwimConfig};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -96,8 +96,8 @@
         let number = self.members.len();
         let seeds = (0..number).filter(|&other| other != at).map(|other| other as u16).collect();
         let me = ProcessId { ordinal: at as u16, incarnation: 1 + self.now as u64 };
-        let times = Times::for_tier(number);
-        self.members[at] = Some(Membership::new(self.now, me, seeds, &times, self.serial));
+        let config = SwimConfig::for_cluster_size(number);
+        self.members[at] = Some(Membership::new(self.now, me, seeds, &config, self.serial));
         self.arm(at);
     }
 
@@ -125,7 +125,7 @@
                         self.push(self.now + way, Event::Message(usize::from(to), bytes));
                     }
                 }
-                Command::Down(process) if counts => {
+                Command::MemberDown(process) if counts => {
                     let running = self.members[usize::from(process.ordinal)].as_ref();
                     if let Some((died, noticed)) = self.dead.get_mut(&process) {
                         *noticed += 1;
