--- a/crates/test-cluster/src/ledger.rs
+++ b/crates/test-cluster/src/ledger.rs
@@ -10,11 +10,6 @@
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// The rules by name: one answer to each try in time (`answers`), no repeat beyond the class (`repeats`), nothing new
-/// to a worker that drains (`drains`), no cold worker pushed over (`cold`), no datagram over 256 bytes
-/// (`messages`), no claim held by two (`claims`).
-pub const RULES: [&str; 6] = ["answers", "repeats", "drains", "cold", "messages", "claims"];
-
 /// An answer may be so much later than its deadline: 8 ms and 50 ms are the platform's, the rest is for a machine
 /// that runs everything at once.
 pub const LATE: Millis = 300.0;
--- a/crates/test-cluster/src/lib.rs
+++ b/crates/test-cluster/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ledger;
 pub mod process;
 pub mod report;
+pub mod rules;
 pub mod scenario;
 pub mod soak;
 pub mod tier;
--- a/crates/test-cluster/src/scenario.rs
+++ b/crates/test-cluster/src/scenario.rs
@@ -2,6 +2,7 @@
 //! file, the line, the key and what would be right.
 
 use crate::Millis;
+use crate::rules::RULES;
 use crate::weather::Weather;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -442,8 +443,8 @@
         scenario.faults.sort_by(|a, b| a.at.total_cmp(&b.at));
         let expect = &document.expect;
         for rule in &expect.broken {
-            if !crate::ledger::RULES.contains(&rule.get_ref().as_str()) {
-                let known = crate::ledger::RULES.join(", ");
+            if !RULES.contains(&rule.get_ref().as_str()) {
+                let known = RULES.join(", ");
                 let what = format!("expect.broken = {:?}: give rules of {known}", rule.get_ref());
                 r.bad(rule.span().start, what);
             }
--- a/crates/test-cluster/tests/ledger.rs
+++ b/crates/test-cluster/tests/ledger.rs
@@ -2,7 +2,8 @@
 #![allow(missing_docs)]
 
 use brackenledge_test_cluster::Scenario;
-use brackenledge_test_cluster::ledger::{Audit, Event, How, LATE, RULES, Turn, audit};
+use brackenledge_test_cluster::ledger::{Audit, Event, How, LATE, Turn, audit};
+use brackenledge_test_cluster::rules::RULES;
 use std::path::Path;
 
 const VIEW: usize = 0;
