--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -70,8 +70,8 @@
                 Some(zones) => whole(zones.status_lines(cx.now)),
                 None => "error zones are off: set zones.on in the operators' file\n".into(),
             },
-            Call::LameDuck => format!("done {}\n", cx.drain.lame_duck(cx.now).words()),
-            Call::Rejoin => format!("done {}\n", cx.drain.rejoin().words()),
+            Call::LameDuck => format!("done {}\n", cx.drain.lame_duck(cx.now).reply_text()),
+            Call::Rejoin => format!("done {}\n", cx.drain.rejoin().reply_text()),
         }
     }
 }
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -346,12 +346,12 @@
         self.worked |= matches!(awaited, Awaited::Job(_));
         match awaited {
             Awaited::Up if cx.stopping.is_some() => self.answer(503, "", b"stopping\n", cx),
-            Awaited::Up if !cx.drain.up() => self.answer(503, "", b"draining\n", cx),
+            Awaited::Up if !cx.drain.is_ready() => self.answer(503, "", b"draining\n", cx),
             Awaited::Up if !cx.roster.serves() => self.answer(503, "", b"no server table yet\n", cx),
             Awaited::Up => self.answer(200, "", b"up\n", cx),
             Awaited::Job(arrival)
                 if cx.held() >= self.rules.most_held
-                    || !cx.drain.takes_work(cx.now)
+                    || !cx.drain.admits_jobs(cx.now)
                     || cx.time_left() == 0.0 =>
             {
                 cx.core.refused_at_door(arrival.job.class);
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -88,7 +88,7 @@
 
     /// Whether SIGTERM came so long ago that clients get no further request in.
     fn closing(&self) -> bool {
-        self.stopping.is_some_and(|stop| stop.closing(self.now))
+        self.stopping.is_some_and(|stop| stop.is_closing_connections(self.now))
     }
 
     /// The time that a job arriving now may take.
@@ -342,13 +342,13 @@
             Owner::Listener => self.frontend.accept(cx),
             Owner::ControlListener | Owner::Control(_) => {
                 let Some(control) = &mut self.control else { return };
-                let was = cx.drain.ends_idle();
+                let was = cx.drain.closes_idle_connections();
                 match owner {
                     Owner::Control(at) => control.on_ready(at, cx),
                     _ => control.accept(cx),
                 }
                 // Kept connections that wait for nothing end as soon as the drain begins.
-                if cx.drain.ends_idle() && !was {
+                if cx.drain.closes_idle_connections() && !was {
                     self.frontend.close_all_idle(cx);
                 }
             }
@@ -427,7 +427,7 @@
                     control.accept(cx);
                 }
                 cx.event_loop.set_alarm(cx.now + SWEEP, Alarm::Sweep);
-                if cx.closing() || cx.drain.ends_idle() {
+                if cx.closing() || cx.drain.closes_idle_connections() {
                     self.frontend.accept(cx);
                     self.frontend.close_all_idle(cx);
                 }
@@ -638,7 +638,8 @@
     /// Whether the program may end: told to, long enough ago, and nothing is owed.
     fn finished(&mut self) -> bool {
         let Some(stop) = self.stopping else { return false };
-        if !stop.closing(self.event_loop.now()) || self.core.owed() > 0 || self.frontend.busy() {
+        if !stop.is_closing_connections(self.event_loop.now()) || self.core.owed() > 0 || self.frontend.busy()
+        {
             return false;
         }
         // What waits at the listener has been taken by this machine: answer it first.
