--- a/crates/engine/src/drain/tests.rs
+++ b/crates/engine/src/drain/tests.rs
@@ -60,7 +60,7 @@
 }
 
 #[test]
-fn the_operators_admission_grace_is_kept() {
+fn the_operators_admission_grace_holds() {
     for (admission_grace, after, admitted) in [(0.0, 0.0, false), (500.0, 400.0, true), (500.0, 500.0, false)]
     {
         let mut drain = Drain::new(admission_grace);
--- a/crates/engine/src/shutdown.rs
+++ b/crates/engine/src/shutdown.rs
@@ -26,18 +26,18 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shutdown {
     started_at: Millis,
-    longest_deadline: Millis,
+    max_deadline: Millis,
 }
 
 impl Shutdown {
-    /// SIGTERM came; `longest_deadline` is the longest of the settings.
-    pub fn new(now: Millis, longest_deadline: Millis) -> Self {
-        Shutdown { started_at: now, longest_deadline: longest_deadline.clamp(0.0, MAX_AWAITED_DEADLINE) }
+    /// SIGTERM came; `max_deadline` is the longest of the settings.
+    pub fn new(now: Millis, max_deadline: Millis) -> Self {
+        Shutdown { started_at: now, max_deadline: max_deadline.clamp(0.0, MAX_AWAITED_DEADLINE) }
     }
 
     /// When every admitted job must have its response.
     pub fn answer_by(&self) -> Millis {
-        self.started_at + self.longest_deadline + KILL_GRACE - WRITE_MARGIN
+        self.started_at + self.max_deadline + KILL_GRACE - WRITE_MARGIN
     }
 
     /// Until when clients are served as before. After that their connections are closed with their responses.
--- a/crates/engine/src/shutdown/tests.rs
+++ b/crates/engine/src/shutdown/tests.rs
@@ -2,16 +2,16 @@
 
 #[test]
 fn all_is_answered_before_sigkill_whatever_the_deadlines() {
-    for longest_deadline in [50.0, 200.0, 800.0, 1_500.0, 3_000.0, 5_000.0, 60_000.0] {
-        let shutdown = Shutdown::new(10.0, longest_deadline);
-        let sigkill = 10.0 + longest_deadline.min(3_000.0) + 700.0;
-        assert!(shutdown.answer_by() < sigkill, "{longest_deadline}");
+    for max_deadline in [50.0, 200.0, 800.0, 1_500.0, 3_000.0, 5_000.0, 60_000.0] {
+        let shutdown = Shutdown::new(10.0, max_deadline);
+        let sigkill = 10.0 + max_deadline.min(3_000.0) + 700.0;
+        assert!(shutdown.answer_by() < sigkill, "{max_deadline}");
         // A client that comes while the front proxy still sends new ones is served.
         assert!(
             shutdown.serve_until() >= 10.0 + 400.0 && !shutdown.is_closing_connections(410.0),
-            "{longest_deadline}"
+            "{max_deadline}"
         );
-        assert!(shutdown.serve_until() <= shutdown.answer_by(), "{longest_deadline}");
+        assert!(shutdown.serve_until() <= shutdown.answer_by(), "{max_deadline}");
         assert_eq!(shutdown.time_left(shutdown.answer_by() + 1.0), 0.0);
     }
 }
--- a/crates/zone-routing/src/plan/tests.rs
+++ b/crates/zone-routing/src/plan/tests.rs
@@ -36,3 +36,27 @@
         }
     }
 }
+
+#[test]
+fn bytes_that_are_no_plan_are_rejected_with_the_reason() {
+    let plan = Plan::new(PlanVersion::default(), 0, &[vec![0.75, 0.25], vec![0.0, 1.0]]);
+    let encode = |plan: Plan| plan.encode();
+    let cases = [
+        (vec![0; MAX_PLAN_BYTES + 1], DecodePlanError::TooLong { length: MAX_PLAN_BYTES + 1 }),
+        (vec![0; 3], DecodePlanError::Malformed(postcard::Error::DeserializeUnexpectedEnd)),
+        ([plan.encode(), vec![7]].concat(), DecodePlanError::TrailingBytes { length: 1 }),
+        (encode(Plan { zone_count: 0, ..plan.clone() }), DecodePlanError::ZoneCount { zone_count: 0 }),
+        (encode(Plan { zone_count: 13, ..plan.clone() }), DecodePlanError::ZoneCount { zone_count: 13 }),
+        (
+            encode(Plan { zone_count: 3, ..plan.clone() }),
+            DecodePlanError::ShareCount { share_count: 4, zone_count: 3 },
+        ),
+        (
+            encode(Plan { share_units: vec![150, 50, 100, 101], ..plan }),
+            DecodePlanError::ShareSum { origin: 1 },
+        ),
+    ];
+    for (bytes, reason) in cases {
+        assert_eq!(Plan::decode(&bytes), Err(reason));
+    }
+}
