Tests that fail: a request's time must run from when it came, not when it was read

Frontend's take_request (crates/daemon/src/net/frontend.rs, `arrival.job.time_left = ...min(cx.time_left())`) takes the stated X-Expires-In-Ms as what is left at the moment at which the request is whole and its turn has come; Core::job_arrived makes the deadline of that. What passed while the body came slowly, or behind the answer to an earlier request of the same connection, is counted as if the client still had it.

The program is unchanged.

--- a/crates/daemon/tests/standing_terms.rs
+++ b/crates/daemon/tests/standing_terms.rs
@@ -601,6 +601,54 @@
     assert!(told <= 4_000.0 - spent + 150.0, "{told} after {spent}");
 }
 
+#[test]
+fn a_request_that_was_written_slowly_is_attempted_with_what_is_left_of_its_time() {
+    let worker = listener();
+    let stage = stage_with(settings(), &worker);
+    let request = job("view", "w1", "0123456789");
+    let (head, body) = request.split_at(request.len() - 10);
+    let asked = Instant::now();
+    let mut client = stage.ask(head);
+    std::thread::sleep(ms(800));
+    let spent = asked.elapsed().as_secs_f64() * 1_000.0;
+    send(&mut client, body);
+    let mut served = accept(&worker);
+    let told = told(&read_message(&mut served));
+    assert!(told <= 4_000.0 - spent + 150.0, "{told} after {spent}");
+}
+
+#[test]
+fn a_request_that_waited_behind_another_is_attempted_with_what_is_left_of_its_time() {
+    let worker = listener();
+    let stage = stage_with(settings(), &worker);
+    let asked = Instant::now();
+    let _client = stage.ask(&format!("{}{}", job("view", "b1", "x"), job("view", "b2", "x")));
+    let mut served = accept(&worker);
+    read_message(&mut served);
+    std::thread::sleep(ms(800));
+    let spent = asked.elapsed().as_secs_f64() * 1_000.0;
+    send(&mut served, &done("b1", "yes"));
+    let request = read_message(&mut served);
+    assert_eq!(id_in(&request), Some("b2"));
+    assert!(told(&request) <= 4_000.0 - spent + 150.0, "{} after {spent}", told(&request));
+}
+
+#[test]
+fn a_request_whose_time_went_by_behind_another_is_rejected_without_an_attempt() {
+    let worker = listener();
+    let stage = stage_with(settings(), &worker);
+    let first = job("view", "z1", "x");
+    let mut client = stage.ask(&format!("{first}{}", last_job("sale", "z2", 500)));
+    let mut served = accept(&worker);
+    read_message(&mut served);
+    std::thread::sleep(ms(700));
+    send(&mut served, &done("z1", "yes"));
+    assert!(read_message(&mut client).ends_with("\r\n\r\nyes"));
+    let (text, _) = all_of(&mut client);
+    assert!(answers(&text) == 1 && text.starts_with("HTTP/1.1 503 "), "{text:?}");
+    assert_eq!(all_that_comes(&worker, vec![served], ms(100)), "");
+}
+
 #[test]
 fn new_clients_in_the_first_part_of_a_stop_all_have_an_answer() {
     let (at, seen) = serving_worker(0);
