A request's time runs from when it came, not from when it was read whole

ClientConnection::take_request gave the core the time that the request stated, whatever had passed since its first byte came: up to 2 s for a client that writes slowly, and the whole of the earlier jobs for one that sends many requests at once. So workers were told more time than was left to the client, and an answer or a failure came that much behind the client's time.

Change: a client's connection notes when bytes came last and when the next request began to come (its first byte; of several that came together, when they came), and take_request takes what has passed since then off the time left. What is left of nothing is rejected by the decision module as before.

--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -175,6 +175,11 @@
     since: Millis,
     /// When the request that is coming in began.
     begun: Option<Millis>,
+    /// When bytes came last.
+    heard: Millis,
+    /// When the request that is coming in, or waits behind another one's answer, began to come: since then the time
+    /// that it states runs.
+    came: Option<Millis>,
     /// Bytes read and dropped since its last answer.
     discarded: usize,
     /// It has said so much behind a request that none of it is read as the next one.
@@ -242,6 +247,9 @@
                     };
                 }
                 State::Job(_) | State::Covered(_) => {
+                    if !self.link.buffer.input().is_empty() {
+                        self.came.get_or_insert(self.heard);
+                    }
                     // What a client says early waits for its turn. Where it says too much, nothing of it is read as a
                     // request any more: reading must go on, or its leave, which comes behind, would not be seen.
                     if self.flooded || self.link.buffer.input().len() >= AHEAD_MOST {
@@ -284,6 +292,7 @@
         }
         // One byte now and then must not keep an unfinished request for ever: its time runs from the first.
         self.begun.get_or_insert(cx.now);
+        self.came.get_or_insert(self.heard);
         let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
         let mut request = httparse::Request::new(&mut headers);
         let used = match request.parse(input) {
@@ -342,6 +351,7 @@
         let body = body.take_all(&mut self.link.buffer);
         self.link.buffer.compact();
         self.begun = None;
+        let waited = self.came.take().map_or(0.0, |came| cx.now - came);
         self.known = true;
         self.worked |= matches!(awaited, Awaited::Job(_));
         match awaited {
@@ -359,7 +369,7 @@
             }
             Awaited::Job(mut arrival) => {
                 arrival.request.body = body;
-                arrival.job.time_left = arrival.job.time_left.min(cx.time_left());
+                arrival.job.time_left = (arrival.job.time_left - waited).max(0.0).min(cx.time_left());
                 if let Some(cover) = cx.cover.as_mut().filter(|cover| cover.covers(&arrival)) {
                     self.state = State::Covered(cover.arrive(*arrival));
                     return;
@@ -437,6 +447,7 @@
     }
 
     fn on_input(&mut self, cx: &mut Context) -> Flow {
+        self.heard = cx.now;
         self.read(cx);
         // What is dropped is read so that the client sees its last answer, and we its leave, but not for ever. As long
         // as its job is open it is owed that answer, however much it says.
@@ -532,6 +543,8 @@
             state: State::Head,
             since: cx.now,
             begun: None,
+            heard: cx.now,
+            came: None,
             discarded: 0,
             flooded: false,
             shut: false,
