--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -175,6 +175,11 @@
     since: Millis,
     /// When the request that is coming in began.
     begun: Option<Millis>,
+    /// When bytes were last received.
+    last_input_at: Millis,
+    /// When the first bytes of the request that is being received, or that waits for the answer to the one before it, were
+    /// received. The time that a request states runs from then.
+    receiving_since: Option<Millis>,
     /// Bytes read and dropped since its last answer.
     discarded: usize,
     /// It has said so much behind a request that none of it is read as the next one.
@@ -242,6 +247,9 @@
                     };
                 }
                 State::Job(_) | State::Covered(_) => {
+                    if !self.link.buffer.input().is_empty() {
+                        self.receiving_since.get_or_insert(self.last_input_at);
+                    }
                     // What a client says early waits for its turn. Where it says too much, nothing of it is read as a
                     // request any more: reading must go on, or its leave, which comes behind, would not be seen.
                     if self.flooded || self.link.buffer.input().len() >= AHEAD_MOST {
@@ -284,6 +292,7 @@
         }
         // One byte now and then must not keep an unfinished request for ever: its time runs from the first.
         self.begun.get_or_insert(cx.now);
+        self.receiving_since.get_or_insert(self.last_input_at);
         let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
         let mut request = httparse::Request::new(&mut headers);
         let used = match request.parse(input) {
@@ -342,6 +351,7 @@
         let body = body.take_all(&mut self.link.buffer);
         self.link.buffer.compact();
         self.begun = None;
+        let elapsed = self.receiving_since.take().map_or(0.0, |since| cx.now - since);
         self.known = true;
         self.worked |= matches!(awaited, Awaited::Job(_));
         match awaited {
@@ -359,7 +369,7 @@
             }
             Awaited::Job(mut arrival) => {
                 arrival.request.body = body;
-                arrival.job.time_left = arrival.job.time_left.min(cx.time_left());
+                arrival.job.time_left = (arrival.job.time_left - elapsed).max(0.0).min(cx.time_left());
                 if let Some(job_failover) =
                     cx.job_failover.as_mut().filter(|job_failover| job_failover.covers(&arrival))
                 {
@@ -439,6 +449,7 @@
     }
 
     fn on_input(&mut self, cx: &mut Context) -> Flow {
+        self.last_input_at = cx.now;
         self.read(cx);
         // What is dropped is read so that the client sees its last answer, and we its leave, but not for ever. As long
         // as its job is open it is owed that answer, however much it says.
@@ -534,6 +545,8 @@
             state: State::Head,
             since: cx.now,
             begun: None,
+            last_input_at: cx.now,
+            receiving_since: None,
             discarded: 0,
             flooded: false,
             shut: false,
