--- a/crates/zone-routing/tests/plans.rs
+++ b/crates/zone-routing/tests/plans.rs
@@ -52,7 +52,7 @@
 fn only_the_excess_leaves_a_zone_and_its_region_takes_it_first() {
     let plan = shares(&REGIONS, &[120.0, 20.0, 20.0, 20.0], &[100.0; 4], &[]);
     assert!(close(plan[0][0], 85.0 / 120.0) && close(plan[0][1], 35.0 / 120.0), "{plan:?}");
-    // Beyond what the region has, the others are given the rest, in proportion to their room.
+    // Beyond what the region has, the others are given the rest, in proportion to their free capacity.
     let plan = shares(&REGIONS, &[200.0, 20.0, 20.0, 20.0], &[100.0; 4], &[]);
     assert!(
         close(plan[0][1], 65.0 / 200.0) && close(plan[0][2], 25.0 / 200.0) && close(plan[0][3], 25.0 / 200.0),
@@ -99,7 +99,7 @@
         let minute = plans.iter().filter(|(then, ..)| (*at..at + 60_000).contains(then)).count();
         assert!(minute <= changes, "{plans:?}");
     }
-    // Left within one look, and back once it has stood for some seconds.
+    // Left at the first replan, and returned to once it has been stable for some seconds.
     assert!(
         plans.iter().any(|&(at, reason, share)| (10_000..16_000).contains(&at)
             && reason == ReplanReason::Urgent
@@ -157,20 +157,20 @@
     assert!(local_share(30_000, observed(1, 0)) > 0.99);
 }
 
-/// The most that could be served: a flow through zones that are open to one another, by augmenting paths.
-fn max_flow(demand: &[f64], room: &[f64], open: impl Fn(usize, usize) -> bool) -> f64 {
+/// The maximum that can be served: a flow through allowed routes, by augmenting paths.
+fn max_flow(demand: &[f64], capacity: &[f64], is_allowed: impl Fn(usize, usize) -> bool) -> f64 {
     let zones = demand.len();
     let mut flow = vec![vec![0.0; zones]; zones];
-    let (mut left, mut free) = (demand.to_vec(), room.to_vec());
+    let (mut left, mut free) = (demand.to_vec(), capacity.to_vec());
     loop {
         // From an origin with work left, over targets, and back over origins that could go elsewhere.
         let mut from: Vec<Option<usize>> = vec![None; zones];
         let mut via: Vec<Option<usize>> = vec![None; zones];
         let mut reached: Vec<usize> = (0..zones).filter(|&i| left[i] > 1e-6).collect();
-        let mut seen: Vec<bool> = (0..zones).map(|i| left[i] > 1e-6).collect();
+        let mut visited: Vec<bool> = (0..zones).map(|i| left[i] > 1e-6).collect();
         let mut end = None;
         while let Some(i) = reached.pop() {
-            for j in (0..zones).filter(|&j| open(i, j)) {
+            for j in (0..zones).filter(|&j| is_allowed(i, j)) {
                 if from[j].is_some() {
                     continue;
                 }
@@ -181,8 +181,8 @@
                     break;
                 }
                 for k in 0..zones {
-                    if !seen[k] && flow[k][j] > 1e-6 {
-                        (seen[k], via[k]) = (true, Some(j));
+                    if !visited[k] && flow[k][j] > 1e-6 {
+                        (visited[k], via[k]) = (true, Some(j));
                         reached.push(k);
                     }
                 }
@@ -190,26 +190,26 @@
         }
         let Some(target) = end else { break };
         let (mut path, mut j) = (Vec::new(), target);
-        let mut most = free[target];
+        let mut flow_added = free[target];
         loop {
             let i = from[j].expect("reached");
             path.push((i, j));
             match via[i] {
                 Some(back) if left[i] <= 1e-6 => {
-                    most = most.min(flow[i][back]);
+                    flow_added = flow_added.min(flow[i][back]);
                     path.push((i, back));
                     j = back;
                 }
                 _ => {
-                    most = most.min(left[i]);
-                    left[i] -= most;
+                    flow_added = flow_added.min(left[i]);
+                    left[i] -= flow_added;
                     break;
                 }
             }
         }
-        free[target] -= most;
+        free[target] -= flow_added;
         for (at, &(i, j)) in path.iter().enumerate() {
-            flow[i][j] += if at % 2 == 0 { most } else { -most };
+            flow[i][j] += if at % 2 == 0 { flow_added } else { -flow_added };
         }
     }
     flow.iter().flatten().sum()
@@ -256,9 +256,10 @@
         for i in 0..demand.len() {
             let away: f64 = plan[i].iter().enumerate().filter(|(j, _)| *j != i).map(|(_, share)| share).sum();
             let reachable = !failing.contains(&(i, i));
-            let seen = (slots[i] * 2.0).round() / 2.0;
-            let room = Settings::of_regions(&regions).target_utilization_for(seen) * seen - demand[i] * plan[i][i];
-            prop_assert!(away < 1e-6 || !reachable || room < 0.02 + 0.002 * demand[i], "{away} away with {room} left");
+            let reported = (slots[i] * 2.0).round() / 2.0;
+            let planned = Settings::of_regions(&regions).target_utilization_for(reported) * reported;
+            let free = planned - demand[i] * plan[i][i];
+            prop_assert!(away < 1e-6 || !reachable || free < 0.02 + 0.002 * demand[i], "{away} away with {free} left");
         }
     }
 
@@ -266,20 +267,20 @@
     fn the_maximum_is_served_where_all_zones_reach_all((regions, demand, slots, _) in scenario()) {
         let plan = shares(&regions, &demand, &slots, &[]);
         let served: f64 = plan.iter().zip(&demand).map(|(row, demand)| row.iter().sum::<f64>() * demand).sum();
-        let room: Vec<f64> = slots.iter().map(|slots| 0.97 * (slots * 2.0).round() / 2.0).collect();
-        let could = max_flow(&demand, &room, |_, j| slots[j] > 0.0);
-        prop_assert!(served >= could - 0.5 - 0.002 * could, "{served} of {could}");
+        let capacity: Vec<f64> = slots.iter().map(|slots| 0.97 * (slots * 2.0).round() / 2.0).collect();
+        let maximum = max_flow(&demand, &capacity, |_, j| slots[j] > 0.0);
+        prop_assert!(served >= maximum - 0.5 - 0.002 * maximum, "{served} of {maximum}");
     }
 
     #[test]
     fn at_least_half_of_the_maximum_is_served_where_some_routes_fail((regions, demand, slots, failing) in scenario()) {
         let plan = shares(&regions, &demand, &slots, &failing);
         let served: f64 = plan.iter().zip(&demand).map(|(row, demand)| row.iter().sum::<f64>() * demand).sum();
-        let room: Vec<f64> = slots.iter().map(|slots| 0.97 * (slots * 2.0).round() / 2.0).collect();
-        let could = max_flow(&demand, &room, |i, j| slots[j] > 0.0 && !failing.contains(&(i, j)));
-        // Pouring does not look back: who can go nowhere else may find its only route full. Half is the bound of any that
-        // leaves no room beside work that could use it.
-        prop_assert!(served >= 0.5 * could - 0.5, "{served} of {could}");
+        let capacity: Vec<f64> = slots.iter().map(|slots| 0.97 * (slots * 2.0).round() / 2.0).collect();
+        let maximum = max_flow(&demand, &capacity, |i, j| slots[j] > 0.0 && !failing.contains(&(i, j)));
+        // Water-filling does not reconsider: work that can go to one zone only may find it full. Half is the bound of any
+        // assignment that leaves no capacity beside work that could use it.
+        prop_assert!(served >= 0.5 * maximum - 0.5, "{served} of {maximum}");
     }
 
     #[test]
