--- a/crates/daemon/src/net/backend.rs
+++ b/crates/daemon/src/net/backend.rs
@@ -268,7 +268,7 @@
 }
 
 impl Connection<Context<'_>> for ServerConnection {
-    fn link(&mut self) -> &mut BufferedStream {
+    fn stream(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -475,7 +475,7 @@
             let connection = &mut self.connections[at];
             // The address may have changed, and what has been idle too long may be closed over there.
             let fresh = cx.now < connection.idle_since + self.idle_time && cx.now >= *cx.distrust_until;
-            if connection.address == address && fresh && connection.link.quiet() {
+            if connection.address == address && fresh && connection.link.has_nothing_to_read() {
                 connection.start(task, cx);
                 return Some(at);
             }
@@ -503,7 +503,7 @@
             relayed: false,
             started: 0.0,
         });
-        if cx.event_loop.watch(&mut self.connections[at].link.stream, Owner::Backend(at)).is_err() {
+        if cx.event_loop.watch(&mut self.connections[at].link.socket, Owner::Backend(at)).is_err() {
             self.connections.remove(at);
             return None;
         }
--- a/crates/daemon/src/net/buffered_stream.rs
+++ b/crates/daemon/src/net/buffered_stream.rs
@@ -1,57 +1,57 @@
-//! A socket and the buffer beside it.
+//! A socket with its input and output buffers.
 
 use brackenledge_protocol::http::Buffer;
 use mio::net::TcpStream;
 use std::io::{self, ErrorKind, Write};
 
-/// How far a read came.
+/// The receiving half of a connection after a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Filled {
-    /// The other side may send more.
+pub enum StreamState {
+    /// The peer may send more.
     Open,
-    /// The other side has ended its sending.
-    Ended,
-    /// The connection broke.
+    /// The peer has closed its sending half.
+    ReadClosed,
+    /// The connection is broken.
     Broken,
 }
 
-/// A socket and its buffer.
+/// A socket with its input and output buffers.
 pub struct BufferedStream {
-    pub stream: TcpStream,
+    pub socket: TcpStream,
     pub buffer: Buffer,
 }
 
 impl BufferedStream {
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(socket: TcpStream) -> Self {
         // Small messages must not wait for one another; a socket without the option still works.
-        let _ = stream.set_nodelay(true);
-        BufferedStream { stream, buffer: Buffer::default() }
+        let _ = socket.set_nodelay(true);
+        BufferedStream { socket, buffer: Buffer::default() }
     }
 
-    /// Reads what has come, until there are `most` bytes of input. The poll tells of new input only, so a
-    /// caller that stops at `most` has to come back by itself.
-    pub fn fill(&mut self, most: usize) -> Filled {
-        while self.buffer.input().len() < most {
-            match self.buffer.read_from(&mut self.stream) {
-                Ok(0) => return Filled::Ended,
+    /// Reads until there are `max_input` bytes of input or the socket has no more. The poll is edge-triggered: a caller
+    /// that stops at `max_input` has to come back by itself.
+    pub fn fill(&mut self, max_input: usize) -> StreamState {
+        while self.buffer.input().len() < max_input {
+            match self.buffer.read_from(&mut self.socket) {
+                Ok(0) => return StreamState::ReadClosed,
                 Ok(_) => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Filled::Broken,
+                Err(_) => return StreamState::Broken,
             }
         }
-        Filled::Open
+        StreamState::Open
     }
 
-    /// Whether nothing has come, not even the connection's end: the poll may not have told of it yet.
-    pub fn quiet(&self) -> bool {
-        matches!(self.stream.peek(&mut [0; 1]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    /// Whether nothing has arrived, not even the connection's end, which the poll may not have reported yet.
+    pub fn has_nothing_to_read(&self) -> bool {
+        matches!(self.socket.peek(&mut [0; 1]), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Writes what the socket takes; tells whether all is out.
+    /// Writes as much output as the socket takes; whether that is all.
     pub fn flush(&mut self) -> io::Result<bool> {
         while !self.buffer.output().is_empty() {
-            match self.stream.write(self.buffer.output()) {
+            match self.socket.write(self.buffer.output()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => self.buffer.wrote(count),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
--- a/crates/daemon/src/net/cluster.rs
+++ b/crates/daemon/src/net/cluster.rs
@@ -116,7 +116,7 @@
         let settings = Settings {
             voters: operations.voters,
             // Longer than a steward takes to be followed, or cover would pause with each that goes.
-            stay: if operations.cover.on { scaled(STAY) } else { 0 },
+            stay: if operations.failover.on { scaled(STAY) } else { 0 },
             lease: scaled(usual.lease),
             beat: scaled(usual.beat),
             wait: scaled(usual.wait),
--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -56,7 +56,8 @@
                     text.push_str(&line);
                     text.push('\n');
                 }
-                for line in cx.job_failover.iter().flat_map(|job_failover| job_failover.lines(&self.classes))
+                for line in
+                    cx.job_failover.iter().flat_map(|job_failover| job_failover.figures(&self.classes))
                 {
                     text.push_str(&line);
                     text.push('\n');
@@ -88,7 +89,7 @@
 }
 
 impl Connection<Context<'_>> for Caller {
-    fn link(&mut self) -> &mut BufferedStream {
+    fn stream(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -187,7 +188,7 @@
                 replied: false,
                 classes: std::rc::Rc::clone(&self.classes),
             });
-            if cx.event_loop.watch(&mut caller.link.stream, Owner::Control(at)).is_err() {
+            if cx.event_loop.watch(&mut caller.link.socket, Owner::Control(at)).is_err() {
                 self.callers.remove(at);
                 continue;
             }
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -97,7 +97,7 @@
 }
 
 impl Connection<Context<'_>> for Call {
-    fn link(&mut self) -> &mut BufferedStream {
+    fn stream(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -182,7 +182,7 @@
             kind,
             ending: Ending::NoConnection,
         });
-        if cx.event_loop.watch(&mut self.calls[at].link.stream, Owner::Discovery(at)).is_err() {
+        if cx.event_loop.watch(&mut self.calls[at].link.socket, Owner::Discovery(at)).is_err() {
             self.calls.remove(at);
             cx.roster.call_ended(cx.now, id, Ending::NoConnection);
         }
@@ -230,5 +230,5 @@
 /// Takes a socket off the poll before it is closed.
 pub fn deregister(link: &mut BufferedStream, event_loop: &EventLoop) {
     // A socket that the poll does not know any more is closed all the same.
-    let _ = event_loop.registry().deregister(&mut link.stream);
+    let _ = event_loop.registry().deregister(&mut link.socket);
 }
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -1,6 +1,6 @@
 //! The event loop's parts: the poll, the one clock, the timers, and what a connection is.
 
-use super::buffered_stream::{BufferedStream, Filled};
+use super::buffered_stream::{BufferedStream, StreamState};
 
 use mio::{Events, Interest, Poll, Registry, Token, event::Source};
 use std::cmp::Reverse;
@@ -211,8 +211,8 @@
 
 /// A connection: an object that is called back. What it hands on goes through `C`.
 pub trait Connection<C> {
-    /// Its socket and buffer.
-    fn link(&mut self) -> &mut BufferedStream;
+    /// Its socket with its buffers.
+    fn stream(&mut self) -> &mut BufferedStream;
     /// Whether it waits to be connected.
     fn connecting(&self) -> bool {
         false
@@ -236,12 +236,12 @@
 /// Calls a connection back for all that has happened to it.
 pub fn drive<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
     if connection.connecting() {
-        let stream = &connection.link().stream;
-        if stream.take_error().ok().flatten().is_some() {
+        let socket = &connection.stream().socket;
+        if socket.take_error().ok().flatten().is_some() {
             connection.on_end(context);
             return Flow::Close;
         }
-        if stream.peer_addr().is_err() {
+        if socket.peer_addr().is_err() {
             return Flow::Keep;
         }
         if connection.on_open(context) == Flow::Close {
@@ -249,19 +249,19 @@
         }
     }
     // A write that fails does not mean that nothing came: an answer may wait to be read.
-    let broken = connection.link().flush().is_err();
+    let broken = connection.stream().flush().is_err();
     let mut taken = 0;
     loop {
-        let before = connection.link().buffer.input().len();
+        let before = connection.stream().buffer.input().len();
         let most = connection.input_most().min(before + TURN_MOST - taken);
-        let filled = connection.link().fill(most);
-        let held = connection.link().buffer.input().len();
+        let state = connection.stream().fill(most);
+        let held = connection.stream().buffer.input().len();
         if held > before && connection.on_input(context) == Flow::Close {
             return Flow::Close;
         }
         let drained = held < most;
-        let mut full = connection.link().buffer.input().len() >= connection.input_most();
-        if filled != Filled::Open || broken && (drained || full) {
+        let mut full = connection.stream().buffer.input().len() >= connection.input_most();
+        if state != StreamState::Open || broken && (drained || full) {
             connection.on_end(context);
             return Flow::Close;
         }
@@ -269,7 +269,7 @@
             if push_out(connection, context) == Flow::Close {
                 return Flow::Close;
             }
-            full = connection.link().buffer.input().len() >= connection.input_most();
+            full = connection.stream().buffer.input().len() >= connection.input_most();
         }
         // Where it was not drained, the poll won't tell of what is left: go on if room was made, by reading or writing.
         if drained || full {
@@ -285,9 +285,9 @@
 /// Writes what a connection has to write, and tells it when all is out; it may have more to write then.
 pub fn push_out<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
     loop {
-        match connection.link().flush() {
+        match connection.stream().flush() {
             Ok(true) if connection.on_written(context) == Flow::Close => return Flow::Close,
-            Ok(true) if !connection.link().buffer.output().is_empty() => {}
+            Ok(true) if !connection.stream().buffer.output().is_empty() => {}
             Ok(_) => return Flow::Keep,
             Err(_) => {
                 connection.on_end(context);
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -270,7 +270,7 @@
     fn leave(&self, cx: &mut Context) {
         match (&self.state, &mut *cx.job_failover) {
             (State::Job(job), _) => cx.core.client_gone(*job),
-            (State::Covered(waiter), Some(job_failover)) => job_failover.client_gone(*waiter),
+            (State::Covered(waiter), Some(job_failover)) => job_failover.client_disconnected(*waiter),
             _ => {}
         }
     }
@@ -361,9 +361,9 @@
                 arrival.request.body = body;
                 arrival.job.time_left = arrival.job.time_left.min(cx.time_left());
                 if let Some(job_failover) =
-                    cx.job_failover.as_mut().filter(|job_failover| job_failover.covers(&arrival))
+                    cx.job_failover.as_mut().filter(|job_failover| job_failover.handles(&arrival))
                 {
-                    self.state = State::Covered(job_failover.arrive(*arrival));
+                    self.state = State::Covered(job_failover.submit(*arrival));
                     return;
                 }
                 match cx.core.job_arrived(cx.now, *arrival) {
@@ -422,7 +422,7 @@
 }
 
 impl Connection<Context<'_>> for ClientConnection {
-    fn link(&mut self) -> &mut BufferedStream {
+    fn stream(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -431,7 +431,7 @@
             // Each shutdown, be it the second of the same direction, makes the poll tell of the socket anew.
             self.shut = true;
             // Closing with input unread would reset the connection, maybe before the answer was read.
-            let _ = self.link.stream.shutdown(std::net::Shutdown::Write);
+            let _ = self.link.socket.shutdown(std::net::Shutdown::Write);
         }
         // Room was made for the answers to requests that came already.
         self.read(cx);
@@ -541,7 +541,7 @@
             known: false,
             worked: false,
         });
-        if cx.event_loop.watch(&mut client.link.stream, Owner::Frontend(id)).is_err() {
+        if cx.event_loop.watch(&mut client.link.socket, Owner::Frontend(id)).is_err() {
             self.clients.remove(id);
         }
     }
--- /dev/null
+++ b/crates/daemon/src/net/job_failover/replicated_job.rs
@@ -0,0 +1,83 @@
+//! The payload of a job's record: all that another scheduler needs to run the job.
+
+use brackenledge_engine::Request;
+use brackenledge_policy::{Effect, JobId, NewJob};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A job as its replicas hold it. The order of the fields is the wire format (`postcard`).
+#[derive(Serialize, Deserialize)]
+pub(super) struct ReplicatedJob {
+    pub(super) id: String,
+    pub(super) target: String,
+    pub(super) content_type: Option<String>,
+    pub(super) affinity_key: Option<String>,
+    pub(super) effort: Option<f64>,
+    pub(super) slots: f64,
+    pub(super) memory: f64,
+    pub(super) is_retry: bool,
+    pub(super) body: Vec<u8>,
+}
+
+/// What a replicated job does not carry: the key of its record has it, or the scheduler that runs it decides it.
+pub(super) struct JobContext<'a> {
+    pub(super) class: u16,
+    pub(super) tenant: u16,
+    pub(super) idempotency_key: &'a str,
+    pub(super) effect: Effect,
+    /// Time to its deadline, in milliseconds.
+    pub(super) time_left: f64,
+}
+
+/// The job's id before the engine has given it one.
+const UNASSIGNED: JobId = 0;
+
+impl ReplicatedJob {
+    pub(super) fn new(job: NewJob, request: Request) -> ReplicatedJob {
+        ReplicatedJob {
+            id: request.id,
+            target: request.target,
+            content_type: request.content_type,
+            affinity_key: job.key,
+            effort: job.effort,
+            slots: job.slots,
+            memory: job.memory,
+            is_retry: job.is_retry,
+            body: request.body,
+        }
+    }
+
+    pub(super) fn encode(&self) -> Arc<[u8]> {
+        Arc::from(postcard::to_allocvec(self).unwrap_or_default())
+    }
+
+    pub(super) fn decode(payload: &[u8]) -> Result<ReplicatedJob, postcard::Error> {
+        postcard::from_bytes(payload)
+    }
+
+    /// The job and its request as the engine takes them.
+    pub(super) fn into_engine_job(self, context: &JobContext) -> (NewJob, Request) {
+        let job = NewJob {
+            id: UNASSIGNED,
+            class: usize::from(context.class),
+            tenant: usize::from(context.tenant),
+            key: self.affinity_key,
+            time_left: context.time_left,
+            effort: self.effort,
+            slots: self.slots,
+            memory: self.memory,
+            is_retry: self.is_retry,
+            ran: None,
+        };
+        let request = Request {
+            id: self.id,
+            target: self.target,
+            idempotency_key: Some(context.idempotency_key.to_owned()),
+            content_type: self.content_type,
+            body: self.body,
+            effect: context.effect,
+            watched: true,
+        };
+        (job, request)
+    }
+}
--- a/crates/daemon/src/net/job_failover/tests.rs
+++ b/crates/daemon/src/net/job_failover/tests.rs
@@ -1,4 +1,4 @@
-//! The bytes of a job as its keepers have it, pinned: a keeper of another build must be able to go on with it. The
+//! The bytes of a job as its replicas hold it, pinned: a scheduler of another build must be able to take it over. The
 //! expected bytes were written by the build of commit 72e1d57.
 
 use super::*;
@@ -13,21 +13,21 @@
 }
 
 /// What is written has exactly these bytes, and these bytes are read and written as the same.
-fn pinned(wanted: &Wanted, bytes: &str) -> Wanted {
-    let written = postcard::to_allocvec(wanted).expect("bytes");
+fn pinned(job: &ReplicatedJob, bytes: &str) -> ReplicatedJob {
+    let written = postcard::to_allocvec(job).expect("bytes");
     assert_eq!(hex(&written), bytes);
-    let read: Wanted = postcard::from_bytes(&unhex(bytes)).expect("a job");
+    let read: ReplicatedJob = postcard::from_bytes(&unhex(bytes)).expect("a job");
     assert_eq!(hex(&postcard::to_allocvec(&read).expect("bytes")), bytes);
     read
 }
 
 #[test]
 fn a_job_with_all_it_may_carry_has_these_bytes() {
-    let wanted = Wanted {
+    let job = ReplicatedJob {
         id: "trace-1".into(),
         target: "/v1/sale?x=2".into(),
         content_type: Some("application/json".into()),
-        key: Some("affinity-3".into()),
+        affinity_key: Some("affinity-3".into()),
         effort: Some(2.5),
         slots: 1.25,
         memory: 640.0,
@@ -35,12 +35,12 @@
         body: b"body\x00\xff".to_vec(),
     };
     let read = pinned(
-        &wanted,
+        &job,
         "0774726163652d310c2f76312f73616c653f783d3201106170706c69636174696f6e2f6a736f6e010a616666696e6974792d33010000000000000440000000000000f43f00000000000084400106626f647900ff",
     );
     assert_eq!((read.id.as_str(), read.target.as_str()), ("trace-1", "/v1/sale?x=2"));
     assert_eq!(read.content_type.as_deref(), Some("application/json"));
-    assert_eq!(read.key.as_deref(), Some("affinity-3"));
+    assert_eq!(read.affinity_key.as_deref(), Some("affinity-3"));
     assert_eq!((read.effort, read.slots, read.memory), (Some(2.5), 1.25, 640.0));
     assert!(read.is_retry);
     assert_eq!(read.body, b"body\x00\xff");
@@ -48,19 +48,19 @@
 
 #[test]
 fn a_job_without_what_is_optional_has_these_bytes() {
-    let wanted = Wanted {
+    let job = ReplicatedJob {
         id: "t".into(),
         target: "/".into(),
         content_type: None,
-        key: None,
+        affinity_key: None,
         effort: None,
         slots: 1.0,
         memory: 0.0,
         is_retry: false,
         body: Vec::new(),
     };
-    let read = pinned(&wanted, "0174012f000000000000000000f03f00000000000000000000");
-    assert_eq!((read.content_type, read.key, read.effort), (None, None, None));
+    let read = pinned(&job, "0174012f000000000000000000f03f00000000000000000000");
+    assert_eq!((read.content_type, read.affinity_key, read.effort), (None, None, None));
     assert_eq!((read.slots, read.memory, read.is_retry), (1.0, 0.0, false));
     assert!(read.body.is_empty());
 }
@@ -68,11 +68,11 @@
 /// Operators' scripts read these figures: names and order stay.
 #[test]
 fn the_figures_have_these_names() {
-    let options = CoverOptions { on: true, covered: vec!["sale".into()], ..CoverOptions::default() };
+    let options = FailoverOptions { on: true, covered: vec!["sale".into()], ..FailoverOptions::default() };
     let classes = [("view".to_owned(), Effect::Safe), ("sale".to_owned(), Effect::Unsafe)];
-    let me = ProcessId { ordinal: 0, incarnation: 1 };
-    let failover = JobFailover::new(&options, me, 0, &classes);
-    let lines = failover.lines(&["view".to_owned(), "sale".to_owned()]);
+    let local = ProcessId { ordinal: 0, incarnation: 1 };
+    let failover = JobFailover::new(&options, local, 0, &classes);
+    let lines = failover.figures(&["view".to_owned(), "sale".to_owned()]);
     assert_eq!(
         lines,
         [
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -19,15 +19,15 @@
 use self::discovery::{Discovery, Places};
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
-use self::job_failover::{JobFailover, Leaving};
+use self::job_failover::{Attempt, JobFailover};
 use self::peer::Peer;
 use self::peer_links::PeerLinks;
 use self::zone_routing::ZoneRouting;
 use brackenledge_discovery::{Roster, RosterSettings};
 use brackenledge_engine::drain::Drain;
 use brackenledge_engine::shutdown::Shutdown;
-use brackenledge_engine::{Answer, Command, Core};
-use brackenledge_failover::{Command as FailoverCommand, Fate};
+use brackenledge_engine::{Command, Core};
+use brackenledge_failover::{Command as FailoverCommand, JobOutcome};
 use brackenledge_policy::{Outcome, Settings};
 use brackenledge_protocol::config::{Config, IDLE_LIMIT};
 use brackenledge_protocol::operations::Operations;
@@ -53,8 +53,8 @@
 const SWEEP: Millis = 250.0;
 /// Time between lines for the log on what was done.
 const REPORT: Millis = 30_000.0;
-/// Time between looks at what cover waits for, and at its links.
-const COVER_EVERY: Millis = 20.0;
+/// Time between two handlings of failover's timeouts and links.
+const FAILOVER_INTERVAL: Millis = 20.0;
 /// How long the last words to other schedulers may take at the end: several round trips.
 const LAST_WORDS: Millis = 300.0;
 
@@ -83,7 +83,7 @@
 impl Context<'_> {
     /// Jobs that clients wait for here.
     fn held(&self) -> usize {
-        self.core.owed() + self.job_failover.as_ref().map_or(0, JobFailover::waiting)
+        self.core.owed() + self.job_failover.as_ref().map_or(0, JobFailover::waiting_clients)
     }
 
     /// Whether SIGTERM came so long ago that clients get no further request in.
@@ -262,8 +262,8 @@
             event_loop.set_alarm(event_loop.now() + zone_routing::LOOK, Alarm::ZoneRouting);
         }
         let (mut job_failover, mut links) = (None, None);
-        if let Some(cluster) = cluster.as_ref().filter(|_| operations.cover.on) {
-            let addresses = operations.cover.links.clone();
+        if let Some(cluster) = cluster.as_ref().filter(|_| operations.failover.on) {
+            let addresses = operations.failover.links.clone();
             let own = addresses.get(settings.ordinal as usize).copied();
             let own = own.ok_or("handover.links: no address for this scheduler's number")?;
             // Shared, as the listener for clients is, with a process that replaces this one.
@@ -275,7 +275,8 @@
                 .map_err(|e| format!("{watched}: {e}"))?;
             let effects = settings.classes.iter().map(|class| class.effect);
             let classes: Vec<_> = document.class_names().into_iter().zip(effects).collect();
-            job_failover = Some(JobFailover::new(&operations.cover, cluster.me(), settings.zone, &classes));
+            job_failover =
+                Some(JobFailover::new(&operations.failover, cluster.me(), settings.zone, &classes));
             links = Some(all);
             event_loop.set_alarm(event_loop.now(), Alarm::JobFailover);
         }
@@ -466,14 +467,14 @@
                 if let Some(links) = &mut self.links {
                     links.handle_timeout(cx);
                 }
-                cx.event_loop.set_alarm(cx.now + COVER_EVERY, Alarm::JobFailover);
+                cx.event_loop.set_alarm(cx.now + FAILOVER_INTERVAL, Alarm::JobFailover);
             }
             // On time, and not at the next sweep: what arrives later than this may meet SIGKILL.
             Alarm::Shutdown => {
                 if let Some(given) =
-                    cx.job_failover.as_mut().map(JobFailover::yield_all).filter(|&given| given > 0)
+                    cx.job_failover.as_mut().map(JobFailover::transfer_all).filter(|&given| given > 0)
                 {
-                    info!(cx.log, "jobs that were not sent are given to others"; "jobs" => given);
+                    info!(cx.log, "failover_jobs_transferred"; "jobs" => given);
                 }
                 self.frontend.accept(cx);
                 self.frontend.close_all_idle(cx);
@@ -489,7 +490,7 @@
             if let Some(order) = self.roster.poll_command() {
                 self.carry_out_roster(order);
             } else if let Some(order) = self.job_failover.as_mut().and_then(JobFailover::poll_command) {
-                self.carry_out_cover(order);
+                self.carry_out_failover(order);
             } else if let Some(order) = self.core.poll_command(self.event_loop.now()) {
                 self.carry_out(order);
             } else {
@@ -503,58 +504,60 @@
         }
     }
 
-    fn carry_out_cover(&mut self, order: FailoverCommand) {
+    fn carry_out_failover(&mut self, command: FailoverCommand) {
         let cx = &mut context!(self);
         let Some(job_failover) = cx.job_failover.as_mut() else { return };
-        match order {
-            FailoverCommand::Send { to, message, soon } => job_failover.say(to, message, soon),
-            FailoverCommand::Start { key, what, until, ran, .. } => {
+        match command {
+            FailoverCommand::Send { to, message, urgent } => job_failover.send(to, message, urgent),
+            FailoverCommand::StartJob { key, payload, deadline, prior_execution, .. } => {
+                let worker = prior_execution.as_ref().map(|prior| cx.roster.find(&prior.worker));
                 // What repeats are bound to is not known here: there can be none.
-                let place = ran.as_ref().map(|(name, _)| cx.roster.find(name));
-                if place == Some(None) {
-                    job_failover.not_taken(&key, Fate::Failed);
+                if worker == Some(None) {
+                    job_failover.job_not_admitted(&key, JobOutcome::Failed);
                     return;
                 }
-                let ran = place.flatten().zip(ran).map(|(at, (_, ago))| (at, ago as Millis / 1_000.0));
-                let arrival = job_failover.arrival(&key, &what, until, ran);
+                let mut arrival = job_failover.decode_job(&key, &payload, deadline);
+                if let (Some(arrival), Some(prior), Some(worker)) =
+                    (&mut arrival, prior_execution, worker.flatten())
+                {
+                    arrival.job.ran = Some(job_failover::prior_attempt(&prior, worker));
+                }
                 match arrival.and_then(|arrival| cx.core.job_arrived(cx.now, arrival)) {
-                    Some(job) => job_failover.taken(key, job),
-                    // Its request's id is open here: it may be brought again.
-                    None => job_failover.not_taken(&key, Fate::Denied(Some(1_000))),
+                    Some(job) => job_failover.job_admitted(key, job),
+                    // Its request's id is open here: it may be submitted again.
+                    None => job_failover.job_not_admitted(&key, JobOutcome::Rejected(Some(1_000))),
                 }
             }
-            FailoverCommand::Go(key, attempt) => {
-                if let Some(Leaving { id, worker, request, times }) = job_failover.leaves(&key, attempt) {
+            FailoverCommand::PermitAttempt { key, attempt } => {
+                if let Some(attempt) = job_failover.release_attempt(&key, attempt) {
+                    let Attempt { id, worker, request, times } = attempt;
                     self.backend.dispatch(id, worker, request, times, cx);
                 }
             }
-            FailoverCommand::Moot(key, attempt) => {
-                if let Some(id) = job_failover.moot(&key, attempt) {
+            FailoverCommand::AttemptExpired { key, attempt } => {
+                if let Some(id) = job_failover.drop_attempt(&key, attempt) {
                     cx.core.dispatch_ended(id, Outcome::Moot, None);
                 }
             }
-            FailoverCommand::Close(key) => {
-                if let Some((job, waiting)) = job_failover.close(&key) {
-                    waiting.into_iter().for_each(|id| cx.core.dispatch_ended(id, Outcome::Moot, None));
-                    cx.core.client_gone(job);
+            FailoverCommand::Revoke { key } => {
+                if let Some(job) = job_failover.revoke(&key) {
+                    for attempt in job.held_attempts {
+                        cx.core.dispatch_ended(attempt, Outcome::Moot, None);
+                    }
+                    cx.core.client_gone(job.id);
                 }
             }
-            FailoverCommand::Answer(waiters, fate) => {
+            FailoverCommand::Answer { waiters, outcome } => {
                 for waiter in waiters {
-                    let Some(client) =
-                        cx.job_failover.as_mut().and_then(|job_failover| job_failover.client(waiter))
-                    else {
-                        continue;
-                    };
-                    let answer = match &fate {
-                        Fate::Served(result) => Answer::Served(String::from_utf8_lossy(result).into_owned()),
-                        Fate::Denied(wait) => Answer::Denied { retry_after: wait.map(f64::from) },
-                        Fate::Failed => Answer::Failed,
-                    };
-                    self.frontend.answer_covered(client, waiter, answer, cx);
+                    let client =
+                        cx.job_failover.as_mut().and_then(|job_failover| job_failover.take_client(waiter));
+                    if let Some(client) = client {
+                        let answer = job_failover::answer_of(&outcome);
+                        self.frontend.answer_covered(client, waiter, answer, cx);
+                    }
                 }
             }
-            FailoverCommand::Log(text) => info!(cx.log, "handover"; "what" => text),
+            FailoverCommand::Event(event) => job_failover::log_event(cx.log, event),
         }
     }
 
@@ -577,29 +580,35 @@
         let cx = &mut context!(self);
         match order {
             Command::Answer { client, job, answer } => {
-                if !cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.answered(job, &answer)) {
+                if !cx
+                    .job_failover
+                    .as_mut()
+                    .is_some_and(|job_failover| job_failover.job_answered(job, &answer))
+                {
                     self.frontend.answer(client, job, answer, cx);
                 }
             }
             Command::Dispatch { id, worker, request, times } => {
-                let leaving = Leaving { id, worker, request, times };
-                let leaving = match cx.job_failover {
-                    Some(job_failover) => {
-                        job_failover.dispatch(cx.now, leaving, cx.roster.name(worker).unwrap_or_default())
-                    }
-                    None => Some(leaving),
+                let attempt = Attempt { id, worker, request, times };
+                let permitted = match cx.job_failover {
+                    Some(job_failover) => job_failover.submit_attempt(
+                        cx.now,
+                        attempt,
+                        cx.roster.name(worker).unwrap_or_default(),
+                    ),
+                    None => Some(attempt),
                 };
-                if let Some(Leaving { id, worker, request, times }) = leaving {
+                if let Some(Attempt { id, worker, request, times }) = permitted {
                     self.backend.dispatch(id, worker, request, times, cx);
                 }
             }
             Command::Ended { id, never_ran } => {
                 if let Some(job_failover) = cx.job_failover {
-                    job_failover.ended(id, never_ran);
+                    job_failover.attempt_ended(id, never_ran);
                 }
             }
             Command::Cancel { id } | Command::TakeBack { id }
-                if cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.cancel(id)) =>
+                if cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.cancel_attempt(id)) =>
             {
                 cx.core.dispatch_ended(id, Outcome::Moot, None);
             }
@@ -652,8 +661,8 @@
         // What others must know of what we held goes out before we do.
         let now = self.event_loop.now();
         let idle_since = *self.idle_since.get_or_insert(now);
-        let said = self.job_failover.as_mut().is_none_or(|job_failover| job_failover.last_words())
-            && self.links.as_ref().is_none_or(PeerLinks::quiet);
+        let said = self.job_failover.as_mut().is_none_or(|job_failover| job_failover.flush())
+            && self.links.as_ref().is_none_or(PeerLinks::is_flushed);
         if !said && now < idle_since + LAST_WORDS {
             return false;
         }
--- a/crates/daemon/src/net/peer_links.rs
+++ b/crates/daemon/src/net/peer_links.rs
@@ -1,72 +1,108 @@
-//! Connections between schedulers, for what does not fit a datagram. Of two, the one with the lower number connects;
-//! a connection that is lost is made again, and what had not come is said again on it (`handover`'s sessions).
+//! Connections between schedulers, for what does not fit a datagram. Of two schedulers the one with the lower ordinal
+//! connects. A connection that is lost is made again, and the sessions of `brackenledge-failover` send again on it what
+//! had not arrived.
 
 use super::Context;
 use super::buffered_stream::BufferedStream;
 use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive, push_out};
-use super::job_failover::JobFailover;
-use brackenledge_failover::{FRAME_MOST, Frame, ProcessId};
+use super::job_failover::{JobFailover, LinkError};
+use brackenledge_failover::{Frame, MAX_FRAME_LEN, ProcessId};
 use mio::net::{TcpListener, TcpStream};
 use slab::Slab;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
-/// Bytes of output beyond which no further frame is made: what a peer does not take waits in its session.
-const OUTPUT_MOST: usize = 256 * 1024;
-/// A connection is tried again so long after the last one, and given up if it does not come up or say who it is.
-const AGAIN: Millis = 200.0;
-const COMES_UP: Millis = 1_000.0;
-/// Connections held at most beside one for each scheduler: those that have not said who they are.
-const STRANGERS_MOST: usize = 16;
+/// Bytes of output beyond which no further frame is encoded: what a peer does not read waits in its session.
+const MAX_OUTPUT: usize = 256 * 1024;
+/// Room for input beyond one frame of the greatest length, in bytes.
+const INPUT_MARGIN: usize = 64 * 1024;
+/// Time between two attempts to connect to a peer, in milliseconds.
+const RECONNECT_INTERVAL: Millis = 200.0;
+/// A connection whose peer has not identified itself by then is closed.
+const IDENTIFICATION_TIMEOUT: Millis = 1_000.0;
+/// Most connections beside one for each scheduler: those whose peers have not identified themselves.
+const MAX_UNIDENTIFIED: usize = 16;
+/// Ends each frame.
+const FRAME_END: u8 = 0;
 
-struct Peering {
-    link: BufferedStream,
+/// Why a connection is to be closed after a frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    /// The frame violates the protocol.
+    ProtocolError,
+    /// A newer process has the peer's ordinal, or failover is off.
+    Obsolete,
+}
+
+impl From<LinkError> for CloseReason {
+    fn from(error: LinkError) -> CloseReason {
+        match error {
+            LinkError::Protocol(_) => CloseReason::ProtocolError,
+            LinkError::Superseded => CloseReason::Obsolete,
+        }
+    }
+}
+
+/// A connection with another scheduler.
+struct PeerConnection {
+    stream: BufferedStream,
     connecting: bool,
     since: Millis,
-    /// Whom we connected to, by number.
+    /// The ordinal that we connected to; `None`: the peer connected.
     dialed: Option<u16>,
-    /// Who is there, once they have said so.
+    /// The peer, once it has identified itself.
     peer: Option<ProcessId>,
-    /// Schedulers there are.
-    seats: usize,
-    /// Who we were when it was made.
-    me: ProcessId,
+    /// Schedulers in the cluster.
+    cluster_size: usize,
+    /// Our own identity when the connection was made.
+    local: ProcessId,
 }
 
-impl Peering {
-    fn say(&mut self, frame: &Frame) {
-        self.link.buffer.push(&frame.write());
+impl PeerConnection {
+    fn send(&mut self, frame: &Frame) {
+        self.stream.buffer.push(&frame.encode());
     }
 
-    /// Takes a frame in; whether it makes sense, and whether the connection is to stay.
-    fn take(&mut self, frame: Frame, cx: &mut Context) -> (bool, Flow) {
-        let Some(job_failover) = cx.job_failover else { return (true, Flow::Close) };
+    fn handle_frame(&mut self, frame: Frame, cx: &mut Context) -> Result<(), CloseReason> {
+        let job_failover = cx.job_failover.as_mut().ok_or(CloseReason::Obsolete)?;
         match (frame, self.peer) {
-            (Frame::Hello { from, zone }, None) => {
-                let other = usize::from(from.ordinal) < self.seats && from.ordinal != self.me.ordinal;
-                if !other || self.dialed.is_some_and(|dialed| dialed != from.ordinal) {
-                    return (false, Flow::Close);
-                }
-                // Of two processes under one number the older one is not heard.
-                let Some(welcome) = job_failover.greet(from, zone) else { return (true, Flow::Close) };
-                self.peer = Some(from);
-                self.say(&welcome);
-                (true, Flow::Keep)
-            }
-            (frame, Some(peer)) => match job_failover.frame(peer, frame) {
-                Some(true) => (true, Flow::Keep),
-                Some(false) => (false, Flow::Close),
-                None => (true, Flow::Close),
-            },
-            _ => (false, Flow::Close),
+            (Frame::Hello { from, zone }, None) => self.handle_hello(from, zone, job_failover),
+            (frame, Some(peer)) => Ok(job_failover.handle_frame(peer, frame)?),
+            _ => Err(CloseReason::ProtocolError),
         }
     }
+
+    fn handle_hello(
+        &mut self,
+        from: ProcessId,
+        zone: u32,
+        job_failover: &mut JobFailover,
+    ) -> Result<(), CloseReason> {
+        let is_other = usize::from(from.ordinal) < self.cluster_size && from.ordinal != self.local.ordinal;
+        if !is_other || self.dialed.is_some_and(|dialed| dialed != from.ordinal) {
+            return Err(CloseReason::ProtocolError);
+        }
+        // Of two processes with one ordinal the older one is not accepted.
+        let resume = job_failover.accept_peer(from, zone).ok_or(CloseReason::Obsolete)?;
+        self.peer = Some(from);
+        self.send(&resume);
+        Ok(())
+    }
+
+    /// The next whole frame's bytes, removed from the input.
+    fn next_input_frame(&mut self) -> Option<Vec<u8>> {
+        let input = self.stream.buffer.input();
+        let end = input.iter().position(|&byte| byte == FRAME_END)?;
+        let bytes = input[..=end].to_vec();
+        self.stream.buffer.consume(end + 1);
+        Some(bytes)
+    }
 }
 
-impl Connection<Context<'_>> for Peering {
-    fn link(&mut self) -> &mut BufferedStream {
-        &mut self.link
+impl Connection<Context<'_>> for PeerConnection {
+    fn stream(&mut self) -> &mut BufferedStream {
+        &mut self.stream
     }
 
     fn connecting(&self) -> bool {
@@ -77,52 +113,47 @@
         self.connecting = false;
         if let Some(job_failover) = cx.job_failover {
             let hello = job_failover.hello();
-            self.say(&hello);
+            self.send(&hello);
         }
         Flow::Keep
     }
 
     fn on_input(&mut self, cx: &mut Context) -> Flow {
-        loop {
-            let input = self.link.buffer.input();
-            let Some(end) = input.iter().position(|&byte| byte == 0) else {
-                let whole = input.len() <= FRAME_MOST;
-                return if whole { Flow::Keep } else { Flow::Close };
-            };
-            let mut bytes = input[..=end].to_vec();
-            self.link.buffer.consume(end + 1);
-            let frame = Frame::read(&mut bytes);
-            let (sense, flow) = frame.map_or((false, Flow::Close), |frame| self.take(frame, cx));
-            if let (false, Some(job_failover)) = (sense, cx.job_failover.as_mut()) {
-                job_failover.nonsense += 1;
-            }
-            if flow == Flow::Close {
-                return Flow::Close;
+        while let Some(mut bytes) = self.next_input_frame() {
+            let frame = Frame::decode(&mut bytes).map_err(|_| CloseReason::ProtocolError);
+            let Err(reason) = frame.and_then(|frame| self.handle_frame(frame, cx)) else { continue };
+            if let (CloseReason::ProtocolError, Some(job_failover)) = (reason, cx.job_failover.as_mut()) {
+                job_failover.protocol_errors += 1;
             }
+            return Flow::Close;
         }
+        if self.stream.buffer.input().len() <= MAX_FRAME_LEN { Flow::Keep } else { Flow::Close }
     }
 
     fn on_end(&mut self, _cx: &mut Context) {}
 
     fn input_most(&self) -> usize {
-        FRAME_MOST + 64 * 1024
+        MAX_FRAME_LEN + INPUT_MARGIN
     }
 }
 
-/// The listener and all connections.
+/// The listener and all connections with other schedulers.
 pub struct PeerLinks {
     listener: TcpListener,
+    /// Where each scheduler listens, by ordinal.
     addresses: Vec<SocketAddr>,
-    me: u16,
-    connections: Slab<Peering>,
-    tried: Vec<Millis>,
+    /// Our ordinal.
+    local: u16,
+    connections: Slab<PeerConnection>,
+    /// When each peer was last connected to, by ordinal.
+    last_attempts: Vec<Millis>,
 }
 
 impl PeerLinks {
-    /// On a listener that is bound already; `addresses` by number.
-    pub fn new(listener: TcpListener, addresses: Vec<SocketAddr>, me: u16) -> PeerLinks {
-        let tried = vec![f64::NEG_INFINITY; addresses.len()];
-        PeerLinks { listener, addresses, me, connections: Slab::new(), tried }
+    /// Links on a listener that is bound already; `addresses` by ordinal, of which ours is `local`.
+    pub fn new(listener: TcpListener, addresses: Vec<SocketAddr>, local: u16) -> PeerLinks {
+        let last_attempts = vec![f64::NEG_INFINITY; addresses.len()];
+        PeerLinks { listener, addresses, local, connections: Slab::new(), last_attempts }
     }
 
     /// The listener, for the poll.
@@ -130,18 +161,18 @@
         &mut self.listener
     }
 
-    /// Takes the connections that wait.
+    /// Accepts the connections that wait.
     pub fn accept(&mut self, cx: &mut Context) {
         loop {
             match self.listener.accept() {
                 Ok((stream, _)) => {
-                    if self.connections.len() < self.addresses.len() + STRANGERS_MOST {
+                    if self.connections.len() < self.addresses.len() + MAX_UNIDENTIFIED {
                         self.add(stream, None, cx);
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                // Out of descriptors: the poll tells again while connections wait, and they are tried again.
+                // Out of descriptors: the poll reports again while connections wait, and they are accepted then.
                 Err(_) => return,
             }
         }
@@ -149,27 +180,34 @@
 
     fn add(&mut self, stream: TcpStream, dialed: Option<u16>, cx: &mut Context) {
         let Some(job_failover) = cx.job_failover else { return };
-        let (connecting, me, seats) = (dialed.is_some(), job_failover.me(), self.addresses.len());
-        let link = BufferedStream::new(stream);
-        let mut peering = Peering { link, connecting, since: cx.now, dialed, peer: None, seats, me };
+        let connecting = dialed.is_some();
+        let mut connection = PeerConnection {
+            stream: BufferedStream::new(stream),
+            connecting,
+            since: cx.now,
+            dialed,
+            peer: None,
+            cluster_size: self.addresses.len(),
+            local: job_failover.local(),
+        };
         if !connecting {
-            peering.say(&job_failover.hello());
+            connection.send(&job_failover.hello());
         }
-        let at = self.connections.insert(peering);
-        if cx.event_loop.watch(&mut self.connections[at].link.stream, Owner::PeerLink(at)).is_err() {
+        let at = self.connections.insert(connection);
+        if cx.event_loop.watch(&mut self.connections[at].stream.socket, Owner::PeerLink(at)).is_err() {
             self.connections.remove(at);
         }
     }
 
-    /// The poll has something for a connection.
+    /// The poll reports an event of a connection.
     pub fn on_ready(&mut self, at: usize, cx: &mut Context) {
         let Some(connection) = self.connections.get_mut(at) else { return };
-        let known = connection.peer;
+        let peer_before = connection.peer;
         let flow = drive(connection, cx);
         let peer = connection.peer;
-        if let (None, Some(peer)) = (known, peer) {
-            // The newest connection of a peer counts: the one before is gone, whether we have heard of that or not.
-            let same = |c: &Peering| c.peer.is_some_and(|other| other.ordinal == peer.ordinal);
+        if let (None, Some(peer)) = (peer_before, peer) {
+            // The newest connection of a peer counts: the one before is lost, whether that has been noticed or not.
+            let same = |c: &PeerConnection| c.peer.is_some_and(|other| other.ordinal == peer.ordinal);
             let old = self.connections.iter().find(|(other, c)| *other != at && same(c)).map(|c| c.0);
             if let Some(old) = old {
                 self.drop_connection(old, cx);
@@ -182,60 +220,62 @@
         }
     }
 
-    /// Tries connections that are missing, and ends those that came to nothing.
+    /// Makes connections that are missing, and closes those whose peers did not identify themselves.
     pub fn handle_timeout(&mut self, cx: &mut Context) {
-        let Some(me) = cx.job_failover.as_ref().map(JobFailover::me) else { return };
-        // Those that came to nothing, and those that were made under another name of ours.
-        let late = |c: &Peering| c.peer.is_none() && cx.now >= c.since + COMES_UP || c.me != me;
+        let Some(local) = cx.job_failover.as_ref().map(JobFailover::local) else { return };
+        // And those that were made under another incarnation of ours.
+        let late = |c: &PeerConnection| {
+            c.peer.is_none() && cx.now >= c.since + IDENTIFICATION_TIMEOUT || c.local != local
+        };
         let late: Vec<usize> = self.connections.iter().filter(|(_, c)| late(c)).map(|(at, _)| at).collect();
         late.into_iter().for_each(|at| self.remove(at, cx));
-        for other in (self.me + 1)..self.addresses.len() as u16 {
-            let here = self.connections.iter().any(|(_, c)| c.dialed == Some(other));
+        for other in (self.local + 1)..self.addresses.len() as u16 {
+            let connected = self.connections.iter().any(|(_, c)| c.dialed == Some(other));
             let at = usize::from(other);
-            if here || cx.now < self.tried[at] + AGAIN {
+            if connected || cx.now < self.last_attempts[at] + RECONNECT_INTERVAL {
                 continue;
             }
-            self.tried[at] = cx.now;
+            self.last_attempts[at] = cx.now;
             if let Ok(stream) = TcpStream::connect(self.addresses[at]) {
                 self.add(stream, Some(other), cx);
             }
         }
     }
 
-    /// Sends what there is to say, as far as the peers take it.
+    /// Encodes and writes the frames that wait, as far as the peers read them.
     pub fn flush(&mut self, cx: &mut Context) {
-        let mut gone = Vec::new();
+        let mut closed = Vec::new();
         for (at, connection) in self.connections.iter_mut() {
             let Some(peer) = connection.peer else { continue };
-            let mut new = false;
-            while connection.link.buffer.output().len() < OUTPUT_MOST
+            let mut written = false;
+            while connection.stream.buffer.output().len() < MAX_OUTPUT
                 && let Some(frame) =
-                    cx.job_failover.as_mut().and_then(|job_failover| job_failover.next_frame(peer))
+                    cx.job_failover.as_mut().and_then(|job_failover| job_failover.poll_frame(peer))
             {
-                connection.say(&frame);
-                new = true;
+                connection.send(&frame);
+                written = true;
             }
-            if new && push_out(connection, cx) == Flow::Close {
-                gone.push(at);
+            if written && push_out(connection, cx) == Flow::Close {
+                closed.push(at);
             }
         }
-        gone.into_iter().for_each(|at| self.remove(at, cx));
+        closed.into_iter().for_each(|at| self.remove(at, cx));
     }
 
-    /// Whether nothing waits to be written.
-    pub fn quiet(&self) -> bool {
-        self.connections.iter().all(|(_, c)| c.link.buffer.output().is_empty())
+    /// Whether all output is written.
+    pub fn is_flushed(&self) -> bool {
+        self.connections.iter().all(|(_, c)| c.stream.buffer.output().is_empty())
     }
 
     fn remove(&mut self, at: usize, cx: &mut Context) {
         if let (Some(peer), Some(job_failover)) = (self.connections[at].peer, cx.job_failover.as_mut()) {
-            job_failover.link_ended(peer);
+            job_failover.link_closed(peer);
         }
         self.drop_connection(at, cx);
     }
 
     fn drop_connection(&mut self, at: usize, cx: &mut Context) {
         let mut connection = self.connections.remove(at);
-        deregister(&mut connection.link, cx.event_loop);
+        deregister(&mut connection.stream, cx.event_loop);
     }
 }
--- /dev/null
+++ b/crates/failover/src/job_key.rs
@@ -0,0 +1,41 @@
+//! The identity of a job, and the members that its key selects.
+
+use brackenledge_leases::ProcessId;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The identity of a job: class and tenant by their numbers in the settings, and the client's `Idempotency-Key`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobKey {
+    /// The class's number.
+    pub class: u16,
+    /// The tenant's number.
+    pub tenant: u16,
+    /// The client's `Idempotency-Key`.
+    pub idempotency_key: Arc<str>,
+}
+
+impl JobKey {
+    /// The members by their rank for this key (rendezvous hashing; D. Thaler, C. Ravishankar, 1998).
+    pub(crate) fn members_by_rank(&self, members: &BTreeMap<u16, u64>) -> Vec<ProcessId> {
+        let mut ranked: Vec<(u64, ProcessId)> = members
+            .iter()
+            .map(|(&ordinal, &incarnation)| (self.rank(ordinal), ProcessId { ordinal, incarnation }))
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, member)| member).collect()
+    }
+
+    /// The member that decides who owns the job: the first by rank.
+    pub(crate) fn coordinator(&self, members: &BTreeMap<u16, u64>) -> Option<ProcessId> {
+        let first = members.iter().min_by_key(|(ordinal, _)| (self.rank(**ordinal), **ordinal));
+        first.map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation })
+    }
+
+    fn rank(&self, ordinal: u16) -> u64 {
+        let seed = u64::from(self.class) << 32 | u64::from(self.tenant) << 16 | u64::from(ordinal);
+        xxh3_64_with_seed(self.idempotency_key.as_bytes(), seed)
+    }
+}
--- /dev/null
+++ b/crates/failover/src/job_owner/timeouts.rs
@@ -0,0 +1,78 @@
+//! Timeouts of claims, attempts and clients.
+
+use crate::client_job::{ClaimState, PendingAck};
+use crate::{Command, Failover, JobKey, JobOutcome, Micros};
+
+impl Failover {
+    pub(crate) fn handle_claim_timeouts(&mut self, now: Micros) {
+        let keys: Vec<JobKey> = self.jobs.keys().cloned().collect();
+        for key in keys {
+            self.note_possible_loss(now, &key);
+            self.expire_attempts(now, &key);
+            self.expire_clients(now, &key);
+            self.expire_claim(now, &key);
+        }
+    }
+
+    /// Attempts that waited too long for acknowledgement never leave.
+    fn expire_attempts(&mut self, now: Micros, key: &JobKey) {
+        let margin = self.settings.deadline_margin;
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let first = job.first_attempt;
+        let (expired, pending): (Vec<PendingAck>, Vec<PendingAck>) =
+            job.pending_acks.drain(..).partition(|pending| now + margin >= pending.deadline);
+        job.pending_acks = pending;
+        for PendingAck { number, .. } in expired {
+            let attempt = number - first;
+            self.attempt_never_ran(now, key, attempt);
+            self.commands.push_back(Command::AttemptExpired { key: key.clone(), attempt });
+        }
+    }
+
+    /// Answers clients whose own deadlines are over. One may wait for less long than the job lasts here: its deadline was
+    /// passed on by other schedulers. Where we run the job its own end comes first; where another process owns it,
+    /// nothing is promised.
+    fn expire_clients(&mut self, now: Micros, key: &JobKey) {
+        let margin = self.settings.deadline_margin;
+        let Some(job) = self.jobs.get(key) else { return };
+        let attached = job.state == ClaimState::Attached;
+        let outcome = if attached || job.started { JobOutcome::Failed } else { job.outcome_if_abandoned() };
+        let expired = |deadline| {
+            if attached { now + margin >= deadline } else { now >= deadline + margin }
+        };
+        self.answer_clients(key, &outcome, expired);
+    }
+
+    /// Ends claims that take too long, and jobs whose deadlines are over.
+    fn expire_claim(&mut self, now: Micros, key: &JobKey) {
+        let claim_timeout = self.settings.claim_timeout;
+        let Some(job) = self.jobs.get(key) else { return };
+        let past_deadline = now + self.settings.deadline_margin >= job.record.deadline;
+        let timed_out = now >= job.since + claim_timeout;
+        match job.state {
+            ClaimState::ReplicationDeferred if now >= job.since + self.settings.replication_delay => {
+                self.claim(now, key);
+            }
+            ClaimState::Pending if job.record.requires_ack && (timed_out || past_deadline) => {
+                let claim_id = job.record.claim_id;
+                self.send_discard(key, claim_id, true);
+                self.run_unreplicated(key);
+            }
+            // It has ended, and its coordinator never replied.
+            ClaimState::Pending if job.record.outcome.is_some() && timed_out => {
+                self.jobs.remove(key);
+            }
+            ClaimState::Owned if !job.started && job.record.outcome.is_none() && past_deadline => {
+                let outcome = job.outcome_if_abandoned();
+                self.complete_owned(now, key, outcome);
+            }
+            ClaimState::Owned if job.unconfirmed_outcome.is_some() && past_deadline => {
+                self.end_job(key, JobOutcome::Failed);
+            }
+            ClaimState::Attached if job.clients.is_empty() => {
+                self.jobs.remove(key);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/failover/src/job_record/tests.rs
@@ -0,0 +1,27 @@
+//! What a record says of its attempts.
+
+use super::*;
+
+#[test]
+fn an_attempt_said_again_keeps_its_age_and_a_number_used_again_its_new_worker() {
+    let mut record = JobRecord {
+        owner: ProcessId { ordinal: 0, incarnation: 1 },
+        claim_id: 1,
+        ownership_epoch: OwnershipEpoch::default(),
+        version: 0,
+        payload: Arc::from([]),
+        requires_ack: true,
+        deadline: 1_000,
+        attempts: Vec::new(),
+        outcome: None,
+    };
+    let (one, other): (Arc<str>, Arc<str>) = (Arc::from("w1"), Arc::from("w2"));
+    record.record_attempt(10, 0, &one, Execution::MayHaveRun);
+    record.record_attempt(50, 0, &one, Execution::MayHaveRun);
+    assert_eq!(record.prior_execution(100), Some(PriorExecution { worker: Arc::clone(&one), max_age: 90 }));
+    record.record_attempt(60, 0, &one, Execution::NeverRan);
+    assert_eq!(record.prior_execution(100), None);
+    record.record_attempt(70, 0, &other, Execution::MayHaveRun);
+    let now_at_the_other = Some(PriorExecution { worker: other, max_age: 30 });
+    assert_eq!(record.prior_execution(100), now_at_the_other, "where it is now, and since when");
+}
--- /dev/null
+++ b/crates/failover/tests/cluster.rs
@@ -0,0 +1,486 @@
+//! Processes on a virtual clock, with messages delivered at once or dropped: capacity, timeouts, silent replicas, zones,
+//! ages of attempts, graceful shutdown.
+#![allow(missing_docs)]
+
+use brackenledge_failover::{
+    Command, Failover, JobKey, JobOutcome, JobSubmission, Message, ProcessId, Settings, Term,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+const MS: u64 = 1_000;
+
+struct Cluster {
+    now: u64,
+    nodes: Vec<Option<Failover>>,
+    /// Processes whose messages are dropped in both directions.
+    silent: BTreeSet<u16>,
+    list_number: u32,
+    /// The commands of each node beside messages, in order.
+    commands: Vec<Vec<Command>>,
+    sent: Vec<(u16, u16, Message)>,
+    waiter: u64,
+    /// Incarnations of nodes that continue under another than the first.
+    incarnations: BTreeMap<u16, u64>,
+}
+
+fn process(node: u16) -> ProcessId {
+    ProcessId { ordinal: node, incarnation: 1 }
+}
+
+fn key(name: &str) -> JobKey {
+    JobKey { class: 1, tenant: 0, idempotency_key: Arc::from(name) }
+}
+
+impl Cluster {
+    fn new(number: u16, settings: Settings) -> Cluster {
+        let mut cluster = Cluster {
+            now: 100_000 * MS,
+            nodes: Vec::new(),
+            silent: BTreeSet::new(),
+            list_number: 0,
+            commands: vec![Vec::new(); usize::from(number)],
+            sent: Vec::new(),
+            waiter: 0,
+            incarnations: BTreeMap::new(),
+        };
+        for node in 0..number {
+            let mut one = Failover::new(process(node), u32::from(node % 2), settings);
+            (0..number).for_each(|other| one.set_zone(other, u32::from(other % 2)));
+            cluster.nodes.push(Some(one));
+        }
+        cluster.apply_member_list((0..number).collect());
+        cluster
+    }
+
+    fn incarnation(&self, node: u16) -> u64 {
+        self.incarnations.get(&node).copied().unwrap_or(1)
+    }
+
+    fn apply_member_list(&mut self, members: Vec<u16>) {
+        self.list_number += 1;
+        let term = Term { step: self.list_number, ..Term::default() };
+        let all: BTreeMap<u16, u64> = members.iter().map(|&node| (node, self.incarnation(node))).collect();
+        for node in members {
+            let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
+            one.set_member_lease(self.now, u64::MAX);
+            one.apply_member_list(self.now, term, &all);
+        }
+        self.carry_out();
+    }
+
+    fn carry_out(&mut self) {
+        loop {
+            let mut quiet = true;
+            for node in 0..self.nodes.len() {
+                while let Some(command) = self.nodes[node].as_mut().and_then(Failover::poll_command) {
+                    quiet = false;
+                    let Command::Send { to, message, .. } = command else {
+                        self.commands[node].push(command);
+                        continue;
+                    };
+                    let from = node as u16;
+                    self.sent.push((from, to.ordinal, message.clone()));
+                    let (sender, meant) = (
+                        ProcessId { ordinal: from, incarnation: self.incarnation(from) },
+                        self.incarnation(to.ordinal) == to.incarnation,
+                    );
+                    let received =
+                        meant && !self.silent.contains(&from) && !self.silent.contains(&to.ordinal);
+                    if let Some(other) = self.nodes[usize::from(to.ordinal)].as_mut().filter(|_| received) {
+                        other.handle_message(self.now, sender, message);
+                    }
+                }
+            }
+            if quiet {
+                return;
+            }
+        }
+    }
+
+    fn submit(&mut self, node: u16, name: &str, requires_ack: bool, requires_replication: bool) -> u64 {
+        self.waiter += 1;
+        let deadline = self.now + 5_000 * MS;
+        let submission = JobSubmission {
+            payload: Arc::from(name.as_bytes()),
+            requires_ack,
+            requires_replication,
+            deadline,
+        };
+        let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
+        one.submit(self.now, self.waiter, key(name), submission);
+        self.carry_out();
+        self.waiter
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 20 {
+            self.now += 20 * MS;
+            for one in self.nodes.iter_mut().flatten() {
+                one.handle_timeout(self.now);
+            }
+            self.carry_out();
+        }
+    }
+
+    fn dispatch(&mut self, node: u16, name: &str) -> bool {
+        let deadline = self.now + 5_000 * MS;
+        let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
+        let at_once = one.request_attempt(self.now, &key(name), 0, "w1", deadline);
+        self.carry_out();
+        at_once
+            || self.commands[usize::from(node)]
+                .contains(&Command::PermitAttempt { key: key(name), attempt: 0 })
+    }
+
+    fn ended(&mut self, node: u16, name: &str, outcome: JobOutcome) {
+        let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
+        one.job_finished(self.now, &key(name), outcome);
+        self.carry_out();
+    }
+
+    fn answer(&self, node: u16, waiter: u64) -> Option<JobOutcome> {
+        self.commands[usize::from(node)].iter().find_map(|command| match command {
+            Command::Answer { waiters, outcome } if waiters.contains(&waiter) => Some(outcome.clone()),
+            _ => None,
+        })
+    }
+
+    fn started(&self, node: u16, name: &str) -> Option<(Option<u64>, bool)> {
+        self.commands[usize::from(node)].iter().rev().find_map(|command| match command {
+            Command::StartJob { key: of, prior_execution, taken_over, .. } if *of == key(name) => {
+                Some((prior_execution.as_ref().map(|prior| prior.max_age), *taken_over))
+            }
+            _ => None,
+        })
+    }
+
+    /// The coordinator of a key, by where the claim goes.
+    fn coordinator(&mut self, name: &str, asker: u16) -> u16 {
+        let found = self.sent.iter().find_map(|(from, to, message)| match message {
+            Message::ClaimRequest { record, .. } if record.key == key(name) && *from == asker => Some(*to),
+            _ => None,
+        });
+        found.unwrap_or(asker)
+    }
+
+    /// A name whose coordinator is none of these.
+    fn name_away_from(&mut self, number: u16, others: &[u16]) -> String {
+        for at in 0..1_000 {
+            let name = format!("probe-{at}");
+            let mut trial = Cluster::new(number, Settings::default());
+            trial.submit(others[0], &name, true, true);
+            if !others.contains(&trial.coordinator(&name, others[0])) {
+                return name;
+            }
+        }
+        unreachable!("some key has another coordinator")
+    }
+}
+
+#[test]
+fn an_attempt_leaves_once_coordinator_and_replica_have_acknowledged_it() {
+    for number in [2, 3, 6] {
+        for (at, name) in ["a", "b", "c", "d", "e"].into_iter().enumerate() {
+            let mut cluster = Cluster::new(number, Settings::default());
+            let node = at as u16 % number;
+            cluster.submit(node, name, true, true);
+            assert!(cluster.dispatch(node, name), "{name} of {number}");
+            let held = cluster
+                .nodes
+                .iter()
+                .flatten()
+                .map(|one| one.record_counts(1).unfinished_replicas)
+                .sum::<usize>();
+            // The owner coordinates some keys itself, and then two others hold replicas.
+            let away = usize::from(cluster.coordinator(name, node) == node);
+            assert_eq!(held, (2 + away).min(usize::from(number) - 1 + away), "{name} of {number}");
+        }
+    }
+}
+
+#[test]
+fn the_replica_is_in_another_zone_than_coordinator_and_owner() {
+    let mut cluster = Cluster::new(6, Settings::default());
+    for at in 0..40 {
+        cluster.submit(0, &format!("k{at}"), true, true);
+    }
+    let zone = |node: u16| node % 2;
+    let mut seen = 0;
+    for (coordinator, replica, message) in &cluster.sent {
+        let Message::Replicate { record, .. } = message else { continue };
+        let owner = record.owner.ordinal;
+        if zone(*coordinator) == zone(owner) && *coordinator != owner {
+            seen += 1;
+            assert_ne!(zone(*replica), zone(owner), "{coordinator} and {owner} are in one zone");
+        }
+    }
+    assert!(seen > 5, "{seen}");
+}
+
+#[test]
+fn a_silent_replica_is_replaced_and_a_silent_coordinator_waited_for_until_the_claim_timeout() {
+    let mut cluster = Cluster::new(5, Settings::default());
+    let name = cluster.name_away_from(5, &[0, 1]);
+    let coordinator = {
+        let mut trial = Cluster::new(5, Settings::default());
+        trial.submit(0, &name, true, true);
+        trial.coordinator(&name, 0)
+    };
+    // All but the owner, the coordinator and one more are silent: that one is found by trying the others.
+    cluster.silent = (1..5).filter(|&node| node != coordinator).skip(1).collect();
+    cluster.submit(0, &name, true, true);
+    let at_once = cluster.dispatch(0, &name);
+    cluster.pass(500);
+    assert!(at_once || cluster.commands[0].contains(&Command::PermitAttempt { key: key(&name), attempt: 0 }));
+
+    let mut cluster = Cluster::new(5, Settings::default());
+    cluster.silent.insert(coordinator);
+    let command = cluster.submit(0, &name, true, true);
+    assert!(!cluster.dispatch(0, &name), "its coordinator is silent");
+    cluster.pass(3_900);
+    assert_eq!(cluster.answer(0, command), None, "a member list without the coordinator may come");
+    cluster.pass(200);
+    assert!(
+        matches!(cluster.answer(0, command), Some(JobOutcome::Rejected(Some(_)))),
+        "rejected, for nothing has left"
+    );
+    // A class that does not require replication runs without.
+    let mut cluster = Cluster::new(5, Settings::default());
+    cluster.silent.insert(coordinator);
+    cluster.submit(0, &name, true, false);
+    cluster.dispatch(0, &name);
+    cluster.pass(4_200);
+    assert!(cluster.commands[0].contains(&Command::PermitAttempt { key: key(&name), attempt: 0 }));
+}
+
+#[test]
+fn at_capacity_a_job_is_rejected_or_runs_unreplicated_by_its_class() {
+    let settings = Settings { max_records: 10, ..Settings::default() };
+    let mut cluster = Cluster::new(3, settings);
+    let mut ends = BTreeMap::new();
+    for at in 0..60 {
+        let (name, requires_replication) = (format!("k{at}"), at % 2 == 0);
+        let waiter = cluster.submit(0, &name, true, requires_replication);
+        let denied = matches!(cluster.answer(0, waiter), Some(JobOutcome::Rejected(Some(_))));
+        *ends.entry((requires_replication, denied)).or_insert(0) += 1;
+        let runs = cluster.started(0, &name).is_some();
+        assert!(runs || denied, "{name} neither runs nor is it rejected");
+    }
+    assert!(ends.get(&(true, true)).is_some_and(|&refused| refused > 10), "{ends:?}");
+    assert_eq!(ends.get(&(false, true)), None, "{ends:?}");
+    let counts = cluster.nodes[0].as_ref().expect("it lives").counters();
+    assert!(counts.rejected > 10 && counts.unreplicated > 10, "{counts:?}");
+}
+
+#[test]
+fn a_job_that_may_run_any_number_of_times_is_not_replicated_while_it_is_young() {
+    let mut cluster = Cluster::new(4, Settings::default());
+    cluster.sent.clear();
+    let view = cluster.submit(1, "short", false, false);
+    assert!(cluster.dispatch(1, "short"), "it waits for nobody");
+    cluster.pass(40);
+    cluster.ended(1, "short", JobOutcome::Served(Arc::from(&b"x"[..])));
+    assert_eq!(cluster.answer(1, view), Some(JobOutcome::Served(Arc::from(&b"x"[..]))));
+    assert!(cluster.sent.is_empty(), "{:?}", cluster.sent);
+    cluster.submit(1, "long", false, false);
+    cluster.pass(100);
+    assert!(
+        cluster.nodes.iter().flatten().any(|one| one.record_counts(1).unfinished_replicas > 0),
+        "replicated by now"
+    );
+    // Its owner is lost: another runs it, as if nothing had been sent.
+    cluster.nodes[1] = None;
+    cluster.apply_member_list(vec![0, 2, 3]);
+    let started: Vec<_> = (0..4).filter_map(|node| cluster.started(node, "long").filter(|s| s.1)).collect();
+    assert_eq!(started, [(None, true)]);
+}
+
+#[test]
+fn who_takes_over_learns_the_longest_time_that_an_attempt_may_be_ago() {
+    let mut cluster = Cluster::new(4, Settings::default());
+    let name = cluster.name_away_from(4, &[0, 1]);
+    cluster.submit(0, &name, true, true);
+    assert!(cluster.dispatch(0, &name));
+    cluster.pass(2_000);
+    let coordinator = cluster.coordinator(&name, 0);
+    cluster.nodes[0] = None;
+    cluster.apply_member_list((1..4).collect());
+    let (ago, taken_over) = cluster.started(coordinator, &name).expect("its coordinator takes it over");
+    assert!(taken_over && (2_000 * MS..2_100 * MS).contains(&ago.expect("it may have run")), "{ago:?}");
+    // From another's snapshot, the time in transit may come on top.
+    let mut cluster = Cluster::new(4, Settings::default());
+    cluster.submit(0, &name, true, true);
+    assert!(cluster.dispatch(0, &name));
+    cluster.pass(2_000);
+    (cluster.nodes[0], cluster.nodes[usize::from(coordinator)]) = (None, None);
+    cluster.apply_member_list((1..4).filter(|&node| node != coordinator).collect());
+    let started: Vec<_> = (1..4).filter_map(|node| cluster.started(node, &name)).collect();
+    assert_eq!(started.len(), 1, "{started:?}");
+    assert!(started[0].0.is_some_and(|ago| ago >= 2_000 * MS), "{started:?}");
+}
+
+#[test]
+fn an_outcome_is_told_to_every_client_until_its_record_expires() {
+    let mut cluster = Cluster::new(4, Settings::default());
+    cluster.submit(0, "k", true, true);
+    assert!(cluster.dispatch(0, "k"));
+    let served = JobOutcome::Served(Arc::from(&b"sold"[..]));
+    cluster.ended(0, "k", served.clone());
+    for node in 0..4 {
+        let again = cluster.submit(node, "k", true, true);
+        assert_eq!(cluster.answer(node, again), Some(served.clone()), "at {node}");
+    }
+    // 5 s to its deadline, and 10 s more.
+    cluster.pass(14_000);
+    let again = cluster.submit(2, "k", true, true);
+    assert_eq!(cluster.answer(2, again), Some(served));
+    cluster.pass(3_000);
+    for one in cluster.nodes.iter().flatten() {
+        assert_eq!(one.record_counts(1).finished_replicas, 0, "forgotten");
+        assert_eq!(one.replica_bytes(), 0);
+    }
+}
+
+#[test]
+fn replica_bytes_are_those_of_the_records_whatever_became_of_them() {
+    let mut cluster = Cluster::new(2, Settings { replication_factor: 1, ..Settings::default() });
+    let bytes =
+        |cluster: &Cluster| cluster.nodes.iter().flatten().map(Failover::replica_bytes).collect::<Vec<_>>();
+    cluster.submit(0, "stays", true, true);
+    let alone = bytes(&cluster);
+    for at in 0..20 {
+        let name = format!("goes-{at}");
+        cluster.submit(0, &name, true, true);
+        cluster.dispatch(0, &name);
+        let now = cluster.now;
+        cluster.nodes[0].as_mut().expect("it lives").attempt_never_ran(now, &key(&name), 0);
+        cluster.carry_out();
+        assert_ne!(bytes(&cluster), alone);
+        cluster.ended(0, &name, JobOutcome::Rejected(None));
+        assert_eq!(bytes(&cluster), alone, "after {name}");
+    }
+    cluster.ended(0, "stays", JobOutcome::Failed);
+    cluster.pass(17_000);
+    assert_eq!(bytes(&cluster), [0, 0]);
+}
+
+#[test]
+fn a_client_attached_to_a_job_that_is_rejected_is_told_when_to_retry() {
+    let mut cluster = Cluster::new(4, Settings::default());
+    cluster.submit(0, "k", true, true);
+    let joined = cluster.submit(1, "k", true, true);
+    cluster.ended(0, "k", JobOutcome::Rejected(None));
+    assert!(
+        matches!(cluster.answer(1, joined), Some(JobOutcome::Rejected(Some(_)))),
+        "{:?}",
+        cluster.answer(1, joined)
+    );
+}
+
+#[test]
+fn a_restarted_process_owns_nothing_and_is_a_member_again_under_the_next_member_list() {
+    let mut cluster = Cluster::new(4, Settings::default());
+    let name = cluster.name_away_from(4, &[0]);
+    let first = cluster.submit(0, &name, true, true);
+    assert!(cluster.dispatch(0, &name));
+    let again = ProcessId { ordinal: 0, incarnation: 2 };
+    cluster.nodes[0].as_mut().expect("it lives").restart_as(again);
+    cluster.carry_out();
+    assert!(cluster.commands[0].contains(&Command::Revoke { key: key(&name) }), "it is the others' now");
+    cluster.incarnations.insert(0, 2);
+    cluster.apply_member_list((0..4).collect());
+    assert!(cluster.nodes[0].as_ref().expect("it lives").is_settled(cluster.now));
+    // Its coordinator has taken it over, and the client waits for that.
+    let coordinator = cluster.coordinator(&name, 0);
+    assert!(cluster.started(coordinator, &name).is_some_and(|started| started.1));
+    cluster.ended(coordinator, &name, JobOutcome::Failed);
+    assert_eq!(cluster.answer(0, first), Some(JobOutcome::Failed));
+    cluster.submit(0, "another", true, true);
+    assert!(cluster.dispatch(0, "another"));
+}
+
+#[test]
+fn graceful_shutdown_transfers_what_was_not_sent_and_keeps_the_rest() {
+    let mut cluster = Cluster::new(4, Settings::default());
+    let unsent = cluster.submit(0, "unsent", true, true);
+    let sent = cluster.submit(0, "sent", true, true);
+    assert!(cluster.dispatch(0, "sent"));
+    assert_eq!(cluster.nodes[0].as_mut().expect("it lives").transfer_all(cluster.now), 1);
+    cluster.carry_out();
+    assert!(matches!(cluster.answer(0, unsent), Some(JobOutcome::Rejected(Some(_)))));
+    assert_eq!(cluster.answer(0, sent), None);
+    let starts: Vec<u16> =
+        (0..4).filter(|&node| cluster.started(node, "unsent").is_some_and(|s| s.1)).collect();
+    assert_eq!(starts.len(), 1, "one goes on with it: {starts:?}");
+    // Its client comes again, and is told the one outcome.
+    let again = cluster.submit(3, "unsent", true, true);
+    cluster.ended(starts[0], "unsent", JobOutcome::Failed);
+    assert_eq!(cluster.answer(3, again), Some(JobOutcome::Failed));
+}
+
+#[test]
+fn a_job_whose_client_leaves_before_it_is_sent_ends_for_all_and_one_that_was_sent_goes_on() {
+    for stage in ["not sent", "waits for acknowledgement", "sent"] {
+        let mut cluster = Cluster::new(4, Settings::default());
+        let waiter = cluster.submit(0, "k", true, true);
+        if stage == "waits for acknowledgement" {
+            cluster.silent = (1..4).collect();
+        }
+        if stage != "not sent" {
+            assert_eq!(cluster.dispatch(0, "k"), stage == "sent", "{stage}");
+        }
+        let now = cluster.now;
+        cluster.silent.clear();
+        cluster.nodes[0].as_mut().expect("it lives").client_disconnected(now, waiter);
+        cluster.carry_out();
+        assert_eq!(
+            cluster.commands[0].contains(&Command::Revoke { key: key("k") }),
+            stage != "sent",
+            "{stage}"
+        );
+        // Nor does another take it over when its owner is lost.
+        cluster.nodes[0] = None;
+        cluster.apply_member_list((1..4).collect());
+        let starts = (1..4).filter(|&node| cluster.started(node, "k").is_some()).count();
+        assert!(stage == "sent" || starts == 0, "{stage}: {starts} take it over");
+    }
+}
+
+#[test]
+fn without_a_member_lease_nothing_starts_and_no_result_is_told_until_it_lasts_again() {
+    let mut cluster = Cluster::new(4, Settings::default());
+    let waiter = cluster.submit(0, "k", true, true);
+    cluster.nodes[0].as_mut().expect("it lives").set_member_lease(cluster.now, 0);
+    assert!(!cluster.dispatch(0, "k"));
+    cluster.nodes[0].as_mut().expect("it lives").set_member_lease(cluster.now, u64::MAX);
+    cluster.carry_out();
+    assert!(cluster.commands[0].contains(&Command::PermitAttempt { key: key("k"), attempt: 0 }));
+    cluster.nodes[0].as_mut().expect("it lives").set_member_lease(cluster.now, 0);
+    // Nobody learns that it has ended.
+    cluster.silent = (1..4).collect();
+    cluster.ended(0, "k", JobOutcome::Served(Arc::from(&b"x"[..])));
+    assert_eq!(cluster.answer(0, waiter), None, "another may have it by now");
+    cluster.pass(5_000);
+    assert_eq!(cluster.answer(0, waiter), Some(JobOutcome::Failed), "by its deadline nothing is promised");
+}
+
+#[test]
+fn a_client_that_waits_for_less_long_than_the_job_lasts_is_told_by_its_own_deadline() {
+    let mut cluster = Cluster::new(4, Settings::default());
+    cluster.submit(0, "k", true, true);
+    assert!(cluster.dispatch(0, "k"));
+    cluster.waiter += 1;
+    let (waiter, deadline) = (cluster.waiter, cluster.now + 1_000 * MS);
+    let submission = JobSubmission {
+        payload: Arc::from(&b"k"[..]),
+        requires_ack: true,
+        requires_replication: true,
+        deadline,
+    };
+    cluster.nodes[0].as_mut().expect("it lives").submit(cluster.now, waiter, key("k"), submission);
+    cluster.pass(980);
+    assert_eq!(cluster.answer(0, waiter), None);
+    cluster.pass(60);
+    assert_eq!(cluster.answer(0, waiter), Some(JobOutcome::Failed), "the job goes on, and may have run");
+}
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -7,7 +7,7 @@
 //! fault.
 
 use brackenledge_discovery::{Listed, Roster, RosterSettings};
-use brackenledge_failover::{Frame, Handover, Session};
+use brackenledge_failover::{Failover, Frame, Session};
 use brackenledge_leases::{Command, Deed, Epoch, Fence, MESSAGE_MOST, Message, Ownership, View};
 use brackenledge_membership::{Membership, ProcessId, Times};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
@@ -105,34 +105,34 @@
     }
 }
 
-/// Frames between schedulers, through a session into the keeper and holder behind it.
-pub fn handover(input: &[u8]) {
+/// Frames between schedulers, through a session into the replica and job owner behind it.
+pub fn failover(input: &[u8]) {
     let mut session = Session::new(process(1));
-    let mut holder = Handover::new(process(0), 0, brackenledge_failover::Settings::default());
-    let roll = (0..3).map(|ordinal| (ordinal, 1)).collect();
+    let mut failover = Failover::new(process(0), 0, brackenledge_failover::Settings::default());
+    let members = (0..3).map(|ordinal| (ordinal, 1)).collect();
     let term = brackenledge_leases::Term { epoch: Epoch { era: 1, number: 1 }, ..Default::default() };
-    holder.stays(1_000_000, 3_000_000);
-    holder.roll(1_000_000, term, &roll);
+    failover.set_member_lease(1_000_000, 3_000_000);
+    failover.apply_member_list(1_000_000, term, &members);
     for (at, bytes) in messages(input).into_iter().enumerate() {
         let now = 1_000_000 + at as u64 * 1_000;
-        if let Some(frame) = Frame::read(&mut bytes.to_vec())
-            && let Ok(Some(message)) = session.take(frame)
+        if let Ok(frame) = Frame::decode(&mut bytes.to_vec())
+            && let Ok(Some(message)) = session.handle_frame(frame)
         {
-            holder.handle_message(now, process(1), message);
+            failover.handle_message(now, process(1), message);
         }
         // What a frame carries, without the frame: random bytes are seldom one.
         for text in [bytes.to_vec(), small(bytes)] {
             if let Ok((message, _)) = postcard::take_from_bytes(&text) {
-                holder.handle_message(now, process(1), message);
+                failover.handle_message(now, process(1), message);
             }
         }
-        holder.handle_timeout(now);
-        while let Some(order) = holder.poll_command() {
-            if let brackenledge_failover::Command::Send { message, soon, .. } = order {
-                session.say(message, soon);
+        failover.handle_timeout(now);
+        while let Some(command) = failover.poll_command() {
+            if let brackenledge_failover::Command::Send { message, urgent, .. } = command {
+                session.enqueue(message, urgent);
             }
         }
-        while session.next_frame().is_some() {}
+        while session.poll_frame().is_some() {}
     }
 }
 
--- a/crates/fuzz/tests/decoders.rs
+++ b/crates/fuzz/tests/decoders.rs
@@ -10,4 +10,4 @@
     };
 }
 
-targets! { membership ownership deeds handover texts answers chunks lists operators }
+targets! { membership ownership deeds failover texts answers chunks lists operators }
--- a/crates/protocol/src/operations.rs
+++ b/crates/protocol/src/operations.rs
@@ -7,43 +7,43 @@
 use std::path::{Path, PathBuf};
 use toml::de::{DeTable, DeValue};
 
-/// What the operators' file sets of work that survives its scheduler.
+/// What the operators' file sets of the failover of jobs.
 #[derive(Clone, Debug, PartialEq)]
-pub struct CoverOptions {
-    /// Whether jobs in hand are kept by other schedulers too.
+pub struct FailoverOptions {
+    /// Whether records of jobs are replicated to other schedulers.
     pub on: bool,
     /// Where each scheduler takes links from the others, by number; our own entry is where we listen.
     pub links: Vec<SocketAddr>,
-    /// Classes whose jobs are covered, by name.
+    /// Classes whose jobs are replicated, by name.
     pub covered: Vec<String>,
-    /// Of these, the ones that are refused rather than run without cover.
+    /// Of these, the ones whose jobs are rejected rather than run without replicas.
     pub refused: Vec<String>,
-    /// Keepers of each job beside its holder.
-    pub copies: usize,
-    /// Records held at most.
-    pub records_most: usize,
-    /// Bytes of them at most.
-    pub bytes_most: usize,
-    /// How long an answer is kept, in milliseconds.
-    pub keep: Millis,
-    /// How long a job waits for its cover at most, in milliseconds.
-    pub patience: Millis,
+    /// Replicas of each record beside its owner's.
+    pub replication_factor: usize,
+    /// Most records held.
+    pub max_records: usize,
+    /// Most bytes of replicated records.
+    pub max_bytes: usize,
+    /// How long a record outlives its job, in milliseconds.
+    pub retention: Millis,
+    /// How long a job waits for its claim to be granted, in milliseconds.
+    pub claim_timeout: Millis,
     /// The lines of `links`, `covered` and `refused` in the file.
     pub lines: [usize; 3],
 }
 
-impl Default for CoverOptions {
+impl Default for FailoverOptions {
     fn default() -> Self {
-        CoverOptions {
+        FailoverOptions {
             on: false,
             links: Vec::new(),
             covered: Vec::new(),
             refused: Vec::new(),
-            copies: 2,
-            records_most: 20_000,
-            bytes_most: 64 << 20,
-            keep: 10_000.0,
-            patience: 4_000.0,
+            replication_factor: 2,
+            max_records: 20_000,
+            max_bytes: 64 << 20,
+            retention: 10_000.0,
+            claim_timeout: 4_000.0,
             lines: [0; 3],
         }
     }
@@ -77,8 +77,8 @@
     pub voters: usize,
     /// Where each scheduler keeps the tier's latest epoch, if anywhere.
     pub state_dir: Option<PathBuf>,
-    /// Work that survives its scheduler.
-    pub cover: CoverOptions,
+    /// Failover of jobs.
+    pub failover: FailoverOptions,
     /// Failover between zones.
     pub zones: ZoneOptions,
 }
@@ -94,7 +94,7 @@
             lease: 1_500.0,
             voters: 5,
             state_dir: None,
-            cover: CoverOptions::default(),
+            failover: FailoverOptions::default(),
             zones: ZoneOptions::default(),
         }
     }
@@ -187,22 +187,22 @@
                 {
                     let wrong = || bad(value.span().start, format!("{name}.{key_name} must be {remedy}"));
                     let words = words(value.get_ref()).ok_or_else(wrong)?;
-                    let (cover, line) = (&mut operations.cover, line_of(at));
+                    let (failover, line) = (&mut operations.failover, line_of(at));
                     match key_name {
                         "links" => {
-                            cover.links = words
+                            failover.links = words
                                 .iter()
                                 .map(|word| word.parse().map_err(|_| wrong()))
                                 .collect::<Result<_, _>>()?;
-                            cover.lines[0] = line;
+                            failover.lines[0] = line;
                         }
                         "regions" => {
                             let zones = |word: &String| word.split_whitespace().map(str::to_owned).collect();
                             operations.zones.regions = words.iter().map(zones).collect();
                             operations.zones.line = line;
                         }
-                        "covered" => (cover.covered, cover.lines[1]) = (words, line),
-                        _ => (cover.refused, cover.lines[2]) = (words, line),
+                        "covered" => (failover.covered, failover.lines[1]) = (words, line),
+                        _ => (failover.refused, failover.lines[2]) = (words, line),
                     }
                     continue;
                 }
@@ -242,15 +242,15 @@
                 let number = number
                     .filter(|n| (least..=most).contains(n) && !(key_name == "voters" && *n == 4.0))
                     .ok_or_else(|| bad(value.span().start, format!("{name}.{key_name} must be {remedy}")))?;
-                let cover = &mut operations.cover;
+                let failover = &mut operations.failover;
                 match key_name {
-                    "on" if name == "handover" => cover.on = number > 0.0,
+                    "on" if name == "handover" => failover.on = number > 0.0,
                     "on" if name == "zones" => operations.zones.on = number > 0.0,
-                    "copies" => cover.copies = number as usize,
-                    "records_most" => cover.records_most = number as usize,
-                    "megabytes_most" => cover.bytes_most = (number * (1 << 20) as f64) as usize,
-                    "keep_ms" => cover.keep = number,
-                    "patience_ms" => cover.patience = number,
+                    "copies" => failover.replication_factor = number as usize,
+                    "records_most" => failover.max_records = number as usize,
+                    "megabytes_most" => failover.max_bytes = (number * (1 << 20) as f64) as usize,
+                    "keep_ms" => failover.retention = number,
+                    "patience_ms" => failover.claim_timeout = number,
                     "callers_most" => operations.callers_most = number as usize,
                     "line_time_ms" => operations.line_time = number,
                     "on" => operations.tier = number > 0.0,
@@ -264,7 +264,7 @@
             let at = text.find("[zones]").unwrap_or(0);
             return Err(bad(at, "zones.on needs tier.on = true: one owner plans for all".into()));
         }
-        if operations.cover.on && !operations.tier {
+        if operations.failover.on && !operations.tier {
             let at = text.find("[handover]").unwrap_or(0);
             return Err(bad(
                 at,
@@ -282,7 +282,7 @@
         zones: &[String],
         schedulers: usize,
     ) -> Result<(), String> {
-        let CoverOptions { on, links, covered, refused, lines, .. } = &self.cover;
+        let FailoverOptions { on, links, covered, refused, lines, .. } = &self.failover;
         let bad = |line: usize, what: String| Err(format!("{}:{}: {what}", path.display(), line.max(1)));
         let named: Vec<&String> = self.zones.regions.iter().flatten().collect();
         if let Some(unknown) = named.iter().find(|name| !zones.contains(name)) {
@@ -357,7 +357,7 @@
     fn the_file_as_shipped_and_an_empty_one_read_as_the_defaults() {
         let shipped = include_str!("../../../deploy/operations.toml");
         let mut read_shipped = read(shipped).expect("the file as shipped");
-        (read_shipped.cover.lines, read_shipped.zones.line) = ([0; 3], 0);
+        (read_shipped.failover.lines, read_shipped.zones.line) = ([0; 3], 0);
         assert_eq!(read_shipped, Operations::default());
         assert_eq!(read(""), Ok(Operations::default()));
         let set =
--- a/crates/protocol/tests/operations_golden.rs
+++ b/crates/protocol/tests/operations_golden.rs
@@ -5,7 +5,7 @@
 //! that fails here means that a file that was right is refused or read otherwise.
 #![allow(missing_docs)]
 
-use brackenledge_protocol::operations::{CoverOptions, Operations, ZoneOptions};
+use brackenledge_protocol::operations::{FailoverOptions, Operations, ZoneOptions};
 use std::path::{Path, PathBuf};
 
 const TEXT: &str = r#"[control]
@@ -51,7 +51,7 @@
         lease: 2_303.0,
         voters: 3,
         state_dir: Some(PathBuf::from("/var/lib/brackenledge-golden")),
-        cover: CoverOptions {
+        failover: FailoverOptions {
             on: true,
             links: vec![
                 "10.0.0.1:7100".parse().expect("an address"),
@@ -59,11 +59,11 @@
             ],
             covered: vec!["market-sale".into(), "farm-view".into()],
             refused: vec!["market-sale".into()],
-            copies: 3,
-            records_most: 12_345,
-            bytes_most: 17 << 20,
-            keep: 11_006.0,
-            patience: 5_007.0,
+            replication_factor: 3,
+            max_records: 12_345,
+            max_bytes: 17 << 20,
+            retention: 11_006.0,
+            claim_timeout: 5_007.0,
             lines: [20, 21, 22],
         },
         zones: ZoneOptions {
@@ -85,16 +85,16 @@
         lease: 1_500.0,
         voters: 5,
         state_dir: None,
-        cover: CoverOptions {
+        failover: FailoverOptions {
             on: false,
             links: Vec::new(),
             covered: Vec::new(),
             refused: Vec::new(),
-            copies: 2,
-            records_most: 20_000,
-            bytes_most: 67_108_864,
-            keep: 10_000.0,
-            patience: 4_000.0,
+            replication_factor: 2,
+            max_records: 20_000,
+            max_bytes: 67_108_864,
+            retention: 10_000.0,
+            claim_timeout: 4_000.0,
             lines: [0; 3],
         },
         zones: ZoneOptions { on: false, regions: Vec::new(), line: 0 },
