--- /dev/null
+++ b/crates/daemon/src/net/cluster/mod.rs
@@ -0,0 +1,364 @@
+//! Membership and leases on sockets: the driver of the crates `membership` and `leases`. It carries out their commands,
+//! and hands them their datagrams.
+//!
+//! The clock is CLOCK_BOOTTIME, which counts the time that the process was stopped and that the machine slept. A pause
+//! between the check of a lease and an action makes the action late; receivers reject it by its term.
+
+mod admin;
+mod datagram;
+mod events;
+pub mod roles;
+mod settings;
+
+pub use self::datagram::Received;
+
+use self::datagram::{DatagramKind, decode_fenced};
+use super::epoch_store::{EpochStore, EpochStoreError};
+use super::event_loop::Millis;
+use super::peer_socket::{MAX_DATAGRAM_LENGTH, PeerSocket};
+use brackenledge_leases::{
+    ActiveMemberEstimate, Command, FencingGuard, FencingToken, LeaseManager, MemberList, Message, Micros,
+    Role, RoleGrant, Term,
+};
+use brackenledge_membership::{Command as MembershipCommand, Membership, ProcessId, SwimConfig};
+use brackenledge_policy::split_sums;
+use brackenledge_protocol::operations::Operations;
+use slog::Logger;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// A newer process of the same ordinal is gone if nothing was meant for it for so long. Longer than membership takes to
+/// find that out.
+const SUPERSEDED_TIMEOUT: Micros = 15_000_000;
+
+/// Upper limit of the time until [`Cluster::handle_timeout`] is to be called again, in milliseconds.
+const MAX_TIMEOUT: Millis = 1_000.0;
+/// Its lower limit: what is due now was done now.
+const MIN_TIMEOUT: Millis = 1.0;
+
+/// Microseconds on a clock that goes on while the process is stopped or the machine sleeps.
+pub fn micros() -> Micros {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    u64::try_from(time.tv_sec).unwrap_or(0) * 1_000_000 + u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000
+}
+
+fn millis(micros: Micros) -> Millis {
+    micros as Millis / 1_000.0
+}
+
+/// Why a process can't take part in its cluster.
+#[derive(Debug, thiserror::Error)]
+pub enum ClusterError {
+    /// The state directory can't be used.
+    #[error("tier.state_dir: {0}")]
+    StateDirectory(#[from] EpochStoreError),
+}
+
+/// One process's membership and leases.
+pub struct Cluster {
+    membership: Membership,
+    leases: LeaseManager,
+    fencing_guard: FencingGuard,
+    active_members: ActiveMemberEstimate,
+    /// The estimate as the engine was told it last.
+    reported_active_members: usize,
+    epoch_store: Option<EpochStore>,
+    /// The last write to it failed, and is in the log.
+    epoch_store_failing: bool,
+    /// Aggregated loads that were computed here and not sent, since another process is the aggregator.
+    withheld_aggregates: u64,
+    malformed_datagrams: u64,
+    /// A newer process has this one's ordinal: when a datagram meant for it last arrived here.
+    superseded_at: Option<Micros>,
+    leaving: bool,
+    ordinal: u32,
+    cluster_size: usize,
+    operations: Operations,
+    seed: u64,
+}
+
+impl Cluster {
+    /// A process that has just started. `seed`: for membership's random choices.
+    pub fn new(
+        ordinal: u32,
+        cluster_size: usize,
+        operations: &Operations,
+        seed: u64,
+    ) -> Result<Cluster, ClusterError> {
+        let directory = operations.state_dir.as_deref();
+        let epoch_store = directory.map(|directory| EpochStore::open(directory, ordinal)).transpose()?;
+        Ok(Cluster::with_epoch_store(epoch_store, ordinal, cluster_size, operations, seed))
+    }
+
+    fn with_epoch_store(
+        epoch_store: Option<EpochStore>,
+        ordinal: u32,
+        cluster_size: usize,
+        operations: &Operations,
+        seed: u64,
+    ) -> Cluster {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let me = ProcessId { ordinal: ordinal as u16, incarnation: unix.as_millis() as u64 };
+        let others = (0..cluster_size as u16).filter(|&other| other != me.ordinal).collect();
+        let swim_config = SwimConfig::for_cluster_size(cluster_size);
+        let now = micros();
+        let settings = settings::lease_settings(cluster_size as u16, operations);
+        let mut leases = LeaseManager::new(now, me, unix.as_secs() as u32, settings);
+        if let Some(store) = &epoch_store {
+            leases.restore_epoch(store.stored());
+        }
+        // A process without a member list for this time counts the whole cluster, and a list is sent each heartbeat.
+        let settle_time = settings.bootstrap_timeout + settings.heartbeat_interval;
+        Cluster {
+            membership: Membership::new(millis(now), me, others, &swim_config, seed),
+            leases,
+            fencing_guard: FencingGuard::default(),
+            active_members: ActiveMemberEstimate::new(cluster_size, settle_time),
+            reported_active_members: cluster_size,
+            epoch_store,
+            epoch_store_failing: false,
+            withheld_aggregates: 0,
+            malformed_datagrams: 0,
+            superseded_at: None,
+            leaving: false,
+            ordinal,
+            cluster_size,
+            operations: operations.clone(),
+            seed,
+        }
+    }
+
+    /// Takes part again, as a process that has just started, once the newer one of the same ordinal is gone.
+    fn rejoin(&mut self, log: &Logger) {
+        let store = self.epoch_store.take();
+        let fresh =
+            Cluster::with_epoch_store(store, self.ordinal, self.cluster_size, &self.operations, self.seed);
+        *self = Cluster {
+            withheld_aggregates: self.withheld_aggregates,
+            malformed_datagrams: self.malformed_datagrams,
+            fencing_guard: std::mem::take(&mut self.fencing_guard),
+            // The engine goes by this until it is told otherwise.
+            reported_active_members: self.reported_active_members,
+            ..fresh
+        };
+        events::process_rejoined(log);
+    }
+
+    /// Handles a datagram of the scheduler `from`. `None`: it is none of the cluster's.
+    pub fn handle_message(&mut self, from: u16, datagram: &[u8]) -> Option<Received> {
+        let (kind, payload) = DatagramKind::split(datagram)?;
+        match kind {
+            DatagramKind::Membership => self.handle_membership_message(payload),
+            DatagramKind::Leases => self.handle_lease_message(from, payload),
+            DatagramKind::Fenced => return Some(self.handle_fenced_message(from, payload)),
+            DatagramKind::ZoneReport => return Some(Received::ZoneReport(payload.to_vec())),
+        }
+        Some(Received::Handled)
+    }
+
+    fn handle_membership_message(&mut self, bytes: &[u8]) {
+        let now = micros();
+        if self.superseded_at.is_none() {
+            self.membership.handle_message(millis(now), bytes);
+        } else if self.membership.is_for_newer_incarnation(bytes) {
+            self.superseded_at = Some(now);
+        }
+    }
+
+    fn handle_lease_message(&mut self, from: u16, bytes: &[u8]) {
+        let Ok(message) = Message::decode(bytes) else {
+            self.malformed_datagrams += 1;
+            return;
+        };
+        if let Message::ViewUpdate { role_grants, leader, from, .. } = &message
+            && *leader == Some(*from)
+        {
+            for &RoleGrant { role, term, holder } in role_grants {
+                self.fencing_guard.observe(role, term, holder);
+            }
+        }
+        self.leases.handle_message(micros(), from, message);
+    }
+
+    fn handle_fenced_message(&mut self, from: u16, bytes: &[u8]) -> Received {
+        let Some((token, received)) = decode_fenced(from, bytes) else {
+            self.malformed_datagrams += 1;
+            return Received::Handled;
+        };
+        match self.fencing_guard.accept(token.role, token.term, token.holder) {
+            Ok(()) => received,
+            Err(_) => Received::Handled,
+        }
+    }
+
+    /// Does what is due. Returns the time until something is due again.
+    pub fn handle_timeout(&mut self, socket: &PeerSocket, log: &Logger) -> Millis {
+        let now = micros();
+        if let Some(last) = self.superseded_at {
+            if now < last + SUPERSEDED_TIMEOUT || self.leaving {
+                return MAX_TIMEOUT;
+            }
+            self.rejoin(log);
+        }
+        self.membership.handle_timeout(millis(now));
+        self.carry_out(socket, log);
+        self.leases.handle_timeout(now);
+        self.carry_out(socket, log);
+        let next = self.membership.next_timeout().min(millis(self.leases.next_timeout(now)));
+        (next - millis(now)).clamp(MIN_TIMEOUT, MAX_TIMEOUT)
+    }
+
+    /// Carries out the commands of membership and leases.
+    pub fn carry_out(&mut self, socket: &PeerSocket, log: &Logger) {
+        let mut changed = false;
+        while let Some(command) = self.membership.poll_command() {
+            changed |= self.carry_out_membership(command, socket, log);
+        }
+        if changed {
+            self.leases.set_alive_members(self.membership.active_members());
+        }
+        while let Some(command) = self.leases.poll_command() {
+            self.carry_out_leases(command, socket, log);
+        }
+    }
+
+    /// Returns whether the live members have changed.
+    fn carry_out_membership(
+        &mut self,
+        command: MembershipCommand,
+        socket: &PeerSocket,
+        log: &Logger,
+    ) -> bool {
+        match command {
+            MembershipCommand::Send { to, bytes } => {
+                DatagramKind::Membership.send(socket, Some(to), &bytes);
+                false
+            }
+            MembershipCommand::MemberUp(process) => {
+                events::member_up(log, process);
+                true
+            }
+            MembershipCommand::MemberDown(process) => {
+                events::member_down(log, process);
+                true
+            }
+            MembershipCommand::Superseded => {
+                events::process_superseded(log);
+                self.leases.leave(micros());
+                self.superseded_at = Some(micros());
+                false
+            }
+        }
+    }
+
+    fn carry_out_leases(&mut self, command: Command, socket: &PeerSocket, log: &Logger) {
+        match command {
+            Command::Send { to, message } => self.send_lease_message(Some(to), &message, socket, log),
+            Command::Broadcast(message) => self.send_lease_message(None, &message, socket, log),
+            Command::RoleLeaseChanged { role, term } => {
+                events::role_lease_changed(log, role, term);
+                if let Some(known) = self.leases.role_holder(role) {
+                    self.fencing_guard.observe(role, known.term, known.holder);
+                }
+            }
+            Command::Event(event) => events::lease_event(log, event),
+        }
+    }
+
+    fn send_lease_message(&mut self, to: Option<u16>, message: &Message, socket: &PeerSocket, log: &Logger) {
+        if self.store_epoch(log) {
+            DatagramKind::Leases.send(socket, to, &message.encode());
+        }
+    }
+
+    /// Stores the latest epoch if there is a state directory. Returns whether messages may be sent: without its disk a
+    /// process takes no part in the cluster, and serves on.
+    fn store_epoch(&mut self, log: &Logger) -> bool {
+        let Some(store) = &mut self.epoch_store else { return true };
+        let stored = store.store(self.leases.latest_epoch());
+        let failed = stored.is_err();
+        if let Err(error) = stored
+            && !self.epoch_store_failing
+        {
+            events::epoch_store_failed(log, &error);
+        }
+        self.epoch_store_failing = failed;
+        !failed
+    }
+
+    /// Number of schedulers that share the workers, if it is another than was returned last.
+    pub fn active_members_changed(&mut self) -> Option<u32> {
+        let now = micros();
+        let listed = if self.superseded_at.is_some() { None } else { self.leases.active_member_count(now) };
+        let count = self.active_members.update(now, listed);
+        let previous = std::mem::replace(&mut self.reported_active_members, count);
+        (previous != count).then_some(count as u32)
+    }
+
+    /// The process stops: it gives its leases back, and tells the others that it leaves.
+    pub fn leave(&mut self, socket: &PeerSocket, log: &Logger) {
+        let now = micros();
+        self.leaving = true;
+        self.leases.leave(now);
+        self.membership.leave(millis(now));
+        self.carry_out(socket, log);
+    }
+
+    /// Gives the member lease back: nothing that this process does has to be waited for any more.
+    pub fn release_member_lease(&mut self, socket: &PeerSocket, log: &Logger) {
+        self.leases.release_member_lease();
+        self.carry_out(socket, log);
+    }
+
+    /// This process.
+    pub fn me(&self) -> ProcessId {
+        self.membership.me()
+    }
+
+    /// The leader's last member list.
+    pub fn member_list(&self) -> &MemberList {
+        self.leases.member_list()
+    }
+
+    /// Until when this process may count on being in the member list.
+    pub fn member_lease(&self) -> Option<Micros> {
+        self.leases.member_lease(micros())
+    }
+
+    /// The term under which this process holds a role at this moment.
+    pub fn holds_lease(&self, role: Role) -> Option<Term> {
+        self.leases.holds_lease(micros(), role)
+    }
+
+    /// The holder of a role, as known last.
+    pub fn role_holder(&self, role: Role) -> Option<ProcessId> {
+        let own = self.holds_lease(role).map(|_| self.me());
+        own.or_else(|| self.leases.role_holder(role).map(|known| known.holder))
+    }
+
+    /// Sends all other schedulers the aggregated loads, if this process is the aggregator at this moment.
+    pub fn broadcast_aggregated_loads(&mut self, socket: &PeerSocket, text: &str) {
+        let Some(term) = self.holds_lease(roles::AGGREGATOR) else {
+            self.withheld_aggregates += 1;
+            return;
+        };
+        // One byte tells the datagram's kind.
+        let max_length = MAX_DATAGRAM_LENGTH - 1 - FencingToken::MAX_ENCODED_LENGTH;
+        for part in split_sums(text, max_length) {
+            self.broadcast_fenced(socket, roles::AGGREGATOR, term, part.as_bytes());
+        }
+    }
+
+    /// Sends all other schedulers a message in a role. `term`: under which the role was found held just now.
+    pub fn broadcast_fenced(&self, socket: &PeerSocket, role: Role, term: Term, payload: &[u8]) {
+        let token = FencingToken { holder: self.me(), role, term };
+        DatagramKind::Fenced.send(socket, None, &token.encode_message(payload));
+    }
+
+    /// Sends a zone load report to the zone planner.
+    pub fn send_zone_report(&self, socket: &PeerSocket, planner: ProcessId, report: &[u8]) {
+        DatagramKind::ZoneReport.send(socket, Some(planner.ordinal), report);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/net/cluster/settings.rs
@@ -0,0 +1,25 @@
+//! The times of leases, from the operators' settings.
+
+use super::roles;
+use brackenledge_leases::{Micros, Settings};
+use brackenledge_protocol::operations::Operations;
+
+/// Length of a member lease at the default length of the leader's. Longer than a leader takes to be replaced (1.6 to
+/// 2.2 s), or failover would pause with each leader that is lost; the jobs of a lost scheduler wait for so long.
+const DEFAULT_MEMBER_LEASE: Micros = 2_300_000;
+
+/// The settings of a cluster of this size. All times keep their ratio to the length of the leader's lease.
+pub fn lease_settings(cluster_size: u16, operations: &Operations) -> Settings {
+    let default = Settings::new(cluster_size, roles::count(operations));
+    let scaled =
+        |time: Micros| (time as f64 * operations.lease * 1_000.0 / default.lease_duration as f64) as Micros;
+    Settings {
+        voters: operations.voters,
+        member_lease_duration: if operations.failover.on { scaled(DEFAULT_MEMBER_LEASE) } else { 0 },
+        lease_duration: scaled(default.lease_duration),
+        heartbeat_interval: scaled(default.heartbeat_interval),
+        bootstrap_timeout: scaled(default.bootstrap_timeout),
+        view_abandon_timeout: scaled(default.view_abandon_timeout),
+        ..default
+    }
+}
--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -65,8 +65,8 @@
                 text.push_str("end\n");
                 text
             }
-            Call::Members => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.members())),
-            Call::Duties => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.duties())),
+            Call::Members => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.members_lines())),
+            Call::Duties => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.duties_lines())),
             Call::Zones => match &mut *cx.zones {
                 Some(zones) => whole(zones.status_lines(cx.now)),
                 None => "error zones are off: set zones.on in the operators' file\n".into(),
--- a/crates/daemon/src/net/job_failover/mod.rs
+++ b/crates/daemon/src/net/job_failover/mod.rs
@@ -112,11 +112,11 @@
             self.failover.restart_as(self.local);
             self.sessions.clear();
         }
-        let (term, members, lease_expiry) = cluster.roll();
-        if term > self.failover.term() {
-            self.failover.apply_member_list(now, term, members);
+        let list = cluster.member_list();
+        if list.term > self.failover.term() {
+            self.failover.apply_member_list(now, list.term, &list.members);
         }
-        self.failover.set_member_lease(now, lease_expiry.unwrap_or(0));
+        self.failover.set_member_lease(now, cluster.member_lease().unwrap_or(0));
     }
 
     /// Handles what is due by now.
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -9,8 +9,9 @@
 mod event_loop;
 mod frontend;
 mod job_failover;
-mod peer;
+mod peer_dispatch;
 mod peer_links;
+mod peer_socket;
 mod zone_routing;
 
 use self::backend::Backend;
@@ -20,8 +21,8 @@
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
 use self::job_failover::{Attempt, JobFailover};
-use self::peer::Peer;
 use self::peer_links::PeerLinks;
+use self::peer_socket::PeerSocket;
 use self::zone_routing::ZoneRouting;
 use brackenledge_discovery::{Roster, RosterSettings};
 use brackenledge_engine::drain::Drain;
@@ -105,7 +106,7 @@
     frontend: Frontend,
     backend: Backend,
     discovery: Discovery,
-    peer: Option<Peer>,
+    peer: Option<PeerSocket>,
     control: Option<Control>,
     drain: Drain,
     cluster: Option<Cluster>,
@@ -242,17 +243,18 @@
         let mut peer = None;
         if let Some(known) = config.peer.filter(|_| settings.messages) {
             let listen = known.listen;
-            let mut bound =
-                Peer::bind(known, settings.ordinal).map_err(|e| format!("peer_listen {listen}: {e}"))?;
+            let mut bound = PeerSocket::bind(known, settings.ordinal)
+                .map_err(|e| format!("peer_listen {listen}: {e}"))?;
             let registered =
                 event_loop.registry().register(&mut bound.socket, Owner::Peer.token(), Interest::READABLE);
             registered.map_err(|e| format!("{watched}: {e}"))?;
             peer = Some(bound);
         }
         // Without others there is nothing to agree on.
-        let cluster = (peer.as_ref().filter(|peer| operations.tier && peer.seats() > 1))
-            .map(|peer| Cluster::new(settings.ordinal, peer.seats(), &operations, config.seed))
-            .transpose()?;
+        let cluster = (peer.as_ref().filter(|peer| operations.tier && peer.cluster_size() > 1))
+            .map(|peer| Cluster::new(settings.ordinal, peer.cluster_size(), &operations, config.seed))
+            .transpose()
+            .map_err(|error| error.to_string())?;
         if cluster.is_some() {
             event_loop.set_alarm(event_loop.now(), Alarm::Cluster);
         }
@@ -358,7 +360,7 @@
             Owner::Discovery(at) => self.discovery.on_ready(at, cx),
             Owner::Peer => {
                 if let Some(peer) = &mut self.peer {
-                    peer.on_input(cx);
+                    peer_dispatch::dispatch_datagrams(peer, cx);
                     if let Some(cluster) = cx.cluster.as_mut() {
                         cluster.carry_out(peer, cx.log);
                         if let Some(job_failover) = cx.job_failover.as_mut() {
@@ -436,7 +438,7 @@
             Alarm::Cluster => {
                 if let (Some(cluster), Some(peer)) = (cx.cluster.as_mut(), &self.peer) {
                     let wait = cluster.handle_timeout(peer, cx.log);
-                    if let Some(living) = cluster.living_changed() {
+                    if let Some(living) = cluster.active_members_changed() {
                         cx.core.living(living);
                     }
                     if let Some(job_failover) = cx.job_failover.as_mut() {
@@ -628,9 +630,9 @@
         let Some(peer) = &self.peer else { return };
         match &mut self.cluster {
             Some(cluster) if to.is_none() && brackenledge_policy::is_sums(text) => {
-                cluster.tell_sums(peer, text)
+                cluster.broadcast_aggregated_loads(peer, text)
             }
-            _ => peer.tell(to, text),
+            _ => peer.send_text(to, text),
         }
     }
 
@@ -668,7 +670,7 @@
             return false;
         }
         if let (Some(cluster), Some(peer)) = (&mut self.cluster, &self.peer) {
-            cluster.let_go(peer, &self.log);
+            cluster.release_member_lease(peer, &self.log);
         }
         true
     }
--- /dev/null
+++ b/crates/daemon/src/net/peer_dispatch.rs
@@ -0,0 +1,34 @@
+//! Where the datagrams of other schedulers go: to the cluster, to zone routing, to discovery or to the engine.
+
+use super::Context;
+use super::cluster::Received;
+use super::peer_socket::{PeerSocket, ReceiveBuffer};
+
+/// Reads all datagrams that have arrived, and hands each to the part that it is for.
+pub fn dispatch_datagrams(socket: &PeerSocket, cx: &mut Context) {
+    let mut buffer = ReceiveBuffer::new();
+    while let Some((from, datagram)) = socket.receive(&mut buffer) {
+        let received = cx.cluster.as_mut().and_then(|cluster| cluster.handle_message(from as u16, datagram));
+        match received {
+            Some(received) => dispatch_cluster_payload(from, received, cx),
+            None => dispatch_text(from, datagram, cx),
+        }
+    }
+}
+
+fn dispatch_cluster_payload(from: u32, received: Received, cx: &mut Context) {
+    match (received, &mut *cx.zones) {
+        (Received::AggregatedLoads(text), _) => cx.core.message(from, text),
+        (Received::ZonePlan(bytes), Some(zones)) => zones.handle_plan(cx.now, &bytes),
+        (Received::ZoneReport(bytes), Some(zones)) => zones.handle_report(cx.now, from as u16, &bytes),
+        _ => {}
+    }
+}
+
+/// Texts are discovery's gossip, or loads for the engine. What is no text is ignored.
+fn dispatch_text(from: u32, datagram: &[u8], cx: &mut Context) {
+    let Ok(text) = std::str::from_utf8(datagram) else { return };
+    if !cx.roster.heard(cx.now, from, text) {
+        cx.core.message(from, text.to_owned());
+    }
+}
--- a/crates/daemon/src/net/zone_routing.rs
+++ b/crates/daemon/src/net/zone_routing.rs
@@ -17,9 +17,9 @@
 use self::observations::Observations;
 use self::plan_leader::PlanLeader;
 use self::report::ZoneReport;
-use super::cluster::{Cluster, SEEN, ZONES, send};
+use super::cluster::{Cluster, roles::ZONE_PLANNER};
 use super::event_loop::Millis;
-use super::peer::Peer;
+use super::peer_socket::PeerSocket;
 use brackenledge_discovery::Roster;
 use brackenledge_engine::Core;
 use brackenledge_leases::Term;
@@ -137,7 +137,7 @@
         &mut self,
         now: Millis,
         cluster: &mut Cluster,
-        peer: &Peer,
+        peer: &PeerSocket,
         core: &Core,
         roster: &Roster,
         log: &Logger,
@@ -155,20 +155,27 @@
     }
 
     /// Reports the observed load to the leader, if there is one.
-    fn report(&mut self, now: Millis, cluster: &mut Cluster, peer: &Peer, core: &Core, roster: &Roster) {
+    fn report(
+        &mut self,
+        now: Millis,
+        cluster: &mut Cluster,
+        peer: &PeerSocket,
+        core: &Core,
+        roster: &Roster,
+    ) {
         let observed = self.observations.take_report(now, core.arrived_slots(), roster);
-        let (Some(observed), Some(leader)) = (observed, cluster.owner_of(ZONES)) else { return };
+        let (Some(observed), Some(leader)) = (observed, cluster.role_holder(ZONE_PLANNER)) else { return };
         let report = ZoneReport { zone: self.local_zone as u8, observed };
         if leader == cluster.me() {
             self.leader.handle_report(now, leader.ordinal, report);
         } else {
-            send(peer, Some(leader.ordinal), SEEN, &report.encode());
+            cluster.send_zone_report(peer, leader, &report.encode());
         }
     }
 
     /// Plans and publishes while this scheduler is the leader of the planning role.
-    fn lead(&mut self, now: Millis, cluster: &mut Cluster, peer: &Peer, log: &Logger) {
-        let Some(term) = cluster.may(ZONES) else {
+    fn lead(&mut self, now: Millis, cluster: &mut Cluster, peer: &PeerSocket, log: &Logger) {
+        let Some(term) = cluster.holds_lease(ZONE_PLANNER) else {
             self.leader.step_down();
             return;
         };
@@ -182,7 +189,7 @@
         }
         let Some(plan) = self.leader.plan().cloned() else { return };
         if self.leader.is_publication_due(now, replan.is_some()) {
-            cluster.tell_deed(peer, ZONES, term, &plan.encode());
+            cluster.broadcast_fenced(peer, ZONE_PLANNER, term, &plan.encode());
         }
         // A leader's own plan is never stale: its term is newer than that of any plan it knows.
         let _ = self.follower.handle_plan(now as u64, plan);
@@ -223,8 +230,8 @@
     PlannerTerm {
         era: term.epoch.era,
         epoch: term.epoch.number,
-        ballot: term.round.count,
-        proposer: u32::from(term.round.by),
+        ballot: term.ballot.counter,
+        proposer: u32::from(term.ballot.proposer),
         step: term.step,
     }
 }
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -196,19 +196,22 @@
     let text = format!("[tier]\non = true\nstate_dir = {:?}\n", state.to_str().expect("a path"));
     std::fs::write(&file, text).expect("written");
     let start = || Stage::start_operated("127.0.0.1:0", settings(), &[], None, Some(&file));
-    // The next word of ownership that looks for a view.
+    // The epoch in the next message that looks for a view.
     let hello = |stage: &Stage| loop {
         let mut bytes = [0; 256];
         let count = stage.peer.recv(&mut bytes).expect("a datagram");
-        if let (0xf2, Some(Message::Hello { seen, .. })) = (bytes[0], Message::read(&bytes[1..count])) {
-            return seen;
+        if let (0xf2, Ok(Message::JoinRequest { latest_epoch, .. })) =
+            (bytes[0], Message::decode(&bytes[1..count]))
+        {
+            return latest_epoch;
         }
     };
     let mut stage = start();
     assert_eq!(hello(&stage), Epoch::default());
     // Another has heard of an epoch far ahead of all clocks.
     let far = Epoch { era: 4_000_000_000, number: 7 };
-    let word = Message::Hello { from: ProcessId { ordinal: 1, incarnation: 1 }, seen: far }.write();
+    let word =
+        Message::JoinRequest { from: ProcessId { ordinal: 1, incarnation: 1 }, latest_epoch: far }.encode();
     stage.peer.send_to(&[&[0xf2], &word[..]].concat(), stage.peer_address).expect("sent");
     while hello(&stage) != far {}
     stage.child.kill().expect("killed");
--- a/crates/failover/tests/golden.rs
+++ b/crates/failover/tests/golden.rs
@@ -9,7 +9,7 @@
     AttemptSnapshot, Execution, Frame, JobKey, JobOutcome, Message, OwnershipEpoch, ProcessId,
     RecordSnapshot, Term,
 };
-use brackenledge_leases::{Epoch, Round};
+use brackenledge_leases::{Ballot, Epoch};
 use std::sync::Arc;
 
 fn hex(bytes: &[u8]) -> String {
@@ -35,7 +35,11 @@
 }
 
 fn term() -> Term {
-    Term { epoch: Epoch { era: 1_700_000_123, number: 5 }, round: Round { count: 900, by: 4 }, step: 77 }
+    Term {
+        epoch: Epoch { era: 1_700_000_123, number: 5 },
+        ballot: Ballot { counter: 900, proposer: 4 },
+        step: 77,
+    }
 }
 
 fn ownership_epoch() -> OwnershipEpoch {
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -3,12 +3,14 @@
 //! the state machine that takes it, since a message that decodes well may still carry a number that overflows there.
 //!
 //! `tests/decoders.rs` plays them at random in the ordinary tests; `cargo bolero test -p brackenledge-fuzz --test decoders
-//! ownership` lets libFuzzer look for as long as one likes. An input that failed goes into the unit tests of the crate at
+//! leases` lets libFuzzer look for as long as one likes. An input that failed goes into the unit tests of the crate at
 //! fault.
 
 use brackenledge_discovery::{Listed, Roster, RosterSettings};
 use brackenledge_failover::{Failover, Frame, Session};
-use brackenledge_leases::{Command, Deed, Epoch, Fence, MESSAGE_MOST, Message, Ownership, View};
+use brackenledge_leases::{
+    Command, Epoch, FencingGuard, FencingToken, LeaseManager, MAX_MESSAGE_LENGTH, Message, View,
+};
 use brackenledge_membership::{Membership, ProcessId, SwimConfig};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
 use brackenledge_protocol::http::{BODY_MOST, Body, Buffer, HEAD_MOST, take_answer_head};
@@ -56,18 +58,20 @@
     }
 }
 
-/// Kinds of ownership's messages.
+/// Kinds of messages of the leases.
 const KINDS: u8 = 17;
 
-/// Datagrams of ownership, at a voter of three and at one that has just started: each message as if its sender had sent it.
-pub fn ownership(input: &[u8]) {
-    let settings =
-        brackenledge_leases::Settings { stay: 2_500_000, ..brackenledge_leases::Settings::new(5, 2) };
+/// Datagrams of the leases, at a voter of three and at one that has just started: each message as if its sender had sent it.
+pub fn leases(input: &[u8]) {
+    let settings = brackenledge_leases::Settings {
+        member_lease_duration: 2_500_000,
+        ..brackenledge_leases::Settings::new(5, 2)
+    };
     let view = View { epoch: Epoch { era: 1, number: 1 }, voters: (0..3).map(process).collect() };
-    let begun = Ownership::begun(1_000_000, process(0), settings, view);
-    let new = Ownership::new(1_000_000, process(0), 1, settings);
-    for mut one in [begun, new] {
-        one.alive((0..5).map(process));
+    let in_view = LeaseManager::in_view(1_000_000, process(0), settings, view);
+    let started = LeaseManager::new(1_000_000, process(0), 1, settings);
+    for mut manager in [in_view, started] {
+        manager.set_alive_members((0..5).map(process));
         let mut now = 1_000_000;
         for bytes in messages(input) {
             now += 100_000;
@@ -77,30 +81,30 @@
                 let text: Vec<u8> = std::iter::once(kind % KINDS).chain(small(rest)).collect();
                 texts.extend((1..=text.len()).map(|end| text[..end].to_vec()));
             }
-            for message in texts.iter().filter_map(|text| Message::read(text)) {
-                one.handle_message(now, message.from().ordinal, message);
+            for message in texts.iter().filter_map(|text| Message::decode(text).ok()) {
+                manager.handle_message(now, message.from().ordinal, message);
             }
-            one.handle_timeout(now);
-            let _ =
-                (one.next_timeout(now), one.stays(now), one.on_roll(now), one.shown(now), one.may(now, 0));
-            while let Some(order) = one.poll_command() {
-                if let Command::Send(_, message) = order {
-                    assert!(message.write().len() <= MESSAGE_MOST, "{message:?}");
+            manager.handle_timeout(now);
+            let _ = (manager.next_timeout(now), manager.member_lease(now), manager.active_member_count(now));
+            let _ = (manager.status(now), manager.holds_lease(now, 0));
+            while let Some(command) = manager.poll_command() {
+                if let Command::Send { message, .. } | Command::Broadcast(message) = command {
+                    assert!(message.encode().len() <= MAX_MESSAGE_LENGTH, "{message:?}");
                 }
             }
         }
     }
 }
 
-/// An owner's deeds, at a fence.
-pub fn deeds(input: &[u8]) {
-    let mut fence = Fence::default();
+/// Fenced messages, at a fencing guard.
+pub fn fenced_messages(input: &[u8]) {
+    let mut guard = FencingGuard::default();
     for bytes in messages(input) {
-        if let Some((deed, _)) = Deed::read(bytes) {
-            let accepted = fence.accept(deed.duty, deed.term, deed.owner);
-            fence.heard(deed.duty, deed.term, deed.owner);
-            // What a fence has heard of it takes, unless it knew of something newer.
-            assert!(accepted.is_err() || fence.accept(deed.duty, deed.term, deed.owner).is_ok());
+        if let Ok((token, _)) = FencingToken::decode_message(bytes) {
+            let accepted = guard.accept(token.role, token.term, token.holder);
+            guard.observe(token.role, token.term, token.holder);
+            // A guard accepts what it has observed, unless it knew of a later term.
+            assert!(accepted.is_err() || guard.accept(token.role, token.term, token.holder).is_ok());
         }
     }
 }
--- /dev/null
+++ b/crates/leases/src/election.rs
@@ -0,0 +1,223 @@
+//! Leader election: a candidate is promised by a majority of the view's voters (Paxos phase 1), then asks them for the
+//! leader's lease, and renews it while it lives.
+
+use crate::leader::{Campaign, LeaderLease, Proposal};
+use crate::{AcceptedView, Ballot, Event, LeadershipLoss, LeaseManager, Message, Micros, ProcessId, View};
+
+/// Requests of a candidate in one heartbeat interval: at 30% loss every second one stays without an answer.
+const REQUESTS_PER_HEARTBEAT: Micros = 6;
+/// Candidates and retries wait for their turn by so many parts of a heartbeat interval for each voter before them.
+const TURNS_PER_HEARTBEAT: Micros = 4;
+/// Heartbeats without a word of the leader after which a voter begins a campaign.
+pub(crate) const MISSED_HEARTBEATS: Micros = 2;
+
+impl LeaseManager {
+    /// Begins a campaign, goes on with one, or renews the lease, if that is due.
+    pub(crate) fn campaign(&mut self, now: Micros) {
+        let leading = self.is_leader(now);
+        if !leading && self.leadership.lease.take().is_some() {
+            self.lose_leadership(now);
+        }
+        if leading && self.leadership.member_leases.values().any(|lease| now >= lease.expires_at) {
+            self.heartbeat(now);
+        }
+        if now < self.leadership.next_step_at || !self.is_voter(self.me) || self.too_early_to_bootstrap(now) {
+            return;
+        }
+        if !leading && self.defer_to_leader(now) {
+            return;
+        }
+        match &self.leadership.campaign {
+            Some(campaign) if campaign.elected => self.continue_leadership(now, leading),
+            // Votes may have been lost.
+            Some(campaign) if now < campaign.deadline => self.repeat_prepare(now, campaign.ballot),
+            // Others may be candidates too, so each tries again at its own pace, with a higher ballot.
+            _ => self.begin_campaign(now),
+        }
+    }
+
+    fn lose_leadership(&mut self, now: Micros) {
+        self.role_leases.clear_grants();
+        self.leadership.campaign = None;
+        self.leadership.next_step_at = now + self.settings.heartbeat_interval;
+        self.emit(Event::LeadershipLost(LeadershipLoss::LeaseExpired));
+    }
+
+    fn too_early_to_bootstrap(&self, now: Micros) -> bool {
+        let waiting = now < self.started_at + self.settings.bootstrap_timeout;
+        self.view.is_bootstrap() && (waiting || self.alive_members.len() < self.quorum())
+    }
+
+    /// A voter that hears from the leader begins no campaign.
+    fn defer_to_leader(&mut self, now: Micros) -> bool {
+        let interval = self.settings.heartbeat_interval;
+        let patient_until = self.last_leader_contact + MISSED_HEARTBEATS * interval;
+        if self.view.is_bootstrap() || self.known_leader.is_none() || now >= patient_until {
+            return false;
+        }
+        self.leadership.next_step_at = patient_until + self.turn_delay();
+        true
+    }
+
+    /// Candidates begin in turn, or each takes votes from the others.
+    fn turn_delay(&self) -> Micros {
+        self.rank() * self.settings.heartbeat_interval / TURNS_PER_HEARTBEAT
+    }
+
+    /// When a request is to be repeated if it stays without an answer.
+    fn retry_at(&self, now: Micros) -> Micros {
+        now + self.settings.heartbeat_interval / REQUESTS_PER_HEARTBEAT
+    }
+
+    fn repeat_prepare(&mut self, now: Micros, ballot: Ballot) {
+        self.leadership.next_step_at = self.retry_at(now);
+        self.send_to_voters(Message::Prepare { from: self.me, epoch: self.view.epoch, ballot });
+    }
+
+    fn begin_campaign(&mut self, now: Micros) {
+        self.leadership.highest_counter += 1;
+        let ballot = Ballot { counter: self.leadership.highest_counter, proposer: self.me.ordinal };
+        let deadline = now + self.settings.heartbeat_interval + self.turn_delay();
+        self.leadership.campaign = Some(Campaign::new(ballot, deadline));
+        self.leadership.next_step_at = self.retry_at(now);
+        let own_vote = self.vote_on_prepare(now, self.me, ballot);
+        self.send_to_voters(Message::Prepare { from: self.me, epoch: self.view.epoch, ballot });
+        match own_vote {
+            Message::Promise { accepted, .. } => self.handle_promise(now, self.me, ballot, accepted),
+            Message::Reject { promised, lease_remaining, .. } => {
+                self.handle_reject(now, promised, lease_remaining);
+            }
+            _ => {}
+        }
+    }
+
+    /// Renews the lease, and does what only a leader does.
+    fn continue_leadership(&mut self, now: Micros, leading: bool) {
+        // A candidate asks for the lease as often as it asked for promises.
+        let next_heartbeat = now + self.settings.heartbeat_interval;
+        self.leadership.next_step_at = if leading { next_heartbeat } else { self.retry_at(now) };
+        self.renew_lease(now);
+        self.propose_next_view(now);
+        if self.is_leader(now) {
+            self.heartbeat(now);
+        }
+    }
+
+    pub(crate) fn handle_promise(
+        &mut self,
+        now: Micros,
+        from: ProcessId,
+        ballot: Ballot,
+        accepted: Option<AcceptedView>,
+    ) {
+        let quorum = self.quorum();
+        let campaign = self.leadership.campaign.as_mut().filter(|campaign| campaign.ballot == ballot);
+        let Some(campaign) = campaign else { return };
+        // An ordinal votes once, whichever process has it.
+        campaign.promises.retain(|voter, _| voter.ordinal != from.ordinal || *voter == from);
+        campaign.promises.insert(from, accepted);
+        if campaign.elected || campaign.promises.len() < quorum {
+            return;
+        }
+        campaign.elected = true;
+        let voters: Vec<ProcessId> = campaign.promises.keys().copied().collect();
+        let accepted = campaign.promises.values().flatten().max_by_key(|accepted| accepted.ballot);
+        let view = accepted.map(|accepted| accepted.view.clone());
+        self.begin_phase_two(now, voters, view);
+    }
+
+    /// A majority has promised. `accepted`: a next view that may have been chosen, so that no other may be.
+    fn begin_phase_two(&mut self, now: Micros, voters: Vec<ProcessId>, accepted: Option<View>) {
+        if self.view.is_bootstrap() {
+            let view = accepted.unwrap_or_else(|| self.first_view(voters));
+            self.propose(now, view);
+            return;
+        }
+        if let (Some(view), Some(campaign)) = (accepted, &mut self.leadership.campaign) {
+            campaign.proposal = Some(Proposal { view, accepted_by: Vec::new() });
+        }
+        // The lease comes first.
+        self.renew_lease(now);
+    }
+
+    pub(crate) fn handle_reject(&mut self, now: Micros, promised: Ballot, lease_remaining: Micros) {
+        let leading = self.is_leader(now);
+        let turn_delay = self.turn_delay();
+        let (settings, leader) = (&self.settings, &mut self.leadership);
+        leader.highest_counter = leader.highest_counter.max(promised.counter);
+        let Some(campaign) = &leader.campaign else { return };
+        if promised > campaign.ballot {
+            // Again with a higher ballot; at once by the leader, which must renew its lease.
+            let pause = settings.heartbeat_interval / TURNS_PER_HEARTBEAT;
+            let delay = if leading { 0 } else { lease_remaining.min(settings.lease_duration) + pause };
+            leader.campaign = None;
+            leader.next_step_at = now + delay;
+        } else if !campaign.elected && lease_remaining > 0 {
+            // All hear at about the same time that the lease is free.
+            leader.campaign = None;
+            leader.next_step_at = now + lease_remaining.min(2 * settings.lease_duration) + turn_delay;
+        }
+    }
+
+    /// Asks all voters for the lease, from now on.
+    fn renew_lease(&mut self, now: Micros) {
+        let Some(ballot) = self.leadership.elected_campaign().map(|campaign| campaign.ballot) else { return };
+        if self.view.is_bootstrap() {
+            return;
+        }
+        let epoch = self.view.epoch;
+        self.send_to_voters(Message::LeaseRequest { from: self.me, epoch, ballot, requested_at: now });
+        if let Message::LeaseGrant { .. } = self.vote_on_lease(now, self.me, ballot, now) {
+            self.handle_lease_grant(now, self.me, ballot, now);
+        }
+    }
+
+    pub(crate) fn handle_lease_grant(
+        &mut self,
+        now: Micros,
+        from: ProcessId,
+        ballot: Ballot,
+        requested_at: Micros,
+    ) {
+        let (quorum, epoch) = (self.quorum(), self.view.epoch);
+        let previous = self.leadership.lease(now);
+        let Some(campaign) = self.leadership.elected_campaign().filter(|campaign| campaign.ballot == ballot)
+        else {
+            return;
+        };
+        // A request in the future is not ours.
+        if requested_at > now {
+            return;
+        }
+        let last = campaign.lease_grants.entry(from).or_insert(requested_at);
+        *last = requested_at.max(*last);
+        let mut requests: Vec<Micros> = campaign.lease_grants.values().copied().collect();
+        requests.sort_unstable_by(|a, b| b.cmp(a));
+        // A majority has granted a lease from this request on, or from a later one.
+        let Some(granted_from) = requests.get(quorum - 1) else { return };
+        let expires_at = granted_from + self.settings.holder_duration(self.settings.lease_duration);
+        if expires_at <= now {
+            return;
+        }
+        self.leadership.lease = Some(LeaderLease { epoch, ballot, expires_at });
+        if previous.map(|lease| (lease.epoch, lease.ballot)) != Some((epoch, ballot)) {
+            self.become_leader(now, ballot, previous.is_some());
+        }
+    }
+
+    /// This process holds the lease under a new ballot.
+    fn become_leader(&mut self, now: Micros, ballot: Ballot, led_before: bool) {
+        if !led_before {
+            // What the previous leader granted is over with its lease.
+            self.role_leases.clear_grants();
+            self.inherit_member_leases(now, ballot);
+            self.emit(Event::LeadershipAcquired(self.view.epoch));
+        }
+        self.known_leader = Some(crate::KnownLeader { process: self.me, ballot });
+        self.last_leader_contact = now;
+        self.schedule_member_list(now);
+        self.propose_next_view(now);
+        self.heartbeat(now);
+        self.request_role_leases(now);
+    }
+}
--- /dev/null
+++ b/crates/leases/src/member_list.rs
@@ -0,0 +1,103 @@
+//! The list of members that the leader sends to all, in parts, under a term.
+
+use crate::leader::LeaderLease;
+use crate::message::MAX_MEMBERS_PER_PART;
+use crate::{LeaseManager, Message, Micros, ProcessId, Term};
+use std::collections::BTreeMap;
+
+/// A changed list is sent with so many heartbeats in a row, since a part may be lost.
+const REPEATS_OF_CHANGED_LIST: u8 = 4;
+/// After that it is sent once in so many heartbeats.
+const HEARTBEATS_PER_UNCHANGED_LIST: u64 = 10;
+
+/// The members of a cluster as one leader has listed them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct MemberList {
+    /// Under which the leader made the list: a later list has a higher term.
+    pub term: Term,
+    /// Incarnations by ordinal.
+    pub members: BTreeMap<u16, u64>,
+}
+
+impl MemberList {
+    /// Whether this very process is on the list.
+    pub fn contains(&self, process: ProcessId) -> bool {
+        self.members.get(&process.ordinal) == Some(&process.incarnation)
+    }
+
+    fn processes(&self) -> Vec<ProcessId> {
+        let members = self.members.iter();
+        members.map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation }).collect()
+    }
+}
+
+/// Parts of a list that has not arrived completely.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct PartialMemberList {
+    term: Term,
+    parts: BTreeMap<u8, Vec<ProcessId>>,
+}
+
+impl LeaseManager {
+    /// A new leader sends its list at once, and again with the next heartbeats.
+    pub(crate) fn schedule_member_list(&mut self, now: Micros) {
+        self.leadership.next_member_list_at = now;
+        self.leadership.member_list_repeats = REPEATS_OF_CHANGED_LIST;
+    }
+
+    /// As the leader: sends the list if it has changed or is due again.
+    pub(crate) fn update_member_list(&mut self, now: Micros, lease: LeaderLease) {
+        let members = self.target_members(now);
+        let changed = members != self.member_list.members;
+        if !changed && now < self.leadership.next_member_list_at {
+            return;
+        }
+        let leader = &mut self.leadership;
+        leader.member_list_repeats =
+            if changed { REPEATS_OF_CHANGED_LIST } else { leader.member_list_repeats.saturating_sub(1) };
+        let heartbeats = if leader.member_list_repeats > 0 { 1 } else { HEARTBEATS_PER_UNCHANGED_LIST };
+        leader.next_member_list_at = now + heartbeats * self.settings.heartbeat_interval;
+        let Term { epoch, ballot, .. } = self.member_list.term;
+        if changed || (epoch, ballot) != (lease.epoch, lease.ballot) {
+            leader.last_step += 1;
+            let term = Term { epoch: lease.epoch, ballot: lease.ballot, step: leader.last_step };
+            self.member_list = MemberList { term, members };
+        }
+        self.broadcast_member_list();
+    }
+
+    fn broadcast_member_list(&mut self) {
+        let (from, term) = (self.me, self.member_list.term);
+        let members = self.member_list.processes();
+        let chunks = members.chunks(MAX_MEMBERS_PER_PART);
+        let parts = chunks.len() as u8;
+        for (part, members) in chunks.enumerate() {
+            let (part, members) = (part as u8, members.to_vec());
+            self.broadcast(Message::MemberListPart { from, term, part, parts, members });
+        }
+    }
+
+    pub(crate) fn handle_member_list_part(
+        &mut self,
+        from: ProcessId,
+        term: Term,
+        part: u8,
+        parts: u8,
+        members: Vec<ProcessId>,
+    ) {
+        let partial = &mut self.partial_member_list;
+        let by_leader = self.known_leader.is_some_and(|leader| leader.process == from);
+        if !by_leader || term <= self.member_list.term || term < partial.term {
+            return;
+        }
+        if term > partial.term {
+            *partial = PartialMemberList { term, parts: BTreeMap::new() };
+        }
+        partial.parts.insert(part, members);
+        if partial.parts.len() == usize::from(parts) {
+            let processes = std::mem::take(&mut partial.parts).into_values().flatten();
+            let members = processes.map(|process| (process.ordinal, process.incarnation)).collect();
+            self.member_list = MemberList { term, members };
+        }
+    }
+}
--- /dev/null
+++ b/crates/leases/src/view_change.rs
@@ -0,0 +1,166 @@
+//! Changes of the view: the first one, the next one by Paxos, and one that is abandoned.
+
+use crate::leader::Proposal;
+use crate::{Ballot, Epoch, Event, LeaseManager, Message, Micros, ProcessId, View, voter::Voter};
+
+/// A view of a cluster that is large enough keeps at least so many voters.
+const MIN_VOTERS: usize = 3;
+
+/// The largest odd number up to `count`, or 0.
+fn odd(count: usize) -> usize {
+    count - usize::from(count.is_multiple_of(2) && count > 1)
+}
+
+impl LeaseManager {
+    /// Abandons a view without a leader, most of whose voters are gone: it can decide nothing any more.
+    pub(crate) fn abandon_dead_view(&mut self, now: Micros) {
+        let silent_until = self.last_leader_contact + self.settings.view_abandon_timeout;
+        if self.view.is_bootstrap() || now < silent_until || self.is_leader(now) {
+            return;
+        }
+        let live_voters = self.view.voters.iter().filter(|voter| self.is_alive(**voter)).count();
+        if live_voters >= self.quorum() {
+            return;
+        }
+        let epoch = self.view.epoch;
+        self.emit(Event::ViewAbandoned { epoch, live_voters });
+        self.abandoned_epoch = self.abandoned_epoch.max(epoch);
+        self.enter_view(now, View::default());
+        // Like a process that has just started, it listens to others first.
+        self.started_at = now;
+        self.next_join_request_at = now;
+    }
+
+    fn is_alive(&self, process: ProcessId) -> bool {
+        self.alive_members.get(&process.ordinal) == Some(&process.incarnation)
+    }
+
+    /// Enters a view, with nothing promised in it.
+    fn enter_view(&mut self, now: Micros, view: View) {
+        self.view = view;
+        self.voter = Voter::default();
+        self.last_leader_contact = now;
+        self.latest_epoch = self.latest_epoch.max(self.view.epoch);
+        self.known_leader = None;
+        self.leadership.enter_view(now, self.settings.heartbeat_interval);
+    }
+
+    /// Follows another process into a later view.
+    pub(crate) fn follow_view(&mut self, now: Micros, view: View, leader: Option<ProcessId>) {
+        if view.epoch <= self.view.epoch || view.epoch <= self.abandoned_epoch {
+            return;
+        }
+        self.emit(Event::ViewEntered(view.clone()));
+        let first = self.view.is_bootstrap() && view.epoch.number == 1;
+        self.enter_view(now, view);
+        if !first {
+            // Its leader may hold a lease that was granted in the view before.
+            self.refuse_lease_grants(now, leader);
+        }
+    }
+
+    /// Grants the leader's lease to nobody but `holder` until one that was granted before is over.
+    fn refuse_lease_grants(&mut self, now: Micros, holder: Option<ProcessId>) {
+        let until = now + self.settings.grantor_duration(self.settings.lease_duration);
+        self.voter.refuse_grants_until(until, holder);
+    }
+
+    /// The view that a bootstrap begins with, of those that promised.
+    pub(crate) fn first_view(&self, mut voters: Vec<ProcessId>) -> View {
+        let count = odd(self.settings.voters.min(voters.len()));
+        voters.sort_by_key(|voter| (voter.ordinal != self.me.ordinal, voter.ordinal));
+        voters.truncate(count);
+        voters.sort();
+        let era = self.started_unix_seconds.max(self.latest_epoch.era.saturating_add(1));
+        View { epoch: Epoch { era, number: 1 }, voters }
+    }
+
+    /// Proposes the next view if one is needed, or goes on proposing.
+    pub(crate) fn propose_next_view(&mut self, now: Micros) {
+        let proposal = self.leadership.campaign.as_ref().and_then(|campaign| campaign.proposal.as_ref());
+        let proposed = proposal.map(|proposal| proposal.view.clone());
+        if self.view.is_bootstrap() {
+            if let Some(view) = proposed {
+                self.propose(now, view);
+            }
+            return;
+        }
+        // Only under a lease: two that propose at once would hinder one another.
+        if !self.is_leader(now) {
+            return;
+        }
+        if let Some(view) = proposed.or_else(|| self.target_view()) {
+            self.propose(now, view);
+        }
+    }
+
+    /// The next view, if the voters are to change. Those that are gone are replaced by live members; there are as many as
+    /// wanted, an odd number, and no fewer than [`MIN_VOTERS`] if there were as many.
+    fn target_view(&self) -> Option<View> {
+        let current = &self.view.voters;
+        let mut voters: Vec<ProcessId> =
+            current.iter().copied().filter(|voter| self.is_alive(*voter)).collect();
+        let alive = self.alive_members.iter();
+        let alive = alive.map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation });
+        let mut spare: Vec<ProcessId> = alive.filter(|process| !voters.contains(process)).collect();
+        let count = odd(self.settings.voters.min(self.alive_members.len()));
+        if count < current.len().min(MIN_VOTERS) {
+            // Too few are left to replace the dead, which remain voters.
+            return None;
+        }
+        spare.truncate(count.saturating_sub(voters.len()));
+        voters.extend(spare);
+        voters.sort_by_key(|voter| (*voter != self.me, voter.ordinal));
+        voters.truncate(count);
+        voters.sort();
+        let same = voters.len() == current.len() && voters.iter().all(|voter| current.contains(voter));
+        (!same).then_some(View { epoch: self.view.epoch.successor(), voters })
+    }
+
+    pub(crate) fn propose(&mut self, now: Micros, view: View) {
+        let Some(campaign) = self.leadership.elected_campaign() else { return };
+        let ballot = campaign.ballot;
+        if campaign.proposal.as_ref().is_none_or(|proposal| proposal.view != view) {
+            campaign.proposal = Some(Proposal { view: view.clone(), accepted_by: Vec::new() });
+        }
+        let (from, epoch, next_view) = (self.me, self.view.epoch, view.clone());
+        self.send_to_voters(Message::Accept { from, epoch, ballot, next_view });
+        if let Message::Accepted { .. } = self.vote_on_view(self.me, ballot, view) {
+            self.handle_accepted(now, self.me, ballot);
+        }
+    }
+
+    pub(crate) fn handle_accepted(&mut self, now: Micros, from: ProcessId, ballot: Ballot) {
+        let quorum = self.quorum();
+        let Some(campaign) = self.leadership.elected_campaign().filter(|campaign| campaign.ballot == ballot)
+        else {
+            return;
+        };
+        let Some(Proposal { view, accepted_by }) = &mut campaign.proposal else { return };
+        if !accepted_by.iter().any(|voter| voter.ordinal == from.ordinal) {
+            accepted_by.push(from);
+        }
+        if accepted_by.len() >= quorum {
+            let view = view.clone();
+            self.enter_chosen_view(now, view);
+        }
+    }
+
+    fn enter_chosen_view(&mut self, now: Micros, view: View) {
+        self.emit(Event::ViewChosen(view.clone()));
+        self.enter_view(now, view);
+        // A lease of the view before goes on: others wait for its end, and this process may renew it here.
+        if self.is_leader(now) {
+            self.refuse_lease_grants(now, Some(self.me));
+        }
+        self.broadcast(Message::ViewUpdate {
+            from: self.me,
+            view: self.view.clone(),
+            leader: Some(self.me),
+            ballot: Ballot::default(),
+            role_grants: Vec::new(),
+        });
+        // Elected again, in the new view, as soon as the others may know of it.
+        self.leadership.next_step_at = now + 1;
+    }
+}
--- a/crates/leases/src/voter.rs
+++ b/crates/leases/src/voter.rs
@@ -1,85 +1,97 @@
-//! A voter's memory in one view: what it has promised, taken and granted. It is gone with the process, and with the
-//! view.
+//! A voter of a view: an acceptor of Paxos for the next view, and the grantor of the leader's lease.
 
-use crate::{Message, Micros, Ownership, ProcessId, Round, View};
+use crate::{Ballot, LeaseManager, Message, Micros, ProcessId, View, message::AcceptedView};
 
-/// See the module's page.
+/// A voter's memory in one view: what it has promised, accepted and granted. It ends with the process and with the view.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Voter {
-    /// No older round is heard.
-    promised: Round,
-    /// The next view, as taken last.
-    accepted: Option<(Round, View)>,
-    /// The lease granted: to whom (`None`: to nobody that we know, yet not free), in which round, and until when by our
-    /// clock.
-    granted: Option<(Option<ProcessId>, Round, Micros)>,
+    /// Messages of lower ballots are rejected.
+    promised: Ballot,
+    /// The next view that was accepted last.
+    accepted: Option<AcceptedView>,
+    /// The leader's lease.
+    grant: Option<LeaseGrant>,
+}
+
+/// A lease granted to a leader, as its grantor knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct LeaseGrant {
+    /// `None`: a process that is not known may hold a lease.
+    holder: Option<ProcessId>,
+    ballot: Ballot,
+    /// By this voter's clock.
+    expires_at: Micros,
 }
 
 impl Voter {
     /// Time until the lease is free for a candidate.
-    fn left(&self, now: Micros, candidate: ProcessId) -> Micros {
-        match self.granted {
-            Some((holder, _, until)) if holder != Some(candidate) => until.saturating_sub(now),
+    fn lease_remaining(&self, now: Micros, candidate: ProcessId) -> Micros {
+        match &self.grant {
+            Some(grant) if grant.holder != Some(candidate) => grant.expires_at.saturating_sub(now),
             _ => 0,
         }
     }
 
-    /// The lease may be held from before, by this process if it is known.
-    pub(crate) fn block(&mut self, until: Micros, holder: Option<ProcessId>) {
-        self.granted = Some((holder, Round::default(), until));
+    /// Refuses to grant a lease until then, except to `holder`, which may hold one from the view before.
+    pub(crate) fn refuse_grants_until(&mut self, expires_at: Micros, holder: Option<ProcessId>) {
+        self.grant = Some(LeaseGrant { holder, ballot: Ballot::default(), expires_at });
     }
 
-    /// The holder gives its lease back; whether it was the holder.
-    pub(crate) fn release(&mut self, from: ProcessId, round: Round) -> bool {
-        let held = self.granted.is_some_and(|(holder, of, _)| holder == Some(from) && of == round);
+    /// The holder gives its lease back. Returns whether it was the holder.
+    pub(crate) fn release_lease(&mut self, from: ProcessId, ballot: Ballot) -> bool {
+        let held =
+            (self.grant.as_ref()).is_some_and(|grant| grant.holder == Some(from) && grant.ballot == ballot);
         if held {
-            self.granted = None;
+            self.grant = None;
         }
         held
     }
+
+    /// Whether a message of this ballot must be rejected, whatever it asks for.
+    fn must_reject(&self, from: ProcessId, ballot: Ballot) -> bool {
+        ballot < self.promised || ballot.proposer != from.ordinal
+    }
 }
 
-impl Ownership {
-    fn refuse(&self, from: ProcessId, now: Micros) -> Message {
-        let (promised, left) = (self.voter.promised, self.voter.left(now, from));
-        Message::No { from: self.me, epoch: self.view.epoch, promised, left }
+impl LeaseManager {
+    fn reject(&self, lease_remaining: Micros) -> Message {
+        let (epoch, promised) = (self.view.epoch, self.voter.promised);
+        Message::Reject { from: self.me, epoch, promised, lease_remaining }
     }
 
-    pub(crate) fn vote_on_ask(&mut self, now: Micros, from: ProcessId, round: Round) -> Message {
-        if round < self.voter.promised || round.by != from.ordinal || self.voter.left(now, from) > 0 {
-            return self.refuse(from, now);
+    pub(crate) fn vote_on_prepare(&mut self, now: Micros, from: ProcessId, ballot: Ballot) -> Message {
+        let remaining = self.voter.lease_remaining(now, from);
+        if self.voter.must_reject(from, ballot) || remaining > 0 {
+            return self.reject(remaining);
         }
-        self.voter.promised = round;
+        self.voter.promised = ballot;
         let accepted = self.voter.accepted.clone();
-        Message::Yes { from: self.me, epoch: self.view.epoch, round, accepted }
+        Message::Promise { from: self.me, epoch: self.view.epoch, ballot, accepted }
     }
 
     pub(crate) fn vote_on_lease(
         &mut self,
         now: Micros,
         from: ProcessId,
-        round: Round,
-        asked: Micros,
+        ballot: Ballot,
+        requested_at: Micros,
     ) -> Message {
-        if round < self.voter.promised || round.by != from.ordinal || self.voter.left(now, from) > 0 {
-            return self.refuse(from, now);
+        let remaining = self.voter.lease_remaining(now, from);
+        if self.voter.must_reject(from, ballot) || remaining > 0 {
+            return self.reject(remaining);
         }
-        self.voter.promised = round;
-        self.voter.granted = Some((Some(from), round, now + self.settings.blocked()));
-        Message::Granted { from: self.me, epoch: self.view.epoch, round, asked }
+        let expires_at = now + self.settings.grantor_duration(self.settings.lease_duration);
+        self.voter.promised = ballot;
+        self.voter.grant = Some(LeaseGrant { holder: Some(from), ballot, expires_at });
+        Message::LeaseGrant { from: self.me, epoch: self.view.epoch, ballot, requested_at }
     }
 
-    pub(crate) fn vote_on_view(&mut self, from: ProcessId, round: Round, next: View) -> Message {
-        if round < self.voter.promised || round.by != from.ordinal {
-            return Message::No {
-                from: self.me,
-                epoch: self.view.epoch,
-                promised: self.voter.promised,
-                left: 0,
-            };
+    pub(crate) fn vote_on_view(&mut self, from: ProcessId, ballot: Ballot, view: View) -> Message {
+        if self.voter.must_reject(from, ballot) {
+            return self.reject(0);
         }
-        self.voter.promised = round;
-        self.voter.accepted = Some((round, next));
-        Message::Taken { from: self.me, epoch: self.view.epoch, round }
+        self.voter.promised = ballot;
+        self.voter.accepted = Some(AcceptedView { ballot, view });
+        Message::Accepted { from: self.me, epoch: self.view.epoch, ballot }
     }
 }
--- a/crates/leases/tests/model.rs
+++ b/crates/leases/tests/model.rs
@@ -1,18 +1,20 @@
 //! The crate's own state machines under every order of events within bounds: messages lost, repeated, late; a process
-//! that loses its memory, one that pauses between its check and its deed. `MODEL_STATES` sets how many states are
+//! that loses its memory, one that pauses between its check and its action. `MODEL_STATES` sets how many states are
 //! looked at (default: what CI has time for).
 #![allow(missing_docs)]
 
-use brackenledge_leases::{Command, Epoch, Fence, Message, Ownership, ProcessId, Settings, Term, View};
+use brackenledge_leases::{
+    Command, Epoch, FencingGuard, LeaseManager, Message, ProcessId, RoleGrant, Settings, Term, View,
+};
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::BTreeMap;
 
-/// A beat, and the step of time.
-const BEAT: u64 = 1_000;
-const DUTY: u8 = 0;
+/// Also the step of time.
+const HEARTBEAT_INTERVAL: u64 = 1_000;
+const ROLE: u8 = 0;
 
 #[derive(Clone, Debug)]
-struct Tier {
+struct Cluster {
     nodes: u16,
     voters: u16,
     ticks: u64,
@@ -20,70 +22,70 @@
     delays: u8,
     crashes: u8,
     pauses: u8,
-    /// Deeds that may be on the way.
-    deeds: u8,
+    /// Actions of holders that are possible yet.
+    actions_left: u8,
     /// One link that is cut both ways for the whole run.
     cut: Option<(u16, u16)>,
     sabotage: Option<Sabotage>,
 }
 
-/// What a wrong program would do.
+/// Faults of a program that the model must find.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Sabotage {
-    /// A process that has lost its memory votes on under its old name.
-    VotesAgain,
-    /// Voters grant the lease anew before it is over.
-    NotWaitedOut,
-    /// Receivers don't look at terms.
-    NoFence,
+    /// A process that has lost its memory votes as the same process.
+    VotesAfterRestart,
+    /// Voters grant the lease again before it is over.
+    LeaseNotWaitedOut,
+    /// Receivers do not check terms.
+    NoFencing,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
     now: u64,
-    nodes: Vec<Ownership>,
+    nodes: Vec<LeaseManager>,
     paused: Vec<bool>,
-    /// What is on the way, with whether it has outlived a step of time already; each way in order.
-    way: BTreeMap<(u16, u16), Vec<Message>>,
-    /// Who has checked its lease, and not yet done its deed.
+    /// Messages in flight from one node to another, in order.
+    in_flight: BTreeMap<(u16, u16), Vec<Message>>,
+    /// Which nodes have checked their lease, and not yet acted.
     checked: Vec<Option<Term>>,
-    /// Receivers, one for each node, and what they accepted last.
-    fences: Vec<Fence>,
+    /// Receivers, one for each node, and the actions that they accepted.
+    guards: Vec<FencingGuard>,
     accepted: Vec<Vec<(Term, ProcessId)>>,
     duplicates: u8,
     delays: u8,
     crashes: u8,
     pauses: u8,
-    deeds: u8,
+    actions_left: u8,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Action {
     Deliver(u16, u16),
     Duplicate(u16, u16),
-    /// Time goes on; what is on the way is lost, but for what travels this way.
+    /// Time goes on. What is in flight is lost, except between these two nodes.
     Tick(Option<(u16, u16)>),
     Crash(u16),
     Pause(u16),
     Resume(u16),
     Check(u16),
-    Deed(u16, u16),
+    Act(u16, u16),
 }
 
-impl Tier {
+impl Cluster {
     fn settings(&self, node: u16) -> Settings {
-        let short = self.sabotage == Some(Sabotage::NotWaitedOut) && node != 0;
+        let short = self.sabotage == Some(Sabotage::LeaseNotWaitedOut) && node != 0;
         Settings {
-            seats: self.nodes,
+            cluster_size: self.nodes,
             voters: usize::from(self.voters),
-            lease: if short { BEAT } else { 3 * BEAT },
-            beat: BEAT,
+            lease_duration: if short { HEARTBEAT_INTERVAL } else { 3 * HEARTBEAT_INTERVAL },
+            heartbeat_interval: HEARTBEAT_INTERVAL,
             // All clocks agree here; the drift is a matter of arithmetic, tested by itself.
-            drift: u64::MAX,
-            wait: 100 * BEAT,
-            dead: 100 * BEAT,
-            duties: 1,
-            stay: 0,
+            clock_drift_divisor: u64::MAX,
+            bootstrap_timeout: 100 * HEARTBEAT_INTERVAL,
+            view_abandon_timeout: 100 * HEARTBEAT_INTERVAL,
+            roles: 1,
+            member_lease_duration: 0,
         }
     }
 
@@ -92,34 +94,39 @@
     }
 
     fn view(&self) -> View {
-        View { epoch: Epoch { era: 1, number: 1 }, voters: (0..self.voters).map(Tier::process).collect() }
+        View { epoch: Epoch { era: 1, number: 1 }, voters: (0..self.voters).map(Cluster::process).collect() }
     }
 
-    /// Puts what a node has to say on its way.
+    /// Puts the messages of a node in flight.
     fn carry_out(&self, state: &mut State, node: u16) {
-        while let Some(order) = state.nodes[usize::from(node)].poll_command() {
-            let Command::Send(to, message) = order else { continue };
-            // Every message must survive its bytes.
-            assert_eq!(Message::read(&message.write()).as_ref(), Some(&message));
-            let all = (0..self.nodes).filter(|&other| other != node);
-            for to in to.map_or(all.collect(), |to| vec![to]) {
+        while let Some(command) = state.nodes[usize::from(node)].poll_command() {
+            let (receivers, message) = match command {
+                Command::Send { to, message } => (vec![to], message),
+                Command::Broadcast(message) => {
+                    ((0..self.nodes).filter(|&other| other != node).collect(), message)
+                }
+                _ => continue,
+            };
+            // Every message must survive its encoding.
+            assert_eq!(Message::decode(&message.encode()).as_ref(), Ok(&message));
+            for to in receivers {
                 if self.cut.is_some_and(|(a, b)| (a, b) == (node, to) || (b, a) == (node, to)) {
                     continue;
                 }
-                let way = state.way.entry((node, to)).or_default();
-                // Rolls are told again and again, and say nothing here.
-                if !matches!(message, Message::Roll { .. }) && !way.contains(&message) {
-                    way.push(message.clone());
+                let queue = state.in_flight.entry((node, to)).or_default();
+                // Member lists are sent again and again, and mean nothing here.
+                if !matches!(message, Message::MemberListPart { .. }) && !queue.contains(&message) {
+                    queue.push(message.clone());
                 }
             }
         }
     }
 
     fn deliver(&self, state: &mut State, from: u16, to: u16, message: Message) {
-        // The steward's news are what receivers know terms by.
-        if let Message::News { duties, .. } = &message {
-            for &(duty, term, owner) in duties {
-                state.fences[usize::from(to)].heard(duty, term, owner);
+        // Receivers know terms from the leader's updates.
+        if let Message::ViewUpdate { role_grants, .. } = &message {
+            for &RoleGrant { role, term, holder } in role_grants {
+                state.guards[usize::from(to)].observe(role, term, holder);
             }
         }
         let now = state.now;
@@ -128,47 +135,47 @@
     }
 }
 
-impl Model for Tier {
+impl Model for Cluster {
     type State = State;
     type Action = Action;
 
     fn init_states(&self) -> Vec<State> {
         let number = usize::from(self.nodes);
-        let mut nodes: Vec<Ownership> = (0..self.nodes)
-            .map(|node| Ownership::begun(0, Tier::process(node), self.settings(node), self.view()))
+        let mut nodes: Vec<LeaseManager> = (0..self.nodes)
+            .map(|node| LeaseManager::in_view(0, Cluster::process(node), self.settings(node), self.view()))
             .collect();
         for node in &mut nodes {
-            node.alive((0..self.nodes).map(Tier::process));
+            node.set_alive_members((0..self.nodes).map(Cluster::process));
         }
         vec![State {
             now: 0,
             nodes,
             paused: vec![false; number],
-            way: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
             checked: vec![None; number],
-            fences: vec![Fence::default(); number],
+            guards: vec![FencingGuard::default(); number],
             accepted: vec![Vec::new(); number],
             duplicates: self.duplicates,
             delays: self.delays,
             crashes: self.crashes,
             pauses: self.pauses,
-            deeds: self.deeds,
+            actions_left: self.actions_left,
         }]
     }
 
     fn actions(&self, state: &State, actions: &mut Vec<Action>) {
-        for (&(from, to), way) in &state.way {
-            if !way.is_empty() && !state.paused[usize::from(to)] {
+        for (&(from, to), queue) in &state.in_flight {
+            if !queue.is_empty() && !state.paused[usize::from(to)] {
                 actions.push(Action::Deliver(from, to));
                 if state.duplicates > 0 {
                     actions.push(Action::Duplicate(from, to));
                 }
             }
         }
-        if state.now < self.ticks * BEAT {
+        if state.now < self.ticks * HEARTBEAT_INTERVAL {
             actions.push(Action::Tick(None));
             if state.delays > 0 {
-                actions.extend(state.way.keys().map(|&way| Action::Tick(Some(way))));
+                actions.extend(state.in_flight.keys().map(|&link| Action::Tick(Some(link))));
             }
         }
         for node in 0..self.nodes {
@@ -184,12 +191,12 @@
                 actions.push(Action::Crash(node));
             }
             match state.checked[at] {
-                None if state.deeds > 0 && state.nodes[at].may(state.now, DUTY).is_some() => {
+                None if state.actions_left > 0 && state.nodes[at].holds_lease(state.now, ROLE).is_some() => {
                     actions.push(Action::Check(node));
                 }
-                Some(_) if state.deeds > 0 => {
+                Some(_) if state.actions_left > 0 => {
                     let others = (0..self.nodes).filter(|&other| other != node);
-                    actions.extend(others.map(|other| Action::Deed(node, other)));
+                    actions.extend(others.map(|other| Action::Act(node, other)));
                 }
                 _ => {}
             }
@@ -200,23 +207,24 @@
         let mut state = last.clone();
         match action {
             Action::Deliver(from, to) => {
-                let way = state.way.get_mut(&(from, to))?;
-                let message = way.remove(0);
-                if way.is_empty() {
-                    state.way.remove(&(from, to));
+                let queue = state.in_flight.get_mut(&(from, to))?;
+                let message = queue.remove(0);
+                if queue.is_empty() {
+                    state.in_flight.remove(&(from, to));
                 }
                 self.deliver(&mut state, from, to, message);
             }
             Action::Duplicate(from, to) => {
                 state.duplicates -= 1;
-                let message = state.way.get(&(from, to))?.first()?.clone();
+                let message = state.in_flight.get(&(from, to))?.first()?.clone();
                 self.deliver(&mut state, from, to, message);
             }
-            Action::Tick(kept) => {
-                let late = kept.and_then(|way| state.way.remove(&way).map(|messages| (way, messages)));
+            Action::Tick(delayed) => {
+                let late =
+                    delayed.and_then(|link| state.in_flight.remove(&link).map(|messages| (link, messages)));
                 state.delays -= u8::from(late.is_some());
-                state.way = late.into_iter().collect();
-                state.now += BEAT;
+                state.in_flight = late.into_iter().collect();
+                state.now += HEARTBEAT_INTERVAL;
                 for node in 0..self.nodes {
                     if !state.paused[usize::from(node)] {
                         let now = state.now;
@@ -229,14 +237,14 @@
                 state.crashes -= 1;
                 let at = usize::from(node);
                 let settings = self.settings(node);
-                let mut again = if self.sabotage == Some(Sabotage::VotesAgain) {
-                    Ownership::begun(state.now, Tier::process(node), settings, self.view())
+                let mut restarted = if self.sabotage == Some(Sabotage::VotesAfterRestart) {
+                    LeaseManager::in_view(state.now, Cluster::process(node), settings, self.view())
                 } else {
-                    Ownership::new(state.now, ProcessId { ordinal: node, incarnation: 2 }, 2, settings)
+                    LeaseManager::new(state.now, ProcessId { ordinal: node, incarnation: 2 }, 2, settings)
                 };
-                again.alive((0..self.nodes).map(Tier::process));
-                (state.nodes[at], state.checked[at]) = (again, None);
-                state.fences[at] = Fence::default();
+                restarted.set_alive_members((0..self.nodes).map(Cluster::process));
+                (state.nodes[at], state.checked[at]) = (restarted, None);
+                state.guards[at] = FencingGuard::default();
                 state.accepted[at].clear();
             }
             Action::Pause(node) => {
@@ -245,7 +253,7 @@
             }
             Action::Resume(node) => {
                 state.paused[usize::from(node)] = false;
-                // What it had checked before may be done before it looks at the clock again.
+                // It may act on what it checked before it looks at the clock again.
                 if state.checked[usize::from(node)].is_none() {
                     let now = state.now;
                     state.nodes[usize::from(node)].handle_timeout(now);
@@ -253,20 +261,21 @@
                 }
             }
             Action::Check(node) => {
-                state.checked[usize::from(node)] = state.nodes[usize::from(node)].may(state.now, DUTY);
+                state.checked[usize::from(node)] =
+                    state.nodes[usize::from(node)].holds_lease(state.now, ROLE);
             }
-            Action::Deed(node, to) => {
-                state.deeds -= 1;
+            Action::Act(node, to) => {
+                state.actions_left -= 1;
                 let term = state.checked[usize::from(node)].take()?;
-                // Whoever crashed has checked nothing since.
-                let owner = Tier::process(node);
-                let fence = &mut state.fences[usize::from(to)];
+                // A process that crashed has checked nothing since.
+                let holder = Cluster::process(node);
+                let guard = &mut state.guards[usize::from(to)];
                 let accepted = match self.sabotage {
-                    Some(Sabotage::NoFence) => true,
-                    _ => fence.accept(DUTY, term, owner).is_ok(),
+                    Some(Sabotage::NoFencing) => true,
+                    _ => guard.accept(ROLE, term, holder).is_ok(),
                 };
                 if accepted {
-                    state.accepted[usize::from(to)].push((term, owner));
+                    state.accepted[usize::from(to)].push((term, holder));
                 }
             }
         }
@@ -275,34 +284,39 @@
 
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
-            Property::always("no two believe at one time that they own it", |_, state: &State| {
-                state.nodes.iter().filter(|node| node.may(state.now, DUTY).is_some()).count() <= 1
+            Property::always("no two processes hold the role at one time", |_, state: &State| {
+                state.nodes.iter().filter(|node| node.holds_lease(state.now, ROLE).is_some()).count() <= 1
             }),
-            Property::always("no two stewards at one time", |_, state: &State| {
-                state.nodes.iter().filter(|node| node.is_steward(state.now)).count() <= 1
+            Property::always("no two leaders at one time", |_, state: &State| {
+                state.nodes.iter().filter(|node| node.is_leader(state.now)).count() <= 1
             }),
-            Property::always("no two owners' deeds are accepted under one term", |_, state: &State| {
-                let mut owners: BTreeMap<Term, ProcessId> = BTreeMap::new();
+            Property::always("no actions of two holders are accepted under one term", |_, state: &State| {
+                let mut holders: BTreeMap<Term, ProcessId> = BTreeMap::new();
                 state
                     .accepted
                     .iter()
                     .flatten()
-                    .all(|&(term, owner)| *owners.entry(term).or_insert(owner) == owner)
+                    .all(|&(term, holder)| *holders.entry(term).or_insert(holder) == holder)
             }),
             Property::always(
-                "no deed of an old term is accepted after one of a newer",
+                "no action of an old term is accepted after one of a newer",
                 |_, state: &State| {
-                    state.accepted.iter().all(|deeds| deeds.windows(2).all(|pair| pair[0].0 <= pair[1].0))
+                    state
+                        .accepted
+                        .iter()
+                        .all(|accepted| accepted.windows(2).all(|pair| pair[0].0 <= pair[1].0))
                 },
             ),
-            Property::sometimes("somebody owns it", |_, state: &State| {
-                state.nodes.iter().any(|node| node.may(state.now, DUTY).is_some())
+            Property::sometimes("a process holds the role", |_, state: &State| {
+                state.nodes.iter().any(|node| node.holds_lease(state.now, ROLE).is_some())
             }),
-            Property::sometimes("another owns it under a later term", |_, state: &State| {
-                let known = state.fences.iter().filter_map(|fence| fence.known(DUTY)).map(|known| known.term);
+            Property::sometimes("another process holds it under a later term", |_, state: &State| {
+                let known =
+                    state.guards.iter().filter_map(|guard| guard.latest(ROLE)).map(|latest| latest.term);
                 let first = known.min();
                 state.nodes.iter().any(|node| {
-                    node.may(state.now, DUTY).is_some_and(|term| first.is_some_and(|first| term > first))
+                    node.holds_lease(state.now, ROLE)
+                        .is_some_and(|term| first.is_some_and(|first| term > first))
                 })
             }),
         ]
@@ -313,7 +327,7 @@
     std::env::var("MODEL_STATES").ok().and_then(|text| text.parse().ok()).unwrap_or(30_000)
 }
 
-const PLAIN: Tier = Tier {
+const PLAIN: Cluster = Cluster {
     nodes: 3,
     voters: 3,
     ticks: 7,
@@ -321,13 +335,13 @@
     delays: 1,
     crashes: 0,
     pauses: 0,
-    deeds: 2,
+    actions_left: 2,
     cut: None,
     sabotage: None,
 };
 
 /// Looks at random runs to their ends, or at all states near the start, as many as asked for.
-fn holds(name: &str, model: Tier) {
+fn check_model(name: &str, model: Cluster) {
     for seed in 0..2 {
         let checker = model
             .clone()
@@ -341,7 +355,7 @@
         {
             checker.assert_no_discovery(property.name);
         }
-        checker.assert_any_discovery("somebody owns it");
+        checker.assert_any_discovery("a process holds the role");
     }
     let checker = model
         .clone()
@@ -362,40 +376,40 @@
 }
 
 #[test]
-fn three_voters_under_loss_repeats_and_delay() {
-    holds("plain", PLAIN);
+fn three_voters_under_loss_duplication_and_delay() {
+    check_model("plain", PLAIN);
 }
 
 #[test]
 fn three_voters_one_of_which_loses_its_memory() {
-    holds("crash", Tier { crashes: 1, ..PLAIN });
+    check_model("crash", Cluster { crashes: 1, ..PLAIN });
 }
 
 #[test]
 fn three_voters_one_of_which_pauses_longer_than_its_lease() {
-    holds("pause", Tier { pauses: 1, ticks: 9, ..PLAIN });
+    check_model("pause", Cluster { pauses: 1, ticks: 9, ..PLAIN });
 }
 
 #[test]
-fn three_voters_two_of_which_cannot_hear_one_another() {
-    holds("cut", Tier { cut: Some((0, 1)), ..PLAIN });
+fn three_voters_two_of_which_are_cut_off_from_one_another() {
+    check_model("cut", Cluster { cut: Some((0, 1)), ..PLAIN });
 }
 
 #[test]
 fn five_voters_with_a_crash_and_a_pause() {
-    holds("five", Tier { nodes: 5, voters: 5, crashes: 1, pauses: 1, ticks: 9, ..PLAIN });
+    check_model("five", Cluster { nodes: 5, voters: 5, crashes: 1, pauses: 1, ticks: 9, ..PLAIN });
 }
 
-/// A wrong program is caught, or the model shows nothing.
+/// A model that does not find these faults shows nothing.
 #[test]
 fn each_sabotage_is_caught() {
     let table = [
-        (Sabotage::VotesAgain, Tier { crashes: 2, ..PLAIN }),
-        (Sabotage::NotWaitedOut, PLAIN),
-        (Sabotage::NoFence, Tier { ticks: 14, deeds: 3, duplicates: 0, delays: 0, ..PLAIN }),
+        (Sabotage::VotesAfterRestart, Cluster { crashes: 2, ..PLAIN }),
+        (Sabotage::LeaseNotWaitedOut, PLAIN),
+        (Sabotage::NoFencing, Cluster { ticks: 14, actions_left: 3, duplicates: 0, delays: 0, ..PLAIN }),
     ];
     for (sabotage, model) in table {
-        let model = Tier { sabotage: Some(sabotage), ..model };
+        let model = Cluster { sabotage: Some(sabotage), ..model };
         // Random runs, from one seed after another.
         let caught: Vec<&str> = (1..=20)
             .map(|seed| {
@@ -407,7 +421,7 @@
                     .spawn_simulation(seed, stateright::UniformChooser)
                     .join();
                 println!("{sabotage:?}: seed {seed}, {} states", checker.state_count());
-                let always = |p: &Property<Tier>| p.expectation == stateright::Expectation::Always;
+                let always = |p: &Property<Cluster>| p.expectation == stateright::Expectation::Always;
                 let found = model.properties().into_iter().filter(always).map(|p| p.name);
                 found.filter(|name| checker.discovery(name).is_some()).collect::<Vec<_>>()
             })
--- a/crates/test-cluster/src/tier.rs
+++ b/crates/test-cluster/src/tier.rs
@@ -1155,20 +1155,26 @@
         let at = self.at();
         let Some((&kind, bytes)) = bytes.split_first() else { return };
         let flat = |term: brackenledge_leases::Term| {
-            [term.epoch.era, term.epoch.number, term.round.count, u32::from(term.round.by), term.step]
+            [
+                term.epoch.era,
+                term.epoch.number,
+                term.ballot.counter,
+                u32::from(term.ballot.proposer),
+                term.step,
+            ]
         };
         if kind == DEED
-            && let Some((deed, _)) = brackenledge_leases::Deed::read(bytes)
+            && let Ok((token, _)) = brackenledge_leases::FencingToken::decode_message(bytes)
         {
-            let (duty, term) = (deed.duty, flat(deed.term));
+            let (duty, term) = (token.role, flat(token.term));
             self.note(Event::Duty { at, duty, term, owner: from, deed: true, reached: to });
         } else if kind == OWNERSHIP
-            && let Some(Message::News { from: who, steward, duties, .. }) = Message::read(bytes)
-            && steward == Some(who)
+            && let Ok(Message::ViewUpdate { from: who, leader, role_grants, .. }) = Message::decode(bytes)
+            && leader == Some(who)
         {
             self.steward = Some(from);
-            for (duty, term, owner) in duties {
-                let (term, owner) = (flat(term), usize::from(owner.ordinal));
+            for grant in role_grants {
+                let (duty, term, owner) = (grant.role, flat(grant.term), usize::from(grant.holder.ordinal));
                 if duty == 0 {
                     self.owner = Some(owner);
                 }
