--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -146,7 +146,7 @@
         max_list_age: 10_000.0,
         seed: 1,
     };
-    let mut roster = EndpointDirectory::new(0.0, settings);
+    let mut directory = EndpointDirectory::new(0.0, settings);
     let listed = |name: &str| EndpointRecord {
         name: name.to_owned(),
         address: None,
@@ -157,7 +157,7 @@
         weight: 1.0,
         started_at: None,
     };
-    roster.load_cached(0.0, 1, vec![listed("s-a"), listed("s-b")]);
+    directory.load_cached(0.0, 1, vec![listed("s-a"), listed("s-b")]);
     let settings = Settings { dispatchers: 12, messages: true, ..Settings::default() };
     let mut dispatcher = Dispatcher::new(0.0, settings, 1);
     let entry = |id: usize| WorkerEntry {
@@ -175,11 +175,11 @@
         // Texts begin with a letter that says what they are; random bytes seldom do.
         for text in [text.to_owned(), format!("d{text}"), format!("{{{text}}}")] {
             let now = 1.0 + at as f64;
-            if !roster.handle_message(now, 1, &text) {
+            if !directory.handle_message(now, 1, &text) {
                 dispatcher.handle(now, Event::Message { from: 1, text }, &mut actions);
             }
         }
-        while roster.poll_command().is_some() {}
+        while directory.poll_command().is_some() {}
         actions.clear();
     }
 }
