--- a/crates/discovery/src/table.rs
+++ b/crates/discovery/src/table.rs
@@ -196,9 +196,8 @@
         endpoint.last_update = updates;
         (endpoint.revision, endpoint.source) = (update.revision, update.source);
         let status_before = endpoint.readiness();
-        let settled =
-            |report: &mut _| crate::endpoint::StatusOverride::is_settled_by(report, update.revision);
-        let override_settled = endpoint.status_override.take_if(settled).is_some();
+        let override_settled =
+            endpoint.status_override.take_if(|report| report.is_settled_by(update.revision)).is_some();
         let record = EndpointRecord { address: record.address.or(endpoint.record.address), ..record };
         if endpoint.record == record && !override_settled && endpoint.evidence.is_negligible(now) {
             return None;
