--- a/crates/daemon/src/net/peer_dispatch.rs
+++ b/crates/daemon/src/net/peer_dispatch.rs
@@ -28,7 +28,7 @@
 /// Texts are discovery's gossip, or loads for the engine. What is no text is ignored.
 fn dispatch_text(from: u32, datagram: &[u8], cx: &mut Context) {
     let Ok(text) = std::str::from_utf8(datagram) else { return };
-    if !cx.roster.heard(cx.now, from, text) {
+    if !cx.endpoints.handle_message(cx.now, from, text) {
         cx.core.message(from, text.to_owned());
     }
 }
