Failover's options as named fields; starting a taken-over job is a function of its own

The options of [handover] had the names of their keys and an array of three line numbers; they are replicated_classes, replication_required and FailoverLines now, with the keys as they were. Comments name what happens instead of who says what.

--- a/crates/daemon/src/net/job_failover/mod.rs
+++ b/crates/daemon/src/net/job_failover/mod.rs
@@ -1,8 +1,8 @@
 //! Failover of jobs, between the frontend, the engine and the links to other schedulers: drives the state machine of
 //! `brackenledge-failover` and carries out its commands.
 //!
-//! The frontend submits a job of a replicated class here instead of to the engine; the state machine says when it
-//! starts, and the engine then gets it like any other. The engine's attempts pass here on their way to the backend:
+//! The frontend submits a job of a replicated class here instead of to the engine; the state machine commands
+//! its start, and the engine then gets it like any other. The engine's attempts pass here on their way to the backend:
 //! those that must be acknowledged first wait for it. The engine's answer comes back here, for all clients that wait for
 //! the job. Times are microseconds on the cluster's clock, unless they are `Millis` of the event loop.
 
@@ -22,7 +22,7 @@
 use super::event_loop::Millis;
 use brackenledge_engine::{Answer, Arrival, ClientId, DispatchId};
 use brackenledge_failover::{
-    Command, Failover, JobKey, JobOutcome, JobSubmission, Micros, PriorExecution, ProcessId, Settings, Waiter,
+    Command, Failover, JobKey, JobOutcome, JobSubmission, Micros, ProcessId, Settings, Waiter,
 };
 use brackenledge_policy::{Effect, JobId, WorkerId};
 use brackenledge_protocol::operations::FailoverOptions;
@@ -76,8 +76,8 @@
         classes: &[(String, Effect)],
     ) -> JobFailover {
         let class_options = |(name, effect): &(String, Effect)| {
-            let requires_replication = options.refused.contains(name);
-            let replicated = options.covered.contains(name);
+            let requires_replication = options.replication_required.contains(name);
+            let replicated = options.replicated_classes.contains(name);
             replicated.then_some(ClassOptions { effect: *effect, requires_replication })
         };
         let settings = Settings {
@@ -148,7 +148,7 @@
         self.class_options.get(class).copied().flatten()
     }
 
-    /// A client submits a job, or comes again for it.
+    /// A client submits a job, for the first time or again.
     pub fn submit(&mut self, arrival: Arrival) -> Waiter {
         let Arrival { client, job, request } = arrival;
         self.last_waiter += 1;
@@ -241,9 +241,10 @@
     }
 }
 
-/// An attempt of an earlier owner as the policy takes it: its worker, and its greatest age in milliseconds.
-pub fn prior_attempt(prior: &PriorExecution, worker: WorkerId) -> (WorkerId, Millis) {
-    (worker, to_millis(prior.max_age))
+/// Adds the attempt of an earlier owner to a job that the engine takes: its worker, and its greatest age.
+pub fn with_prior_attempt(mut arrival: Arrival, prior: Option<(WorkerId, Micros)>) -> Arrival {
+    arrival.job.ran = prior.map(|(worker, max_age)| (worker, to_millis(max_age)));
+    arrival
 }
 
 /// The engine's answer to a client.
--- a/crates/daemon/src/net/job_failover/sessions.rs
+++ b/crates/daemon/src/net/job_failover/sessions.rs
@@ -21,7 +21,7 @@
     Protocol(SessionError),
 }
 
-/// A session for each scheduler that has been heard of, by ordinal.
+/// A session for each known scheduler, by ordinal.
 #[derive(Default)]
 pub(super) struct PeerSessions {
     sessions: BTreeMap<u16, Session>,
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -26,8 +26,8 @@
 use brackenledge_discovery::{Roster, RosterSettings};
 use brackenledge_engine::drain::Drain;
 use brackenledge_engine::shutdown::Shutdown;
-use brackenledge_engine::{Command, Core};
-use brackenledge_failover::{Command as FailoverCommand, JobOutcome};
+use brackenledge_engine::{Arrival, Command, Core};
+use brackenledge_failover::{Command as FailoverCommand, JobKey, JobOutcome, PriorExecution};
 use brackenledge_policy::{Outcome, Settings};
 use brackenledge_protocol::config::{Config, IDLE_LIMIT};
 use brackenledge_protocol::operations::Operations;
@@ -55,6 +55,8 @@
 const REPORT: Millis = 30_000.0;
 /// Time between two handlings of failover's timeouts and links.
 const FAILOVER_INTERVAL: Millis = 20.0;
+/// `Retry-After`, in milliseconds, of a job whose request id is in use by another open job.
+const ID_IN_USE_RETRY_AFTER_MS: u32 = 1_000;
 /// How long the last words to other schedulers may take at the end: several round trips.
 const LAST_WORDS: Millis = 300.0;
 
@@ -510,23 +512,8 @@
         match command {
             FailoverCommand::Send { to, message, urgent } => job_failover.send(to, message, urgent),
             FailoverCommand::StartJob { key, payload, deadline, prior_execution, .. } => {
-                let worker = prior_execution.as_ref().map(|prior| cx.roster.find(&prior.worker));
-                // What repeats are bound to is not known here: there can be none.
-                if worker == Some(None) {
-                    job_failover.job_not_admitted(&key, JobOutcome::Failed);
-                    return;
-                }
-                let mut arrival = job_failover.decode_job(&key, &payload, deadline);
-                if let (Some(arrival), Some(prior), Some(worker)) =
-                    (&mut arrival, prior_execution, worker.flatten())
-                {
-                    arrival.job.ran = Some(job_failover::prior_attempt(&prior, worker));
-                }
-                match arrival.and_then(|arrival| cx.core.job_arrived(cx.now, arrival)) {
-                    Some(job) => job_failover.job_admitted(key, job),
-                    // Its request's id is open here: it may be submitted again.
-                    None => job_failover.job_not_admitted(&key, JobOutcome::Rejected(Some(1_000))),
-                }
+                let arrival = job_failover.decode_job(&key, &payload, deadline);
+                self.start_failover_job(key, arrival, prior_execution);
             }
             FailoverCommand::PermitAttempt { key, attempt } => {
                 if let Some(attempt) = job_failover.release_attempt(&key, attempt) {
@@ -561,6 +548,27 @@
         }
     }
 
+    /// Hands a job of the failover state machine to the engine.
+    fn start_failover_job(&mut self, key: JobKey, arrival: Option<Arrival>, prior: Option<PriorExecution>) {
+        let cx = &mut context!(self);
+        let Some(job_failover) = cx.job_failover.as_mut() else { return };
+        let worker = prior.as_ref().map(|prior| cx.roster.find(&prior.worker));
+        // What repeats are bound to is not known here: there can be none.
+        if worker == Some(None) {
+            job_failover.job_not_admitted(&key, JobOutcome::Failed);
+            return;
+        }
+        let prior_attempt = worker.flatten().zip(prior).map(|(worker, prior)| (worker, prior.max_age));
+        let arrival = arrival.map(|arrival| job_failover::with_prior_attempt(arrival, prior_attempt));
+        match arrival.and_then(|arrival| cx.core.job_arrived(cx.now, arrival)) {
+            Some(job) => job_failover.job_admitted(key, job),
+            // Its request's id is open here: it may be submitted again.
+            None => {
+                job_failover.job_not_admitted(&key, JobOutcome::Rejected(Some(ID_IN_USE_RETRY_AFTER_MS)));
+            }
+        }
+    }
+
     fn carry_out_roster(&mut self, order: brackenledge_discovery::Command) {
         let cx = &mut context!(self);
         match order {
--- a/crates/failover/src/client_job.rs
+++ b/crates/failover/src/client_job.rs
@@ -53,7 +53,7 @@
     pub(crate) started: bool,
     /// It was taken over from another owner.
     pub(crate) taken_over: bool,
-    /// Another process owns it or may own it: the local record does not tell any more whether it has run.
+    /// Another process owns it or may own it: it may have run although the local record has no such attempt.
     pub(crate) possibly_lost: bool,
     /// Replicated up to this version.
     pub(crate) acked_version: Option<u32>,
@@ -120,7 +120,7 @@
         self.state = ClaimState::Attached;
     }
 
-    /// What its clients are told when it has to be given up here.
+    /// The outcome for its clients when it is given up here.
     pub(crate) fn outcome_if_abandoned(&self) -> JobOutcome {
         let may_have_run = |attempt: &AttemptRecord| {
             attempt.execution == Execution::MayHaveRun && !self.awaits_ack(attempt.number)
--- a/crates/failover/src/command.rs
+++ b/crates/failover/src/command.rs
@@ -31,7 +31,7 @@
         to: ProcessId,
         /// The message.
         message: Message,
-        /// Somebody waits for it; otherwise it may be batched with later messages.
+        /// Send it at once; otherwise it may be batched with later messages.
         urgent: bool,
     },
     /// Run a job that this process owns or runs unreplicated.
@@ -65,7 +65,7 @@
     Answer {
         /// The clients.
         waiters: Vec<Waiter>,
-        /// What they are told.
+        /// Its outcome.
         outcome: JobOutcome,
     },
     /// This process may not run the job any more: cancel its attempts and ignore their results.
--- a/crates/failover/src/coordinator/mod.rs
+++ b/crates/failover/src/coordinator/mod.rs
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Grants a job to its claimant, or says that another process owns it or how it ended.
+    /// Grants a job to its claimant, or replies that another process owns it or how it ended.
     fn decide_claim(&mut self, now: Micros, claimant: ProcessId, snapshot: RecordSnapshot) {
         let (key, mut record) = snapshot.into_record(now);
         let (term, claim_id) = (self.term, record.claim_id);
@@ -103,7 +103,7 @@
         true
     }
 
-    /// Whether a message is of the job's owner, who is told if it is not.
+    /// Whether the sender of a message owns the job; if not, its ownership is revoked.
     fn check_owner(&mut self, from: ProcessId, key: &JobKey, claim_id: u64) -> bool {
         if self.replicas.get(key).is_some_and(|replica| replica.is_owned_by(from, claim_id)) {
             return true;
--- a/crates/failover/src/coordinator/replication.rs
+++ b/crates/failover/src/coordinator/replication.rs
@@ -1,10 +1,10 @@
-//! The coordinator keeps a record at as many replicas as are wanted, and acknowledges to the owner what they have.
+//! The coordinator keeps a record at as many replicas as are wanted, and confirms to the owner the version that they have.
 
 use crate::job_key::JobKey;
 use crate::{Failover, Message, Micros, ProcessId};
 
 impl Failover {
-    /// Has a record replicated as often as is wanted, and tells the owner once replicas have its last version.
+    /// Brings a record to as many replicas as are wanted, and confirms its last version to the owner once they have it.
     pub(super) fn ensure_replicated(&mut self, now: Micros, key: &JobKey) {
         if !self.all_reported {
             return;
@@ -57,7 +57,7 @@
         added
     }
 
-    /// The message that tells the owner that enough replicas have the record's version, unless it has been told.
+    /// The message that confirms to the owner that enough replicas have the record's version, unless it was confirmed before.
     fn confirm_version(&mut self, now: Micros, key: &JobKey, needed: usize) -> Option<Message> {
         let term = self.term;
         let replica = self.replicas.get_mut(key)?;
--- a/crates/failover/src/job_owner/attempts.rs
+++ b/crates/failover/src/job_owner/attempts.rs
@@ -44,15 +44,15 @@
         let message = record_attempt(now, self.term, key, job, number, &worker, Execution::NeverRan);
         let owned = job.state == ClaimState::Owned;
         if let Some(coordinator) = key.coordinator(&self.members).filter(|_| owned && self.is_member()) {
-            // Nobody waits for it; whoever takes the job over without having it counts the attempt as one that may have
+            // Not urgent: a process that takes the job over without this message counts the attempt as one that may have
             // run.
             self.send_batched(coordinator, message);
         }
         self.deliver_loopback(now);
     }
 
-    /// Attempts whose records are acknowledged may leave, and clients are told the outcome that was unconfirmed. Only
-    /// under a member lease: nobody else can have taken the job over.
+    /// Permits attempts whose records are acknowledged, and answers clients with the outcome that was unconfirmed. Only
+    /// under a member lease: no other process can have taken the job over.
     pub(super) fn release_acknowledged(&mut self, key: &JobKey) {
         let Some(job) = self.jobs.get_mut(key) else { return };
         let Some(acked_version) = job.acked_version else { return };
@@ -79,7 +79,7 @@
     }
 }
 
-/// Records an attempt as a new version of a job's record; returns the message that tells the coordinator.
+/// Records an attempt as a new version of a job's record; returns the message for the coordinator.
 fn record_attempt(
     now: Micros,
     term: crate::Term,
--- a/crates/failover/src/job_owner/completion.rs
+++ b/crates/failover/src/job_owner/completion.rs
@@ -1,4 +1,4 @@
-//! Jobs that have ended: the outcome is replicated, and clients are told.
+//! Jobs that have ended: the outcome is replicated, and clients are answered.
 
 use crate::client_job::ClaimState;
 use crate::{Failover, JobKey, JobOutcome, Message, Micros};
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Has the outcome of an owned job replicated, and tells its clients if nobody else can have ended it otherwise.
+    /// Replicates the outcome of an owned job, and answers its clients if no other process can have ended it otherwise.
     pub(super) fn complete_owned(&mut self, now: Micros, key: &JobKey, outcome: JobOutcome) {
         let holds_lease = self.holds_lease(now);
         let Some(job) = self.jobs.get_mut(key) else { return };
--- a/crates/failover/src/job_owner/mod.rs
+++ b/crates/failover/src/job_owner/mod.rs
@@ -24,7 +24,7 @@
 }
 
 impl Failover {
-    /// A client submits a job, or comes again for one.
+    /// A client submits a job, for the first time or again.
     pub fn submit(&mut self, now: Micros, waiter: Waiter, key: JobKey, submission: JobSubmission) {
         if !self.join_known_job(waiter, &key, submission.deadline) {
             self.submit_new(now, waiter, key, submission);
@@ -95,7 +95,7 @@
         self.deliver_loopback(now);
     }
 
-    /// Graceful shutdown: transfers the jobs that have not been sent to a worker, and tells their clients to come again.
+    /// Graceful shutdown: transfers the jobs that have not been sent to a worker, and rejects them to their clients with a `Retry-After`.
     /// Returns how many these were.
     pub fn transfer_all(&mut self, now: Micros) -> usize {
         let unsent = |job: &ClientJob| {
--- a/crates/failover/src/job_owner/replies.rs
+++ b/crates/failover/src/job_owner/replies.rs
@@ -8,8 +8,8 @@
     pub(crate) fn handle_claim_granted(&mut self, now: Micros, from: ProcessId, key: JobKey, grant: Grant) {
         let Grant { claim_id, ownership_epoch, version } = grant;
         let Some(job) = self.claimed_job(from, &key, claim_id) else {
-            // Its clients have disconnected, or were told its outcome meanwhile: it would have an owner that does not
-            // know of it.
+            // Its clients have disconnected, or have been answered meanwhile: it would have an owner that does not know
+            // of it.
             let term = self.term;
             self.send(from, Message::Discard { term, key, claim_id });
             return;
--- a/crates/failover/src/job_record.rs
+++ b/crates/failover/src/job_record.rs
@@ -66,7 +66,7 @@
 pub struct JobRecord {
     /// The process that may start attempts.
     pub owner: ProcessId,
-    /// The owner's number for its claim: it tells this ownership from an earlier one of the same process.
+    /// The owner's number for its claim: it distinguishes this ownership from an earlier one of the same process.
     pub claim_id: u64,
     /// When the coordinator granted it.
     pub ownership_epoch: OwnershipEpoch,
--- a/crates/failover/src/job_record/tests.rs
+++ b/crates/failover/src/job_record/tests.rs
@@ -1,4 +1,4 @@
-//! What a record says of its attempts.
+//! Attempts in a record.
 
 use super::*;
 
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -8,17 +8,17 @@
 //! A job is identified by its tenant, class and `Idempotency-Key` ([`JobKey`]). The *coordinator* of a key is the first
 //! of the member list by rendezvous hashing, so that all who know the list agree on it. A process to which a client
 //! submits a job asks its coordinator ([`Message::ClaimRequest`]). The coordinator grants the job to one *owner* at a
-//! time, or says that another process owns it, or what its outcome was. The coordinator and further *replicas* (in
+//! time, or replies that another process owns it, or what its outcome was. The coordinator and further *replicas* (in
 //! another zone where there is one) hold the job's record: its payload, attempts and outcome. Before an attempt leaves
 //! whose class forbids some repeats, replicas have acknowledged its record; so whoever takes the job over can tell
 //! "never sent" from "may have run" without a clock.
 //!
 //! # Member lists
 //!
-//! A new member list invalidates all that was said under the last one. Owners report their jobs to the new coordinators,
-//! replicas report the jobs that have ended and those whose owners are gone, and each member then says that it has
-//! ([`Message::ReportComplete`]). A coordinator grants nothing, acknowledges nothing and takes nothing over before all
-//! members of its list have said so: by then it has received whatever was acknowledged under an older list. Then it
+//! A new member list invalidates all messages of the last one. Owners report their jobs to the new coordinators,
+//! replicas report the jobs that have ended and those whose owners are gone, and each member then sends
+//! [`Message::ReportComplete`]. A coordinator grants nothing, acknowledges nothing and takes nothing over before all
+//! members of its list have sent that: by then it has received whatever was acknowledged under an older list. Then it
 //! takes over the jobs without an owner; each starts once its replicas have acknowledged that. A former owner that
 //! resumes is refused, for the record has a newer ownership epoch.
 //!
@@ -176,7 +176,7 @@
         }
     }
 
-    /// Sets the zone of a scheduler, once it has said so.
+    /// Sets the zone of another scheduler.
     pub fn set_zone(&mut self, ordinal: u16, zone: u32) {
         self.zones.insert(ordinal, zone);
     }
--- a/crates/failover/src/member_list.rs
+++ b/crates/failover/src/member_list.rs
@@ -42,7 +42,7 @@
         self.deliver_loopback(now);
     }
 
-    /// Nothing that was said under the last member list counts any more.
+    /// Discards the state of the last member list.
     fn reset_for_term(&mut self) {
         self.reported.clear();
         self.all_reported = false;
--- a/crates/failover/src/replica.rs
+++ b/crates/failover/src/replica.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Nothing that was said under the last member list counts any more.
+    /// Discards the state of the last member list.
     pub(crate) fn reset_for_term(&mut self) {
         self.extra_replicas = 0;
         self.confirmed_version = None;
--- a/crates/failover/src/session.rs
+++ b/crates/failover/src/session.rs
@@ -65,7 +65,7 @@
     received: u64,
     /// The last number acknowledged to the peer.
     acknowledged: u64,
-    /// A connection is up, and the peer has said what it has received.
+    /// A connection is up, and the peer has sent `Resume` on it.
     connected: bool,
 }
 
--- a/crates/protocol/src/operations.rs
+++ b/crates/protocol/src/operations.rs
@@ -15,9 +15,9 @@
     /// Where each scheduler takes links from the others, by number; our own entry is where we listen.
     pub links: Vec<SocketAddr>,
     /// Classes whose jobs are replicated, by name.
-    pub covered: Vec<String>,
+    pub replicated_classes: Vec<String>,
     /// Of these, the ones whose jobs are rejected rather than run without replicas.
-    pub refused: Vec<String>,
+    pub replication_required: Vec<String>,
     /// Replicas of each record beside its owner's.
     pub replication_factor: usize,
     /// Most records held.
@@ -28,8 +28,19 @@
     pub retention: Millis,
     /// How long a job waits for its claim to be granted, in milliseconds.
     pub claim_timeout: Millis,
-    /// The lines of `links`, `covered` and `refused` in the file.
-    pub lines: [usize; 3],
+    /// Where the lists stand in the file.
+    pub lines: FailoverLines,
+}
+
+/// Lines of the lists of `[handover]` in the operators' file, from 1; 0 where a list is not in it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FailoverLines {
+    /// Of `links`.
+    pub links: usize,
+    /// Of `covered`.
+    pub covered: usize,
+    /// Of `refused`.
+    pub refused: usize,
 }
 
 impl Default for FailoverOptions {
@@ -37,14 +48,14 @@
         FailoverOptions {
             on: false,
             links: Vec::new(),
-            covered: Vec::new(),
-            refused: Vec::new(),
+            replicated_classes: Vec::new(),
+            replication_required: Vec::new(),
             replication_factor: 2,
             max_records: 20_000,
             max_bytes: 64 << 20,
             retention: 10_000.0,
             claim_timeout: 4_000.0,
-            lines: [0; 3],
+            lines: FailoverLines::default(),
         }
     }
 }
@@ -194,15 +205,15 @@
                                 .iter()
                                 .map(|word| word.parse().map_err(|_| wrong()))
                                 .collect::<Result<_, _>>()?;
-                            failover.lines[0] = line;
+                            failover.lines.links = line;
                         }
                         "regions" => {
                             let zones = |word: &String| word.split_whitespace().map(str::to_owned).collect();
                             operations.zones.regions = words.iter().map(zones).collect();
                             operations.zones.line = line;
                         }
-                        "covered" => (failover.covered, failover.lines[1]) = (words, line),
-                        _ => (failover.refused, failover.lines[2]) = (words, line),
+                        "covered" => (failover.replicated_classes, failover.lines.covered) = (words, line),
+                        _ => (failover.replication_required, failover.lines.refused) = (words, line),
                     }
                     continue;
                 }
@@ -282,7 +293,8 @@
         zones: &[String],
         schedulers: usize,
     ) -> Result<(), String> {
-        let FailoverOptions { on, links, covered, refused, lines, .. } = &self.failover;
+        let FailoverOptions { on, links, replicated_classes, replication_required, lines, .. } =
+            &self.failover;
         let bad = |line: usize, what: String| Err(format!("{}:{}: {what}", path.display(), line.max(1)));
         let named: Vec<&String> = self.zones.regions.iter().flatten().collect();
         if let Some(unknown) = named.iter().find(|name| !zones.contains(name)) {
@@ -306,9 +318,11 @@
                 "handover.links has {} addresses and there are {schedulers} schedulers: give one for each, by number",
                 links.len()
             );
-            return bad(lines[0], what);
+            return bad(lines.links, what);
         }
-        for (list, line, key) in [(covered, lines[1], "covered"), (refused, lines[2], "refused")] {
+        for (list, line, key) in
+            [(replicated_classes, lines.covered, "covered"), (replication_required, lines.refused, "refused")]
+        {
             if let Some(unknown) = list.iter().find(|name| !classes.contains(name)) {
                 let what = format!(
                     "handover.{key} names {unknown:?}, which is no class: known are {}",
@@ -317,10 +331,10 @@
                 return bad(line, what);
             }
         }
-        if let Some(bare) = refused.iter().find(|name| !covered.contains(name)) {
+        if let Some(name) = replication_required.iter().find(|name| !replicated_classes.contains(name)) {
             return bad(
-                lines[2],
-                format!("handover.refused names {bare:?}, which handover.covered does not: add it there"),
+                lines.refused,
+                format!("handover.refused names {name:?}, which handover.covered does not: add it there"),
             );
         }
         Ok(())
@@ -357,7 +371,7 @@
     fn the_file_as_shipped_and_an_empty_one_read_as_the_defaults() {
         let shipped = include_str!("../../../deploy/operations.toml");
         let mut read_shipped = read(shipped).expect("the file as shipped");
-        (read_shipped.failover.lines, read_shipped.zones.line) = ([0; 3], 0);
+        (read_shipped.failover.lines, read_shipped.zones.line) = (FailoverLines::default(), 0);
         assert_eq!(read_shipped, Operations::default());
         assert_eq!(read(""), Ok(Operations::default()));
         let set =
--- a/crates/protocol/tests/operations_golden.rs
+++ b/crates/protocol/tests/operations_golden.rs
@@ -5,7 +5,7 @@
 //! that fails here means that a file that was right is refused or read otherwise.
 #![allow(missing_docs)]
 
-use brackenledge_protocol::operations::{FailoverOptions, Operations, ZoneOptions};
+use brackenledge_protocol::operations::{FailoverLines, FailoverOptions, Operations, ZoneOptions};
 use std::path::{Path, PathBuf};
 
 const TEXT: &str = r#"[control]
@@ -57,14 +57,14 @@
                 "10.0.0.1:7100".parse().expect("an address"),
                 "[::1]:7101".parse().expect("an address"),
             ],
-            covered: vec!["market-sale".into(), "farm-view".into()],
-            refused: vec!["market-sale".into()],
+            replicated_classes: vec!["market-sale".into(), "farm-view".into()],
+            replication_required: vec!["market-sale".into()],
             replication_factor: 3,
             max_records: 12_345,
             max_bytes: 17 << 20,
             retention: 11_006.0,
             claim_timeout: 5_007.0,
-            lines: [20, 21, 22],
+            lines: FailoverLines { links: 20, covered: 21, refused: 22 },
         },
         zones: ZoneOptions {
             on: true,
@@ -88,14 +88,14 @@
         failover: FailoverOptions {
             on: false,
             links: Vec::new(),
-            covered: Vec::new(),
-            refused: Vec::new(),
+            replicated_classes: Vec::new(),
+            replication_required: Vec::new(),
             replication_factor: 2,
             max_records: 20_000,
             max_bytes: 67_108_864,
             retention: 10_000.0,
             claim_timeout: 4_000.0,
-            lines: [0; 3],
+            lines: FailoverLines { links: 0, covered: 0, refused: 0 },
         },
         zones: ZoneOptions { on: false, regions: Vec::new(), line: 0 },
     };
