--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -10,6 +10,7 @@
 use super::buffered_stream::BufferedStream;
 use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive};
+use brackenledge_discovery::Availability;
 use brackenledge_engine::stats::{Gauges, lines};
 use brackenledge_protocol::control::{self, Call, Read, Refusal};
 use mio::net::TcpListener;
@@ -42,10 +43,10 @@
     fn take(&mut self, call: Call, cx: &mut Context) -> String {
         match call {
             // Yes once discovery has spoken or a list from before names a server that takes work.
-            Call::Ping if cx.roster.serves() => "done yes\n".into(),
+            Call::Ping if cx.endpoints.can_serve() => "done yes\n".into(),
             Call::Ping => "done no\n".into(),
             Call::Info => {
-                let (listed, ready) = cx.roster.standing();
+                let Availability { listed, ready } = cx.endpoints.availability();
                 let gauges = Gauges {
                     open_requests: cx.core.owed(),
                     registry_entries: listed,
@@ -56,7 +57,8 @@
                     text.push_str(&line);
                     text.push('\n');
                 }
-                for line in cx.job_failover.iter().flat_map(|job_failover| job_failover.lines(&self.classes))
+                for line in
+                    cx.job_failover.iter().flat_map(|job_failover| job_failover.figures(&self.classes))
                 {
                     text.push_str(&line);
                     text.push('\n');
@@ -64,8 +66,8 @@
                 text.push_str("end\n");
                 text
             }
-            Call::Members => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.members())),
-            Call::Duties => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.duties())),
+            Call::Members => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.members_lines())),
+            Call::Duties => cx.cluster.as_ref().map_or_else(off, |cluster| whole(cluster.duties_lines())),
             Call::Zones => match &mut *cx.zones {
                 Some(zones) => whole(zones.status_lines(cx.now)),
                 None => "error zones are off: set zones.on in the operators' file\n".into(),
@@ -88,7 +90,7 @@
 }
 
 impl Connection<Context<'_>> for Caller {
-    fn link(&mut self) -> &mut BufferedStream {
+    fn stream(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -187,7 +189,7 @@
                 replied: false,
                 classes: std::rc::Rc::clone(&self.classes),
             });
-            if cx.event_loop.watch(&mut caller.link.stream, Owner::Control(at)).is_err() {
+            if cx.event_loop.watch(&mut caller.link.socket, Owner::Control(at)).is_err() {
                 self.callers.remove(at);
                 continue;
             }
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -175,6 +175,11 @@
     since: Millis,
     /// When the request that is coming in began.
     begun: Option<Millis>,
+    /// When bytes were last received.
+    last_input_at: Millis,
+    /// When the first bytes of the request that is being received, or that waits for the answer to the one before it, were
+    /// received. The time that a request states runs from then.
+    receiving_since: Option<Millis>,
     /// Bytes read and dropped since its last answer.
     discarded: usize,
     /// It has said so much behind a request that none of it is read as the next one.
@@ -242,6 +247,9 @@
                     };
                 }
                 State::Job(_) | State::Covered(_) => {
+                    if !self.link.buffer.input().is_empty() {
+                        self.receiving_since.get_or_insert(self.last_input_at);
+                    }
                     // What a client says early waits for its turn. Where it says too much, nothing of it is read as a
                     // request any more: reading must go on, or its leave, which comes behind, would not be seen.
                     if self.flooded || self.link.buffer.input().len() >= AHEAD_MOST {
@@ -270,7 +278,7 @@
     fn leave(&self, cx: &mut Context) {
         match (&self.state, &mut *cx.job_failover) {
             (State::Job(job), _) => cx.core.client_gone(*job),
-            (State::Covered(waiter), Some(job_failover)) => job_failover.client_gone(*waiter),
+            (State::Covered(waiter), Some(job_failover)) => job_failover.client_disconnected(*waiter),
             _ => {}
         }
     }
@@ -284,6 +292,7 @@
         }
         // One byte now and then must not keep an unfinished request for ever: its time runs from the first.
         self.begun.get_or_insert(cx.now);
+        self.receiving_since.get_or_insert(self.last_input_at);
         let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
         let mut request = httparse::Request::new(&mut headers);
         let used = match request.parse(input) {
@@ -342,12 +351,13 @@
         let body = body.take_all(&mut self.link.buffer);
         self.link.buffer.compact();
         self.begun = None;
+        let elapsed = self.receiving_since.take().map_or(0.0, |since| cx.now - since);
         self.known = true;
         self.worked |= matches!(awaited, Awaited::Job(_));
         match awaited {
             Awaited::Up if cx.stopping.is_some() => self.answer(503, "", b"stopping\n", cx),
             Awaited::Up if !cx.drain.is_ready() => self.answer(503, "", b"draining\n", cx),
-            Awaited::Up if !cx.roster.serves() => self.answer(503, "", b"no server table yet\n", cx),
+            Awaited::Up if !cx.endpoints.can_serve() => self.answer(503, "", b"no server table yet\n", cx),
             Awaited::Up => self.answer(200, "", b"up\n", cx),
             Awaited::Job(arrival)
                 if cx.held() >= self.rules.most_held
@@ -359,11 +369,11 @@
             }
             Awaited::Job(mut arrival) => {
                 arrival.request.body = body;
-                arrival.job.time_left = arrival.job.time_left.min(cx.time_left());
+                arrival.job.time_left = (arrival.job.time_left - elapsed).max(0.0).min(cx.time_left());
                 if let Some(job_failover) =
-                    cx.job_failover.as_mut().filter(|job_failover| job_failover.covers(&arrival))
+                    cx.job_failover.as_mut().filter(|job_failover| job_failover.handles(&arrival))
                 {
-                    self.state = State::Covered(job_failover.arrive(*arrival));
+                    self.state = State::Covered(job_failover.submit(*arrival));
                     return;
                 }
                 match cx.core.job_arrived(cx.now, *arrival) {
@@ -422,7 +432,7 @@
 }
 
 impl Connection<Context<'_>> for ClientConnection {
-    fn link(&mut self) -> &mut BufferedStream {
+    fn stream(&mut self) -> &mut BufferedStream {
         &mut self.link
     }
 
@@ -431,7 +441,7 @@
             // Each shutdown, be it the second of the same direction, makes the poll tell of the socket anew.
             self.shut = true;
             // Closing with input unread would reset the connection, maybe before the answer was read.
-            let _ = self.link.stream.shutdown(std::net::Shutdown::Write);
+            let _ = self.link.socket.shutdown(std::net::Shutdown::Write);
         }
         // Room was made for the answers to requests that came already.
         self.read(cx);
@@ -439,6 +449,7 @@
     }
 
     fn on_input(&mut self, cx: &mut Context) -> Flow {
+        self.last_input_at = cx.now;
         self.read(cx);
         // What is dropped is read so that the client sees its last answer, and we its leave, but not for ever. As long
         // as its job is open it is owed that answer, however much it says.
@@ -534,6 +545,8 @@
             state: State::Head,
             since: cx.now,
             begun: None,
+            last_input_at: cx.now,
+            receiving_since: None,
             discarded: 0,
             flooded: false,
             shut: false,
@@ -541,7 +554,7 @@
             known: false,
             worked: false,
         });
-        if cx.event_loop.watch(&mut client.link.stream, Owner::Frontend(id)).is_err() {
+        if cx.event_loop.watch(&mut client.link.socket, Owner::Frontend(id)).is_err() {
             self.clients.remove(id);
         }
     }
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -9,25 +9,26 @@
 mod event_loop;
 mod frontend;
 mod job_failover;
-mod peer;
+mod peer_dispatch;
 mod peer_links;
+mod peer_socket;
 mod zone_routing;
 
 use self::backend::Backend;
 use self::cluster::Cluster;
 use self::control::Control;
-use self::discovery::{Discovery, Places};
+use self::discovery::{DiscoveryConnections, PlacementNames};
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
-use self::job_failover::{JobFailover, Leaving};
-use self::peer::Peer;
+use self::job_failover::{Attempt, JobFailover};
 use self::peer_links::PeerLinks;
+use self::peer_socket::PeerSocket;
 use self::zone_routing::ZoneRouting;
-use brackenledge_discovery::{Roster, RosterSettings};
+use brackenledge_discovery::{Command as DiscoveryCommand, DiscoverySettings, EndpointDirectory};
 use brackenledge_engine::drain::Drain;
 use brackenledge_engine::shutdown::Shutdown;
-use brackenledge_engine::{Answer, Command, Core};
-use brackenledge_failover::{Command as FailoverCommand, Fate};
+use brackenledge_engine::{Arrival, Command, Core};
+use brackenledge_failover::{Command as FailoverCommand, JobKey, JobOutcome, PriorExecution};
 use brackenledge_policy::{Outcome, Settings};
 use brackenledge_protocol::config::{Config, IDLE_LIMIT};
 use brackenledge_protocol::operations::Operations;
@@ -53,8 +54,10 @@
 const SWEEP: Millis = 250.0;
 /// Time between lines for the log on what was done.
 const REPORT: Millis = 30_000.0;
-/// Time between looks at what cover waits for, and at its links.
-const COVER_EVERY: Millis = 20.0;
+/// Time between two handlings of failover's timeouts and links.
+const FAILOVER_INTERVAL: Millis = 20.0;
+/// `Retry-After`, in milliseconds, of a job whose request id is in use by another open job.
+const ID_IN_USE_RETRY_AFTER_MS: u32 = 1_000;
 /// How long the last words to other schedulers may take at the end: several round trips.
 const LAST_WORDS: Millis = 300.0;
 
@@ -62,8 +65,8 @@
 pub struct Context<'a> {
     now: Millis,
     core: &'a mut Core,
-    roster: &'a mut Roster,
-    places: &'a Places,
+    endpoints: &'a mut EndpointDirectory,
+    placement_names: &'a PlacementNames,
     event_loop: &'a mut EventLoop,
     log: &'a Logger,
     /// Until when connections that were kept are not trusted.
@@ -83,7 +86,7 @@
 impl Context<'_> {
     /// Jobs that clients wait for here.
     fn held(&self) -> usize {
-        self.core.owed() + self.job_failover.as_ref().map_or(0, JobFailover::waiting)
+        self.core.owed() + self.job_failover.as_ref().map_or(0, JobFailover::waiting_clients)
     }
 
     /// Whether SIGTERM came so long ago that clients get no further request in.
@@ -100,12 +103,12 @@
 struct Scheduler<'a> {
     event_loop: EventLoop,
     core: Core,
-    roster: Roster,
-    places: Places,
+    endpoints: EndpointDirectory,
+    placement_names: PlacementNames,
     frontend: Frontend,
     backend: Backend,
-    discovery: Discovery,
-    peer: Option<Peer>,
+    discovery: DiscoveryConnections,
+    peer: Option<PeerSocket>,
     control: Option<Control>,
     drain: Drain,
     cluster: Option<Cluster>,
@@ -195,8 +198,8 @@
         Context {
             now: $scheduler.event_loop.now(),
             core: &mut $scheduler.core,
-            roster: &mut $scheduler.roster,
-            places: &$scheduler.places,
+            endpoints: &mut $scheduler.endpoints,
+            placement_names: &$scheduler.placement_names,
             event_loop: &mut $scheduler.event_loop,
             log: &$scheduler.log,
             distrust_until: &mut $scheduler.distrust_until,
@@ -242,17 +245,18 @@
         let mut peer = None;
         if let Some(known) = config.peer.filter(|_| settings.messages) {
             let listen = known.listen;
-            let mut bound =
-                Peer::bind(known, settings.ordinal).map_err(|e| format!("peer_listen {listen}: {e}"))?;
+            let mut bound = PeerSocket::bind(known, settings.ordinal)
+                .map_err(|e| format!("peer_listen {listen}: {e}"))?;
             let registered =
                 event_loop.registry().register(&mut bound.socket, Owner::Peer.token(), Interest::READABLE);
             registered.map_err(|e| format!("{watched}: {e}"))?;
             peer = Some(bound);
         }
         // Without others there is nothing to agree on.
-        let cluster = (peer.as_ref().filter(|peer| operations.tier && peer.seats() > 1))
-            .map(|peer| Cluster::new(settings.ordinal, peer.seats(), &operations, config.seed))
-            .transpose()?;
+        let cluster = (peer.as_ref().filter(|peer| operations.tier && peer.cluster_size() > 1))
+            .map(|peer| Cluster::new(settings.ordinal, peer.cluster_size(), &operations, config.seed))
+            .transpose()
+            .map_err(|error| error.to_string())?;
         if cluster.is_some() {
             event_loop.set_alarm(event_loop.now(), Alarm::Cluster);
         }
@@ -262,8 +266,8 @@
             event_loop.set_alarm(event_loop.now() + zone_routing::TICK_INTERVAL, Alarm::ZoneRouting);
         }
         let (mut job_failover, mut links) = (None, None);
-        if let Some(cluster) = cluster.as_ref().filter(|_| operations.cover.on) {
-            let addresses = operations.cover.links.clone();
+        if let Some(cluster) = cluster.as_ref().filter(|_| operations.failover.on) {
+            let addresses = operations.failover.links.clone();
             let own = addresses.get(settings.ordinal as usize).copied();
             let own = own.ok_or("handover.links: no address for this scheduler's number")?;
             // Shared, as the listener for clients is, with a process that replaces this one.
@@ -275,23 +279,24 @@
                 .map_err(|e| format!("{watched}: {e}"))?;
             let effects = settings.classes.iter().map(|class| class.effect);
             let classes: Vec<_> = document.class_names().into_iter().zip(effects).collect();
-            job_failover = Some(JobFailover::new(&operations.cover, cluster.me(), settings.zone, &classes));
+            job_failover =
+                Some(JobFailover::new(&operations.failover, cluster.me(), settings.zone, &classes));
             links = Some(all);
             event_loop.set_alarm(event_loop.now(), Alarm::JobFailover);
         }
-        let places = Places { zones: document.zone_names(), kinds: document.kind_names() };
+        let placement_names = PlacementNames { zones: document.zone_names(), kinds: document.kind_names() };
         let idle_limit = document.idle_limit().unwrap_or(IDLE_LIMIT);
         let shared = config.sockets.saturating_sub(RESERVED + operations.callers_most);
         let clients = (CLIENTS_PART * shared as f64) as usize;
         let now = event_loop.now();
         event_loop.set_alarm(now + SWEEP, Alarm::Sweep);
         event_loop.set_alarm(now + REPORT, Alarm::Report);
-        let roster = RosterSettings {
+        let discovery_settings = DiscoverySettings {
             ordinal: settings.ordinal,
             schedulers: settings.dispatchers,
-            messages: peer.is_some(),
-            pushed: !settings.list_on_request,
-            ask_within: settings.ask_within,
+            gossip: peer.is_some(),
+            push_mode: !settings.list_on_request,
+            max_list_age: settings.ask_within,
             seed: config.seed,
         };
         let control_at = control.as_mut().and_then(|door: &mut Control| door.listener().local_addr().ok());
@@ -303,12 +308,12 @@
         let mut scheduler = Scheduler {
             frontend: Frontend::new(listener, Rules::new(document, &settings), clients),
             backend: Backend::new(shared - clients, settings.connect_timeout, idle_limit),
-            discovery: Discovery::new(config.discovery),
+            discovery: DiscoveryConnections::new(config.discovery),
             longest: settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max),
             core: Core::new(now, settings, config.seed),
             event_loop,
-            roster: Roster::new(now, roster),
-            places,
+            endpoints: EndpointDirectory::new(now, discovery_settings),
+            placement_names,
             peer,
             control,
             drain: Drain::new(operations.takes_work_for),
@@ -326,11 +331,12 @@
         };
         // The list as this scheduler had it before it was restarted; maybe out of date.
         if let Some(known) = config.known {
-            let places = &scheduler.places;
-            let entries = known.endpoints.into_iter().map(|endpoint| places.listed(endpoint)).collect();
-            scheduler.roster.know(now, known.index, entries);
+            let names = &scheduler.placement_names;
+            let records =
+                known.endpoints.into_iter().map(|endpoint| names.endpoint_record(endpoint)).collect();
+            scheduler.endpoints.load_cached(now, known.index, records);
         }
-        scheduler.roster.handle_timeout(now);
+        scheduler.endpoints.handle_timeout(now);
         scheduler.core.wake();
         scheduler.settle();
         Ok(scheduler)
@@ -357,7 +363,7 @@
             Owner::Discovery(at) => self.discovery.on_ready(at, cx),
             Owner::Peer => {
                 if let Some(peer) = &mut self.peer {
-                    peer.on_input(cx);
+                    peer_dispatch::dispatch_datagrams(peer, cx);
                     if let Some(cluster) = cx.cluster.as_mut() {
                         cluster.carry_out(peer, cx.log);
                         if let Some(job_failover) = cx.job_failover.as_mut() {
@@ -383,7 +389,7 @@
                         Ok(Config { discovery_in_file: Some(at), .. }) if Some(at) != before => {
                             info!(self.log, "configuration read again"; "discovery" => %at);
                             self.discovery_in_file = Some(at);
-                            self.discovery.move_to(at, cx);
+                            self.discovery.set_address(at, cx);
                         }
                         Ok(_) => info!(self.log, "configuration read again, discovery stays"),
                         Err(error) => warn!(self.log, "configuration kept"; "error" => error),
@@ -413,7 +419,7 @@
             Alarm::Connect(serial) => self.backend.on_connect_alarm(serial, cx),
             Alarm::Held(serial) => self.backend.on_held_alarm(serial, cx),
             Alarm::Probe(serial) => self.backend.on_probe_alarm(serial, cx),
-            Alarm::Roster => self.discovery.on_alarm(cx),
+            Alarm::Discovery => self.discovery.on_alarm(cx),
             Alarm::Accept => self.frontend.accept(cx),
             Alarm::Report => {
                 cx.event_loop.set_alarm(cx.now + REPORT, Alarm::Report);
@@ -435,7 +441,7 @@
             Alarm::Cluster => {
                 if let (Some(cluster), Some(peer)) = (cx.cluster.as_mut(), &self.peer) {
                     let wait = cluster.handle_timeout(peer, cx.log);
-                    if let Some(living) = cluster.living_changed() {
+                    if let Some(living) = cluster.active_members_changed() {
                         cx.core.living(living);
                     }
                     if let Some(job_failover) = cx.job_failover.as_mut() {
@@ -449,7 +455,7 @@
                     (cx.zones.as_mut(), cx.cluster.as_mut(), &self.peer)
                 {
                     if let Some(prices) =
-                        zones.handle_timeout(cx.now, cluster, peer, cx.core, cx.roster, cx.log)
+                        zones.handle_timeout(cx.now, cluster, peer, cx.core, cx.endpoints, cx.log)
                     {
                         cx.core.zones(prices);
                     }
@@ -466,14 +472,14 @@
                 if let Some(links) = &mut self.links {
                     links.handle_timeout(cx);
                 }
-                cx.event_loop.set_alarm(cx.now + COVER_EVERY, Alarm::JobFailover);
+                cx.event_loop.set_alarm(cx.now + FAILOVER_INTERVAL, Alarm::JobFailover);
             }
             // On time, and not at the next sweep: what arrives later than this may meet SIGKILL.
             Alarm::Shutdown => {
                 if let Some(given) =
-                    cx.job_failover.as_mut().map(JobFailover::yield_all).filter(|&given| given > 0)
+                    cx.job_failover.as_mut().map(JobFailover::transfer_all).filter(|&given| given > 0)
                 {
-                    info!(cx.log, "jobs that were not sent are given to others"; "jobs" => given);
+                    info!(cx.log, "failover_jobs_transferred"; "jobs" => given);
                 }
                 self.frontend.accept(cx);
                 self.frontend.close_all_idle(cx);
@@ -485,11 +491,11 @@
     /// Plays events and carries out their orders until all is done for now.
     fn settle(&mut self) {
         loop {
-            // What the roster has learned goes first: a job must not be sent by an older belief.
-            if let Some(order) = self.roster.poll_command() {
-                self.carry_out_roster(order);
+            // Changes of endpoints go first: a job must not be sent by an outdated status.
+            if let Some(command) = self.endpoints.poll_command() {
+                self.carry_out_discovery(command);
             } else if let Some(order) = self.job_failover.as_mut().and_then(JobFailover::poll_command) {
-                self.carry_out_cover(order);
+                self.carry_out_failover(order);
             } else if let Some(order) = self.core.poll_command(self.event_loop.now()) {
                 self.carry_out(order);
             } else {
@@ -503,73 +509,81 @@
         }
     }
 
-    fn carry_out_cover(&mut self, order: FailoverCommand) {
+    fn carry_out_failover(&mut self, command: FailoverCommand) {
         let cx = &mut context!(self);
         let Some(job_failover) = cx.job_failover.as_mut() else { return };
-        match order {
-            FailoverCommand::Send { to, message, soon } => job_failover.say(to, message, soon),
-            FailoverCommand::Start { key, what, until, ran, .. } => {
-                // What repeats are bound to is not known here: there can be none.
-                let place = ran.as_ref().map(|(name, _)| cx.roster.find(name));
-                if place == Some(None) {
-                    job_failover.not_taken(&key, Fate::Failed);
-                    return;
-                }
-                let ran = place.flatten().zip(ran).map(|(at, (_, ago))| (at, ago as Millis / 1_000.0));
-                let arrival = job_failover.arrival(&key, &what, until, ran);
-                match arrival.and_then(|arrival| cx.core.job_arrived(cx.now, arrival)) {
-                    Some(job) => job_failover.taken(key, job),
-                    // Its request's id is open here: it may be brought again.
-                    None => job_failover.not_taken(&key, Fate::Denied(Some(1_000))),
-                }
+        match command {
+            FailoverCommand::Send { to, message, urgent } => job_failover.send(to, message, urgent),
+            FailoverCommand::StartJob { key, payload, deadline, prior_execution, .. } => {
+                let arrival = job_failover.decode_job(&key, &payload, deadline);
+                self.start_failover_job(key, arrival, prior_execution);
             }
-            FailoverCommand::Go(key, attempt) => {
-                if let Some(Leaving { id, worker, request, times }) = job_failover.leaves(&key, attempt) {
+            FailoverCommand::PermitAttempt { key, attempt } => {
+                if let Some(attempt) = job_failover.release_attempt(&key, attempt) {
+                    let Attempt { id, worker, request, times } = attempt;
                     self.backend.dispatch(id, worker, request, times, cx);
                 }
             }
-            FailoverCommand::Moot(key, attempt) => {
-                if let Some(id) = job_failover.moot(&key, attempt) {
+            FailoverCommand::AttemptExpired { key, attempt } => {
+                if let Some(id) = job_failover.drop_attempt(&key, attempt) {
                     cx.core.dispatch_ended(id, Outcome::Moot, None);
                 }
             }
-            FailoverCommand::Close(key) => {
-                if let Some((job, waiting)) = job_failover.close(&key) {
-                    waiting.into_iter().for_each(|id| cx.core.dispatch_ended(id, Outcome::Moot, None));
-                    cx.core.client_gone(job);
+            FailoverCommand::Revoke { key } => {
+                if let Some(job) = job_failover.revoke(&key) {
+                    for attempt in job.held_attempts {
+                        cx.core.dispatch_ended(attempt, Outcome::Moot, None);
+                    }
+                    cx.core.client_gone(job.id);
                 }
             }
-            FailoverCommand::Answer(waiters, fate) => {
+            FailoverCommand::Answer { waiters, outcome } => {
                 for waiter in waiters {
-                    let Some(client) =
-                        cx.job_failover.as_mut().and_then(|job_failover| job_failover.client(waiter))
-                    else {
-                        continue;
-                    };
-                    let answer = match &fate {
-                        Fate::Served(result) => Answer::Served(String::from_utf8_lossy(result).into_owned()),
-                        Fate::Denied(wait) => Answer::Denied { retry_after: wait.map(f64::from) },
-                        Fate::Failed => Answer::Failed,
-                    };
-                    self.frontend.answer_covered(client, waiter, answer, cx);
+                    let client =
+                        cx.job_failover.as_mut().and_then(|job_failover| job_failover.take_client(waiter));
+                    if let Some(client) = client {
+                        let answer = job_failover::answer_of(&outcome);
+                        self.frontend.answer_covered(client, waiter, answer, cx);
+                    }
                 }
             }
-            FailoverCommand::Log(text) => info!(cx.log, "handover"; "what" => text),
+            FailoverCommand::Event(event) => job_failover::log_event(cx.log, event),
         }
     }
 
-    fn carry_out_roster(&mut self, order: brackenledge_discovery::Command) {
+    /// Hands a job of the failover state machine to the engine.
+    fn start_failover_job(&mut self, key: JobKey, arrival: Option<Arrival>, prior: Option<PriorExecution>) {
         let cx = &mut context!(self);
-        match order {
-            brackenledge_discovery::Command::Ask { call, kind, since } => {
-                self.discovery.ask(call, kind, since, cx)
+        let Some(job_failover) = cx.job_failover.as_mut() else { return };
+        let worker = prior.as_ref().map(|prior| cx.endpoints.find(&prior.worker));
+        // What repeats are bound to is not known here: there can be none.
+        if worker == Some(None) {
+            job_failover.job_not_admitted(&key, JobOutcome::Failed);
+            return;
+        }
+        let prior_attempt = worker.flatten().zip(prior).map(|(worker, prior)| (worker, prior.max_age));
+        let arrival = arrival.map(|arrival| job_failover::with_prior_attempt(arrival, prior_attempt));
+        match arrival.and_then(|arrival| cx.core.job_arrived(cx.now, arrival)) {
+            Some(job) => job_failover.job_admitted(key, job),
+            // Its request's id is open here: it may be submitted again.
+            None => {
+                job_failover.job_not_admitted(&key, JobOutcome::Rejected(Some(ID_IN_USE_RETRY_AFTER_MS)));
             }
-            brackenledge_discovery::Command::Drop { call } => self.discovery.drop_call(call, cx),
-            brackenledge_discovery::Command::Tell { to, text } => self.tell(Some(to), &text),
-            brackenledge_discovery::Command::Learn { kind, entries } => {
-                cx.core.servers(kind, entries.into_iter().map(|learned| learned.0).collect());
+        }
+    }
+
+    fn carry_out_discovery(&mut self, command: DiscoveryCommand) {
+        let cx = &mut context!(self);
+        match command {
+            DiscoveryCommand::OpenRequest { request, kind, since_revision } => {
+                self.discovery.open_request(request, kind, since_revision, cx);
             }
-            brackenledge_discovery::Command::Log(text) => info!(self.log, "{}", text),
+            DiscoveryCommand::CancelRequest { request } => self.discovery.cancel_request(request, cx),
+            DiscoveryCommand::SendMessage { to, text } => self.tell(Some(to), &text),
+            DiscoveryCommand::UpdateEndpoints { kind, entries } => {
+                cx.core.servers(kind, entries.into_iter().map(|update| update.0).collect());
+            }
+            DiscoveryCommand::Event(event) => discovery::log_event(&self.log, event),
         }
     }
 
@@ -577,37 +591,43 @@
         let cx = &mut context!(self);
         match order {
             Command::Answer { client, job, answer } => {
-                if !cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.answered(job, &answer)) {
+                if !cx
+                    .job_failover
+                    .as_mut()
+                    .is_some_and(|job_failover| job_failover.job_answered(job, &answer))
+                {
                     self.frontend.answer(client, job, answer, cx);
                 }
             }
             Command::Dispatch { id, worker, request, times } => {
-                let leaving = Leaving { id, worker, request, times };
-                let leaving = match cx.job_failover {
-                    Some(job_failover) => {
-                        job_failover.dispatch(cx.now, leaving, cx.roster.name(worker).unwrap_or_default())
-                    }
-                    None => Some(leaving),
+                let attempt = Attempt { id, worker, request, times };
+                let permitted = match cx.job_failover {
+                    Some(job_failover) => job_failover.submit_attempt(
+                        cx.now,
+                        attempt,
+                        cx.endpoints.name(worker).unwrap_or_default(),
+                    ),
+                    None => Some(attempt),
                 };
-                if let Some(Leaving { id, worker, request, times }) = leaving {
+                if let Some(Attempt { id, worker, request, times }) = permitted {
                     self.backend.dispatch(id, worker, request, times, cx);
                 }
             }
             Command::Ended { id, never_ran } => {
                 if let Some(job_failover) = cx.job_failover {
-                    job_failover.ended(id, never_ran);
+                    job_failover.attempt_ended(id, never_ran);
                 }
             }
             Command::Cancel { id } | Command::TakeBack { id }
-                if cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.cancel(id)) =>
+                if cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.cancel_attempt(id)) =>
             {
                 cx.core.dispatch_ended(id, Outcome::Moot, None);
             }
             Command::Cancel { id } => self.backend.cancel(id, Outcome::Cancelled, cx),
             Command::TakeBack { id } => self.backend.take_back(id, cx),
             Command::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
-            Command::Watch { on } => cx.roster.want(cx.now, on),
-            Command::FetchList => cx.roster.fetch(cx.now),
+            Command::Watch { on } => cx.endpoints.set_watching(cx.now, on),
+            Command::FetchList => cx.endpoints.request_poll(cx.now),
             Command::Probe { worker } => self.backend.probe(worker, cx),
             Command::Tell { to, text } => self.tell(to, &text),
             Command::CloseIdle { worker } => self.backend.close_idle(worker, cx),
@@ -619,19 +639,19 @@
         let Some(peer) = &self.peer else { return };
         match &mut self.cluster {
             Some(cluster) if to.is_none() && brackenledge_policy::is_sums(text) => {
-                cluster.tell_sums(peer, text)
+                cluster.broadcast_aggregated_loads(peer, text)
             }
-            _ => peer.tell(to, text),
+            _ => peer.send_text(to, text),
         }
     }
 
     /// One line on what was done since the start.
     fn report(&self, what: &'static str) {
         let counts = self.core.counts();
-        let roster = self.roster.counts();
-        info!(self.log, "{}", what; "peers_first" => roster.heard_first, "told" => roster.told,
-            "calls_doubled" => roster.doubled, "calls_failed" => roster.failed, "calls" => roster.calls,
-            "servers" => self.roster.len(), "list" => self.roster.version().unwrap_or(0), "owed" => self.core.owed(), "gone" => counts.gone,
+        let discovery = self.endpoints.counts();
+        info!(self.log, "{}", what; "peers_first" => discovery.first_reported_by_peer, "told" => discovery.messages_sent,
+            "calls_doubled" => discovery.second_watches, "calls_failed" => discovery.failed_requests, "calls" => discovery.requests,
+            "servers" => self.endpoints.len(), "list" => self.endpoints.revision().unwrap_or(0), "owed" => self.core.owed(), "gone" => counts.gone,
             "failed" => counts.failed, "denied" => counts.denied, "served" => counts.served);
     }
 
@@ -653,13 +673,13 @@
         // What others must know of what we held goes out before we do.
         let now = self.event_loop.now();
         let idle_since = *self.idle_since.get_or_insert(now);
-        let said = self.job_failover.as_mut().is_none_or(|job_failover| job_failover.last_words())
-            && self.links.as_ref().is_none_or(PeerLinks::quiet);
+        let said = self.job_failover.as_mut().is_none_or(|job_failover| job_failover.flush())
+            && self.links.as_ref().is_none_or(PeerLinks::is_flushed);
         if !said && now < idle_since + LAST_WORDS {
             return false;
         }
         if let (Some(cluster), Some(peer)) = (&mut self.cluster, &self.peer) {
-            cluster.let_go(peer, &self.log);
+            cluster.release_member_lease(peer, &self.log);
         }
         true
     }
