--- a/crates/leases/tests/cluster.rs
+++ b/crates/leases/tests/cluster.rs
@@ -136,55 +136,11 @@
         let until = self.now + ms * MS;
         while self.now < until {
             self.now += 10 * MS;
-            let (due, later): (Vec<_>, Vec<_>) =
-                std::mem::take(&mut self.in_flight).into_iter().partition(|message| message.0 <= self.now);
-            self.in_flight = later;
-            for (_, from, to, bytes) in due {
-                if self.paused.contains(&to) {
-                    self.in_flight.push((self.now, from, to, bytes));
-                    continue;
-                }
-                let message = Message::decode(&bytes).expect("a message");
-                if let Message::ViewUpdate { role_grants, .. } = &message {
-                    role_grants.iter().for_each(|&RoleGrant { role, term, holder }| {
-                        self.guards[to].observe(role, term, ProcessId { incarnation: 0, ..holder })
-                    });
-                }
-                let clock = self.clock(to);
-                if let Some(node) = &mut self.nodes[to] {
-                    node.handle_message(clock, from as u16, message);
-                    self.carry_out(to);
-                }
-            }
-            let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.membership_changes)
-                .into_iter()
-                .partition(|change| change.0 <= self.now);
-            self.membership_changes = later;
-            for (_, at, incarnation, alive) in due {
-                let at = at as u16;
-                if alive {
-                    self.alive.insert(at, incarnation);
-                } else if self.alive.get(&at) == Some(&incarnation) {
-                    self.alive.remove(&at);
-                }
-            }
+            self.deliver_due();
+            self.update_membership();
             for at in 0..self.nodes.len() {
-                let clock = self.clock(at);
-                if self.paused.contains(&at) {
-                    continue;
-                }
-                let reachable = |other: &u16| {
-                    let other = usize::from(*other);
-                    !self.cut.contains(&(other, at)) || other == at
-                };
-                let alive: Vec<ProcessId> = (self.alive.iter())
-                    .filter(|(ordinal, _)| reachable(ordinal))
-                    .map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation })
-                    .collect();
-                if let Some(node) = &mut self.nodes[at] {
-                    node.set_alive_members(alive);
-                    node.handle_timeout(clock);
-                    self.carry_out(at);
+                if !self.paused.contains(&at) {
+                    self.handle_timeout(at);
                 }
             }
             self.act();
@@ -192,11 +148,70 @@
         }
     }
 
+    fn deliver_due(&mut self) {
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.in_flight).into_iter().partition(|message| message.0 <= self.now);
+        self.in_flight = later;
+        for (_, from, to, bytes) in due {
+            if self.paused.contains(&to) {
+                self.in_flight.push((self.now, from, to, bytes));
+            } else {
+                self.deliver(from, to, &bytes);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        let message = Message::decode(bytes).expect("a message");
+        if let Message::ViewUpdate { role_grants, .. } = &message {
+            role_grants.iter().for_each(|&RoleGrant { role, term, holder }| {
+                self.guards[to].observe(role, term, ProcessId { incarnation: 0, ..holder })
+            });
+        }
+        let clock = self.clock(to);
+        if let Some(node) = &mut self.nodes[to] {
+            node.handle_message(clock, from as u16, message);
+            self.carry_out(to);
+        }
+    }
+
+    /// Membership finds out what has changed long enough ago.
+    fn update_membership(&mut self) {
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.membership_changes).into_iter().partition(|change| change.0 <= self.now);
+        self.membership_changes = later;
+        for (_, at, incarnation, alive) in due {
+            let ordinal = at as u16;
+            if alive {
+                self.alive.insert(ordinal, incarnation);
+            } else if self.alive.get(&ordinal) == Some(&incarnation) {
+                self.alive.remove(&ordinal);
+            }
+        }
+    }
+
+    fn handle_timeout(&mut self, at: usize) {
+        let clock = self.clock(at);
+        let reachable = |other: &u16| {
+            let other = usize::from(*other);
+            !self.cut.contains(&(other, at)) || other == at
+        };
+        let alive: Vec<ProcessId> = (self.alive.iter())
+            .filter(|(ordinal, _)| reachable(ordinal))
+            .map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation })
+            .collect();
+        if let Some(node) = &mut self.nodes[at] {
+            node.set_alive_members(alive);
+            node.handle_timeout(clock);
+            self.carry_out(at);
+        }
+    }
+
     /// A process that holds a member lease is in the list of every leader whose list is newer than its own.
     fn check_member_leases(&mut self) {
-        let stays = |at: usize, node: &LeaseManager| node.member_lease(self.clock(at)).is_some();
+        let holds_lease = |at: usize, node: &LeaseManager| node.member_lease(self.clock(at)).is_some();
         let nodes = || self.nodes.iter().enumerate().filter_map(|(at, node)| Some((at, node.as_ref()?)));
-        for (at, node) in nodes().filter(|(at, node)| stays(*at, node)) {
+        for (at, node) in nodes().filter(|(at, node)| holds_lease(*at, node)) {
             for (other, leader) in nodes().filter(|(other, node)| node.is_leader(self.clock(*other))) {
                 let (term, members) = (leader.member_list().term, &leader.member_list().members);
                 let on = members.get(&(at as u16)) == Some(&node.me().incarnation);
@@ -207,7 +222,7 @@
                 );
             }
         }
-        self.member_leases_seen += nodes().filter(|(at, node)| stays(*at, node)).count();
+        self.member_leases_seen += nodes().filter(|(at, node)| holds_lease(*at, node)).count();
     }
 
     fn holder(&self, role: u8) -> Option<usize> {
--- a/crates/leases/tests/model.rs
+++ b/crates/leases/tests/model.rs
@@ -133,6 +133,52 @@
         state.nodes[usize::from(to)].handle_message(now, from, message);
         self.carry_out(state, to);
     }
+
+    fn handle_timeout(&self, state: &mut State, node: u16) {
+        let now = state.now;
+        state.nodes[usize::from(node)].handle_timeout(now);
+        self.carry_out(state, node);
+    }
+
+    fn tick(&self, state: &mut State, delayed: Option<(u16, u16)>) {
+        let late = delayed.and_then(|link| state.in_flight.remove(&link).map(|messages| (link, messages)));
+        state.delays -= u8::from(late.is_some());
+        state.in_flight = late.into_iter().collect();
+        state.now += HEARTBEAT_INTERVAL;
+        for node in 0..self.nodes {
+            if !state.paused[usize::from(node)] {
+                self.handle_timeout(state, node);
+            }
+        }
+    }
+
+    fn crash(&self, state: &mut State, node: u16) {
+        state.crashes -= 1;
+        let at = usize::from(node);
+        let settings = self.settings(node);
+        let mut restarted = if self.sabotage == Some(Sabotage::VotesAfterRestart) {
+            LeaseManager::in_view(state.now, Cluster::process(node), settings, self.view())
+        } else {
+            LeaseManager::new(state.now, ProcessId { ordinal: node, incarnation: 2 }, 2, settings)
+        };
+        restarted.set_alive_members((0..self.nodes).map(Cluster::process));
+        (state.nodes[at], state.checked[at]) = (restarted, None);
+        state.guards[at] = FencingGuard::default();
+        state.accepted[at].clear();
+    }
+
+    fn act(&self, state: &mut State, node: u16, to: u16, term: Term) {
+        // A process that crashed has checked nothing since.
+        let holder = Cluster::process(node);
+        let guard = &mut state.guards[usize::from(to)];
+        let accepted = match self.sabotage {
+            Some(Sabotage::NoFencing) => true,
+            _ => guard.accept(ROLE, term, holder).is_ok(),
+        };
+        if accepted {
+            state.accepted[usize::from(to)].push((term, holder));
+        }
+    }
 }
 
 impl Model for Cluster {
@@ -219,34 +265,8 @@
                 let message = state.in_flight.get(&(from, to))?.first()?.clone();
                 self.deliver(&mut state, from, to, message);
             }
-            Action::Tick(delayed) => {
-                let late =
-                    delayed.and_then(|link| state.in_flight.remove(&link).map(|messages| (link, messages)));
-                state.delays -= u8::from(late.is_some());
-                state.in_flight = late.into_iter().collect();
-                state.now += HEARTBEAT_INTERVAL;
-                for node in 0..self.nodes {
-                    if !state.paused[usize::from(node)] {
-                        let now = state.now;
-                        state.nodes[usize::from(node)].handle_timeout(now);
-                        self.carry_out(&mut state, node);
-                    }
-                }
-            }
-            Action::Crash(node) => {
-                state.crashes -= 1;
-                let at = usize::from(node);
-                let settings = self.settings(node);
-                let mut restarted = if self.sabotage == Some(Sabotage::VotesAfterRestart) {
-                    LeaseManager::in_view(state.now, Cluster::process(node), settings, self.view())
-                } else {
-                    LeaseManager::new(state.now, ProcessId { ordinal: node, incarnation: 2 }, 2, settings)
-                };
-                restarted.set_alive_members((0..self.nodes).map(Cluster::process));
-                (state.nodes[at], state.checked[at]) = (restarted, None);
-                state.guards[at] = FencingGuard::default();
-                state.accepted[at].clear();
-            }
+            Action::Tick(delayed) => self.tick(&mut state, delayed),
+            Action::Crash(node) => self.crash(&mut state, node),
             Action::Pause(node) => {
                 state.pauses -= 1;
                 state.paused[usize::from(node)] = true;
@@ -255,9 +275,7 @@
                 state.paused[usize::from(node)] = false;
                 // It may act on what it checked before it looks at the clock again.
                 if state.checked[usize::from(node)].is_none() {
-                    let now = state.now;
-                    state.nodes[usize::from(node)].handle_timeout(now);
-                    self.carry_out(&mut state, node);
+                    self.handle_timeout(&mut state, node);
                 }
             }
             Action::Check(node) => {
@@ -267,16 +285,7 @@
             Action::Act(node, to) => {
                 state.actions_left -= 1;
                 let term = state.checked[usize::from(node)].take()?;
-                // A process that crashed has checked nothing since.
-                let holder = Cluster::process(node);
-                let guard = &mut state.guards[usize::from(to)];
-                let accepted = match self.sabotage {
-                    Some(Sabotage::NoFencing) => true,
-                    _ => guard.accept(ROLE, term, holder).is_ok(),
-                };
-                if accepted {
-                    state.accepted[usize::from(to)].push((term, holder));
-                }
+                self.act(&mut state, node, to, term);
             }
         }
         Some(state)
@@ -366,7 +375,7 @@
         .spawn_dfs()
         .join();
     println!(
-        "{name}, depth first: {} states, {} of them unlike",
+        "{name}, depth first: {} states, {} of them unique",
         checker.state_count(),
         checker.unique_state_count()
     );
