A log line is one write: standard error behind a line buffer

Cause: endpoint_status_changed writes a line for every change of a status, where before only a withdrawal made one, and slog-term hands each part of a line to standard error by itself, so that a line took some twenty writes.

Change: a LineWriter between the two; the text is the same, and nothing stays in the buffer behind a line's end.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -90,7 +90,8 @@
 const LOG_QUEUE: usize = 1_024;
 
 fn logger() -> (Logger, slog_async::AsyncGuard) {
-    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+    // By lines: standard error itself would take each field of a line by several writes.
+    let decorator = slog_term::PlainDecorator::new(std::io::LineWriter::new(std::io::stderr()));
     let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().ignore_res();
     let (drain, guard) = slog_async::Async::new(drain)
         .chan_size(LOG_QUEUE)
