--- /dev/null
+++ b/crates/daemon/src/net/admin_endpoint.rs
@@ -0,0 +1,252 @@
+//! The admin endpoint: a listener of its own; each connection carries one line with a call and one reply.
+//!
+//! Admin clients are connections on the same event loop as the jobs' clients, so an answer never waits for another
+//! client. A client that sends no whole line is closed after a timeout, or earlier if a newer one needs its place:
+//! the endpoint holds at most `max_clients` connections of [`control::LINE_MOST`] bytes each. The calls are parsed in
+//! `protocol::control`; the drain's states are the engine's.
+
+use super::Context;
+use super::buffered_stream::BufferedStream;
+use super::discovery::deregister;
+use super::event_loop::{Connection, Flow, Millis, Owner, drive};
+use brackenledge_discovery::Availability;
+use brackenledge_engine::stats::{Gauges, lines};
+use brackenledge_protocol::control::{self, Call, Read, Refusal};
+use mio::net::TcpListener;
+use slab::Slab;
+use std::io::ErrorKind;
+use std::rc::Rc;
+
+/// A client that does not read its reply is closed this long, in milliseconds, after the timeout for its line.
+const UNREAD_REPLY_TIMEOUT: Millis = 1_000.0;
+
+/// The reply to a call on the cluster where the cluster is off.
+const CLUSTER_IS_OFF: &str = "error the tier is off: set tier.on in the operators' file\n";
+/// The reply to `ZONES` where zone routing is off.
+const ZONE_ROUTING_IS_OFF: &str = "error zones are off: set zones.on in the operators' file\n";
+
+/// One admin client's connection.
+struct AdminClient {
+    stream: BufferedStream,
+    accepted_at: Millis,
+    /// Its place in the order of arrival: clients accepted in one turn have the same time.
+    serial: u64,
+    /// The reply is written: nothing more is read.
+    replied: bool,
+    class_names: Rc<[String]>,
+}
+
+impl AdminClient {
+    fn reply(&mut self, text: &str) {
+        self.stream.buffer.push(text.as_bytes());
+        self.replied = true;
+    }
+
+    /// The lines of `INFO`.
+    fn figures(&self, cx: &Context) -> Vec<String> {
+        let Availability { listed, ready } = cx.endpoints.availability();
+        let gauges = Gauges {
+            open_requests: cx.core.owed(),
+            registry_entries: listed,
+            out_of_rotation: listed - ready,
+        };
+        let mut figures = lines(cx.core.figures(), &self.class_names, &gauges);
+        if let Some(job_failover) = cx.job_failover.as_ref() {
+            figures.extend(job_failover.figures(&self.class_names));
+        }
+        figures
+    }
+
+    fn execute(&mut self, call: Call, cx: &mut Context) -> String {
+        match call {
+            // Yes once discovery has sent a list, or the cached list names a ready endpoint.
+            Call::Ping if cx.endpoints.can_serve() => "done yes\n".into(),
+            Call::Ping => "done no\n".into(),
+            Call::Info => lines_reply(self.figures(cx)),
+            Call::Members => match cx.cluster {
+                Some(cluster) => lines_reply(cluster.members_lines()),
+                None => CLUSTER_IS_OFF.into(),
+            },
+            Call::Duties => match cx.cluster {
+                Some(cluster) => lines_reply(cluster.duties_lines()),
+                None => CLUSTER_IS_OFF.into(),
+            },
+            Call::Zones => match cx.zones {
+                Some(zones) => lines_reply(zones.status_lines(cx.now)),
+                None => ZONE_ROUTING_IS_OFF.into(),
+            },
+            Call::LameDuck => format!("done {}\n", cx.drain.lame_duck(cx.now).reply_text()),
+            Call::Rejoin => format!("done {}\n", cx.drain.rejoin().reply_text()),
+        }
+    }
+}
+
+/// A reply of several lines: between `done` and `end`.
+fn lines_reply(lines: Vec<String>) -> String {
+    let lines: String = lines.into_iter().map(|line| line + "\n").collect();
+    format!("done\n{lines}end\n")
+}
+
+impl Connection<Context<'_>> for AdminClient {
+    fn stream(&mut self) -> &mut BufferedStream {
+        &mut self.stream
+    }
+
+    fn on_written(&mut self, _cx: &mut Context) -> Flow {
+        if self.replied { Flow::Close } else { Flow::Keep }
+    }
+
+    fn on_input(&mut self, cx: &mut Context) -> Flow {
+        let input = self.stream.buffer.input();
+        let parsed =
+            if self.replied { Read::Refused(Refusal::SecondLine) } else { control::read(input, false) };
+        let used = input.len();
+        match parsed {
+            Read::Partial => return Flow::Keep,
+            Read::Call(call) => {
+                let reply = self.execute(call, cx);
+                self.reply(&reply);
+            }
+            // A second line after the reply gets no error: nothing follows a reply.
+            Read::Refused(_) if self.replied => {}
+            Read::Refused(refusal) => self.reply(&control::refusal(refusal)),
+        }
+        self.stream.buffer.consume(used);
+        Flow::Keep
+    }
+
+    /// A client that ends its sending ends its line: it gets its reply as far as the socket accepts it now, since
+    /// the connection closes after this.
+    fn on_end(&mut self, cx: &mut Context) {
+        let input = self.stream.buffer.input();
+        if self.replied || input.is_empty() {
+            return;
+        }
+        let reply = match control::read(input, true) {
+            Read::Call(call) => self.execute(call, cx),
+            Read::Refused(refusal) => control::refusal(refusal),
+            Read::Partial => return,
+        };
+        let used = self.stream.buffer.input().len();
+        self.stream.buffer.consume(used);
+        self.reply(&reply);
+        let _ = self.stream.flush();
+    }
+
+    fn max_input(&self) -> usize {
+        control::LINE_MOST + 1
+    }
+}
+
+/// The endpoint's listener and its clients.
+pub struct AdminEndpoint {
+    listener: TcpListener,
+    clients: Slab<AdminClient>,
+    class_names: Rc<[String]>,
+    accepted: u64,
+    max_clients: usize,
+    line_timeout: Millis,
+}
+
+impl AdminEndpoint {
+    /// An endpoint on a listener that is bound already. `max_clients`: connections held at once; `line_timeout`: the
+    /// time in which a client has to send its line.
+    pub fn new(
+        listener: TcpListener,
+        class_names: Vec<String>,
+        max_clients: usize,
+        line_timeout: Millis,
+    ) -> Self {
+        AdminEndpoint {
+            listener,
+            clients: Slab::new(),
+            class_names: class_names.into(),
+            accepted: 0,
+            max_clients,
+            line_timeout,
+        }
+    }
+
+    /// The listener, for the poll.
+    pub fn listener(&mut self) -> &mut TcpListener {
+        &mut self.listener
+    }
+
+    /// Accepts the clients that wait. Where all places are taken, the oldest client is closed.
+    pub fn accept(&mut self, cx: &mut Context) {
+        loop {
+            let stream = match self.listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {
+                    continue;
+                }
+                // Out of descriptors: closing one makes room, and the next sweep accepts again.
+                Err(_) => {
+                    self.close_oldest(cx);
+                    return;
+                }
+            };
+            if self.clients.len() >= self.max_clients {
+                self.close_oldest(cx);
+            }
+            self.accepted += 1;
+            let entry = self.clients.vacant_entry();
+            let at = entry.key();
+            let client = entry.insert(AdminClient {
+                stream: BufferedStream::new(stream),
+                accepted_at: cx.now,
+                serial: self.accepted,
+                replied: false,
+                class_names: Rc::clone(&self.class_names),
+            });
+            if cx.event_loop.watch(&mut client.stream.socket, Owner::AdminClient(at)).is_err() {
+                self.clients.remove(at);
+                continue;
+            }
+            // Input that came with the connection is answered in this turn.
+            self.on_ready(at, cx);
+        }
+    }
+
+    fn close_oldest(&mut self, cx: &mut Context) {
+        let oldest = self.clients.iter().min_by_key(|(_, client)| client.serial).map(|(at, _)| at);
+        if let Some(at) = oldest {
+            self.remove(at, cx);
+        }
+    }
+
+    /// The poll reports an event of a client.
+    pub fn on_ready(&mut self, at: usize, cx: &mut Context) {
+        let Some(client) = self.clients.get_mut(at) else { return };
+        match drive(client, cx) {
+            Flow::Keep => {}
+            Flow::Again => cx.event_loop.call_again(Owner::AdminClient(at)),
+            Flow::Close => self.remove(at, cx),
+        }
+    }
+
+    /// Closes the clients whose time is up: those without a whole line, and those that leave their reply unread.
+    pub fn sweep(&mut self, cx: &mut Context) {
+        let (now, line_timeout) = (cx.now, self.line_timeout);
+        let unread_timeout = line_timeout + UNREAD_REPLY_TIMEOUT;
+        let late: Vec<usize> = (self.clients.iter())
+            .filter(|(_, c)| now >= c.accepted_at + if c.replied { unread_timeout } else { line_timeout })
+            .map(|(at, _)| at)
+            .collect();
+        for at in late {
+            let client = &mut self.clients[at];
+            if !client.replied {
+                // Written if the socket accepts it; either way the connection ends.
+                client.reply(&control::refusal(Refusal::TooSlow));
+                let _ = client.stream.flush();
+            }
+            self.remove(at, cx);
+        }
+    }
+
+    fn remove(&mut self, at: usize, cx: &mut Context) {
+        let mut client = self.clients.remove(at);
+        deregister(&mut client.stream, cx.event_loop);
+    }
+}
--- a/crates/daemon/src/net/backend.rs
+++ b/crates/daemon/src/net/backend.rs
@@ -317,7 +317,7 @@
         self.end(outcome, None, cx);
     }
 
-    fn input_most(&self) -> usize {
+    fn max_input(&self) -> usize {
         LINE_MOST + HEAD_MOST
     }
 }
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -150,7 +150,7 @@
     // What a list said before its connection ended has been read.
     fn on_end(&mut self, _: &mut Context) {}
 
-    fn input_most(&self) -> usize {
+    fn max_input(&self) -> usize {
         MAX_INPUT_BYTES + HEAD_MOST
     }
 }
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -1,4 +1,4 @@
-//! The event loop's parts: the poll, the one clock, the timers, and what a connection is.
+//! The event loop's parts: the poll, the clock, the timers, and the trait of all connections.
 
 use super::buffered_stream::{BufferedStream, StreamState};
 
@@ -12,8 +12,8 @@
 
 pub use brackenledge_policy::Millis;
 
-/// The one clock: Unix time when the program started, and from then on the monotonic clock. So it never runs
-/// backwards, and a Unix time told by others (a worker's start) is a point on it as it stands.
+/// The clock: Unix time when the program started, and from then on the monotonic clock. So it never runs backwards,
+/// and a Unix time that others report (a worker's start) is a point on it.
 pub struct Clock {
     origin: Instant,
     unix: Millis,
@@ -33,7 +33,7 @@
 /// What a timer is for. None can be taken back: whoever gets one checks that it still means something.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Alarm {
-    /// The decision module asked to be woken.
+    /// The policy asked to be woken.
     Wake,
     /// A dispatch has waited as long as it may.
     Dispatch(DispatchId),
@@ -45,23 +45,23 @@
     Held(u64),
     /// A probe has waited as long as it may.
     Probe(u64),
-    /// The endpoint directory waits for something that is due: a late request, a message to be sent again.
+    /// The endpoint directory has a timeout: a late request, a message to be sent again.
     Discovery,
     /// Accepting may work again.
     Accept,
-    /// A look at idle connections.
+    /// Idle connections are swept.
     Sweep,
-    /// A line for the log on what was done.
+    /// The counters are to be logged.
     Report,
-    /// A step of stopping is due.
+    /// A step of the graceful shutdown is due.
     Shutdown,
     /// The program is about to end: whatever is owed an answer gets it now.
     AnswerAll,
-    /// Membership or ownership has something due.
+    /// Membership or leases have a timeout.
     Cluster,
-    /// The plan for zones is looked at.
+    /// Zone routing has a timeout.
     ZoneRouting,
-    /// Handover has something due, or a link to another scheduler is to be tried again.
+    /// Failover has a timeout, or a link to another scheduler is to be opened again.
     JobFailover,
 }
 
@@ -71,8 +71,8 @@
     Listener,
     Signal,
     Peer,
-    ControlListener,
-    Control(usize),
+    AdminListener,
+    AdminClient(usize),
     PeerLinkListener,
     PeerLink(usize),
     Frontend(usize),
@@ -86,9 +86,9 @@
             Owner::Listener => 0,
             Owner::Signal => 4,
             Owner::Peer => 8,
-            Owner::ControlListener => 12,
+            Owner::AdminListener => 12,
             Owner::PeerLinkListener => 16,
-            Owner::Control(at) => (2 * at + 5) << 2,
+            Owner::AdminClient(at) => (2 * at + 5) << 2,
             Owner::PeerLink(at) => (2 * at + 6) << 2,
             Owner::Frontend(at) => at << 2 | 1,
             Owner::Backend(at) => at << 2 | 2,
@@ -105,22 +105,22 @@
             (_, 0) => Owner::Listener,
             (_, 1) => Owner::Signal,
             (_, 2) => Owner::Peer,
-            (_, 3) => Owner::ControlListener,
+            (_, 3) => Owner::AdminListener,
             (_, 4) => Owner::PeerLinkListener,
-            _ if at % 2 == 1 => Owner::Control((at - 5) / 2),
+            _ if at % 2 == 1 => Owner::AdminClient((at - 5) / 2),
             _ => Owner::PeerLink((at - 6) / 2),
         }
     }
 }
 
-/// Bytes that one connection may bring in one turn. Whoever sends as fast as it is read would keep the program from
-/// all others, and from its timers.
-const TURN_MOST: usize = 64 * 1024;
+/// Bytes read from one connection in one turn of the loop. A peer that sends as fast as it is read would otherwise
+/// starve all other connections and the timers.
+const MAX_BYTES_PER_TURN: usize = 64 * 1024;
 
 /// The poll, the clock and the timers.
 pub struct EventLoop {
     poll: Poll,
-    /// Those who had more to read than one turn allows, of which the poll won't tell again.
+    /// Owners with more to read than one turn allows: the poll is edge-triggered and does not report them again.
     again: Vec<Owner>,
     clock: Clock,
     alarms: BinaryHeap<Reverse<(u64, u64, Alarm)>>,
@@ -152,20 +152,20 @@
         self.serial
     }
 
-    /// Lets the poll watch a source for everything.
+    /// Registers a source with the poll for reading and writing.
     pub fn watch(&self, source: &mut impl Source, owner: Owner) -> io::Result<()> {
         self.registry().register(source, owner.token(), Interest::READABLE | Interest::WRITABLE)
     }
 
-    /// Brings an alarm at a point in time.
+    /// Sets an alarm at a point in time.
     pub fn set_alarm(&mut self, at: Millis, alarm: Alarm) {
         let serial = self.next_serial();
         self.alarms.push(Reverse(((at * 1_000.0).ceil().max(0.0) as u64, serial, alarm)));
     }
 
-    /// The next alarm that had come due by then, in the order of their times. `then` is when the poll last told what
-    /// had happened: whatever came in time is seen before its time is up, however long a turn takes. Alarms that others
-    /// set meanwhile wait for the next turn, so that none of them keeps the poll from its turn.
+    /// The next alarm that was due at `then`, in the order of their times. `then` is when the poll last returned: an
+    /// event that came in time is handled before its timeout, however long a turn takes. Alarms that are set and come
+    /// due meanwhile wait for the next turn, so that they never starve the poll.
     pub fn due_alarm(&mut self, then: Millis) -> Option<Alarm> {
         let &Reverse((at, _, alarm)) = self.alarms.peek()?;
         (at as f64 <= then * 1_000.0).then(|| {
@@ -174,13 +174,13 @@
         })
     }
 
-    /// Has this one called in the next turn, whatever the poll tells. It may have gone by then, and another may have
-    /// its place, which is called once for nothing.
+    /// Calls this owner in the next turn, whatever the poll reports. If it is closed by then, another may have its
+    /// token, which is then called once without need.
     pub fn call_again(&mut self, owner: Owner) {
         self.again.push(owner);
     }
 
-    /// Those to be called in this turn besides the ones that the poll tells of.
+    /// The owners to be called in this turn besides those that the poll reports.
     pub fn take_again(&mut self) -> Vec<Owner> {
         std::mem::take(&mut self.again)
     }
@@ -190,13 +190,13 @@
         let until = self.alarms.peek().map(|&Reverse((at, _, _))| at as f64 / 1_000.0 - self.now());
         let until = if self.again.is_empty() { until } else { Some(0.0) };
         let timeout = until.map(|left| Duration::from_secs_f64(left.max(0.0) / 1_000.0));
-        let mut told = self.poll.poll(events, timeout);
-        // A signal, or the going on after a stop, cuts the wait short and tells nothing. What has come by now must be
-        // told all the same: the alarms that are due are played next.
-        while matches!(&told, Err(e) if e.kind() == io::ErrorKind::Interrupted) {
-            told = self.poll.poll(events, Some(Duration::ZERO));
+        let mut polled = self.poll.poll(events, timeout);
+        // A signal, or SIGCONT after a stop, interrupts the wait and reports nothing. Events that have come by now must
+        // be reported all the same: the alarms that are due are handled next.
+        while matches!(&polled, Err(e) if e.kind() == io::ErrorKind::Interrupted) {
+            polled = self.poll.poll(events, Some(Duration::ZERO));
         }
-        told
+        polled
     }
 }
 
@@ -229,8 +229,8 @@
     fn on_input(&mut self, context: &mut C) -> Flow;
     /// The other side ended its sending, or the connection broke. Input that came before was shown.
     fn on_end(&mut self, context: &mut C);
-    /// Input that it holds at most before it is asked.
-    fn input_most(&self) -> usize;
+    /// The number of bytes up to which input is buffered before `on_input` takes it.
+    fn max_input(&self) -> usize;
 }
 
 /// Calls a connection back for all that has happened to it.
@@ -248,19 +248,19 @@
             return Flow::Close;
         }
     }
-    // A write that fails does not mean that nothing came: an answer may wait to be read.
+    // A failed write does not mean that there is no input: an answer may wait to be read.
     let broken = connection.stream().flush().is_err();
     let mut taken = 0;
     loop {
         let before = connection.stream().buffer.input().len();
-        let most = connection.input_most().min(before + TURN_MOST - taken);
-        let state = connection.stream().fill(most);
+        let max_length = connection.max_input().min(before + MAX_BYTES_PER_TURN - taken);
+        let state = connection.stream().fill(max_length);
         let held = connection.stream().buffer.input().len();
         if held > before && connection.on_input(context) == Flow::Close {
             return Flow::Close;
         }
-        let drained = held < most;
-        let mut full = connection.stream().buffer.input().len() >= connection.input_most();
+        let drained = held < max_length;
+        let mut full = connection.stream().buffer.input().len() >= connection.max_input();
         if state != StreamState::Open || broken && (drained || full) {
             connection.on_end(context);
             return Flow::Close;
@@ -269,20 +269,20 @@
             if push_out(connection, context) == Flow::Close {
                 return Flow::Close;
             }
-            full = connection.stream().buffer.input().len() >= connection.input_most();
+            full = connection.stream().buffer.input().len() >= connection.max_input();
         }
-        // Where it was not drained, the poll won't tell of what is left: go on if room was made, by reading or writing.
+        // Where it was not drained, the poll does not report what is left: go on if reading or writing made room.
         if drained || full {
             return Flow::Keep;
         }
         taken += held.saturating_sub(before);
-        if taken >= TURN_MOST {
+        if taken >= MAX_BYTES_PER_TURN {
             return Flow::Again;
         }
     }
 }
 
-/// Writes what a connection has to write, and tells it when all is out; it may have more to write then.
+/// Flushes a connection's output and notifies it when all is written; it may add output then.
 pub fn push_out<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
     loop {
         match connection.stream().flush() {
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -461,7 +461,7 @@
     // has gone must not be sent on. What that means for its job is told where it is removed, as for any other end.
     fn on_end(&mut self, _: &mut Context) {}
 
-    fn input_most(&self) -> usize {
+    fn max_input(&self) -> usize {
         match self.state {
             State::Head => HEAD_MOST + AHEAD_MOST,
             State::Body(..) | State::Closing => BODY_MOST + HEAD_MOST,
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -1,9 +1,9 @@
 //! The real scheduler: sockets around the decision module.
 
+mod admin_endpoint;
 mod backend;
 mod buffered_stream;
 mod cluster;
-mod control;
 mod discovery;
 mod epoch_store;
 mod event_loop;
@@ -14,9 +14,9 @@
 mod peer_socket;
 mod zone_routing;
 
+use self::admin_endpoint::AdminEndpoint;
 use self::backend::Backend;
 use self::cluster::Cluster;
-use self::control::Control;
 use self::discovery::{DiscoveryConnections, PlacementNames};
 use self::event_loop::{Alarm, EventLoop, Millis, Owner};
 use self::frontend::{Frontend, Rules};
@@ -109,7 +109,7 @@
     backend: Backend,
     discovery: DiscoveryConnections,
     peer: Option<PeerSocket>,
-    control: Option<Control>,
+    admin: Option<AdminEndpoint>,
     drain: Drain,
     cluster: Option<Cluster>,
     job_failover: Option<JobFailover>,
@@ -229,18 +229,18 @@
         registry
             .register(&mut listener, Owner::Listener.token(), Interest::READABLE)
             .map_err(|e| format!("{watched}: {e}"))?;
-        let mut control = None;
+        let mut admin = None;
         if let Some(at) = config.control {
-            let mut door = Control::new(
+            let mut endpoint = AdminEndpoint::new(
                 listen(at, false).map_err(|e| format!("control {at}: {e}"))?,
                 document.class_names(),
                 operations.callers_most,
                 operations.line_time,
             );
             registry
-                .register(door.listener(), Owner::ControlListener.token(), Interest::READABLE)
+                .register(endpoint.listener(), Owner::AdminListener.token(), Interest::READABLE)
                 .map_err(|e| format!("{watched}: {e}"))?;
-            control = Some(door);
+            admin = Some(endpoint);
         }
         let mut peer = None;
         if let Some(known) = config.peer.filter(|_| settings.messages) {
@@ -299,12 +299,13 @@
             max_list_age: settings.ask_within,
             seed: config.seed,
         };
-        let control_at = control.as_mut().and_then(|door: &mut Control| door.listener().local_addr().ok());
+        let admin_address =
+            admin.as_mut().and_then(|admin: &mut AdminEndpoint| admin.listener().local_addr().ok());
         let peer_listen = peer.as_ref().and_then(|peer| peer.socket.local_addr().ok());
         info!(log, "serving"; "version" => env!("CARGO_PKG_VERSION"), "discovery" => %config.discovery,
             "peer_listen" => peer_listen.map_or("none".into(), |at| at.to_string()),
             "listen" => %listener.local_addr().unwrap_or(config.listen), "name" => config.name,
-            "control" => control_at.map_or("none".into(), |at| at.to_string()));
+            "control" => admin_address.map_or("none".into(), |at| at.to_string()));
         let mut scheduler = Scheduler {
             frontend: Frontend::new(listener, Rules::new(document, &settings), clients),
             backend: Backend::new(shared - clients, settings.connect_timeout, idle_limit),
@@ -315,7 +316,7 @@
             endpoints: EndpointDirectory::new(now, discovery_settings),
             placement_names,
             peer,
-            control,
+            admin,
             drain: Drain::new(operations.takes_work_for),
             cluster,
             job_failover,
@@ -346,12 +347,12 @@
         let cx = &mut context!(self);
         match owner {
             Owner::Listener => self.frontend.accept(cx),
-            Owner::ControlListener | Owner::Control(_) => {
-                let Some(control) = &mut self.control else { return };
+            Owner::AdminListener | Owner::AdminClient(_) => {
+                let Some(admin) = &mut self.admin else { return };
                 let was = cx.drain.closes_idle_connections();
                 match owner {
-                    Owner::Control(at) => control.on_ready(at, cx),
-                    _ => control.accept(cx),
+                    Owner::AdminClient(at) => admin.on_ready(at, cx),
+                    _ => admin.accept(cx),
                 }
                 // Kept connections that wait for nothing end as soon as the drain begins.
                 if cx.drain.closes_idle_connections() && !was {
@@ -428,9 +429,9 @@
             Alarm::Sweep => {
                 self.backend.sweep(cx);
                 self.frontend.sweep(cx);
-                if let Some(control) = &mut self.control {
-                    control.sweep(cx);
-                    control.accept(cx);
+                if let Some(admin) = &mut self.admin {
+                    admin.sweep(cx);
+                    admin.accept(cx);
                 }
                 cx.event_loop.set_alarm(cx.now + SWEEP, Alarm::Sweep);
                 if cx.closing() || cx.drain.closes_idle_connections() {
--- a/crates/daemon/src/net/peer_links.rs
+++ b/crates/daemon/src/net/peer_links.rs
@@ -132,7 +132,7 @@
 
     fn on_end(&mut self, _cx: &mut Context) {}
 
-    fn input_most(&self) -> usize {
+    fn max_input(&self) -> usize {
         MAX_FRAME_LEN + INPUT_MARGIN
     }
 }
