Scheduler's process: a module for each job in place of net/mod.rs, typed start errors

StartError (what could not be bound or registered, address, source) replaces Result<_, String>; its texts are pinned by tests. The order of steps and the clock reading that a shutdown counts from are as before.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -142,7 +142,8 @@
             let config = options.load()?;
             let operations = options.operations(&config)?;
             let (log, _guard) = logger();
-            net::serve(config, operations, &|| options.load(), log)
+            let reload = || options.load().map_err(net::StartError::Configuration);
+            net::serve(config, operations, &reload, log).map_err(|error| error.to_string())
         }
         Command::Check(options) => {
             let config = options.load()?;
--- /dev/null
+++ b/crates/daemon/src/net/commands.rs
@@ -0,0 +1,179 @@
+//! Carries out the commands of the engine, discovery and failover.
+
+use super::discovery;
+use super::event_loop::Alarm;
+use super::job_failover::{self, Attempt, JobFailover};
+use super::scheduler::{Scheduler, context};
+use brackenledge_discovery::Command as DiscoveryCommand;
+use brackenledge_engine::{Arrival, Command};
+use brackenledge_failover::{Command as FailoverCommand, JobKey, JobOutcome, PriorExecution, Waiter};
+use brackenledge_policy::Outcome;
+use slog::info;
+
+/// `Retry-After`, in milliseconds, of a job whose request id is in use by another open job.
+const ID_IN_USE_RETRY_AFTER_MS: u32 = 1_000;
+
+impl Scheduler<'_> {
+    /// Carries out the commands of all state machines until none is left, then flushes what is sent in batches.
+    pub(super) fn settle(&mut self) {
+        loop {
+            // Changes of endpoints go first: a job must not be sent by an outdated status.
+            if let Some(command) = self.endpoints.poll_command() {
+                self.execute_discovery_command(command);
+            } else if let Some(command) = self.job_failover.as_mut().and_then(JobFailover::poll_command) {
+                self.execute_failover_command(command);
+            } else if let Some(command) = self.core.poll_command(self.event_loop.now()) {
+                self.execute_engine_command(command);
+            } else {
+                break;
+            }
+        }
+        let cx = &mut context!(self);
+        self.discovery.arm(cx);
+        if let Some(links) = &mut self.peer_links {
+            links.flush(cx);
+        }
+    }
+
+    fn execute_discovery_command(&mut self, command: DiscoveryCommand) {
+        let cx = &mut context!(self);
+        match command {
+            DiscoveryCommand::OpenRequest { request, kind, since_revision } => {
+                self.discovery.open_request(request, kind, since_revision, cx);
+            }
+            DiscoveryCommand::CancelRequest { request } => self.discovery.cancel_request(request, cx),
+            DiscoveryCommand::SendMessage { to, text } => self.send_to_peers(Some(to), &text),
+            DiscoveryCommand::UpdateEndpoints { kind, entries } => {
+                cx.core.servers(kind, entries.into_iter().map(|update| update.0).collect());
+            }
+            DiscoveryCommand::Event(event) => discovery::log_event(&self.log, event),
+        }
+    }
+
+    fn execute_failover_command(&mut self, command: FailoverCommand) {
+        let cx = &mut context!(self);
+        let Some(job_failover) = cx.job_failover.as_mut() else { return };
+        match command {
+            FailoverCommand::Send { to, message, urgent } => job_failover.send(to, message, urgent),
+            FailoverCommand::StartJob { key, payload, deadline, prior_execution, .. } => {
+                let arrival = job_failover.decode_job(&key, &payload, deadline);
+                self.start_failover_job(key, arrival, prior_execution);
+            }
+            FailoverCommand::PermitAttempt { key, attempt } => {
+                if let Some(attempt) = job_failover.release_attempt(&key, attempt) {
+                    let Attempt { id, worker, request, times } = attempt;
+                    self.backend.dispatch(id, worker, request, times, cx);
+                }
+            }
+            FailoverCommand::AttemptExpired { key, attempt } => {
+                if let Some(id) = job_failover.drop_attempt(&key, attempt) {
+                    cx.core.dispatch_ended(id, Outcome::Moot, None);
+                }
+            }
+            FailoverCommand::Revoke { key } => {
+                if let Some(job) = job_failover.revoke(&key) {
+                    for attempt in job.held_attempts {
+                        cx.core.dispatch_ended(attempt, Outcome::Moot, None);
+                    }
+                    cx.core.client_gone(job.id);
+                }
+            }
+            FailoverCommand::Answer { waiters, outcome } => self.answer_waiters(waiters, &outcome),
+            FailoverCommand::Event(event) => job_failover::log_event(cx.log, event),
+        }
+    }
+
+    /// Hands a job of the failover state machine to the engine.
+    fn start_failover_job(&mut self, key: JobKey, arrival: Option<Arrival>, prior: Option<PriorExecution>) {
+        let cx = &mut context!(self);
+        let Some(job_failover) = cx.job_failover.as_mut() else { return };
+        let worker = prior.as_ref().map(|prior| cx.endpoints.find(&prior.worker));
+        // A retry may only go to the earlier attempt's worker, and that is not known here: there can be none.
+        if worker == Some(None) {
+            job_failover.job_not_admitted(&key, JobOutcome::Failed);
+            return;
+        }
+        let prior_attempt = worker.flatten().zip(prior).map(|(worker, prior)| (worker, prior.max_age));
+        let arrival = arrival.map(|arrival| job_failover::with_prior_attempt(arrival, prior_attempt));
+        match arrival.and_then(|arrival| cx.core.job_arrived(cx.now, arrival)) {
+            Some(job) => job_failover.job_admitted(key, job),
+            // Its request's id is open here: it may be submitted again.
+            None => {
+                job_failover.job_not_admitted(&key, JobOutcome::Rejected(Some(ID_IN_USE_RETRY_AFTER_MS)));
+            }
+        }
+    }
+
+    /// Answers the clients that wait for the outcome of a replicated job.
+    fn answer_waiters(&mut self, waiters: Vec<Waiter>, outcome: &JobOutcome) {
+        let cx = &mut context!(self);
+        for waiter in waiters {
+            let client = cx.job_failover.as_mut().and_then(|job_failover| job_failover.take_client(waiter));
+            if let Some(client) = client {
+                let answer = job_failover::answer_of(outcome);
+                self.frontend.answer_covered(client, waiter, answer, cx);
+            }
+        }
+    }
+
+    fn execute_engine_command(&mut self, command: Command) {
+        let cx = &mut context!(self);
+        match command {
+            Command::Answer { client, job, answer } => {
+                let job_failover = cx.job_failover.as_mut();
+                // Failover answers its jobs itself, to all clients that wait for them.
+                if !job_failover.is_some_and(|job_failover| job_failover.job_answered(job, &answer)) {
+                    self.frontend.answer(client, job, answer, cx);
+                }
+            }
+            Command::Dispatch { id, worker, request, times } => {
+                self.start_attempt(Attempt { id, worker, request, times });
+            }
+            Command::Ended { id, never_ran } => {
+                if let Some(job_failover) = cx.job_failover {
+                    job_failover.attempt_ended(id, never_ran);
+                }
+            }
+            Command::Cancel { id } | Command::TakeBack { id }
+                if cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.cancel_attempt(id)) =>
+            {
+                cx.core.dispatch_ended(id, Outcome::Moot, None);
+            }
+            Command::Cancel { id } => self.backend.cancel(id, Outcome::Cancelled, cx),
+            Command::TakeBack { id } => self.backend.take_back(id, cx),
+            Command::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
+            Command::Watch { on } => cx.endpoints.set_watching(cx.now, on),
+            Command::FetchList => cx.endpoints.request_poll(cx.now),
+            Command::Probe { worker } => self.backend.probe(worker, cx),
+            Command::Tell { to, text } => self.send_to_peers(to, &text),
+            Command::CloseIdle { worker } => self.backend.close_idle(worker, cx),
+            Command::Log(text) => info!(self.log, "{}", text),
+        }
+    }
+
+    /// Sends an attempt to its worker. One of a replicated job may have to wait for acknowledgement first.
+    fn start_attempt(&mut self, attempt: Attempt) {
+        let cx = &mut context!(self);
+        let permitted = match cx.job_failover {
+            Some(job_failover) => {
+                let worker_name = cx.endpoints.name(attempt.worker).unwrap_or_default();
+                job_failover.submit_attempt(cx.now, attempt, worker_name)
+            }
+            None => Some(attempt),
+        };
+        if let Some(Attempt { id, worker, request, times }) = permitted {
+            self.backend.dispatch(id, worker, request, times, cx);
+        }
+    }
+
+    /// Sends a text to one scheduler, or to all. The aggregator's loads for all go fenced by its role's lease.
+    fn send_to_peers(&mut self, to: Option<u32>, text: &str) {
+        let Some(peer) = &self.peer else { return };
+        match &mut self.cluster {
+            Some(cluster) if to.is_none() && brackenledge_policy::is_sums(text) => {
+                cluster.broadcast_aggregated_loads(peer, text);
+            }
+            _ => peer.send_text(to, text),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/net/events.rs
@@ -0,0 +1,158 @@
+//! Hands socket events and alarms to the parts that they are for.
+
+use super::event_loop::{Alarm, Millis, Owner};
+use super::job_failover::JobFailover;
+use super::peer_dispatch;
+use super::scheduler::{Scheduler, context};
+use super::zone_routing;
+use slog::info;
+
+/// Time between two sweeps of idle connections.
+pub(super) const SWEEP_INTERVAL: Millis = 250.0;
+/// Time between two log events with the counters.
+pub(super) const COUNTERS_INTERVAL: Millis = 30_000.0;
+/// Time between two handlings of failover's timeouts and links.
+const FAILOVER_INTERVAL: Millis = 20.0;
+
+impl Scheduler<'_> {
+    /// The poll reports an event, or an owner has more to read than its last turn allowed.
+    pub(super) fn on_event(&mut self, owner: Owner) {
+        let cx = &mut context!(self);
+        match owner {
+            Owner::Listener => self.frontend.accept(cx),
+            Owner::Frontend(at) => self.frontend.on_ready(at, cx),
+            Owner::Backend(at) => self.backend.on_ready(at, cx),
+            Owner::Discovery(at) => self.discovery.on_ready(at, cx),
+            Owner::AdminListener | Owner::AdminClient(_) => self.on_admin_event(owner),
+            Owner::Peer => self.on_peer_datagrams(),
+            Owner::PeerLinkListener | Owner::PeerLink(_) => self.on_peer_link_event(owner),
+            Owner::Signal => self.on_signal(),
+        }
+    }
+
+    fn on_admin_event(&mut self, owner: Owner) {
+        let cx = &mut context!(self);
+        let Some(admin) = &mut self.admin else { return };
+        let closed_idle_connections = cx.drain.closes_idle_connections();
+        match owner {
+            Owner::AdminClient(at) => admin.on_ready(at, cx),
+            _ => admin.accept(cx),
+        }
+        // Idle connections close as soon as the drain begins.
+        if cx.drain.closes_idle_connections() && !closed_idle_connections {
+            self.frontend.close_all_idle(cx);
+        }
+    }
+
+    fn on_peer_datagrams(&mut self) {
+        let cx = &mut context!(self);
+        let Some(peer) = &mut self.peer else { return };
+        peer_dispatch::dispatch_datagrams(peer, cx);
+        let Some(cluster) = cx.cluster.as_mut() else { return };
+        cluster.carry_out(peer, cx.log);
+        if let Some(job_failover) = cx.job_failover.as_mut() {
+            job_failover.sync(cluster);
+        }
+    }
+
+    fn on_peer_link_event(&mut self, owner: Owner) {
+        let cx = &mut context!(self);
+        let Some(links) = &mut self.peer_links else { return };
+        match owner {
+            Owner::PeerLink(at) => links.on_ready(at, cx),
+            _ => links.accept(cx),
+        }
+    }
+
+    /// An alarm is due.
+    pub(super) fn on_alarm(&mut self, alarm: Alarm) {
+        let cx = &mut context!(self);
+        match alarm {
+            Alarm::Wake => cx.core.wake(),
+            Alarm::Dispatch(id) => self.backend.on_dispatch_alarm(id, cx),
+            Alarm::Leave(id) => self.backend.take_back(id, cx),
+            Alarm::Connect(serial) => self.backend.on_connect_alarm(serial, cx),
+            Alarm::Held(serial) => self.backend.on_held_alarm(serial, cx),
+            Alarm::Probe(serial) => self.backend.on_probe_alarm(serial, cx),
+            Alarm::Discovery => self.discovery.on_alarm(cx),
+            Alarm::Accept => self.frontend.accept(cx),
+            Alarm::Report => {
+                cx.event_loop.set_alarm(cx.now + COUNTERS_INTERVAL, Alarm::Report);
+                self.log_counters("so far");
+            }
+            Alarm::Sweep => self.sweep_connections(),
+            Alarm::Cluster => self.on_cluster_alarm(),
+            Alarm::ZoneRouting => self.on_zone_routing_alarm(),
+            Alarm::JobFailover => self.on_job_failover_alarm(),
+            Alarm::Shutdown => self.on_shutdown_alarm(),
+            Alarm::AnswerAll => cx.core.give_up_all(self.frontend.retry_after()),
+        }
+    }
+
+    fn sweep_connections(&mut self) {
+        let cx = &mut context!(self);
+        self.backend.sweep(cx);
+        self.frontend.sweep(cx);
+        if let Some(admin) = &mut self.admin {
+            admin.sweep(cx);
+            admin.accept(cx);
+        }
+        cx.event_loop.set_alarm(cx.now + SWEEP_INTERVAL, Alarm::Sweep);
+        if cx.closing() || cx.drain.closes_idle_connections() {
+            self.frontend.accept(cx);
+            self.frontend.close_all_idle(cx);
+        }
+    }
+
+    fn on_cluster_alarm(&mut self) {
+        let cx = &mut context!(self);
+        let (Some(cluster), Some(peer)) = (cx.cluster.as_mut(), &self.peer) else { return };
+        let wait = cluster.handle_timeout(peer, cx.log);
+        if let Some(active_members) = cluster.active_members_changed() {
+            cx.core.living(active_members);
+        }
+        if let Some(job_failover) = cx.job_failover.as_mut() {
+            job_failover.sync(cluster);
+        }
+        cx.event_loop.set_alarm(cx.now + wait, Alarm::Cluster);
+    }
+
+    fn on_zone_routing_alarm(&mut self) {
+        let cx = &mut context!(self);
+        let (Some(zones), Some(cluster), Some(peer)) = (cx.zones.as_mut(), cx.cluster.as_mut(), &self.peer)
+        else {
+            return;
+        };
+        let route_costs = zones.handle_timeout(cx.now, cluster, peer, cx.core, cx.endpoints, cx.log);
+        if let Some(route_costs) = route_costs {
+            cx.core.zones(route_costs);
+        }
+        cx.event_loop.set_alarm(cx.now + zone_routing::TICK_INTERVAL, Alarm::ZoneRouting);
+    }
+
+    fn on_job_failover_alarm(&mut self) {
+        let cx = &mut context!(self);
+        if let Some(job_failover) = cx.job_failover.as_mut() {
+            if let Some(cluster) = cx.cluster.as_ref() {
+                job_failover.sync(cluster);
+            }
+            job_failover.handle_timeout();
+        }
+        if let Some(links) = &mut self.peer_links {
+            links.handle_timeout(cx);
+        }
+        cx.event_loop.set_alarm(cx.now + FAILOVER_INTERVAL, Alarm::JobFailover);
+    }
+
+    /// Transfers unsent jobs and closes idle connections. At its time and not at the next sweep: a request that comes
+    /// later may be cut off by SIGKILL.
+    fn on_shutdown_alarm(&mut self) {
+        let cx = &mut context!(self);
+        let transferred = cx.job_failover.as_mut().map_or(0, JobFailover::transfer_all);
+        if transferred > 0 {
+            info!(cx.log, "failover_jobs_transferred"; "jobs" => transferred);
+        }
+        self.frontend.accept(cx);
+        self.frontend.close_all_idle(cx);
+    }
+}
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -355,7 +355,7 @@
         self.known = true;
         self.worked |= matches!(awaited, Awaited::Job(_));
         match awaited {
-            Awaited::Up if cx.stopping.is_some() => self.answer(503, "", b"stopping\n", cx),
+            Awaited::Up if cx.shutdown.is_some() => self.answer(503, "", b"stopping\n", cx),
             Awaited::Up if !cx.drain.is_ready() => self.answer(503, "", b"draining\n", cx),
             Awaited::Up if !cx.endpoints.can_serve() => self.answer(503, "", b"no server table yet\n", cx),
             Awaited::Up => self.answer(200, "", b"up\n", cx),
--- /dev/null
+++ b/crates/daemon/src/net/startup.rs
@@ -0,0 +1,299 @@
+//! Builds a scheduler: opens its sockets, sets the first alarms and loads the cached endpoint list.
+
+use super::admin_endpoint::AdminEndpoint;
+use super::backend::Backend;
+use super::cluster::Cluster;
+use super::discovery::{DiscoveryConnections, PlacementNames};
+use super::event_loop::{Alarm, EventLoop, Millis, Owner};
+use super::events::{COUNTERS_INTERVAL, SWEEP_INTERVAL};
+use super::frontend::{Frontend, Rules};
+use super::job_failover::JobFailover;
+use super::listener::{Sharing, listen};
+use super::peer_links::PeerLinks;
+use super::peer_socket::PeerSocket;
+use super::scheduler::Scheduler;
+use super::signals::{Reload, Signals};
+use super::start_error::{BoundSocket, StartError};
+use super::zone_routing::{self, ZoneRouting};
+use brackenledge_discovery::{DiscoverySettings, EndpointDirectory};
+use brackenledge_engine::Core;
+use brackenledge_engine::drain::Drain;
+use brackenledge_policy::Settings;
+use brackenledge_protocol::config::{Config, IDLE_LIMIT, PeerConfig, ServerList};
+use brackenledge_protocol::operations::Operations;
+use mio::Interest;
+use mio::event::Source;
+use mio::net::TcpListener;
+use slog::{Logger, info};
+use std::net::SocketAddr;
+
+/// Descriptors reserved for the poll, the listeners, discovery, peers, logs and signals. The admin endpoint's clients
+/// come on top.
+const RESERVED_DESCRIPTORS: usize = 32;
+/// Share of the other descriptors for clients' connections. A third of all would do for their requests; the rest
+/// keeps silent connections from displacing one another before a usual client has sent its request.
+const CLIENT_SHARE: f64 = 0.55;
+
+/// How many connections may be open at once.
+struct ConnectionLimits {
+    clients: usize,
+    workers: usize,
+}
+
+impl ConnectionLimits {
+    /// Divides the process's descriptors.
+    fn new(descriptors: usize, admin_clients: usize) -> Self {
+        let shared = descriptors.saturating_sub(RESERVED_DESCRIPTORS + admin_clients);
+        let clients = (CLIENT_SHARE * shared as f64) as usize;
+        ConnectionLimits { clients, workers: shared - clients }
+    }
+}
+
+/// The parts of a scheduler that need no other scheduler.
+struct LocalParts {
+    listener: TcpListener,
+    signals: Signals,
+    admin: Option<AdminEndpoint>,
+}
+
+/// The parts of a scheduler that talk to other schedulers; all are optional.
+struct ClusterParts {
+    peer: Option<PeerSocket>,
+    cluster: Option<Cluster>,
+    zones: Option<ZoneRouting>,
+    failover: Option<FailoverParts>,
+}
+
+/// Failover's state machine and the links that it sends on.
+struct FailoverParts {
+    job_failover: JobFailover,
+    links: PeerLinks,
+}
+
+impl<'a> Scheduler<'a> {
+    /// Opens all sockets and carries out the first commands.
+    pub(super) fn start(
+        mut config: Config,
+        operations: Operations,
+        reload: Reload<'a>,
+        log: Logger,
+    ) -> Result<Self, StartError> {
+        let settings = Settings::from(&config.settings);
+        let mut event_loop = EventLoop::new().map_err(StartError::Poll)?;
+        let LocalParts { listener, signals, mut admin } =
+            open_local_parts(&config, &operations, &event_loop)?;
+        let peer_config = config.peer.take();
+        let parts = open_cluster_parts(peer_config, &config, &operations, &settings, &mut event_loop)?;
+        let now = event_loop.now();
+        event_loop.set_alarm(now + SWEEP_INTERVAL, Alarm::Sweep);
+        event_loop.set_alarm(now + COUNTERS_INTERVAL, Alarm::Report);
+        log_serving(&log, &config, &listener, admin.as_mut(), parts.peer.as_ref());
+
+        let document = &config.settings;
+        let limits = ConnectionLimits::new(config.sockets, operations.callers_most);
+        let discovery_settings = discovery_settings(&settings, parts.peer.is_some(), config.seed);
+        let idle_limit = document.idle_limit().unwrap_or(IDLE_LIMIT);
+        let (job_failover, peer_links) =
+            parts.failover.map(|failover| (failover.job_failover, failover.links)).unzip();
+        let mut scheduler = Scheduler {
+            frontend: Frontend::new(listener, Rules::new(document, &settings), limits.clients),
+            backend: Backend::new(limits.workers, settings.connect_timeout, idle_limit),
+            discovery: DiscoveryConnections::new(config.discovery),
+            max_deadline: settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max),
+            core: Core::new(now, settings, config.seed),
+            event_loop,
+            endpoints: EndpointDirectory::new(now, discovery_settings),
+            placement_names: PlacementNames { zones: document.zone_names(), kinds: document.kind_names() },
+            peer: parts.peer,
+            admin,
+            drain: Drain::new(operations.takes_work_for),
+            cluster: parts.cluster,
+            job_failover,
+            zones: parts.zones,
+            peer_links,
+            idle_since: None,
+            signals,
+            reload,
+            configured_discovery: config.discovery_in_file,
+            shutdown: None,
+            distrust_until: 0.0,
+            log,
+        };
+        scheduler.run_first_commands(now, config.known);
+        Ok(scheduler)
+    }
+
+    /// Has the state machines make their first requests. `cached`: the endpoint list that this scheduler had before a
+    /// restart; it may be out of date.
+    fn run_first_commands(&mut self, now: Millis, cached: Option<ServerList>) {
+        if let Some(list) = cached {
+            let names = &self.placement_names;
+            let records =
+                list.endpoints.into_iter().map(|endpoint| names.endpoint_record(endpoint)).collect();
+            self.endpoints.load_cached(now, list.index, records);
+        }
+        self.endpoints.handle_timeout(now);
+        self.core.wake();
+        self.settle();
+    }
+}
+
+/// Opens what serves this process's clients and operators.
+fn open_local_parts(
+    config: &Config,
+    operations: &Operations,
+    event_loop: &EventLoop,
+) -> Result<LocalParts, StartError> {
+    let mut listener = bind_listener(BoundSocket::Clients, config.listen, Sharing::Shared)?;
+    let mut signals = Signals::install().map_err(StartError::Signals)?;
+    register(event_loop, &mut signals.pipe, Owner::Signal)?;
+    register(event_loop, &mut listener, Owner::Listener)?;
+    let admin = open_admin_endpoint(config, operations, event_loop)?;
+    Ok(LocalParts { listener, signals, admin })
+}
+
+fn bind_listener(
+    socket: BoundSocket,
+    address: SocketAddr,
+    sharing: Sharing,
+) -> Result<TcpListener, StartError> {
+    listen(address, sharing).map_err(|source| StartError::Bind { socket, address, source })
+}
+
+/// Has the poll report what can be read from a source.
+fn register(event_loop: &EventLoop, source: &mut impl Source, owner: Owner) -> Result<(), StartError> {
+    event_loop.registry().register(source, owner.token(), Interest::READABLE).map_err(StartError::Register)
+}
+
+fn open_admin_endpoint(
+    config: &Config,
+    operations: &Operations,
+    event_loop: &EventLoop,
+) -> Result<Option<AdminEndpoint>, StartError> {
+    let Some(address) = config.control else { return Ok(None) };
+    let mut admin = AdminEndpoint::new(
+        bind_listener(BoundSocket::AdminEndpoint, address, Sharing::Exclusive)?,
+        config.settings.class_names(),
+        operations.callers_most,
+        operations.line_time,
+    );
+    register(event_loop, admin.listener(), Owner::AdminListener)?;
+    Ok(Some(admin))
+}
+
+/// Opens the sockets to other schedulers, and starts what needs them, in the order of dependence.
+fn open_cluster_parts(
+    peer_config: Option<PeerConfig>,
+    config: &Config,
+    operations: &Operations,
+    settings: &Settings,
+    event_loop: &mut EventLoop,
+) -> Result<ClusterParts, StartError> {
+    let peer = open_peer_socket(peer_config, settings, event_loop)?;
+    let cluster = join_cluster(peer.as_ref(), config.seed, operations, settings, event_loop)?;
+    let Some(joined) = &cluster else {
+        return Ok(ClusterParts { peer, cluster, zones: None, failover: None });
+    };
+    let zones = start_zone_routing(config, operations, settings, event_loop);
+    let failover = start_failover(joined, config, operations, settings, event_loop)?;
+    Ok(ClusterParts { peer, cluster, zones, failover })
+}
+
+/// Binds the socket for datagrams, where the settings allow messages between schedulers.
+fn open_peer_socket(
+    config: Option<PeerConfig>,
+    settings: &Settings,
+    event_loop: &EventLoop,
+) -> Result<Option<PeerSocket>, StartError> {
+    let Some(config) = config.filter(|_| settings.messages) else { return Ok(None) };
+    let address = config.listen;
+    let mut peer = PeerSocket::bind(config, settings.ordinal).map_err(|source| StartError::Bind {
+        socket: BoundSocket::Peer,
+        address,
+        source,
+    })?;
+    register(event_loop, &mut peer.socket, Owner::Peer)?;
+    Ok(Some(peer))
+}
+
+/// Starts membership and leases, where the operators have them on and there is another scheduler.
+fn join_cluster(
+    peer: Option<&PeerSocket>,
+    seed: u64,
+    operations: &Operations,
+    settings: &Settings,
+    event_loop: &mut EventLoop,
+) -> Result<Option<Cluster>, StartError> {
+    let Some(peer) = peer.filter(|peer| operations.tier && peer.cluster_size() > 1) else { return Ok(None) };
+    let cluster = Cluster::new(settings.ordinal, peer.cluster_size(), operations, seed)?;
+    event_loop.set_alarm(event_loop.now(), Alarm::Cluster);
+    Ok(Some(cluster))
+}
+
+fn start_zone_routing(
+    config: &Config,
+    operations: &Operations,
+    settings: &Settings,
+    event_loop: &mut EventLoop,
+) -> Option<ZoneRouting> {
+    if !operations.zones.on {
+        return None;
+    }
+    let zones = ZoneRouting::new(&operations.zones, config.settings.zone_names(), settings);
+    event_loop.set_alarm(event_loop.now() + zone_routing::TICK_INTERVAL, Alarm::ZoneRouting);
+    Some(zones)
+}
+
+/// Opens the listener for links and starts failover, where the operators have it on.
+fn start_failover(
+    cluster: &Cluster,
+    config: &Config,
+    operations: &Operations,
+    settings: &Settings,
+    event_loop: &mut EventLoop,
+) -> Result<Option<FailoverParts>, StartError> {
+    if !operations.failover.on {
+        return Ok(None);
+    }
+    let addresses = operations.failover.links.clone();
+    let own = addresses.get(settings.ordinal as usize).copied().ok_or(StartError::NoLinkAddress)?;
+    let listener = bind_listener(BoundSocket::PeerLinks, own, Sharing::Shared)?;
+    let mut links = PeerLinks::new(listener, addresses, settings.ordinal as u16);
+    register(event_loop, links.listener(), Owner::PeerLinkListener)?;
+    let effects = settings.classes.iter().map(|class| class.effect);
+    let classes: Vec<_> = config.settings.class_names().into_iter().zip(effects).collect();
+    let job_failover = JobFailover::new(&operations.failover, cluster.me(), settings.zone, &classes);
+    event_loop.set_alarm(event_loop.now(), Alarm::JobFailover);
+    Ok(Some(FailoverParts { job_failover, links }))
+}
+
+fn discovery_settings(settings: &Settings, has_peer_socket: bool, seed: u64) -> DiscoverySettings {
+    DiscoverySettings {
+        ordinal: settings.ordinal,
+        schedulers: settings.dispatchers,
+        gossip: has_peer_socket,
+        push_mode: !settings.list_on_request,
+        max_list_age: settings.ask_within,
+        seed,
+    }
+}
+
+/// Logs the addresses as they were bound: a port 0 in the configuration is any that is free.
+fn log_serving(
+    log: &Logger,
+    config: &Config,
+    listener: &TcpListener,
+    admin: Option<&mut AdminEndpoint>,
+    peer: Option<&PeerSocket>,
+) {
+    let or_none = |address: Option<SocketAddr>| address.map_or("none".into(), |address| address.to_string());
+    let admin_address = admin.and_then(|admin| admin.listener().local_addr().ok());
+    let peer_address = peer.and_then(|peer| peer.socket.local_addr().ok());
+    info!(log, "serving";
+        "version" => env!("CARGO_PKG_VERSION"),
+        "discovery" => %config.discovery,
+        "peer_listen" => or_none(peer_address),
+        "listen" => %listener.local_addr().unwrap_or(config.listen),
+        "name" => &config.name,
+        "control" => or_none(admin_address));
+}
