--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -147,7 +147,7 @@
             Command::Probe { worker } => self.backend.probe(worker, cx),
             Command::Tell { to, text } => self.send_to_peers(to, &text),
             Command::CloseIdle { worker } => self.backend.close_idle(worker, cx),
-            Command::Log(text) => info!(self.log, "{}", text),
+            Command::Log(text) => info!(self.log, "policy"; "message" => text),
         }
     }
 
--- a/crates/daemon/src/net/events.rs
+++ b/crates/daemon/src/net/events.rs
@@ -78,7 +78,7 @@
             Alarm::Accept => self.frontend.accept(cx),
             Alarm::Report => {
                 cx.event_loop.set_alarm(cx.now + COUNTERS_INTERVAL, Alarm::Report);
-                self.log_counters("so far");
+                self.log_counters("counters");
             }
             Alarm::Sweep => self.sweep_connections(),
             Alarm::Cluster => self.on_cluster_alarm(),
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -519,7 +519,7 @@
                     // Out of descriptors, mostly. The poll won't tell of the ones that wait again, and trying
                     // at once would spin.
                     if !std::mem::replace(&mut self.accept_fails, true) {
-                        warn!(cx.log, "accept failed, trying on"; "error" => %e);
+                        warn!(cx.log, "accept_failed"; "error" => %e);
                     }
                     self.make_room(cx);
                     self.accept_later(cx);
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -66,7 +66,7 @@
             scheduler.settle();
         }
         if scheduler.is_finished() {
-            scheduler.log_counters("stopped, nothing is owed");
+            scheduler.log_counters("shutdown_complete");
             return Ok(());
         }
     }
--- a/crates/daemon/src/net/signals.rs
+++ b/crates/daemon/src/net/signals.rs
@@ -65,18 +65,18 @@
         let previous = self.configured_discovery;
         match (self.reload)() {
             Ok(Config { discovery_in_file: Some(address), .. }) if Some(address) != previous => {
-                info!(cx.log, "configuration read again"; "discovery" => %address);
+                info!(cx.log, "configuration_reloaded"; "discovery" => %address);
                 self.configured_discovery = Some(address);
                 self.discovery.set_address(address, cx);
             }
-            Ok(_) => info!(cx.log, "configuration read again, discovery stays"),
-            Err(error) => warn!(cx.log, "configuration kept"; "error" => %error),
+            Ok(_) => info!(cx.log, "configuration_reloaded"; "discovery" => "unchanged"),
+            Err(error) => warn!(cx.log, "configuration_rejected"; "error" => %error),
         }
     }
 
     fn start_shutdown(&mut self, shutdown: Shutdown) {
         let cx = &mut context!(self);
-        info!(cx.log, "told to stop"; "owed" => cx.core.owed());
+        info!(cx.log, "shutdown_started"; "owed" => cx.core.owed());
         cx.event_loop.set_alarm(shutdown.serve_until(), Alarm::Shutdown);
         cx.event_loop.set_alarm(shutdown.answer_by(), Alarm::AnswerAll);
         self.shutdown = Some(shutdown);
