--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -355,7 +355,7 @@
         self.known = true;
         self.worked |= matches!(awaited, Awaited::Job(_));
         match awaited {
-            Awaited::Up if cx.stopping.is_some() => self.answer(503, "", b"stopping\n", cx),
+            Awaited::Up if cx.shutdown.is_some() => self.answer(503, "", b"stopping\n", cx),
             Awaited::Up if !cx.drain.is_ready() => self.answer(503, "", b"draining\n", cx),
             Awaited::Up if !cx.endpoints.can_serve() => self.answer(503, "", b"no server table yet\n", cx),
             Awaited::Up => self.answer(200, "", b"up\n", cx),
@@ -461,7 +461,7 @@
     // has gone must not be sent on. What that means for its job is told where it is removed, as for any other end.
     fn on_end(&mut self, _: &mut Context) {}
 
-    fn input_most(&self) -> usize {
+    fn max_input(&self) -> usize {
         match self.state {
             State::Head => HEAD_MOST + AHEAD_MOST,
             State::Body(..) | State::Closing => BODY_MOST + HEAD_MOST,
@@ -519,7 +519,7 @@
                     // Out of descriptors, mostly. The poll won't tell of the ones that wait again, and trying
                     // at once would spin.
                     if !std::mem::replace(&mut self.accept_fails, true) {
-                        warn!(cx.log, "accept failed, trying on"; "error" => %e);
+                        warn!(cx.log, "accept_failed"; "error" => %e);
                     }
                     self.make_room(cx);
                     self.accept_later(cx);
