leases: counters from messages may be the highest there are

The fuzz target of leases met a Reject with ballot counter 2^32-1: the next campaign's counter overflowed, a panic in debug builds and a ballot of 0 in release. The same holds for an epoch's number and for the last leader's ballot.

--- a/crates/leases/src/election.rs
+++ b/crates/leases/src/election.rs
@@ -75,8 +75,13 @@
     }
 
     fn begin_campaign(&mut self, now: Micros) {
-        self.leadership.highest_counter += 1;
-        let ballot = Ballot { counter: self.leadership.highest_counter, proposer: self.me.ordinal };
+        // Counters come from others' messages. Without a higher one there is no campaign until the view changes.
+        let Some(counter) = self.leadership.highest_counter.checked_add(1) else {
+            self.leadership.next_step_at = now + self.settings.heartbeat_interval;
+            return;
+        };
+        self.leadership.highest_counter = counter;
+        let ballot = Ballot { counter, proposer: self.me.ordinal };
         let deadline = now + self.settings.heartbeat_interval + self.turn_delay();
         self.leadership.campaign = Some(Campaign::new(ballot, deadline));
         self.leadership.next_step_at = self.retry_at(now);
--- a/crates/leases/src/member_lease.rs
+++ b/crates/leases/src/member_lease.rs
@@ -28,7 +28,8 @@
             return;
         }
         // A leader between the last known one and this process would have had a ballot between theirs.
-        let directly_before = self.known_leader.filter(|leader| leader.ballot.counter + 1 == ballot.counter);
+        let directly_before =
+            self.known_leader.filter(|leader| leader.ballot.counter.checked_add(1) == Some(ballot.counter));
         let previous_leader = directly_before.map(|leader| leader.process);
         let expires_at = self.member_lease_end(now);
         for (&ordinal, &incarnation) in &self.member_list.members {
--- a/crates/leases/src/view.rs
+++ b/crates/leases/src/view.rs
@@ -13,9 +13,9 @@
 }
 
 impl Epoch {
-    /// The epoch of the view that replaces the one of this epoch.
-    pub(crate) fn successor(self) -> Epoch {
-        Epoch { era: self.era, number: self.number + 1 }
+    /// The epoch of the view that replaces the one of this epoch. `None`: there are no more numbers.
+    pub(crate) fn successor(self) -> Option<Epoch> {
+        Some(Epoch { era: self.era, number: self.number.checked_add(1)? })
     }
 }
 
--- a/crates/leases/src/view_change.rs
+++ b/crates/leases/src/view_change.rs
@@ -114,7 +114,7 @@
         voters.truncate(count);
         voters.sort();
         let same = voters.len() == current.len() && voters.iter().all(|voter| current.contains(voter));
-        (!same).then_some(View { epoch: self.view.epoch.successor(), voters })
+        if same { None } else { Some(View { epoch: self.view.epoch.successor()?, voters }) }
     }
 
     pub(crate) fn propose(&mut self, now: Micros, view: View) {
