The policy is told of an endpoint whose override has expired

Change: the entries are handed out in the same step. Result: a test on the virtual clock, seen to fail without (the policy not told at 60.5 s); all tests of discovery pass.

--- a/crates/discovery/src/directory.rs
+++ b/crates/discovery/src/directory.rs
@@ -313,6 +313,7 @@
             self.client.suspect_watch();
         }
         self.table.expire(now, self.fresh_since);
+        self.publish_entries(ListKind::Delta);
         self.advance(now);
     }
 
--- a/crates/discovery/tests/endpoint_status.rs
+++ b/crates/discovery/tests/endpoint_status.rs
@@ -121,6 +121,43 @@
     assert!(is_ready(&node, "a"), "one false message would withdraw an endpoint for good");
 }
 
+#[test]
+fn the_policy_is_told_of_an_endpoint_whose_override_has_expired() {
+    let (mut node, watch) = restarted();
+    node.handle_response_head(2.0, watch);
+    node.handle_update(2.0, watch, 2, false);
+    for text in gossip_of_a_watch(&[(5, "a", Readiness::Gone)]) {
+        node.handle_message(10.0, 1, &text);
+    }
+    let mut watches = BTreeSet::from([watch]);
+    let mut told_ready = false;
+    for step in 0..400 {
+        let now = 500.0 * f64::from(step);
+        node.handle_timeout(now);
+        while let Some(command) = node.poll_command() {
+            match command {
+                Command::OpenRequest { request, .. } => {
+                    node.handle_connected(now, request);
+                    node.handle_response_head(now, request);
+                    node.handle_update(now, request, 2, false);
+                    watches.insert(request);
+                }
+                Command::CancelRequest { request } => {
+                    watches.remove(&request);
+                }
+                Command::UpdateEndpoints { entries, .. } => {
+                    let of_a = entries.iter().find(|entry| entry.0.name == "a");
+                    told_ready = of_a.map_or(told_ready, |entry| entry.0.readiness == Readiness::Ready);
+                }
+                _ => {}
+            }
+        }
+        assert_eq!(told_ready, is_ready(&node, "a"), "{now} ms");
+        watches.iter().for_each(|&request| node.handle_keep_alive(now, request));
+    }
+    assert!(told_ready, "the override has not expired");
+}
+
 /// After SIGHUP a scheduler may watch a discovery replica that lags behind the one that its peers still watch.
 #[test]
 fn a_snapshot_older_than_an_override_does_not_end_it() {
