Frontend: a module for each job, typed rejections, the field's names

Cause: net/frontend.rs was 674 lines with functions of 79 and 60 lines, names of the house style and pairs of status and text. Change: net/frontend/ has accept, admission, connection, request_reader, responses, eviction and timeouts; Rejection { status, reason } and EvictionCandidate in place of tuples; names in the glossary. Moves and renames only: the same steps in the same order under the same conditions.

--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -111,7 +111,7 @@
             let client = cx.job_failover.as_mut().and_then(|job_failover| job_failover.take_client(waiter));
             if let Some(client) = client {
                 let answer = job_failover::answer_of(outcome);
-                self.frontend.answer_covered(client, waiter, answer, cx);
+                self.frontend.answer_replicated(client, waiter, answer, cx);
             }
         }
     }
--- /dev/null
+++ b/crates/daemon/src/net/frontend/request_reader.rs
@@ -0,0 +1,198 @@
+//! Reads requests from a client's connection, and submits the jobs in them.
+
+use super::connection::{ClientConnection, MAX_PIPELINED_INPUT, Rejection, RequestKind, State};
+use crate::net::Context;
+use crate::net::event_loop::Millis;
+use brackenledge_engine::{Answer, Arrival};
+use brackenledge_protocol::http::{
+    BODY_MOST, Body, HEAD_MOST, HEADERS_MOST, Malformed, has_bare_line_feed, has_word, header,
+};
+
+/// Responses that wait to be written, in bytes, beyond which no further request is read.
+const MAX_BUFFERED_OUTPUT: usize = 2 * BODY_MOST;
+
+impl ClientConnection {
+    /// Reads requests as far as they have come. It stops at a job: the next request waits for the response.
+    pub(super) fn read_requests(&mut self, cx: &mut Context) {
+        loop {
+            match &mut self.state {
+                State::ReadingHead => {
+                    if !self.read_head(cx) {
+                        return;
+                    }
+                }
+                State::ReadingBody(_, body) => {
+                    match body.advance(&mut self.stream.buffer) {
+                        Ok(false) => return,
+                        Ok(true) => self.on_request_complete(cx),
+                        Err(malformed) => self.reject(Rejection::of_body(malformed), cx),
+                    };
+                }
+                State::AwaitingJob(_) | State::AwaitingReplicatedJob(_) => {
+                    self.buffer_pipelined_input();
+                    return;
+                }
+                State::Closing => {
+                    self.discard_input();
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Keeps what comes behind a request until the response is written. If it is too much, none of it is read as a
+    /// request any more: reading must go on, or the client's disconnect, which comes behind it, would not be seen.
+    fn buffer_pipelined_input(&mut self) {
+        if !self.stream.buffer.input().is_empty() {
+            self.receiving_since.get_or_insert(self.last_input_at);
+        }
+        if self.input_overflowed || self.stream.buffer.input().len() >= MAX_PIPELINED_INPUT {
+            self.input_overflowed = true;
+            self.keep_alive = false;
+            self.discard_input();
+        }
+    }
+
+    fn discard_input(&mut self) {
+        let length = self.stream.buffer.input().len();
+        self.stream.buffer.consume(length);
+        self.discarded += length;
+    }
+
+    /// Reads a head; returns whether there is more to do.
+    fn read_head(&mut self, cx: &mut Context) -> bool {
+        let input = self.stream.buffer.input();
+        // A client that sends on without reading its responses must not fill the memory with them.
+        if input.is_empty() || self.stream.buffer.output().len() > MAX_BUFFERED_OUTPUT {
+            return false;
+        }
+        // One byte now and then must not keep an unfinished request for ever: its time runs from the first.
+        self.request_began_at.get_or_insert(cx.now);
+        self.receiving_since.get_or_insert(self.last_input_at);
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut request = httparse::Request::new(&mut headers);
+        let head_length = match parse_head(&mut request, input) {
+            Ok(Some(length)) => length,
+            Ok(None) => return false,
+            Err(rejection) => {
+                self.reject(rejection, cx);
+                return true;
+            }
+        };
+        self.keep_alive = is_keep_alive(&request);
+        let body = Body::announced(request.headers, false, BODY_MOST);
+        let kind = match self.read_kind(&request) {
+            Ok(kind) => kind,
+            Err(rejection) => {
+                self.reject(rejection, cx);
+                return true;
+            }
+        };
+        let expects_continue = has_word(header(request.headers, "Expect"), "100-continue");
+        self.stream.buffer.consume(head_length);
+        match body {
+            Ok(body) => self.begin_body(kind, body, expects_continue),
+            Err(malformed) => self.reject(Rejection::of_body(malformed), cx),
+        }
+        true
+    }
+
+    fn read_kind(&self, request: &httparse::Request) -> Result<RequestKind, Rejection> {
+        let (method, target) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
+        let path = target.split('?').next().unwrap_or_default();
+        match path {
+            "/up" if method == "GET" => Ok(RequestKind::HealthCheck),
+            _ => {
+                let arrival = self.rules.read_job(self.id, method, target, request.headers)?;
+                Ok(RequestKind::Job(Box::new(arrival)))
+            }
+        }
+    }
+
+    fn begin_body(&mut self, kind: RequestKind, body: Body, expects_continue: bool) {
+        if expects_continue && self.stream.buffer.input().is_empty() {
+            self.stream.buffer.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        self.state = State::ReadingBody(kind, body);
+    }
+
+    fn on_request_complete(&mut self, cx: &mut Context) {
+        let state = std::mem::replace(&mut self.state, State::ReadingHead);
+        let State::ReadingBody(kind, mut body) = state else { return };
+        let body = body.take_all(&mut self.stream.buffer);
+        self.stream.buffer.compact();
+        self.request_began_at = None;
+        let elapsed = self.receiving_since.take().map_or(0.0, |since| cx.now - since);
+        self.has_sent_request = true;
+        self.has_sent_job |= matches!(kind, RequestKind::Job(_));
+        match kind {
+            RequestKind::HealthCheck => self.respond_to_health_check(cx),
+            RequestKind::Job(arrival)
+                if cx.held() >= self.rules.max_open_jobs
+                    || !cx.drain.admits_jobs(cx.now)
+                    || cx.time_left() == 0.0 =>
+            {
+                cx.core.refused_at_door(arrival.job.class);
+                self.respond(Answer::Denied { retry_after: self.rules.retry_after }, cx);
+            }
+            RequestKind::Job(mut arrival) => {
+                arrival.request.body = body;
+                self.submit_job(arrival, elapsed, cx);
+            }
+        }
+    }
+
+    /// `elapsed`: the time since the first bytes of the request were received; the job has that much less.
+    fn submit_job(&mut self, mut arrival: Box<Arrival>, elapsed: Millis, cx: &mut Context) {
+        arrival.job.time_left = (arrival.job.time_left - elapsed).max(0.0).min(cx.time_left());
+        if let Some(job_failover) =
+            cx.job_failover.as_mut().filter(|job_failover| job_failover.handles(&arrival))
+        {
+            self.state = State::AwaitingReplicatedJob(job_failover.submit(*arrival));
+            return;
+        }
+        match cx.core.job_arrived(cx.now, *arrival) {
+            Some(job) => self.state = State::AwaitingJob(job),
+            None => {
+                let rejection = Rejection { status: 409, reason: "a job with this X-Trace-Id is open" };
+                self.reject(rejection, cx);
+            }
+        }
+    }
+}
+
+impl Rejection {
+    fn of_body(malformed: Malformed) -> Self {
+        match malformed {
+            Malformed::TooLarge => Rejection { status: 413, reason: "the body is larger than 64 KiB" },
+            Malformed::Framing => Rejection::bad_request("the body's framing is broken"),
+        }
+    }
+}
+
+/// Parses a head; returns its length, or `None` while it is incomplete.
+fn parse_head<'input>(
+    request: &mut httparse::Request<'_, 'input>,
+    input: &'input [u8],
+) -> Result<Option<usize>, Rejection> {
+    match request.parse(input) {
+        Ok(httparse::Status::Complete(length)) if has_bare_line_feed(&input[..length]) => {
+            Err(Rejection::bad_request("a line ends without a carriage return"))
+        }
+        Ok(httparse::Status::Complete(length)) if length <= HEAD_MOST => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if input.len() <= HEAD_MOST => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
+            Err(Rejection { status: 431, reason: "the head is too large" })
+        }
+        Err(_) => Err(Rejection::bad_request("not an HTTP request")),
+    }
+}
+
+/// Whether the client keeps the connection for further requests: the default since HTTP/1.1.
+fn is_keep_alive(request: &httparse::Request) -> bool {
+    let connection = header(request.headers, "Connection");
+    match request.version {
+        Some(1) => !has_word(connection, "close"),
+        _ => has_word(connection, "keep-alive"),
+    }
+}
--- a/crates/daemon/src/net/startup.rs
+++ b/crates/daemon/src/net/startup.rs
@@ -6,7 +6,7 @@
 use super::discovery::{DiscoveryConnections, PlacementNames};
 use super::event_loop::{Alarm, EventLoop, Millis, Owner};
 use super::events::{COUNTERS_INTERVAL, SWEEP_INTERVAL};
-use super::frontend::{Frontend, Rules};
+use super::frontend::{AdmissionRules, Frontend};
 use super::job_failover::JobFailover;
 use super::listener::{Sharing, listen};
 use super::peer_links::PeerLinks;
@@ -96,7 +96,7 @@
         let (job_failover, peer_links) =
             parts.failover.map(|failover| (failover.job_failover, failover.links)).unzip();
         let mut scheduler = Scheduler {
-            frontend: Frontend::new(listener, Rules::new(document, &settings), limits.clients),
+            frontend: Frontend::new(listener, AdmissionRules::new(document, &settings), limits.clients),
             backend: Backend::new(limits.workers, settings.connect_timeout, idle_limit),
             discovery: DiscoveryConnections::new(config.discovery),
             max_deadline: settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max),
