--- /dev/null
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -0,0 +1,203 @@
+//! A connection to a worker: its state, and its callbacks from the event loop.
+
+use crate::net::Context;
+use crate::net::buffered_stream::BufferedStream;
+use crate::net::event_loop::{Connection, Flow, Millis};
+use brackenledge_discovery::EndpointSignal;
+use brackenledge_engine::{DispatchId, Request, Times};
+use brackenledge_policy::{LoadReport, Outcome, WorkerId};
+use brackenledge_protocol::http::{AnswerHead, BODY_MOST, HEAD_MOST};
+use mio::net::TcpStream;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// The longest line of a response, in bytes: a body and little else, and JSON may write one byte as six.
+pub(super) const MAX_LINE_LEN: usize = 6 * BODY_MOST + 4 * 1024;
+/// Once a reused connection was reset before it gave one byte back, workers or the network drop idle ones early: for
+/// so long each request has a new connection, which costs a worker a millisecond or two.
+const DISTRUST_DURATION: Millis = 30_000.0;
+
+/// What a connection carries.
+#[derive(Clone)]
+pub(super) enum Task {
+    Attempt { id: DispatchId, request: Rc<Request>, times: Times },
+    Probe,
+}
+
+/// A connection to a worker. It carries one request at a time.
+pub(super) struct WorkerConnection {
+    pub(super) stream: BufferedStream,
+    pub(super) worker: WorkerId,
+    pub(super) address: SocketAddr,
+    /// Identifies it in alarms: its slot may be another's by then.
+    pub(super) serial: u64,
+    pub(super) is_connecting: bool,
+    pub(super) task: Option<Task>,
+    /// The head of the response that is being received.
+    pub(super) response_head: Option<AnswerHead>,
+    pub(super) idle_since: Millis,
+    /// It has carried a whole request before.
+    pub(super) is_reused: bool,
+    /// The last byte of its request, while that is withheld.
+    pub(super) withheld_byte: Option<u8>,
+    /// Its attempt has been counted as written whole.
+    pub(super) is_counted_as_written: bool,
+    /// When its job started, as far as is known.
+    pub(super) job_started_at: Millis,
+}
+
+impl WorkerConnection {
+    /// A connection that is being opened for a task.
+    pub(super) fn new(
+        stream: TcpStream,
+        worker: WorkerId,
+        address: SocketAddr,
+        serial: u64,
+        task: Task,
+        now: Millis,
+    ) -> Self {
+        WorkerConnection {
+            stream: BufferedStream::new(stream),
+            worker,
+            address,
+            serial,
+            is_connecting: true,
+            task: Some(task),
+            response_head: None,
+            idle_since: now,
+            is_reused: false,
+            withheld_byte: None,
+            is_counted_as_written: false,
+            job_started_at: 0.0,
+        }
+    }
+
+    /// The attempt that it carries.
+    pub(super) fn attempt(&self) -> Option<DispatchId> {
+        match &self.task {
+            Some(Task::Attempt { id, .. }) => Some(*id),
+            _ => None,
+        }
+    }
+
+    /// Whether the request's last byte has been handed to the system. This must be read off the buffer: a note taken
+    /// when a write is reported comes too late for a response that is read in the same turn, and a job that may have
+    /// run would pass for one that never did.
+    pub(super) fn is_request_written(&self) -> bool {
+        !self.is_connecting && self.withheld_byte.is_none() && self.stream.buffer.output().is_empty()
+    }
+
+    /// Counts its attempt as written once the request's last byte is out. A response read in the same turn may come
+    /// before the poll reports the write, so every step that ends an attempt calls this first.
+    pub(super) fn count_if_written(&mut self, cx: &mut Context) {
+        if let Some(Task::Attempt { id, .. }) = &self.task
+            && !self.is_counted_as_written
+            && self.is_request_written()
+        {
+            self.is_counted_as_written = true;
+            cx.core.dispatch_written(*id);
+        }
+    }
+
+    /// Reports an attempt's end to zone routing, which learns from it about the route to the worker's zone.
+    pub(super) fn report_to_zone_routing(
+        &self,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+        cx: &mut Context,
+    ) {
+        let zone = cx.endpoints.zone(self.worker);
+        if let Some(zones) = cx.zones {
+            zones.on_attempt_finished(self.worker, zone, outcome, report);
+        }
+    }
+
+    /// Ends its task, if it still has one.
+    pub(super) fn end_task(&mut self, outcome: Outcome, report: Option<LoadReport>, cx: &mut Context) {
+        self.count_if_written(cx);
+        match self.task.take() {
+            Some(Task::Attempt { id, .. }) => {
+                if let Some(signal) = self.endpoint_signal(outcome, report) {
+                    cx.endpoints.handle_signal(cx.now, self.worker, signal);
+                }
+                self.report_to_zone_routing(outcome, report, cx);
+                cx.core.dispatch_ended(id, outcome, report);
+            }
+            Some(Task::Probe) => cx.core.probed(self.worker, outcome, report),
+            None => {}
+        }
+    }
+
+    /// What an attempt's end says of the worker's endpoint.
+    fn endpoint_signal(&self, outcome: Outcome, report: Option<LoadReport>) -> Option<EndpointSignal> {
+        let has_capacity = report.and_then(|report| report.free_slots).is_some_and(|free| free >= 1.0);
+        match outcome {
+            Outcome::Full if has_capacity => Some(EndpointSignal::ReturnedWithCapacity),
+            Outcome::Full => Some(EndpointSignal::Returned),
+            Outcome::ConnectFailed if self.is_connecting => Some(EndpointSignal::ConnectionRefused),
+            _ => None,
+        }
+    }
+
+    /// What a connection that is lost now means for its request: before the last byte is out it can't have run.
+    fn on_connection_lost(&self, cx: &mut Context) -> Outcome {
+        if self.task.is_some() && self.response_head.is_none() && self.is_reused {
+            *cx.distrust_until = cx.now + DISTRUST_DURATION;
+        }
+        if self.is_request_written() { Outcome::Reset } else { Outcome::ConnectFailed }
+    }
+}
+
+impl Connection<Context<'_>> for WorkerConnection {
+    fn stream(&mut self) -> &mut BufferedStream {
+        &mut self.stream
+    }
+
+    fn connecting(&self) -> bool {
+        self.is_connecting
+    }
+
+    fn on_written(&mut self, cx: &mut Context) -> Flow {
+        self.count_if_written(cx);
+        Flow::Keep
+    }
+
+    fn on_open(&mut self, cx: &mut Context) -> Flow {
+        self.is_connecting = false;
+        let Some(task) = self.task.take() else { return Flow::Close };
+        // Much may have changed since the connection was asked for: a worker that has been told to drain meanwhile must
+        // get nothing new, a late job serves nobody, and a retry has its window. Nothing has been written: it is moot.
+        let is_late = matches!(&task, Task::Attempt { times, .. } if cx.now >= times.leave_by);
+        if is_late || !cx.endpoints.is_ready(self.worker) {
+            self.task = Some(task);
+            // Nothing was written: it must not be counted as written.
+            self.is_counted_as_written = true;
+            self.end_task(Outcome::Moot, None, cx);
+            return Flow::Close;
+        }
+        self.start(task, cx);
+        Flow::Keep
+    }
+
+    fn on_input(&mut self, cx: &mut Context) -> Flow {
+        let flow = self.read_response(cx);
+        if flow == Flow::Close {
+            // A malformed response ends the exchange as a lost connection does.
+            let outcome = self.on_connection_lost(cx);
+            self.end_task(outcome, None, cx);
+        }
+        flow
+    }
+
+    fn on_end(&mut self, cx: &mut Context) {
+        if self.response_head.as_ref().is_some_and(|head| head.body.until_end()) {
+            self.on_response_complete(cx);
+        }
+        let outcome = self.on_connection_lost(cx);
+        self.end_task(outcome, None, cx);
+    }
+
+    fn max_input(&self) -> usize {
+        MAX_LINE_LEN + HEAD_MOST
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/net/backend/request_writer.rs
@@ -0,0 +1,70 @@
+//! Writes requests to a worker's connection.
+
+use super::connection::{Task, WorkerConnection};
+use crate::net::Context;
+use crate::net::event_loop::{Alarm, Millis};
+use brackenledge_engine::{Request, Times};
+use brackenledge_policy::Effect;
+
+/// While pooled connections are not trusted, the last byte of a request that must not run twice is withheld for so long
+/// after the rest, a round trip between zones: a connection that is reset meanwhile has not carried it, and it may go
+/// elsewhere.
+const LAST_BYTE_DELAY: Millis = 12.0;
+
+impl WorkerConnection {
+    /// Buffers a task's request.
+    pub(super) fn start(&mut self, task: Task, cx: &mut Context) {
+        self.response_head = None;
+        self.is_counted_as_written = false;
+        self.job_started_at = cx.now;
+        match &task {
+            Task::Probe => self.write_probe(),
+            Task::Attempt { request, times, .. } => self.write_job(request, *times, cx),
+        }
+        self.task = Some(task);
+    }
+
+    fn write_probe(&mut self) {
+        let probe = format!("GET /metrics/load HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
+        self.stream.buffer.push(probe.as_bytes());
+    }
+
+    fn write_job(&mut self, request: &Request, times: Times, cx: &mut Context) {
+        let mut head = self.job_head(request, times, cx.now);
+        let withhold = request.effect == Effect::Unsafe && *cx.distrust_until > cx.now;
+        let (last, rest) = match request.body.split_last() {
+            Some((&last, rest)) => (last, rest),
+            None => (b'\n', &[][..]),
+        };
+        if withhold && request.body.is_empty() {
+            head.pop();
+        }
+        self.stream.buffer.push(head.as_bytes());
+        self.stream.buffer.push(if withhold { rest } else { &request.body });
+        if withhold {
+            self.withheld_byte = Some(last);
+            cx.event_loop.set_alarm(cx.now + LAST_BYTE_DELAY, Alarm::LastByte(self.serial));
+        }
+    }
+
+    /// The worker is told how long the job is worth working on.
+    fn job_head(&self, request: &Request, times: Times, now: Millis) -> String {
+        let mut head = format!(
+            "POST {} HTTP/1.1\r\nHost: {}\r\nX-Trace-Id: {}\r\nX-Expires-In-Ms: {:.0}\r\nContent-Length: {}\r\n",
+            request.target,
+            self.address,
+            request.id,
+            (times.until - now).max(1.0),
+            request.body.len()
+        );
+        let optional_headers =
+            [("Idempotency-Key", &request.idempotency_key), ("Content-Type", &request.content_type)];
+        for (name, value) in optional_headers {
+            if let Some(value) = value {
+                head.extend([name, ": ", value, "\r\n"]);
+            }
+        }
+        head.push_str("\r\n");
+        head
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/net/backend/response_reader.rs
@@ -0,0 +1,129 @@
+//! Reads responses from a worker's connection: a job's progress line by line, or a probe's load.
+
+use super::connection::{MAX_LINE_LEN, Task, WorkerConnection};
+use crate::net::Context;
+use crate::net::event_loop::Flow;
+use brackenledge_discovery::EndpointSignal;
+use brackenledge_engine::DispatchId;
+use brackenledge_policy::{LoadReport, Outcome};
+use brackenledge_protocol::http::take_answer_head;
+use brackenledge_protocol::worker::{read_line, read_load, read_load_header};
+
+impl WorkerConnection {
+    /// Reads a response as far as it has come; `Close` where the connection can't be used again.
+    pub(super) fn read_response(&mut self, cx: &mut Context) -> Flow {
+        self.count_if_written(cx);
+        if self.task.is_none() && self.response_head.is_none() {
+            // No request is open: which one later bytes would belong to can't be told.
+            return Flow::Close;
+        }
+        if self.response_head.is_none() {
+            match take_answer_head(&mut self.stream.buffer, MAX_LINE_LEN) {
+                Ok(Some(head)) => self.response_head = Some(head),
+                Ok(None) => return Flow::Keep,
+                Err(_) => return Flow::Close,
+            }
+        }
+        let Some(head) = &mut self.response_head else { return Flow::Keep };
+        let Ok(is_complete) = head.body.advance(&mut self.stream.buffer) else { return Flow::Close };
+        let closes = head.closes;
+        if head.status == 200 && self.read_lines(is_complete, cx) == Flow::Close {
+            return Flow::Close;
+        }
+        if !is_complete {
+            return Flow::Keep;
+        }
+        self.finish_response(closes, cx)
+    }
+
+    /// Reads the lines that have come. `is_complete`: whether the body has come to its end.
+    fn read_lines(&mut self, is_complete: bool, cx: &mut Context) -> Flow {
+        while let Some(Task::Attempt { id, request, .. }) = self.task.clone() {
+            let Some(line) = self.next_line(is_complete) else { break };
+            if !line.is_empty() && self.on_line(&line, id, &request.id, cx) == Flow::Close {
+                return Flow::Close;
+            }
+        }
+        Flow::Keep
+    }
+
+    fn next_line(&mut self, is_complete: bool) -> Option<Vec<u8>> {
+        let head = self.response_head.as_mut()?;
+        head.body.take_line(&mut self.stream.buffer).or_else(|| {
+            // The last line may come without a line feed.
+            (is_complete && head.body.ready() > 0).then(|| head.body.take_all(&mut self.stream.buffer))
+        })
+    }
+
+    /// Handles one line of the response to an attempt; `Close` where it is malformed.
+    fn on_line(&mut self, line: &[u8], id: DispatchId, request_id: &str, cx: &mut Context) -> Flow {
+        let line = read_line(line);
+        // A line that names another request, or none, is no response to this one.
+        let Some(line) = line.filter(|line| line.id.as_deref() == Some(request_id)) else {
+            return Flow::Close;
+        };
+        let report = line.load;
+        match (line.state.as_str(), line.result) {
+            ("started", _) => {
+                self.job_started_at = cx.now;
+                cx.core.dispatch_started(id);
+            }
+            ("running", _) => cx.core.dispatch_progress(id, line.share.unwrap_or(0.0)),
+            ("done", Some(result)) => {
+                self.task = None;
+                cx.endpoints.handle_signal(cx.now, self.worker, EndpointSignal::JobServed);
+                if let Some(zones) = cx.zones {
+                    zones.on_job_served(cx.now - self.job_started_at);
+                }
+                self.report_to_zone_routing(Outcome::Ok, report, cx);
+                cx.core.dispatch_served(id, result, report);
+            }
+            // A response without its result can't be given to the client.
+            ("done" | "failed", _) => self.end_task(Outcome::Error, report, cx),
+            ("returned", _) => self.end_task(Outcome::Full, report, cx),
+            ("lost", _) => self.end_task(Outcome::Reset, report, cx),
+            // A state that later versions may add is not final.
+            _ => {}
+        }
+        Flow::Keep
+    }
+
+    /// Ends the task by what the response says as a whole, unless one of its lines has ended it.
+    pub(super) fn on_response_complete(&mut self, cx: &mut Context) {
+        let Some(mut head) = self.response_head.take() else { return };
+        let body = head.body.take_all(&mut self.stream.buffer);
+        let from_header: Option<LoadReport> = head.load.as_deref().map(read_load_header);
+        if let Some(Task::Probe) = self.task {
+            let report = read_load(&body);
+            let outcome = if head.status == 200 { Outcome::Ok } else { Outcome::Error };
+            self.end_task(outcome, from_header.or(report), cx);
+            return;
+        }
+        self.end_task(attempt_outcome(head.status, head.never_ran), from_header, cx);
+    }
+
+    /// Ends the exchange; `Close` where the connection can't carry another one.
+    fn finish_response(&mut self, closes: bool, cx: &mut Context) -> Flow {
+        self.on_response_complete(cx);
+        if closes && self.is_reused {
+            // The worker has kept this connection open so far, and now no longer does.
+            cx.endpoints.handle_signal(cx.now, self.worker, EndpointSignal::ConnectionClosed);
+        }
+        self.idle_since = cx.now;
+        self.is_reused = true;
+        // Bytes behind the response belong to no request, and no request can follow one that is not wholly written.
+        let is_clean = self.stream.buffer.input().is_empty() && self.is_request_written();
+        if closes || !is_clean { Flow::Close } else { Flow::Keep }
+    }
+}
+
+/// The outcome of an attempt whose response ended without a final line.
+fn attempt_outcome(status: u16, never_ran: bool) -> Outcome {
+    match status {
+        200 => Outcome::Reset,
+        503 | 504 if never_ran => Outcome::Full,
+        // The request itself was malformed: that says nothing of the worker's health.
+        400..=499 => Outcome::Rejected,
+        _ => Outcome::Error,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/net/backend/timeouts.rs
@@ -0,0 +1,51 @@
+//! Timeouts of connections to workers, and of what they carry.
+
+use super::Backend;
+use super::connection::{Task, WorkerConnection};
+use crate::net::Context;
+use crate::net::event_loop::{Alarm, Millis};
+use brackenledge_engine::DispatchId;
+use brackenledge_policy::Outcome;
+
+/// A probe that takes longer than this says as much as one that fails.
+const PROBE_TIMEOUT: Millis = 1_000.0;
+
+impl Backend {
+    /// Sets the timeout of the probe that a connection carries.
+    pub(super) fn set_probe_timeout(&mut self, slot: usize, cx: &mut Context) {
+        let serial = self.connections[slot].serial;
+        cx.event_loop.set_alarm(cx.now + PROBE_TIMEOUT, Alarm::Probe(serial));
+    }
+
+    /// An attempt has waited as long as it may.
+    pub fn on_response_deadline(&mut self, id: DispatchId, cx: &mut Context) {
+        self.cancel(id, Outcome::Timeout, cx);
+    }
+
+    /// A connection should be open by now.
+    pub fn on_connect_alarm(&mut self, serial: u64, cx: &mut Context) {
+        let is_late = |c: &WorkerConnection| c.serial == serial && c.is_connecting;
+        if let Some((slot, connection)) = self.connections.iter_mut().find(|(_, c)| is_late(c)) {
+            connection.end_task(Outcome::ConnectFailed, None, cx);
+            self.remove(slot, cx);
+        }
+    }
+
+    /// The last byte of a request has been withheld long enough.
+    pub fn on_last_byte_alarm(&mut self, serial: u64, cx: &mut Context) {
+        let is_withheld = |c: &WorkerConnection| c.serial == serial && c.withheld_byte.is_some();
+        let withheld = self.connections.iter_mut().find(|(_, c)| is_withheld(c));
+        let Some((slot, connection)) = withheld else { return };
+        connection.stream.buffer.push(&connection.withheld_byte.take().map_or([b'\n'], |last| [last]));
+        self.flush(slot, cx);
+    }
+
+    /// A probe should have its response by now.
+    pub fn on_probe_alarm(&mut self, serial: u64, cx: &mut Context) {
+        let is_late = |c: &WorkerConnection| c.serial == serial && matches!(c.task, Some(Task::Probe));
+        if let Some((slot, connection)) = self.connections.iter_mut().find(|(_, c)| is_late(c)) {
+            connection.end_task(Outcome::Timeout, None, cx);
+            self.remove(slot, cx);
+        }
+    }
+}
--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -140,7 +140,7 @@
                 cx.core.dispatch_ended(id, Outcome::Moot, None);
             }
             Command::Cancel { id } => self.backend.cancel(id, Outcome::Cancelled, cx),
-            Command::TakeBack { id } => self.backend.take_back(id, cx),
+            Command::TakeBack { id } => self.backend.cancel_unsent(id, cx),
             Command::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
             Command::Watch { on } => cx.endpoints.set_watching(cx.now, on),
             Command::FetchList => cx.endpoints.request_poll(cx.now),
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -35,14 +35,14 @@
 pub enum Alarm {
     /// The policy asked to be woken.
     Wake,
-    /// A dispatch has waited as long as it may.
-    Dispatch(DispatchId),
-    /// A dispatch whose last byte has not left by now must not leave any more.
-    Leave(DispatchId),
-    /// A connection to a backend server has had the time that it may take to come up.
+    /// An attempt has waited for its response as long as it may.
+    ResponseDeadline(DispatchId),
+    /// An attempt whose request is not wholly written by now must not be sent any more.
+    WriteDeadline(DispatchId),
+    /// A connection to a worker should be open by now.
     Connect(u64),
-    /// The last byte of a request may be written.
-    Held(u64),
+    /// The last byte of a request, which was withheld, may be written.
+    LastByte(u64),
     /// A probe has waited as long as it may.
     Probe(u64),
     /// The endpoint directory has a timeout: a late request, a message to be sent again.
--- a/crates/daemon/src/net/events.rs
+++ b/crates/daemon/src/net/events.rs
@@ -69,10 +69,10 @@
         let cx = &mut context!(self);
         match alarm {
             Alarm::Wake => cx.core.wake(),
-            Alarm::Dispatch(id) => self.backend.on_dispatch_alarm(id, cx),
-            Alarm::Leave(id) => self.backend.take_back(id, cx),
+            Alarm::ResponseDeadline(id) => self.backend.on_response_deadline(id, cx),
+            Alarm::WriteDeadline(id) => self.backend.cancel_unsent(id, cx),
             Alarm::Connect(serial) => self.backend.on_connect_alarm(serial, cx),
-            Alarm::Held(serial) => self.backend.on_held_alarm(serial, cx),
+            Alarm::LastByte(serial) => self.backend.on_last_byte_alarm(serial, cx),
             Alarm::Probe(serial) => self.backend.on_probe_alarm(serial, cx),
             Alarm::Discovery => self.discovery.on_alarm(cx),
             Alarm::Accept => self.frontend.accept(cx),
