Protocol: typed errors, a module for each table of the operators' file

Cause: operations.rs read, checked and validated five tables of the operators' file in functions of 117 and 53 lines and said what was wrong in strings; config.rs, list_stream.rs and the program did the same, and names were those of the earlier house style.

Change: ConfigError, with file, line, key and remedy, for the configuration and the operators' file; ListError for endpoint lists; LoadError, AdminCallError and ProgramError for the program, which take the place of StartError::Configuration(String), so that a reload hands out LoadError. operations/ has a struct, a module and a table of keys for each table of the file; http/ has buffer, body, head and headers. Keys of TOML and JSON, texts of errors and the program's help stay.

Tests: the inline tests of operations and control are in crates/protocol/ tests, those of list_stream in list_stream/tests.rs; 11 before and after, with the same assertions on the errors' texts. The assertion on the text of StartError::Configuration went with the variant; error/tests.rs pins the texts of LoadError and of the program's other errors (3 tests more).

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,12 +1,15 @@
 //! The job scheduler brackenledge: the command line.
 
+mod admin_call;
+mod error;
 mod net;
 
+use crate::error::{LoadError, ProgramError};
 use brackenledge_protocol::config::{Config, Overrides};
-use brackenledge_protocol::operations::Operations;
+use brackenledge_protocol::operations::{Deployment, Operations};
 use clap::{Parser, Subcommand};
 use slog::{Drain, Logger, o};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// A job scheduler: takes jobs from clients and pushes each to a worker.
@@ -24,17 +27,17 @@
     /// Read the configuration, say what it holds, and exit
     Check(Options),
     /// Ask a running scheduler who is in the tier
-    Members(Question),
+    Members(StatusOptions),
     /// Ask a running scheduler who owns which duty on behalf of the tier
-    Duties(Question),
+    Duties(StatusOptions),
     /// Ask a running scheduler where each zone's work goes
-    Zones(Question),
+    Zones(StatusOptions),
     /// Print the version
     Version,
 }
 
 #[derive(Clone, clap::Args)]
-struct Question {
+struct StatusOptions {
     /// The scheduler's door for operators
     #[arg(long, env = "PROXY_CONTROL", value_name = "ADDRESS")]
     control: String,
@@ -66,25 +69,32 @@
 }
 
 impl Options {
-    fn load(&self) -> Result<Config, String> {
+    /// Reads the configuration.
+    fn load(&self) -> Result<Config, LoadError> {
         let Options { config, name, listen, discovery, control, .. } = self.clone();
-        let path = config.ok_or("no configuration: give --config FILE or set PROXY_CONFIG")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Config::parse(&path, &text, Overrides { name, listen, discovery, control })
+        let path = config.ok_or(LoadError::NoConfiguration)?;
+        let text = read_file(&path)?;
+        Ok(Config::parse(&path, &text, Overrides { name, listen, discovery, control })?)
     }
 
-    /// The operators' settings, held against the configuration; without a file, the defaults.
-    fn operations(&self, config: &Config) -> Result<Operations, String> {
+    /// Reads the operators' settings and validates them against the configuration; without a file, the defaults.
+    fn operations(&self, config: &Config) -> Result<Operations, LoadError> {
         let Some(path) = &self.operations else { return Ok(Operations::default()) };
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let operations = Operations::parse(path, &text)?;
-        let schedulers = config.peer.as_ref().map_or(0, |peer| peer.peers.len());
-        let (classes, zones) = (config.settings.class_names(), config.settings.zone_names());
-        operations.fits(path, &classes, &zones, schedulers)?;
+        let operations = Operations::parse(path, &read_file(path)?)?;
+        let deployment = Deployment {
+            classes: config.settings.class_names(),
+            zones: config.settings.zone_names(),
+            schedulers: config.peer.as_ref().map_or(0, |peer| peer.peers.len()),
+        };
+        operations.validate(path, &deployment)?;
         Ok(operations)
     }
 }
 
+fn read_file(path: &Path) -> Result<String, LoadError> {
+    std::fs::read_to_string(path).map_err(|source| LoadError::ReadFile { path: path.to_owned(), source })
+}
+
 /// Lines queued for the log's own thread; beyond that they are counted and dropped, so that whoever reads
 /// standard error slowly never holds up the event loop.
 const LOG_QUEUE: usize = 1_024;
@@ -100,51 +110,34 @@
     (Logger::root(drain.fuse(), o!()), guard)
 }
 
-/// A running scheduler answers at once; longer means that it is stopped or gone.
-const ANSWER: std::time::Duration = std::time::Duration::from_secs(5);
-
-/// Asks at a scheduler's door and prints the answer: lines of `name=value`, as columns or as objects.
-fn ask(call: &str, question: &Question) -> Result<(), String> {
-    use std::io::{Read, Write};
-    let at = &question.control;
-    let bad = |error: std::io::Error| format!("{at}: {error}");
-    let address: std::net::SocketAddr =
-        at.parse().map_err(|_| format!("--control {at:?} is not an address with a port"))?;
-    let mut door = std::net::TcpStream::connect_timeout(&address, ANSWER).map_err(bad)?;
-    door.set_read_timeout(Some(ANSWER)).map_err(bad)?;
-    door.write_all(format!("{call}\n").as_bytes()).map_err(bad)?;
-    let mut reply = String::new();
-    door.read_to_string(&mut reply).map_err(bad)?;
-    let mut lines = reply.lines();
-    match lines.next() {
-        Some("done") => {}
-        Some(other) => return Err(format!("{at}: {other}")),
-        None => return Err(format!("{at}: no answer")),
-    }
-    let rows = lines
-        .take_while(|&line| line != "end")
-        .map(|line| line.split(' ').filter_map(|pair| pair.split_once('=')).collect::<Vec<(&str, &str)>>());
-    for row in rows {
-        if question.json {
-            let object: serde_json::Map<String, serde_json::Value> =
-                row.iter().map(|&(name, value)| (name.to_owned(), value.into())).collect();
-            println!("{}", serde_json::Value::Object(object));
-        } else {
-            let cells: Vec<String> = row.iter().map(|(name, value)| format!("{name} {value:<14}")).collect();
-            println!("{}", cells.join(" ").trim_end());
-        }
+/// Makes a call at a scheduler's admin endpoint and prints the rows of its reply, as columns or as objects.
+fn print_status(call: &str, options: &StatusOptions) -> Result<(), ProgramError> {
+    for line in admin_call::call(&options.control, call)? {
+        let row: Vec<(&str, &str)> = line.split(' ').filter_map(|pair| pair.split_once('=')).collect();
+        println!("{}", if options.json { format_object(&row) } else { format_columns(&row) });
     }
     Ok(())
 }
 
-fn run(command: Command) -> Result<(), String> {
+fn format_object(row: &[(&str, &str)]) -> String {
+    let object: serde_json::Map<String, serde_json::Value> =
+        row.iter().map(|&(name, value)| (name.to_owned(), value.into())).collect();
+    serde_json::Value::Object(object).to_string()
+}
+
+fn format_columns(row: &[(&str, &str)]) -> String {
+    let cells: Vec<String> = row.iter().map(|(name, value)| format!("{name} {value:<14}")).collect();
+    cells.join(" ").trim_end().to_owned()
+}
+
+fn run(command: Command) -> Result<(), ProgramError> {
     match command {
         Command::Serve(options) => {
             let config = options.load()?;
             let operations = options.operations(&config)?;
             let (log, _guard) = logger();
-            let reload = || options.load().map_err(net::StartError::Configuration);
-            net::serve(config, operations, &reload, log).map_err(|error| error.to_string())
+            let reload = || options.load();
+            Ok(net::serve(config, operations, &reload, log)?)
         }
         Command::Check(options) => {
             let config = options.load()?;
@@ -152,9 +145,9 @@
             println!("{config}");
             Ok(())
         }
-        Command::Members(question) => ask("MEMBERS", &question),
-        Command::Duties(question) => ask("DUTIES", &question),
-        Command::Zones(question) => ask("ZONES", &question),
+        Command::Members(options) => print_status("MEMBERS", &options),
+        Command::Duties(options) => print_status("DUTIES", &options),
+        Command::Zones(options) => print_status("ZONES", &options),
         Command::Version => {
             println!("brackenledge {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/daemon/src/net/admin_endpoint.rs
+++ b/crates/daemon/src/net/admin_endpoint.rs
@@ -2,7 +2,7 @@
 //!
 //! Admin clients are connections on the same event loop as the jobs' clients, so an answer never waits for another
 //! client. A client that sends no whole line is closed after a timeout, or earlier if a newer one needs its place:
-//! the endpoint holds at most `max_clients` connections of [`control::LINE_MOST`] bytes each. The calls are parsed in
+//! the endpoint holds at most `max_clients` connections of [`control::MAX_LINE_BYTES`] bytes each. The calls are parsed in
 //! `protocol::control`; the drain's states are the engine's.
 
 use super::Context;
@@ -11,7 +11,7 @@
 use super::event_loop::{Connection, Flow, Millis, Owner, drive};
 use brackenledge_discovery::Availability;
 use brackenledge_engine::stats::{Gauges, lines};
-use brackenledge_protocol::control::{self, Call, Read, Refusal};
+use brackenledge_protocol::control::{self, Call, LineError, Parsed};
 use mio::net::TcpListener;
 use slab::Slab;
 use std::io::ErrorKind;
@@ -98,18 +98,21 @@
 
     fn on_input(&mut self, cx: &mut Context) -> Flow {
         let input = self.stream.buffer.input();
-        let parsed =
-            if self.replied { Read::Refused(Refusal::SecondLine) } else { control::read(input, false) };
+        let parsed = if self.replied {
+            Parsed::Rejected(LineError::SecondLine)
+        } else {
+            control::parse_line(input, false)
+        };
         let used = input.len();
         match parsed {
-            Read::Partial => return Flow::Keep,
-            Read::Call(call) => {
+            Parsed::Partial => return Flow::Keep,
+            Parsed::Call(call) => {
                 let reply = self.execute(call, cx);
                 self.reply(&reply);
             }
             // A second line after the reply gets no error: nothing follows a reply.
-            Read::Refused(_) if self.replied => {}
-            Read::Refused(refusal) => self.reply(&control::refusal(refusal)),
+            Parsed::Rejected(_) if self.replied => {}
+            Parsed::Rejected(refusal) => self.reply(&control::error_reply(refusal)),
         }
         self.stream.buffer.consume(used);
         Flow::Keep
@@ -122,10 +125,10 @@
         if self.replied || input.is_empty() {
             return;
         }
-        let reply = match control::read(input, true) {
-            Read::Call(call) => self.execute(call, cx),
-            Read::Refused(refusal) => control::refusal(refusal),
-            Read::Partial => return,
+        let reply = match control::parse_line(input, true) {
+            Parsed::Call(call) => self.execute(call, cx),
+            Parsed::Rejected(refusal) => control::error_reply(refusal),
+            Parsed::Partial => return,
         };
         let used = self.stream.buffer.input().len();
         self.stream.buffer.consume(used);
@@ -134,7 +137,7 @@
     }
 
     fn max_input(&self) -> usize {
-        control::LINE_MOST + 1
+        control::MAX_LINE_BYTES + 1
     }
 }
 
@@ -238,7 +241,7 @@
             let client = &mut self.clients[at];
             if !client.replied {
                 // Written if the socket accepts it; either way the connection ends.
-                client.reply(&control::refusal(Refusal::TooSlow));
+                client.reply(&control::error_reply(LineError::TooSlow));
                 let _ = client.stream.flush();
             }
             self.remove(at, cx);
--- a/crates/daemon/src/net/backend/connection.rs
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -6,13 +6,13 @@
 use brackenledge_discovery::EndpointSignal;
 use brackenledge_engine::{DispatchId, Request, Times};
 use brackenledge_policy::{LoadReport, Outcome, WorkerId};
-use brackenledge_protocol::http::{AnswerHead, BODY_MOST, HEAD_MOST};
+use brackenledge_protocol::http::{MAX_BODY_BYTES, MAX_HEAD_BYTES, ResponseHead};
 use mio::net::TcpStream;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// The longest line of a response, in bytes: a body and little else, and JSON may write one byte as six.
-pub(super) const MAX_LINE_LEN: usize = 6 * BODY_MOST + 4 * 1024;
+pub(super) const MAX_LINE_LEN: usize = 6 * MAX_BODY_BYTES + 4 * 1024;
 /// Once a reused connection was reset before it gave one byte back, workers or the network drop idle ones early: for
 /// so long each request has a new connection, which costs a worker a millisecond or two.
 const DISTRUST_DURATION: Millis = 30_000.0;
@@ -34,7 +34,7 @@
     pub(super) is_connecting: bool,
     pub(super) task: Option<Task>,
     /// The head of the response that is being received.
-    pub(super) response_head: Option<AnswerHead>,
+    pub(super) response_head: Option<ResponseHead>,
     pub(super) idle_since: Millis,
     /// It has carried a whole request before.
     pub(super) is_reused: bool,
@@ -198,6 +198,6 @@
     }
 
     fn max_input(&self) -> usize {
-        MAX_LINE_LEN + HEAD_MOST
+        MAX_LINE_LEN + MAX_HEAD_BYTES
     }
 }
--- a/crates/daemon/src/net/backend/response_reader.rs
+++ b/crates/daemon/src/net/backend/response_reader.rs
@@ -6,7 +6,7 @@
 use brackenledge_discovery::EndpointSignal;
 use brackenledge_engine::DispatchId;
 use brackenledge_policy::{LoadReport, Outcome};
-use brackenledge_protocol::http::take_answer_head;
+use brackenledge_protocol::http::take_response_head;
 use brackenledge_protocol::worker::{read_line, read_load, read_load_header};
 
 impl WorkerConnection {
@@ -18,7 +18,7 @@
             return Flow::Close;
         }
         if self.response_head.is_none() {
-            match take_answer_head(&mut self.stream.buffer, MAX_LINE_LEN) {
+            match take_response_head(&mut self.stream.buffer, MAX_LINE_LEN) {
                 Ok(Some(head)) => self.response_head = Some(head),
                 Ok(None) => return Flow::Keep,
                 Err(_) => return Flow::Close,
--- a/crates/daemon/src/net/cluster/mod.rs
+++ b/crates/daemon/src/net/cluster/mod.rs
@@ -84,7 +84,7 @@
         operations: &Operations,
         seed: u64,
     ) -> Result<Cluster, ClusterError> {
-        let directory = operations.state_dir.as_deref();
+        let directory = operations.cluster.state_dir.as_deref();
         let epoch_store = directory.map(|directory| EpochStore::open(directory, ordinal)).transpose()?;
         Ok(Cluster::with_epoch_store(epoch_store, ordinal, cluster_size, operations, seed))
     }
--- a/crates/daemon/src/net/cluster/roles.rs
+++ b/crates/daemon/src/net/cluster/roles.rs
@@ -18,5 +18,5 @@
 
 /// Number of roles. The zone planner, which is the last one, is there only if operators ask for it.
 pub fn count(operations: &Operations) -> Role {
-    if operations.zones.on { ZONE_PLANNER + 1 } else { ZONE_PLANNER }
+    if operations.zones.enabled { ZONE_PLANNER + 1 } else { ZONE_PLANNER }
 }
--- a/crates/daemon/src/net/cluster/settings.rs
+++ b/crates/daemon/src/net/cluster/settings.rs
@@ -11,11 +11,12 @@
 /// The settings of a cluster of this size. All times keep their ratio to the length of the leader's lease.
 pub fn lease_settings(cluster_size: u16, operations: &Operations) -> Settings {
     let default = Settings::new(cluster_size, roles::count(operations));
-    let scaled =
-        |time: Micros| (time as f64 * operations.lease * 1_000.0 / default.lease_duration as f64) as Micros;
+    let scaled = |time: Micros| {
+        (time as f64 * operations.cluster.lease_duration * 1_000.0 / default.lease_duration as f64) as Micros
+    };
     Settings {
-        voters: operations.voters,
-        member_lease_duration: if operations.failover.on { scaled(DEFAULT_MEMBER_LEASE) } else { 0 },
+        voters: operations.cluster.voters,
+        member_lease_duration: if operations.failover.enabled { scaled(DEFAULT_MEMBER_LEASE) } else { 0 },
         lease_duration: scaled(default.lease_duration),
         heartbeat_interval: scaled(default.heartbeat_interval),
         bootstrap_timeout: scaled(default.bootstrap_timeout),
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -6,8 +6,8 @@
 use brackenledge_discovery::{EndpointRecord, Event, RequestEnd, RequestId, RequestKind, readiness_name};
 use brackenledge_policy::Readiness;
 use brackenledge_protocol::config::Endpoint;
-use brackenledge_protocol::http::{AnswerHead, HEAD_MOST, take_answer_head};
-use brackenledge_protocol::list_stream::{ListReader, Piece};
+use brackenledge_protocol::http::{MAX_HEAD_BYTES, ResponseHead, take_response_head};
+use brackenledge_protocol::list_stream::{ListItem, ListReader};
 use mio::net::TcpStream;
 use slab::Slab;
 use slog::{Logger, info, warn};
@@ -66,7 +66,7 @@
     kind: RequestKind,
     connecting: bool,
     /// The response's head, once it has come.
-    head: Option<AnswerHead>,
+    head: Option<ResponseHead>,
     reader: ListReader,
     /// How the request ends if its connection ends now.
     end: RequestEnd,
@@ -81,7 +81,7 @@
 
     /// Takes the response's head from the input; `Flow::Close` if it is no success.
     fn read_head(&mut self, cx: &mut Context) -> Flow {
-        match take_answer_head(&mut self.stream.buffer, MAX_LIST_BYTES) {
+        match take_response_head(&mut self.stream.buffer, MAX_LIST_BYTES) {
             Ok(Some(head)) if head.status == STATUS_OK => {
                 self.head = Some(head);
                 cx.endpoints.handle_response_head(cx.now, self.id);
@@ -102,19 +102,21 @@
         let bytes = head.body.take_all(&mut self.stream.buffer);
         let (now, id, endpoints) = (cx.now, self.id, &mut *cx.endpoints);
         let mut list_complete = false;
-        let read = self.reader.feed(&bytes, |piece| match piece {
-            Piece::Entry(entry) => endpoints.handle_entry(now, id, cx.placement_names.endpoint_record(entry)),
-            Piece::List { index, snapshot } => {
+        let read = self.reader.feed(&bytes, |item| match item {
+            ListItem::Entry(entry) => {
+                endpoints.handle_entry(now, id, cx.placement_names.endpoint_record(entry))
+            }
+            ListItem::List { index, snapshot } => {
                 list_complete = true;
                 endpoints.handle_update(now, id, index, snapshot);
             }
-            Piece::Beat => endpoints.handle_keep_alive(now, id),
+            ListItem::KeepAlive => endpoints.handle_keep_alive(now, id),
         });
         if let Err(error) = read {
-            warn!(cx.log, "discovery_response_invalid"; "error" => error);
+            warn!(cx.log, "discovery_response_invalid"; "error" => %error);
             return self.close(RequestEnd::InvalidResponse);
         }
-        endpoints.handle_bytes(now, id, self.reader.midway());
+        endpoints.handle_bytes(now, id, self.reader.is_mid_list());
         if list_complete && self.kind == RequestKind::Poll {
             return self.close(RequestEnd::Complete);
         }
@@ -151,7 +153,7 @@
     fn on_end(&mut self, _: &mut Context) {}
 
     fn max_input(&self) -> usize {
-        MAX_INPUT_BYTES + HEAD_MOST
+        MAX_INPUT_BYTES + MAX_HEAD_BYTES
     }
 }
 
--- a/crates/daemon/src/net/frontend/connection.rs
+++ b/crates/daemon/src/net/frontend/connection.rs
@@ -7,7 +7,7 @@
 use brackenledge_engine::{Arrival, ClientId};
 use brackenledge_failover::Waiter;
 use brackenledge_policy::JobId;
-use brackenledge_protocol::http::{BODY_MOST, Body, HEAD_MOST};
+use brackenledge_protocol::http::{Body, MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use std::net::Shutdown;
 use std::rc::Rc;
 
@@ -152,8 +152,8 @@
 
     fn max_input(&self) -> usize {
         match self.state {
-            State::ReadingHead => HEAD_MOST + MAX_PIPELINED_INPUT,
-            State::ReadingBody(..) | State::Closing => BODY_MOST + HEAD_MOST,
+            State::ReadingHead => MAX_HEAD_BYTES + MAX_PIPELINED_INPUT,
+            State::ReadingBody(..) | State::Closing => MAX_BODY_BYTES + MAX_HEAD_BYTES,
             State::AwaitingJob(_) | State::AwaitingReplicatedJob(_) => MAX_PIPELINED_INPUT,
         }
     }
--- a/crates/daemon/src/net/frontend/request_reader.rs
+++ b/crates/daemon/src/net/frontend/request_reader.rs
@@ -5,11 +5,11 @@
 use crate::net::event_loop::Millis;
 use brackenledge_engine::{Answer, Arrival};
 use brackenledge_protocol::http::{
-    BODY_MOST, Body, HEAD_MOST, HEADERS_MOST, Malformed, has_bare_line_feed, has_word, header,
+    Body, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, Malformed, has_bare_line_feed, has_token, header,
 };
 
 /// Responses that wait to be written, in bytes, beyond which no further request is read.
-const MAX_BUFFERED_OUTPUT: usize = 2 * BODY_MOST;
+const MAX_BUFFERED_OUTPUT: usize = 2 * MAX_BODY_BYTES;
 
 impl ClientConnection {
     /// Reads requests as far as they have come. It stops at a job: the next request waits for the response.
@@ -69,7 +69,7 @@
         // One byte now and then must not keep an unfinished request for ever: its time runs from the first.
         self.request_began_at.get_or_insert(cx.now);
         self.receiving_since.get_or_insert(self.last_input_at);
-        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut request = httparse::Request::new(&mut headers);
         let head_length = match parse_head(&mut request, input) {
             Ok(Some(length)) => length,
@@ -80,7 +80,7 @@
             }
         };
         self.keep_alive = is_keep_alive(&request);
-        let body = Body::announced(request.headers, false, BODY_MOST);
+        let body = Body::from_headers(request.headers, false, MAX_BODY_BYTES);
         let kind = match self.read_kind(&request) {
             Ok(kind) => kind,
             Err(rejection) => {
@@ -88,7 +88,7 @@
                 return true;
             }
         };
-        let expects_continue = has_word(header(request.headers, "Expect"), "100-continue");
+        let expects_continue = has_token(header(request.headers, "Expect"), "100-continue");
         self.stream.buffer.consume(head_length);
         match body {
             Ok(body) => self.begin_body(kind, body, expects_continue),
@@ -179,8 +179,8 @@
         Ok(httparse::Status::Complete(length)) if has_bare_line_feed(&input[..length]) => {
             Err(Rejection::bad_request("a line ends without a carriage return"))
         }
-        Ok(httparse::Status::Complete(length)) if length <= HEAD_MOST => Ok(Some(length)),
-        Ok(httparse::Status::Partial) if input.len() <= HEAD_MOST => Ok(None),
+        Ok(httparse::Status::Complete(length)) if length <= MAX_HEAD_BYTES => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if input.len() <= MAX_HEAD_BYTES => Ok(None),
         Ok(_) | Err(httparse::Error::TooManyHeaders) => {
             Err(Rejection { status: 431, reason: "the head is too large" })
         }
@@ -192,7 +192,7 @@
 fn is_keep_alive(request: &httparse::Request) -> bool {
     let connection = header(request.headers, "Connection");
     match request.version {
-        Some(1) => !has_word(connection, "close"),
-        _ => has_word(connection, "keep-alive"),
+        Some(1) => !has_token(connection, "close"),
+        _ => has_token(connection, "keep-alive"),
     }
 }
--- a/crates/daemon/src/net/job_failover/tests.rs
+++ b/crates/daemon/src/net/job_failover/tests.rs
@@ -68,8 +68,11 @@
 /// Operators' scripts read these figures: names and order stay.
 #[test]
 fn the_figures_have_these_names() {
-    let options =
-        FailoverOptions { on: true, replicated_classes: vec!["sale".into()], ..FailoverOptions::default() };
+    let options = FailoverOptions {
+        enabled: true,
+        replicated_classes: vec!["sale".into()],
+        ..FailoverOptions::default()
+    };
     let classes = [("view".to_owned(), Effect::Safe), ("sale".to_owned(), Effect::Unsafe)];
     let local = ProcessId { ordinal: 0, incarnation: 1 };
     let failover = JobFailover::new(&options, local, 0, &classes);
--- a/crates/daemon/src/net/peer_socket.rs
+++ b/crates/daemon/src/net/peer_socket.rs
@@ -44,7 +44,7 @@
         let send = |address| {
             let _ = self.socket.send_to(bytes, address);
         };
-        match (to, self.config.all) {
+        match (to, self.config.broadcast) {
             (Some(to), _) => self.config.peers.get(to as usize).copied().into_iter().for_each(send),
             (None, Some(all)) => send(all),
             (None, None) => {
--- a/crates/daemon/src/net/signals.rs
+++ b/crates/daemon/src/net/signals.rs
@@ -1,8 +1,8 @@
 //! Signals: SIGTERM and SIGINT shut the scheduler down, SIGHUP reads the configuration again.
 
-use super::StartError;
 use super::event_loop::Alarm;
 use super::scheduler::{Scheduler, context};
+use crate::error::LoadError;
 use brackenledge_engine::shutdown::Shutdown;
 use brackenledge_protocol::config::Config;
 use mio::net::UnixStream;
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// How the configuration is read again.
-pub type Reload<'a> = &'a dyn Fn() -> Result<Config, StartError>;
+pub type Reload<'a> = &'a dyn Fn() -> Result<Config, LoadError>;
 
 /// The signals that are handled. A handler sets its signal's flag, then writes to the pipe that the poll watches.
 pub(super) struct Signals {
--- a/crates/daemon/src/net/start_error.rs
+++ b/crates/daemon/src/net/start_error.rs
@@ -11,9 +11,6 @@
 /// What stops a scheduler that is not told to shut down.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
-    /// The configuration can't be read, or has an error.
-    #[error("{0}")]
-    Configuration(String),
     /// The poll can't be created or fails.
     #[error("poll: {0}")]
     Poll(#[source] io::Error),
--- a/crates/daemon/src/net/start_error/tests.rs
+++ b/crates/daemon/src/net/start_error/tests.rs
@@ -35,5 +35,4 @@
         StartError::NoLinkAddress.to_string(),
         "handover.links: no address for this scheduler's number"
     );
-    assert_eq!(StartError::Configuration("site.json: wrong".into()).to_string(), "site.json: wrong");
 }
--- a/crates/daemon/src/net/startup.rs
+++ b/crates/daemon/src/net/startup.rs
@@ -19,7 +19,7 @@
 use brackenledge_engine::Core;
 use brackenledge_engine::drain::Drain;
 use brackenledge_policy::Settings;
-use brackenledge_protocol::config::{Config, IDLE_LIMIT, PeerConfig, ServerList};
+use brackenledge_protocol::config::{Config, DEFAULT_IDLE_TIMEOUT, EndpointList, PeerConfig};
 use brackenledge_protocol::operations::Operations;
 use mio::Interest;
 use mio::event::Source;
@@ -90,9 +90,9 @@
         log_serving(&log, &config, &listener, admin.as_mut(), parts.peer.as_ref());
 
         let document = &config.settings;
-        let limits = ConnectionLimits::new(config.sockets, operations.callers_most);
+        let limits = ConnectionLimits::new(config.sockets, operations.control.max_clients);
         let discovery_settings = discovery_settings(&settings, parts.peer.is_some(), config.seed);
-        let idle_limit = document.idle_limit().unwrap_or(IDLE_LIMIT);
+        let idle_limit = document.idle_limit().unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let (job_failover, peer_links) =
             parts.failover.map(|failover| (failover.job_failover, failover.links)).unzip();
         let mut scheduler = Scheduler {
@@ -106,7 +106,7 @@
             placement_names: PlacementNames { zones: document.zone_names(), kinds: document.kind_names() },
             peer: parts.peer,
             admin,
-            drain: Drain::new(operations.takes_work_for),
+            drain: Drain::new(operations.drain.admission_grace),
             cluster: parts.cluster,
             job_failover,
             zones: parts.zones,
@@ -119,13 +119,13 @@
             distrust_until: 0.0,
             log,
         };
-        scheduler.run_first_commands(now, config.known);
+        scheduler.run_first_commands(now, config.cached_endpoints);
         Ok(scheduler)
     }
 
     /// Has the state machines make their first requests. `cached`: the endpoint list that this scheduler had before a
     /// restart; it may be out of date.
-    fn run_first_commands(&mut self, now: Millis, cached: Option<ServerList>) {
+    fn run_first_commands(&mut self, now: Millis, cached: Option<EndpointList>) {
         if let Some(list) = cached {
             let names = &self.placement_names;
             let records =
@@ -174,8 +174,8 @@
     let mut admin = AdminEndpoint::new(
         bind_listener(BoundSocket::AdminEndpoint, address, Sharing::Exclusive)?,
         config.settings.class_names(),
-        operations.callers_most,
-        operations.line_time,
+        operations.control.max_clients,
+        operations.control.line_timeout,
     );
     register(event_loop, admin.listener(), Owner::AdminListener)?;
     Ok(Some(admin))
@@ -224,7 +224,9 @@
     settings: &Settings,
     event_loop: &mut EventLoop,
 ) -> Result<Option<Cluster>, StartError> {
-    let Some(peer) = peer.filter(|peer| operations.tier && peer.cluster_size() > 1) else { return Ok(None) };
+    let Some(peer) = peer.filter(|peer| operations.cluster.enabled && peer.cluster_size() > 1) else {
+        return Ok(None);
+    };
     let cluster = Cluster::new(settings.ordinal, peer.cluster_size(), operations, seed)?;
     event_loop.set_alarm(event_loop.now(), Alarm::Cluster);
     Ok(Some(cluster))
@@ -236,7 +238,7 @@
     settings: &Settings,
     event_loop: &mut EventLoop,
 ) -> Option<ZoneRouting> {
-    if !operations.zones.on {
+    if !operations.zones.enabled {
         return None;
     }
     let zones = ZoneRouting::new(&operations.zones, config.settings.zone_names(), settings);
@@ -252,7 +254,7 @@
     settings: &Settings,
     event_loop: &mut EventLoop,
 ) -> Result<Option<FailoverParts>, StartError> {
-    if !operations.failover.on {
+    if !operations.failover.enabled {
         return Ok(None);
     }
     let addresses = operations.failover.links.clone();
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -13,8 +13,8 @@
 };
 use brackenledge_membership::{Membership, ProcessId, SwimConfig};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
-use brackenledge_protocol::http::{BODY_MOST, Body, Buffer, HEAD_MOST, take_answer_head};
-use brackenledge_protocol::list_stream::{ListReader, Piece};
+use brackenledge_protocol::http::{Body, Buffer, MAX_BODY_BYTES, MAX_HEAD_BYTES, take_response_head};
+use brackenledge_protocol::list_stream::{ListItem, ListReader};
 use brackenledge_protocol::{control, operations::Operations, worker};
 use std::path::Path;
 
@@ -196,7 +196,7 @@
         let mut source = piece;
         while let Ok(1..) = buffer.read_from(&mut source) {}
         if head.is_none() {
-            match take_answer_head(&mut buffer, BODY_MOST) {
+            match take_response_head(&mut buffer, MAX_BODY_BYTES) {
                 Ok(found) => head = found,
                 Err(_) => return,
             }
@@ -213,14 +213,14 @@
             return;
         }
     }
-    assert!(held <= BODY_MOST, "{held} bytes are held");
+    assert!(held <= MAX_BODY_BYTES, "{held} bytes are held");
 }
 
 /// A body behind a head that announced chunks: its content comes out the same however it is cut.
 pub fn chunks(input: &[u8]) {
     let headers = [httparse_header("Transfer-Encoding", b"chunked")];
     let read = |pieces: &[&[u8]]| {
-        let mut body = Body::announced(&headers, false, BODY_MOST).ok()?;
+        let mut body = Body::from_headers(&headers, false, MAX_BODY_BYTES).ok()?;
         let mut buffer = Buffer::default();
         for piece in pieces {
             let mut source = *piece;
@@ -235,7 +235,9 @@
     if let (Some(whole), Some(pieces)) = (read(&[input]), read(&single)) {
         assert_eq!(whole, pieces);
     }
-    assert!(input.len() > HEAD_MOST || read(&[input]).is_none_or(|content| content.len() <= input.len()));
+    assert!(
+        input.len() > MAX_HEAD_BYTES || read(&[input]).is_none_or(|content| content.len() <= input.len())
+    );
 }
 
 fn httparse_header<'a>(name: &'a str, value: &'a [u8]) -> httparse::Header<'a> {
@@ -250,9 +252,9 @@
         for piece in pieces {
             let fed = reader.feed(piece, |piece| {
                 seen.push(match piece {
-                    Piece::Entry(entry) => format!("{} {:?}", entry.name, entry.status),
-                    Piece::List { index, snapshot } => format!("{index} {snapshot}"),
-                    Piece::Beat => "beat".into(),
+                    ListItem::Entry(entry) => format!("{} {:?}", entry.name, entry.status),
+                    ListItem::List { index, snapshot } => format!("{index} {snapshot}"),
+                    ListItem::KeepAlive => "beat".into(),
                 });
             });
             if fed.is_err() {
@@ -270,7 +272,7 @@
 
 /// Lines at the operators' door, and the operators' file.
 pub fn operators(input: &[u8]) {
-    let _ = (control::read(input, false), control::read(input, true));
+    let _ = (control::parse_line(input, false), control::parse_line(input, true));
     if let Ok(text) = std::str::from_utf8(input) {
         let _ = Operations::parse(Path::new("operations.toml"), text);
     }
--- a/crates/protocol/src/config.rs
+++ b/crates/protocol/src/config.rs
@@ -1,14 +1,15 @@
-//! What a scheduler is told: environment and command line first, then the JSON file.
+//! A scheduler's configuration: a JSON file, and what the command line and the environment override in it.
 
+use crate::ConfigError;
 use brackenledge_policy::Millis;
 use brackenledge_policy::settings::SettingsDocument;
 use std::net::SocketAddr;
 use std::path::Path;
 
-/// One line of discovery's list, as JSON has it.
+/// An entry of discovery's endpoint list, as JSON has it.
 #[derive(Clone, Debug, miniserde::Deserialize)]
 pub struct Endpoint {
-    /// The server's name.
+    /// The worker's name.
     pub name: String,
     /// Where it listens.
     pub address: String,
@@ -27,10 +28,10 @@
     pub since_ms: Option<f64>,
 }
 
-/// Discovery's list as it was last.
+/// A cached endpoint list.
 #[derive(Clone, Debug, miniserde::Deserialize)]
-pub struct ServerList {
-    /// Its version.
+pub struct EndpointList {
+    /// Its revision.
     pub index: u64,
     /// Its entries.
     pub endpoints: Vec<Endpoint>,
@@ -53,11 +54,11 @@
     peer_listen: Option<String>,
     peers: Option<Vec<String>>,
     peers_all: Option<String>,
-    known: Option<ServerList>,
+    known: Option<EndpointList>,
     settings: SettingsDocument,
 }
 
-/// What the command line and the environment say over the file.
+/// What the command line and the environment override in the file.
 #[derive(Clone, Debug, Default)]
 pub struct Overrides {
     /// The scheduler's name.
@@ -66,19 +67,19 @@
     pub listen: Option<String>,
     /// Where discovery is.
     pub discovery: Option<String>,
-    /// Where the operators' door listens.
+    /// Where the admin endpoint listens.
     pub control: Option<String>,
 }
 
 /// How schedulers reach one another.
 #[derive(Clone, Debug)]
 pub struct PeerConfig {
-    /// Where messages arrive.
+    /// Where datagrams arrive.
     pub listen: SocketAddr,
-    /// By their numbers in the settings.
+    /// The schedulers' addresses, by their ordinals in the settings.
     pub peers: Vec<SocketAddr>,
-    /// Reaches every scheduler.
-    pub all: Option<SocketAddr>,
+    /// An address that reaches every scheduler, if there is one.
+    pub broadcast: Option<SocketAddr>,
 }
 
 /// The whole configuration.
@@ -90,94 +91,127 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
-    /// What the file itself says of discovery. A new figure there goes before what the program was started
+    /// Discovery's address in the file itself. On a reload a new one takes precedence over what the program was started
     /// with: the environment can't change in a running process.
     pub discovery_in_file: Option<SocketAddr>,
-    /// Where the operators' door listens, if there is one.
+    /// Where the admin endpoint listens, if there is one.
     pub control: Option<SocketAddr>,
-    /// For random numbers.
+    /// Seed of random numbers.
     pub seed: u64,
-    /// Descriptors that the process may hold.
+    /// File descriptors that the process may hold.
     pub sockets: usize,
     /// How other schedulers are reached, where they are.
     pub peer: Option<PeerConfig>,
-    /// The list as it was before the start.
-    pub known: Option<ServerList>,
+    /// The endpoint list as it was before the start.
+    pub cached_endpoints: Option<EndpointList>,
     /// The settings document.
     pub settings: SettingsDocument,
 }
 
 /// Descriptors assumed where no limit is stated.
-const SOCKETS: usize = 1_024;
-/// Fewer descriptors than this leave no room for clients and backend servers.
-const SOCKETS_LEAST: usize = 64;
+const DEFAULT_SOCKETS: usize = 1_024;
+/// Fewer descriptors than this leave no room for clients and workers.
+const MIN_SOCKETS: usize = 64;
 /// Memory, in megabytes, below which no scheduler runs; stated limits are checked for sense only.
-const MEMORY_LEAST: f64 = 16.0;
-/// Time after which idle connections to backend servers are closed where the settings state no limit.
-pub const IDLE_LIMIT: Millis = 10_000.0;
+const MIN_MEMORY_MB: u32 = 16;
+/// Time after which idle connections to workers are closed where the settings state no limit, in milliseconds.
+pub const DEFAULT_IDLE_TIMEOUT: Millis = 10_000.0;
+const DEFAULT_NAME: &str = "scheduler";
+const DEFAULT_SEED: &str = "0";
+const SEED_RADIX: u32 = 16;
 
 impl Config {
-    /// Reads the text of the file at `path` and lays the overrides over it. Every error is one line that names the
-    /// file and what is wrong.
-    pub fn parse(path: &Path, text: &str, over: Overrides) -> Result<Config, String> {
-        let bad = |what: &str| format!("{}: {what}", path.display());
-        let document: Document = miniserde::json::from_str(text).map_err(|_| {
-            bad("not a configuration: broken JSON, or `settings` lacks a field or has a wrong type")
-        })?;
-        let settings = document.settings;
-        if settings.class_names().is_empty() {
-            return Err(bad("settings.classes is empty"));
+    /// Parses the text of the file at `path` and applies the overrides. Every error is one line that names the file
+    /// and what is wrong.
+    pub fn parse(path: &Path, text: &str, overrides: Overrides) -> Result<Config, ConfigError> {
+        let file = || path.to_owned();
+        let document: Document =
+            miniserde::json::from_str(text).map_err(|_| ConfigError::InvalidDocument { file: file() })?;
+        if document.settings.class_names().is_empty() {
+            return Err(ConfigError::NoClasses { file: file() });
         }
-        let limits = document.limits.unwrap_or_default();
-        let sockets = limits.sockets.unwrap_or(SOCKETS);
-        if sockets < SOCKETS_LEAST {
-            return Err(bad(&format!("limits.sockets is {sockets}; {SOCKETS_LEAST} at least")));
-        }
-        if limits.memory_mb.is_some_and(|memory| memory < MEMORY_LEAST) {
-            return Err(bad(&format!("limits.memory_mb is under {MEMORY_LEAST}")));
-        }
-        let seed = document.seed.unwrap_or_else(|| "0".into());
-        let peers = document.peers.unwrap_or_default();
+        let sockets = document.limits.unwrap_or_default().validate(path)?;
         let peer = match document.peer_listen {
             None => None,
-            Some(listen) => Some(PeerConfig {
-                listen: address(&listen, "peer_listen").map_err(|e| bad(&e))?,
-                peers: peers
-                    .iter()
-                    .map(|p| address(p, "peers"))
-                    .collect::<Result<_, _>>()
-                    .map_err(|e| bad(&e))?,
-                all: (document.peers_all.as_deref().map(|all| address(all, "peers_all")).transpose())
-                    .map_err(|e| bad(&e))?,
-            }),
+            Some(listen) => {
+                let peers = document.peers.unwrap_or_default();
+                Some(PeerConfig::parse(path, &listen, &peers, document.peers_all.as_deref())?)
+            }
         };
-        let listen = over.listen.or(document.listen).ok_or_else(|| bad("`listen` is missing"))?;
-        let in_file = document.discovery.as_deref().map(|at| address(at, "discovery")).transpose();
-        let discovery_in_file = in_file.map_err(|e| bad(&e))?;
-        let discovery = match over.discovery {
-            Some(at) => address(&at, "discovery").map_err(|e| bad(&e))?,
-            None => discovery_in_file.ok_or_else(|| bad("`discovery` is missing"))?,
-        };
-        let control = over.control.or(document.control);
-        let control = control.map(|at| address(&at, "control")).transpose().map_err(|e| bad(&e))?;
+        let listen = overrides.listen.or(document.listen);
+        let listen = listen.ok_or_else(|| ConfigError::MissingField { file: file(), field: "listen" })?;
+        let discovery_in_file = parse_optional_address(path, document.discovery.as_deref(), "discovery")?;
+        let discovery = parse_optional_address(path, overrides.discovery.as_deref(), "discovery")?
+            .or(discovery_in_file)
+            .ok_or_else(|| ConfigError::MissingField { file: file(), field: "discovery" })?;
+        let control = overrides.control.or(document.control);
         Ok(Config {
-            control,
-            name: over.name.or(document.name).unwrap_or_else(|| "scheduler".into()),
-            listen: address(&listen, "listen").map_err(|e| bad(&e))?,
+            control: parse_optional_address(path, control.as_deref(), "control")?,
+            name: overrides.name.or(document.name).unwrap_or_else(|| DEFAULT_NAME.into()),
+            listen: parse_address(path, &listen, "listen")?,
             discovery,
             discovery_in_file,
-            seed: u64::from_str_radix(&seed, 16)
-                .map_err(|_| bad(&format!("seed {seed:?} is not hexadecimal")))?,
+            seed: parse_seed(path, document.seed.as_deref().unwrap_or(DEFAULT_SEED))?,
             sockets,
             peer,
-            known: document.known,
-            settings,
+            cached_endpoints: document.known,
+            settings: document.settings,
+        })
+    }
+}
+
+impl LimitsDocument {
+    /// Checks the limits; returns how many descriptors the process may hold.
+    fn validate(&self, path: &Path) -> Result<usize, ConfigError> {
+        let sockets = self.sockets.unwrap_or(DEFAULT_SOCKETS);
+        if sockets < MIN_SOCKETS {
+            return Err(ConfigError::SocketLimitTooLow {
+                file: path.to_owned(),
+                value: sockets,
+                min: MIN_SOCKETS,
+            });
+        }
+        if self.memory_mb.is_some_and(|memory| memory < f64::from(MIN_MEMORY_MB)) {
+            return Err(ConfigError::MemoryLimitTooLow { file: path.to_owned(), min: MIN_MEMORY_MB });
+        }
+        Ok(sockets)
+    }
+}
+
+impl PeerConfig {
+    fn parse(
+        path: &Path,
+        listen: &str,
+        peers: &[String],
+        broadcast: Option<&str>,
+    ) -> Result<PeerConfig, ConfigError> {
+        Ok(PeerConfig {
+            listen: parse_address(path, listen, "peer_listen")?,
+            peers: peers.iter().map(|peer| parse_address(path, peer, "peers")).collect::<Result<_, _>>()?,
+            broadcast: parse_optional_address(path, broadcast, "peers_all")?,
         })
     }
 }
 
-fn address(text: &str, field: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("{field} {text:?} is not an address with a port"))
+fn parse_address(path: &Path, text: &str, field: &'static str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::InvalidAddress {
+        file: path.to_owned(),
+        field,
+        value: text.to_owned(),
+    })
+}
+
+fn parse_optional_address(
+    path: &Path,
+    text: Option<&str>,
+    field: &'static str,
+) -> Result<Option<SocketAddr>, ConfigError> {
+    text.map(|text| parse_address(path, text, field)).transpose()
+}
+
+fn parse_seed(path: &Path, text: &str) -> Result<u64, ConfigError> {
+    u64::from_str_radix(text, SEED_RADIX)
+        .map_err(|_| ConfigError::InvalidSeed { file: path.to_owned(), value: text.to_owned() })
 }
 
 impl std::fmt::Display for Config {
--- /dev/null
+++ b/crates/protocol/src/operations/cluster.rs
@@ -0,0 +1,60 @@
+//! `[tier]`: the cluster of schedulers with its leases.
+
+use super::reader::Key;
+use brackenledge_policy::Millis;
+use std::path::PathBuf;
+
+/// Settings of the cluster.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClusterOptions {
+    /// Whether schedulers agree on members, and on one lease holder for each role.
+    pub enabled: bool,
+    /// Length of the leader's lease, in milliseconds.
+    pub lease_duration: Millis,
+    /// Number of voters on it: 3 or 5.
+    pub voters: usize,
+    /// Directory where each scheduler stores the cluster's latest epoch, if anywhere.
+    pub state_dir: Option<PathBuf>,
+}
+
+impl Default for ClusterOptions {
+    fn default() -> Self {
+        ClusterOptions { enabled: false, lease_duration: 1_500.0, voters: 5, state_dir: None }
+    }
+}
+
+pub(super) const KEYS: &[Key<ClusterOptions>] = &[
+    Key {
+        name: "on",
+        remedy: "true or false",
+        set: |options, entry| {
+            options.enabled = entry.boolean()?;
+            Some(())
+        },
+    },
+    // A fifth of it is the time between two heartbeats; half a minute without a leader is more than anybody wants.
+    Key {
+        name: "lease_ms",
+        remedy: "milliseconds, 500 to 30000",
+        set: |options, entry| {
+            options.lease_duration = entry.number(500.0..=30_000.0)?;
+            Some(())
+        },
+    },
+    Key {
+        name: "voters",
+        remedy: "3 or 5",
+        set: |options, entry| {
+            options.voters = entry.number(3.0..=5.0).filter(|&voters| voters != 4.0)? as usize;
+            Some(())
+        },
+    },
+    Key {
+        name: "state_dir",
+        remedy: "a directory's path, such as \"/var/lib/brackenledge\"",
+        set: |options, entry| {
+            options.state_dir = Some(PathBuf::from(entry.string()?));
+            Some(())
+        },
+    },
+];
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -1,4 +1,4 @@
-//! What workers say: the lines of an answer, and load reports in either of their forms.
+//! What workers send: the lines of a response, and load reports in either of their forms.
 
 use brackenledge_policy::LoadReport;
 
@@ -30,7 +30,7 @@
     }
 }
 
-/// Reads the header form of a report: `TEXT name=value, name=value`. Values that are no numbers are skipped.
+/// Parses the header form of a load report: `TEXT name=value, name=value`. Values that are no numbers are skipped.
 pub fn read_load_header(text: &str) -> LoadReport {
     let mut report = LoadReport::default();
     let pairs = text.trim().trim_start_matches("TEXT").split(',');
@@ -49,7 +49,7 @@
     report
 }
 
-/// One line of a worker's answer, as JSON has it.
+/// One line of a worker's response, as JSON has it.
 #[derive(miniserde::Deserialize)]
 struct LineDocument {
     id: Option<String>,
@@ -59,29 +59,29 @@
     load: Option<LoadDocument>,
 }
 
-/// One line of a worker's answer.
+/// One line of a worker's response.
 #[derive(Debug)]
 pub struct Line {
-    /// The job that it speaks of.
+    /// The job that it is about.
     pub id: Option<String>,
     /// `started`, `running`, `done`, `failed`, `returned` or `lost`.
     pub state: String,
     /// With `running`: the part done, 0 to 1.
     pub share: Option<f64>,
-    /// With `done`: what the client is to be given.
+    /// With `done`: the result for the client.
     pub result: Option<String>,
-    /// The load report that came along.
+    /// The load report in the line.
     pub load: Option<LoadReport>,
 }
 
-/// Reads one line of a worker's answer; `None` where it makes no sense.
+/// Parses one line of a worker's response; `None` if it is not such a line.
 pub fn read_line(line: &[u8]) -> Option<Line> {
     let text = std::str::from_utf8(line).ok()?;
     let LineDocument { id, state, share, result, load } = miniserde::json::from_str(text).ok()?;
     Some(Line { id, state, share, result, load: load.map(LoadReport::from) })
 }
 
-/// Reads the body of an answer to a probe; `None` if it is no report.
+/// Parses the body of a response to a health check; `None` if it is not a load report.
 pub fn read_load(body: &[u8]) -> Option<LoadReport> {
     let text = std::str::from_utf8(body).ok()?;
     miniserde::json::from_str::<LoadDocument>(text).ok().map(LoadReport::from)
--- a/crates/protocol/tests/operations_golden.rs
+++ b/crates/protocol/tests/operations_golden.rs
@@ -5,7 +5,9 @@
 //! that fails here means that a file that was right is refused or read otherwise.
 #![allow(missing_docs)]
 
-use brackenledge_protocol::operations::{FailoverLines, FailoverOptions, Operations, ZoneOptions};
+use brackenledge_protocol::operations::{
+    ClusterOptions, ControlOptions, DrainOptions, FailoverLines, FailoverOptions, Operations, ZoneOptions,
+};
 use std::path::{Path, PathBuf};
 
 const TEXT: &str = r#"[control]
@@ -44,15 +46,16 @@
 #[test]
 fn every_key_of_the_operators_file_is_read_as_this_value() {
     let wanted = Operations {
-        callers_most: 33,
-        line_time: 9_001.0,
-        takes_work_for: 1_202.0,
-        tier: true,
-        lease: 2_303.0,
-        voters: 3,
-        state_dir: Some(PathBuf::from("/var/lib/brackenledge-golden")),
+        control: ControlOptions { max_clients: 33, line_timeout: 9_001.0 },
+        drain: DrainOptions { admission_grace: 1_202.0 },
+        cluster: ClusterOptions {
+            enabled: true,
+            lease_duration: 2_303.0,
+            voters: 3,
+            state_dir: Some(PathBuf::from("/var/lib/brackenledge-golden")),
+        },
         failover: FailoverOptions {
-            on: true,
+            enabled: true,
             links: vec![
                 "10.0.0.1:7100".parse().expect("an address"),
                 "[::1]:7101".parse().expect("an address"),
@@ -64,12 +67,12 @@
             max_bytes: 17 << 20,
             retention: 11_006.0,
             claim_timeout: 5_007.0,
-            lines: FailoverLines { links: 20, covered: 21, refused: 22 },
+            lines: FailoverLines { links: 20, replicated_classes: 21, replication_required: 22 },
         },
         zones: ZoneOptions {
-            on: true,
+            enabled: true,
             regions: vec![vec!["north-a".into(), "north-b".into()], vec!["south".into()]],
-            line: 16,
+            regions_line: 16,
         },
     };
     assert_eq!(Operations::parse(path(), TEXT), Ok(wanted));
@@ -78,15 +81,11 @@
 #[test]
 fn the_defaults_are_these_values() {
     let wanted = Operations {
-        callers_most: 16,
-        line_time: 8_000.0,
-        takes_work_for: 1_500.0,
-        tier: false,
-        lease: 1_500.0,
-        voters: 5,
-        state_dir: None,
+        control: ControlOptions { max_clients: 16, line_timeout: 8_000.0 },
+        drain: DrainOptions { admission_grace: 1_500.0 },
+        cluster: ClusterOptions { enabled: false, lease_duration: 1_500.0, voters: 5, state_dir: None },
         failover: FailoverOptions {
-            on: false,
+            enabled: false,
             links: Vec::new(),
             replicated_classes: Vec::new(),
             replication_required: Vec::new(),
@@ -95,9 +94,9 @@
             max_bytes: 67_108_864,
             retention: 10_000.0,
             claim_timeout: 4_000.0,
-            lines: FailoverLines { links: 0, covered: 0, refused: 0 },
+            lines: FailoverLines { links: 0, replicated_classes: 0, replication_required: 0 },
         },
-        zones: ZoneOptions { on: false, regions: Vec::new(), line: 0 },
+        zones: ZoneOptions { enabled: false, regions: Vec::new(), regions_line: 0 },
     };
     assert_eq!(Operations::parse(path(), ""), Ok(wanted));
 }
