Protocol: the reasons of rejected lines are the error's own text

Cause: LineError had a method for its texts where other errors of the crate have Display. Change: thiserror; the texts are taken over unchanged.

--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -26,37 +26,29 @@
     Zones,
 }
 
-/// Why a line is rejected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Why a line is rejected. Its text is the reason that the reply gives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum LineError {
     /// Longer than [`MAX_LINE_BYTES`].
+    #[error("line too long")]
     TooLong,
     /// Bytes that are not printable ASCII.
+    #[error("line is not plain text")]
     NotText,
     /// Nothing but its end.
+    #[error("empty line")]
     Empty,
     /// A word that names no call.
+    #[error("unknown call")]
     Unknown,
     /// More came after the line.
+    #[error("one call a connection")]
     SecondLine,
     /// The line was not complete in the time given.
+    #[error("no whole line in time")]
     TooSlow,
 }
 
-impl LineError {
-    /// The reason, as the reply gives it.
-    pub fn reason(self) -> &'static str {
-        match self {
-            LineError::TooLong => "line too long",
-            LineError::NotText => "line is not plain text",
-            LineError::Empty => "empty line",
-            LineError::Unknown => "unknown call",
-            LineError::SecondLine => "one call a connection",
-            LineError::TooSlow => "no whole line in time",
-        }
-    }
-}
-
 /// The result of parsing what has arrived on a connection so far.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Parsed {
@@ -107,5 +99,5 @@
 
 /// The reply to a line that is rejected.
 pub fn error_reply(error: LineError) -> String {
-    format!("error {}\n", error.reason())
+    format!("error {error}\n")
 }
