--- a/crates/daemon/src/net/admin_endpoint.rs
+++ b/crates/daemon/src/net/admin_endpoint.rs
@@ -10,7 +10,7 @@
 use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive};
 use brackenledge_discovery::Availability;
-use brackenledge_engine::stats::{Gauges, lines};
+use brackenledge_engine::stats::{Gauges, render_lines};
 use brackenledge_protocol::control::{self, Call, Read, Refusal};
 use mio::net::TcpListener;
 use slab::Slab;
@@ -46,11 +46,11 @@
     fn figures(&self, cx: &Context) -> Vec<String> {
         let Availability { listed, ready } = cx.endpoints.availability();
         let gauges = Gauges {
-            open_requests: cx.core.owed(),
-            registry_entries: listed,
-            out_of_rotation: listed - ready,
+            pending_jobs: cx.engine.pending_jobs(),
+            endpoints: listed,
+            unready_endpoints: listed - ready,
         };
-        let mut figures = lines(cx.core.figures(), &self.class_names, &gauges);
+        let mut figures = render_lines(cx.engine.stats(), &self.class_names, &gauges);
         if let Some(job_failover) = cx.job_failover.as_ref() {
             figures.extend(job_failover.figures(&self.class_names));
         }
--- a/crates/daemon/src/net/backend.rs
+++ b/crates/daemon/src/net/backend.rs
@@ -5,7 +5,7 @@
 use super::discovery::deregister;
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive, push_out};
 use brackenledge_discovery::EndpointSignal;
-use brackenledge_engine::{DispatchId, Request, Times};
+use brackenledge_engine::{AttemptDeadlines, AttemptId, Request};
 use brackenledge_policy::{Effect, LoadReport, Outcome, WorkerId};
 use brackenledge_protocol::http::{AnswerHead, BODY_MOST, HEAD_MOST, take_answer_head};
 use brackenledge_protocol::worker::{read_line, read_load, read_load_header};
@@ -37,7 +37,7 @@
 
 #[derive(Clone)]
 enum Task {
-    Dispatch { id: DispatchId, request: Rc<Request>, times: Times },
+    Dispatch { id: AttemptId, request: Rc<Request>, times: AttemptDeadlines },
     Probe,
 }
 
@@ -79,7 +79,7 @@
                     request.target,
                     self.address,
                     request.id,
-                    (times.until - now).max(1.0),
+                    (times.response_deadline - now).max(1.0),
                     request.body.len()
                 );
                 for (name, value) in
@@ -117,7 +117,7 @@
             && self.written()
         {
             self.relayed = true;
-            cx.core.dispatch_written(*id);
+            cx.engine.attempt_sent(*id);
         }
     }
 
@@ -145,9 +145,9 @@
                     cx.endpoints.handle_signal(cx.now, self.server, signal);
                 }
                 self.tell_zones(outcome, report, cx);
-                cx.core.dispatch_ended(id, outcome, report);
+                cx.engine.attempt_ended(id, outcome, report);
             }
-            Some(Task::Probe) => cx.core.probed(self.server, outcome, report),
+            Some(Task::Probe) => cx.engine.health_check_ended(self.server, outcome, report),
             None => {}
         }
     }
@@ -168,7 +168,7 @@
     }
 
     /// Takes one line of an answer to a dispatch; `Close` where it makes no sense.
-    fn take_line(&mut self, line: &[u8], id: DispatchId, request_id: &str, cx: &mut Context) -> Flow {
+    fn take_line(&mut self, line: &[u8], id: AttemptId, request_id: &str, cx: &mut Context) -> Flow {
         let line = read_line(line);
         // What names another request, or none, is no answer to this one.
         let Some(line) = line.filter(|line| line.id.as_deref() == Some(request_id)) else {
@@ -178,9 +178,9 @@
         match (line.state.as_str(), line.result) {
             ("started", _) => {
                 self.started = cx.now;
-                cx.core.dispatch_started(id);
+                cx.engine.attempt_started(id);
             }
-            ("running", _) => cx.core.dispatch_progress(id, line.share.unwrap_or(0.0)),
+            ("running", _) => cx.engine.attempt_progressed(id, line.share.unwrap_or(0.0)),
             ("done", Some(result)) => {
                 self.task = None;
                 cx.endpoints.handle_signal(cx.now, self.server, EndpointSignal::JobServed);
@@ -188,7 +188,7 @@
                     zones.on_job_served(cx.now - self.started);
                 }
                 self.tell_zones(Outcome::Ok, report, cx);
-                cx.core.dispatch_served(id, result, report);
+                cx.engine.attempt_served(id, result, report);
             }
             // An answer without its result can't be given to the client.
             ("done" | "failed", _) => self.end(Outcome::Error, report, cx),
@@ -287,7 +287,7 @@
         // Much may have changed since the connection was asked for: a server that has been told to drain
         // meanwhile must get nothing new, late work serves nobody, and a repeat has its window. Nothing has been
         // written: it is moot.
-        let late = matches!(&task, Task::Dispatch { times, .. } if cx.now >= times.leave_by);
+        let late = matches!(&task, Task::Dispatch { times, .. } if cx.now >= times.write_deadline);
         if late || !cx.endpoints.is_ready(self.server) {
             self.task = Some(task);
             // Nothing was written: it must not count as relayed.
@@ -327,7 +327,7 @@
     connections: Slab<ServerConnection>,
     /// Idle connections by server, the one used last at the end.
     idle: HashMap<WorkerId, Vec<usize>>,
-    out: HashMap<DispatchId, usize>,
+    out: HashMap<AttemptId, usize>,
     most: usize,
     connect_timeout: Millis,
     idle_time: Millis,
@@ -349,14 +349,14 @@
     /// Starts a dispatch. It ends once, whatever happens.
     pub fn dispatch(
         &mut self,
-        id: DispatchId,
+        id: AttemptId,
         server: WorkerId,
         request: Rc<Request>,
-        times: Times,
+        times: AttemptDeadlines,
         cx: &mut Context,
     ) {
-        if !cx.endpoints.is_ready(server) || cx.now >= times.leave_by {
-            cx.core.dispatch_ended(id, Outcome::Moot, None);
+        if !cx.endpoints.is_ready(server) || cx.now >= times.write_deadline {
+            cx.engine.attempt_ended(id, Outcome::Moot, None);
             return;
         }
         let zone = cx.endpoints.zone(server);
@@ -367,13 +367,13 @@
         match self.carry(task, server, cx) {
             Some(at) => {
                 self.out.insert(id, at);
-                cx.event_loop.set_alarm(times.until, Alarm::Dispatch(id));
-                if times.leave_by < times.until {
-                    cx.event_loop.set_alarm(times.leave_by, Alarm::Leave(id));
+                cx.event_loop.set_alarm(times.response_deadline, Alarm::Dispatch(id));
+                if times.write_deadline < times.response_deadline {
+                    cx.event_loop.set_alarm(times.write_deadline, Alarm::Leave(id));
                 }
                 self.flush(at, cx);
             }
-            None => cx.core.dispatch_ended(id, Outcome::ConnectFailed, None),
+            None => cx.engine.attempt_ended(id, Outcome::ConnectFailed, None),
         }
     }
 
@@ -385,12 +385,12 @@
                 cx.event_loop.set_alarm(cx.now + PROBE_TIME, Alarm::Probe(serial));
                 self.flush(at, cx);
             }
-            None => cx.core.probed(server, Outcome::ConnectFailed, None),
+            None => cx.engine.health_check_ended(server, Outcome::ConnectFailed, None),
         }
     }
 
     /// Gives up a dispatch by closing its connection. What is not wholly written by then never ran.
-    pub fn cancel(&mut self, id: DispatchId, outcome: Outcome, cx: &mut Context) {
+    pub fn cancel(&mut self, id: AttemptId, outcome: Outcome, cx: &mut Context) {
         let Some(&at) = self.out.get(&id) else { return };
         let connection = &mut self.connections[at];
         let outcome = if connection.written() { outcome } else { Outcome::Moot };
@@ -399,14 +399,14 @@
     }
 
     /// Gives up a dispatch whose last byte has not left.
-    pub fn take_back(&mut self, id: DispatchId, cx: &mut Context) {
+    pub fn take_back(&mut self, id: AttemptId, cx: &mut Context) {
         if self.out.get(&id).is_some_and(|&at| !self.connections[at].written()) {
             self.cancel(id, Outcome::Moot, cx);
         }
     }
 
     /// A dispatch has waited as long as it may.
-    pub fn on_dispatch_alarm(&mut self, id: DispatchId, cx: &mut Context) {
+    pub fn on_dispatch_alarm(&mut self, id: AttemptId, cx: &mut Context) {
         self.cancel(id, Outcome::Timeout, cx);
     }
 
@@ -529,7 +529,7 @@
     }
 
     /// Puts a connection where it belongs after a callback; `busy` is the dispatch it carried before.
-    fn after(&mut self, at: usize, busy: Option<DispatchId>, flow: Flow, cx: &mut Context) {
+    fn after(&mut self, at: usize, busy: Option<AttemptId>, flow: Flow, cx: &mut Context) {
         let connection = &self.connections[at];
         let ended = busy.filter(|_| connection.task.is_none());
         if let Some(id) = ended {
@@ -557,7 +557,7 @@
     }
 }
 
-fn dispatch_of(connection: &ServerConnection) -> Option<DispatchId> {
+fn dispatch_of(connection: &ServerConnection) -> Option<AttemptId> {
     match &connection.task {
         Some(Task::Dispatch { id, .. }) => Some(*id),
         _ => None,
--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -5,7 +5,7 @@
 use super::job_failover::{self, Attempt, JobFailover};
 use super::scheduler::{Scheduler, context};
 use brackenledge_discovery::Command as DiscoveryCommand;
-use brackenledge_engine::{Arrival, Command};
+use brackenledge_engine::{Command, JobRequest};
 use brackenledge_failover::{Command as FailoverCommand, JobKey, JobOutcome, PriorExecution, Waiter};
 use brackenledge_policy::Outcome;
 use slog::info;
@@ -22,7 +22,7 @@
                 self.execute_discovery_command(command);
             } else if let Some(command) = self.job_failover.as_mut().and_then(JobFailover::poll_command) {
                 self.execute_failover_command(command);
-            } else if let Some(command) = self.core.poll_command(self.event_loop.now()) {
+            } else if let Some(command) = self.engine.poll_command(self.event_loop.now()) {
                 self.execute_engine_command(command);
             } else {
                 break;
@@ -44,7 +44,7 @@
             DiscoveryCommand::CancelRequest { request } => self.discovery.cancel_request(request, cx),
             DiscoveryCommand::SendMessage { to, text } => self.send_to_peers(Some(to), &text),
             DiscoveryCommand::UpdateEndpoints { kind, entries } => {
-                cx.core.servers(kind, entries.into_iter().map(|update| update.0).collect());
+                cx.engine.update_workers(kind, entries.into_iter().map(|update| update.0).collect());
             }
             DiscoveryCommand::Event(event) => discovery::log_event(&self.log, event),
         }
@@ -61,21 +61,21 @@
             }
             FailoverCommand::PermitAttempt { key, attempt } => {
                 if let Some(attempt) = job_failover.release_attempt(&key, attempt) {
-                    let Attempt { id, worker, request, times } = attempt;
-                    self.backend.dispatch(id, worker, request, times, cx);
+                    let Attempt { id, worker, request, deadlines } = attempt;
+                    self.backend.dispatch(id, worker, request, deadlines, cx);
                 }
             }
             FailoverCommand::AttemptExpired { key, attempt } => {
                 if let Some(id) = job_failover.drop_attempt(&key, attempt) {
-                    cx.core.dispatch_ended(id, Outcome::Moot, None);
+                    cx.engine.attempt_ended(id, Outcome::Moot, None);
                 }
             }
             FailoverCommand::Revoke { key } => {
                 if let Some(job) = job_failover.revoke(&key) {
                     for attempt in job.held_attempts {
-                        cx.core.dispatch_ended(attempt, Outcome::Moot, None);
+                        cx.engine.attempt_ended(attempt, Outcome::Moot, None);
                     }
-                    cx.core.client_gone(job.id);
+                    cx.engine.abandon_job(job.id);
                 }
             }
             FailoverCommand::Answer { waiters, outcome } => self.answer_waiters(waiters, &outcome),
@@ -84,7 +84,12 @@
     }
 
     /// Hands a job of the failover state machine to the engine.
-    fn start_failover_job(&mut self, key: JobKey, arrival: Option<Arrival>, prior: Option<PriorExecution>) {
+    fn start_failover_job(
+        &mut self,
+        key: JobKey,
+        arrival: Option<JobRequest>,
+        prior: Option<PriorExecution>,
+    ) {
         let cx = &mut context!(self);
         let Some(job_failover) = cx.job_failover.as_mut() else { return };
         let worker = prior.as_ref().map(|prior| cx.endpoints.find(&prior.worker));
@@ -95,7 +100,7 @@
         }
         let prior_attempt = worker.flatten().zip(prior).map(|(worker, prior)| (worker, prior.max_age));
         let arrival = arrival.map(|arrival| job_failover::with_prior_attempt(arrival, prior_attempt));
-        match arrival.and_then(|arrival| cx.core.job_arrived(cx.now, arrival)) {
+        match arrival.and_then(|arrival| cx.engine.submit_job(cx.now, arrival)) {
             Some(job) => job_failover.job_admitted(key, job),
             // Its request's id is open here: it may be submitted again.
             None => {
@@ -126,27 +131,27 @@
                     self.frontend.answer(client, job, answer, cx);
                 }
             }
-            Command::Dispatch { id, worker, request, times } => {
-                self.start_attempt(Attempt { id, worker, request, times });
+            Command::StartAttempt { id, worker, request, deadlines } => {
+                self.start_attempt(Attempt { id, worker, request, deadlines });
             }
-            Command::Ended { id, never_ran } => {
+            Command::AttemptEnded { id, never_ran } => {
                 if let Some(job_failover) = cx.job_failover {
                     job_failover.attempt_ended(id, never_ran);
                 }
             }
-            Command::Cancel { id } | Command::TakeBack { id }
+            Command::CancelAttempt { id } | Command::WithdrawAttempt { id }
                 if cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.cancel_attempt(id)) =>
             {
-                cx.core.dispatch_ended(id, Outcome::Moot, None);
+                cx.engine.attempt_ended(id, Outcome::Moot, None);
             }
-            Command::Cancel { id } => self.backend.cancel(id, Outcome::Cancelled, cx),
-            Command::TakeBack { id } => self.backend.take_back(id, cx),
-            Command::Wake { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
-            Command::Watch { on } => cx.endpoints.set_watching(cx.now, on),
-            Command::FetchList => cx.endpoints.request_poll(cx.now),
-            Command::Probe { worker } => self.backend.probe(worker, cx),
-            Command::Tell { to, text } => self.send_to_peers(to, &text),
-            Command::CloseIdle { worker } => self.backend.close_idle(worker, cx),
+            Command::CancelAttempt { id } => self.backend.cancel(id, Outcome::Cancelled, cx),
+            Command::WithdrawAttempt { id } => self.backend.take_back(id, cx),
+            Command::SetTimer { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
+            Command::WatchEndpoints { on } => cx.endpoints.set_watching(cx.now, on),
+            Command::PollEndpoints => cx.endpoints.request_poll(cx.now),
+            Command::HealthCheck { worker } => self.backend.probe(worker, cx),
+            Command::SendMessage { to, text } => self.send_to_peers(to, &text),
+            Command::CloseIdleConnections { worker } => self.backend.close_idle(worker, cx),
             Command::Log(text) => info!(self.log, "policy"; "message" => text),
         }
     }
@@ -161,8 +166,8 @@
             }
             None => Some(attempt),
         };
-        if let Some(Attempt { id, worker, request, times }) = permitted {
-            self.backend.dispatch(id, worker, request, times, cx);
+        if let Some(Attempt { id, worker, request, deadlines }) = permitted {
+            self.backend.dispatch(id, worker, request, deadlines, cx);
         }
     }
 
--- a/crates/daemon/src/net/counters.rs
+++ b/crates/daemon/src/net/counters.rs
@@ -6,7 +6,8 @@
 impl Scheduler<'_> {
     /// Logs the counters since the start as this event.
     pub(super) fn log_counters(&self, event: &'static str) {
-        let jobs = self.core.counts();
+        let stats = self.engine.stats();
+        let jobs = stats.totals();
         let discovery = self.endpoints.counts();
         info!(self.log, "{}", event;
             "peers_first" => discovery.first_reported_by_peer,
@@ -16,10 +17,10 @@
             "calls" => discovery.requests,
             "servers" => self.endpoints.len(),
             "list" => self.endpoints.revision().unwrap_or(0),
-            "owed" => self.core.owed(),
-            "gone" => jobs.gone,
+            "owed" => self.engine.pending_jobs(),
+            "gone" => stats.abandoned,
             "failed" => jobs.failed,
-            "denied" => jobs.denied,
+            "denied" => jobs.rejected,
             "served" => jobs.served);
     }
 }
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use brackenledge_engine::DispatchId;
+use brackenledge_engine::AttemptId;
 
 pub use brackenledge_policy::Millis;
 
@@ -36,9 +36,9 @@
     /// The policy asked to be woken.
     Wake,
     /// A dispatch has waited as long as it may.
-    Dispatch(DispatchId),
+    Dispatch(AttemptId),
     /// A dispatch whose last byte has not left by now must not leave any more.
-    Leave(DispatchId),
+    Leave(AttemptId),
     /// A connection to a backend server has had the time that it may take to come up.
     Connect(u64),
     /// The last byte of a request may be written.
--- a/crates/daemon/src/net/events.rs
+++ b/crates/daemon/src/net/events.rs
@@ -68,7 +68,7 @@
     pub(super) fn on_alarm(&mut self, alarm: Alarm) {
         let cx = &mut context!(self);
         match alarm {
-            Alarm::Wake => cx.core.wake(),
+            Alarm::Wake => cx.engine.handle_timeout(),
             Alarm::Dispatch(id) => self.backend.on_dispatch_alarm(id, cx),
             Alarm::Leave(id) => self.backend.take_back(id, cx),
             Alarm::Connect(serial) => self.backend.on_connect_alarm(serial, cx),
@@ -85,7 +85,7 @@
             Alarm::ZoneRouting => self.on_zone_routing_alarm(),
             Alarm::JobFailover => self.on_job_failover_alarm(),
             Alarm::Shutdown => self.on_shutdown_alarm(),
-            Alarm::AnswerAll => cx.core.give_up_all(self.frontend.retry_after()),
+            Alarm::AnswerAll => cx.engine.fail_pending(self.frontend.retry_after()),
         }
     }
 
@@ -109,7 +109,7 @@
         let (Some(cluster), Some(peer)) = (cx.cluster.as_mut(), &self.peer) else { return };
         let wait = cluster.handle_timeout(peer, cx.log);
         if let Some(active_members) = cluster.active_members_changed() {
-            cx.core.living(active_members);
+            cx.engine.set_active_schedulers(active_members);
         }
         if let Some(job_failover) = cx.job_failover.as_mut() {
             job_failover.sync(cluster);
@@ -123,9 +123,9 @@
         else {
             return;
         };
-        let route_costs = zones.handle_timeout(cx.now, cluster, peer, cx.core, cx.endpoints, cx.log);
+        let route_costs = zones.handle_timeout(cx.now, cluster, peer, cx.engine, cx.endpoints, cx.log);
         if let Some(route_costs) = route_costs {
-            cx.core.zones(route_costs);
+            cx.engine.set_zone_costs(route_costs);
         }
         cx.event_loop.set_alarm(cx.now + zone_routing::TICK_INTERVAL, Alarm::ZoneRouting);
     }
--- a/crates/daemon/src/net/frontend.rs
+++ b/crates/daemon/src/net/frontend.rs
@@ -4,7 +4,7 @@
 use super::buffered_stream::BufferedStream;
 use super::discovery::deregister;
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive};
-use brackenledge_engine::{Answer, Arrival, ClientId, Request};
+use brackenledge_engine::{Answer, ClientId, JobRequest, Request};
 use brackenledge_failover::Waiter;
 use brackenledge_policy::settings::SettingsDocument;
 use brackenledge_policy::{Effect, JobId, NewJob, Settings};
@@ -69,7 +69,7 @@
         method: &str,
         target: &str,
         headers: &[httparse::Header],
-    ) -> Result<Arrival, Reject> {
+    ) -> Result<JobRequest, Reject> {
         if method != "POST" {
             return Err((405, "jobs arrive by POST"));
         }
@@ -128,7 +128,7 @@
             is_retry: header(headers, "X-Second-Try") == Some("1"),
             ran: None,
         };
-        Ok(Arrival {
+        Ok(JobRequest {
             client,
             job,
             request: Request {
@@ -138,7 +138,7 @@
                 content_type: only("Content-Type")?.map(str::to_owned),
                 body: Vec::new(),
                 effect: self.effects[class],
-                watched: false,
+                reports_attempts: false,
             },
         })
     }
@@ -148,7 +148,7 @@
 
 /// What a head announced.
 enum Awaited {
-    Job(Box<Arrival>),
+    Job(Box<JobRequest>),
     Up,
 }
 
@@ -157,7 +157,7 @@
     Head,
     /// In its body.
     Body(Awaited, Body),
-    /// The core has its job.
+    /// The engine has its job.
     Job(JobId),
     /// Its job is covered, and may live elsewhere.
     Covered(Waiter),
@@ -277,7 +277,7 @@
     /// Its job, if one is open, is owed nothing any more.
     fn leave(&self, cx: &mut Context) {
         match (&self.state, &mut *cx.job_failover) {
-            (State::Job(job), _) => cx.core.client_gone(*job),
+            (State::Job(job), _) => cx.engine.abandon_job(*job),
             (State::Covered(waiter), Some(job_failover)) => job_failover.client_disconnected(*waiter),
             _ => {}
         }
@@ -364,8 +364,8 @@
                     || !cx.drain.admits_jobs(cx.now)
                     || cx.time_left() == 0.0 =>
             {
-                cx.core.refused_at_door(arrival.job.class);
-                self.give(Answer::Denied { retry_after: self.rules.retry_after }, cx);
+                cx.engine.rejected_at_admission(arrival.job.class);
+                self.give(Answer::Rejected { retry_after: self.rules.retry_after }, cx);
             }
             Awaited::Job(mut arrival) => {
                 arrival.request.body = body;
@@ -376,7 +376,7 @@
                     self.state = State::Covered(job_failover.submit(*arrival));
                     return;
                 }
-                match cx.core.job_arrived(cx.now, *arrival) {
+                match cx.engine.submit_job(cx.now, *arrival) {
                     Some(job) => self.state = State::Job(job),
                     None => self.reject((409, "a job with this X-Trace-Id is open"), cx),
                 }
@@ -388,10 +388,10 @@
     fn give(&mut self, answer: Answer, cx: &Context) {
         match answer {
             Answer::Served(result) => self.answer(200, "", result.as_bytes(), cx),
-            Answer::Denied { retry_after: Some(wait) } => {
+            Answer::Rejected { retry_after: Some(wait) } => {
                 self.answer(503, &format!("Retry-After: {:.3}\r\n", wait / 1_000.0), b"", cx);
             }
-            Answer::Denied { retry_after: None } => self.answer(503, "", b"", cx),
+            Answer::Rejected { retry_after: None } => self.answer(503, "", b"", cx),
             Answer::Failed => self.answer(502, "", b"", cx),
         }
     }
--- a/crates/daemon/src/net/job_failover/mod.rs
+++ b/crates/daemon/src/net/job_failover/mod.rs
@@ -20,7 +20,7 @@
 use self::sessions::PeerSessions;
 use super::cluster::{Cluster, micros};
 use super::event_loop::Millis;
-use brackenledge_engine::{Answer, Arrival, ClientId, DispatchId};
+use brackenledge_engine::{Answer, AttemptId, ClientId, JobRequest};
 use brackenledge_failover::{
     Command, Failover, JobKey, JobOutcome, JobSubmission, Micros, ProcessId, Settings, Waiter,
 };
@@ -45,7 +45,7 @@
     /// Its number in the engine.
     pub id: JobId,
     /// Its attempts that have not left yet.
-    pub held_attempts: Vec<DispatchId>,
+    pub held_attempts: Vec<AttemptId>,
 }
 
 /// The driver of the failover state machine.
@@ -60,7 +60,7 @@
     jobs: HashMap<JobKey, JobId>,
     keys: HashMap<JobId, JobKey>,
     /// Attempts that wait for acknowledgement.
-    held_attempts: HashMap<DispatchId, HeldAttempt>,
+    held_attempts: HashMap<AttemptId, HeldAttempt>,
     clients: HashMap<Waiter, ClientId>,
     last_waiter: Waiter,
     /// Frames that violated the protocol.
@@ -140,7 +140,7 @@
     }
 
     /// Whether a job that a client submits is to be replicated.
-    pub fn handles(&self, arrival: &Arrival) -> bool {
+    pub fn handles(&self, arrival: &JobRequest) -> bool {
         arrival.request.idempotency_key.is_some() && self.options_of(arrival.job.class).is_some()
     }
 
@@ -149,8 +149,8 @@
     }
 
     /// A client submits a job, for the first time or again.
-    pub fn submit(&mut self, arrival: Arrival) -> Waiter {
-        let Arrival { client, job, request } = arrival;
+    pub fn submit(&mut self, arrival: JobRequest) -> Waiter {
+        let JobRequest { client, job, request } = arrival;
         self.last_waiter += 1;
         let waiter = self.last_waiter;
         self.clients.insert(waiter, client);
@@ -189,7 +189,7 @@
     }
 
     /// The job as the engine takes it; `None`: its payload can't be decoded.
-    pub fn decode_job(&self, key: &JobKey, payload: &[u8], deadline: Micros) -> Option<Arrival> {
+    pub fn decode_job(&self, key: &JobKey, payload: &[u8], deadline: Micros) -> Option<JobRequest> {
         let effect = self.options_of(usize::from(key.class)).map(|options| options.effect);
         let context = JobContext {
             class: key.class,
@@ -199,7 +199,7 @@
             time_left: to_millis(deadline.saturating_sub(micros())),
         };
         let (job, request) = ReplicatedJob::decode(payload).ok()?.into_engine_job(&context);
-        Some(Arrival { client: NO_CLIENT, job, request })
+        Some(JobRequest { client: NO_CLIENT, job, request })
     }
 
     /// The engine has taken the job under this number.
@@ -219,7 +219,7 @@
         self.jobs.remove(&key);
         let outcome = match answer {
             Answer::Served(result) => JobOutcome::Served(Arc::from(result.as_bytes())),
-            Answer::Denied { retry_after } => {
+            Answer::Rejected { retry_after } => {
                 JobOutcome::Rejected(retry_after.map(|wait| wait.ceil() as u32))
             }
             Answer::Failed => JobOutcome::Failed,
@@ -232,8 +232,8 @@
     pub fn revoke(&mut self, key: &JobKey) -> Option<EngineJob> {
         let id = self.jobs.remove(key)?;
         self.keys.remove(&id);
-        let held_attempts: Vec<DispatchId> =
-            self.held_attempts.keys().copied().filter(|attempt| attempt.0 == id).collect();
+        let held_attempts: Vec<AttemptId> =
+            self.held_attempts.keys().copied().filter(|attempt| attempt.job == id).collect();
         for attempt in &held_attempts {
             self.held_attempts.remove(attempt);
         }
@@ -242,7 +242,7 @@
 }
 
 /// Adds the attempt of an earlier owner to a job that the engine takes: its worker, and its greatest age.
-pub fn with_prior_attempt(mut arrival: Arrival, prior: Option<(WorkerId, Micros)>) -> Arrival {
+pub fn with_prior_attempt(mut arrival: JobRequest, prior: Option<(WorkerId, Micros)>) -> JobRequest {
     arrival.job.ran = prior.map(|(worker, max_age)| (worker, to_millis(max_age)));
     arrival
 }
@@ -251,7 +251,7 @@
 pub fn answer_of(outcome: &JobOutcome) -> Answer {
     match outcome {
         JobOutcome::Served(result) => Answer::Served(String::from_utf8_lossy(result).into_owned()),
-        JobOutcome::Rejected(wait) => Answer::Denied { retry_after: wait.map(f64::from) },
+        JobOutcome::Rejected(wait) => Answer::Rejected { retry_after: wait.map(f64::from) },
         JobOutcome::Failed => Answer::Failed,
     }
 }
--- a/crates/daemon/src/net/job_failover/replicated_job.rs
+++ b/crates/daemon/src/net/job_failover/replicated_job.rs
@@ -76,7 +76,7 @@
             content_type: self.content_type,
             body: self.body,
             effect: context.effect,
-            watched: true,
+            reports_attempts: true,
         };
         (job, request)
     }
--- a/crates/daemon/src/net/peer_dispatch.rs
+++ b/crates/daemon/src/net/peer_dispatch.rs
@@ -18,7 +18,7 @@
 
 fn dispatch_cluster_payload(from: u32, received: Received, cx: &mut Context) {
     match (received, &mut *cx.zones) {
-        (Received::AggregatedLoads(text), _) => cx.core.message(from, text),
+        (Received::AggregatedLoads(text), _) => cx.engine.handle_message(from, text),
         (Received::ZonePlan(bytes), Some(zones)) => zones.handle_plan(cx.now, &bytes),
         (Received::ZoneReport(bytes), Some(zones)) => zones.handle_report(cx.now, from as u16, &bytes),
         _ => {}
@@ -29,6 +29,6 @@
 fn dispatch_text(from: u32, datagram: &[u8], cx: &mut Context) {
     let Ok(text) = std::str::from_utf8(datagram) else { return };
     if !cx.endpoints.handle_message(cx.now, from, text) {
-        cx.core.message(from, text.to_owned());
+        cx.engine.handle_message(from, text.to_owned());
     }
 }
--- a/crates/daemon/src/net/scheduler.rs
+++ b/crates/daemon/src/net/scheduler.rs
@@ -12,7 +12,7 @@
 use super::signals::{Reload, Signals};
 use super::zone_routing::ZoneRouting;
 use brackenledge_discovery::EndpointDirectory;
-use brackenledge_engine::Core;
+use brackenledge_engine::Engine;
 use brackenledge_engine::drain::Drain;
 use brackenledge_engine::shutdown::Shutdown;
 use slog::Logger;
@@ -24,7 +24,7 @@
 /// What a callback of a connection may reach of the scheduler.
 pub struct Context<'a> {
     pub(super) now: Millis,
-    pub(super) core: &'a mut Core,
+    pub(super) engine: &'a mut Engine,
     pub(super) endpoints: &'a mut EndpointDirectory,
     pub(super) placement_names: &'a PlacementNames,
     pub(super) event_loop: &'a mut EventLoop,
@@ -46,7 +46,7 @@
 impl Context<'_> {
     /// Jobs that clients wait for here.
     pub(super) fn held(&self) -> usize {
-        self.core.owed() + self.job_failover.as_ref().map_or(0, JobFailover::waiting_clients)
+        self.engine.pending_jobs() + self.job_failover.as_ref().map_or(0, JobFailover::waiting_clients)
     }
 
     /// Whether the graceful shutdown is so far that each connection closes with its answer.
@@ -65,7 +65,7 @@
 /// Invariant: after each event and alarm, `settle` has carried out all commands of the state machines.
 pub(super) struct Scheduler<'a> {
     pub(super) event_loop: EventLoop,
-    pub(super) core: Core,
+    pub(super) engine: Engine,
     pub(super) endpoints: EndpointDirectory,
     pub(super) placement_names: PlacementNames,
     pub(super) frontend: Frontend,
@@ -100,7 +100,7 @@
     ($scheduler:ident) => {
         $crate::net::scheduler::Context {
             now: $scheduler.event_loop.now(),
-            core: &mut $scheduler.core,
+            engine: &mut $scheduler.engine,
             endpoints: &mut $scheduler.endpoints,
             placement_names: &$scheduler.placement_names,
             event_loop: &mut $scheduler.event_loop,
@@ -144,7 +144,7 @@
     }
 
     fn has_pending_work(&self) -> bool {
-        self.core.owed() > 0 || self.frontend.busy()
+        self.engine.pending_jobs() > 0 || self.frontend.busy()
     }
 
     /// Whether all that other schedulers need to know of this one's jobs has been sent.
--- a/crates/daemon/src/net/startup.rs
+++ b/crates/daemon/src/net/startup.rs
@@ -16,7 +16,7 @@
 use super::start_error::{BoundSocket, StartError};
 use super::zone_routing::{self, ZoneRouting};
 use brackenledge_discovery::{DiscoverySettings, EndpointDirectory};
-use brackenledge_engine::Core;
+use brackenledge_engine::Engine;
 use brackenledge_engine::drain::Drain;
 use brackenledge_policy::Settings;
 use brackenledge_protocol::config::{Config, IDLE_LIMIT, PeerConfig, ServerList};
@@ -100,7 +100,7 @@
             backend: Backend::new(limits.workers, settings.connect_timeout, idle_limit),
             discovery: DiscoveryConnections::new(config.discovery),
             max_deadline: settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max),
-            core: Core::new(now, settings, config.seed),
+            engine: Engine::new(now, settings, config.seed),
             event_loop,
             endpoints: EndpointDirectory::new(now, discovery_settings),
             placement_names: PlacementNames { zones: document.zone_names(), kinds: document.kind_names() },
@@ -133,7 +133,7 @@
             self.endpoints.load_cached(now, list.index, records);
         }
         self.endpoints.handle_timeout(now);
-        self.core.wake();
+        self.engine.handle_timeout();
         self.settle();
     }
 }
--- a/crates/daemon/src/net/zone_routing.rs
+++ b/crates/daemon/src/net/zone_routing.rs
@@ -21,7 +21,7 @@
 use super::event_loop::Millis;
 use super::peer_socket::PeerSocket;
 use brackenledge_discovery::EndpointDirectory;
-use brackenledge_engine::Core;
+use brackenledge_engine::Engine;
 use brackenledge_leases::Term;
 use brackenledge_policy::{LoadReport, Outcome, WorkerId};
 use brackenledge_protocol::operations::ZoneOptions;
@@ -138,12 +138,12 @@
         now: Millis,
         cluster: &mut Cluster,
         peer: &PeerSocket,
-        core: &Core,
+        engine: &Engine,
         endpoints: &EndpointDirectory,
         log: &Logger,
     ) -> Option<Vec<f64>> {
         if now >= self.observations.interval_start() + REPORT_INTERVAL {
-            self.report(now, cluster, peer, core, endpoints);
+            self.report(now, cluster, peer, engine, endpoints);
         }
         self.lead(now, cluster, peer, log);
         let route_costs = self.update_route_costs(now, log);
@@ -160,10 +160,10 @@
         now: Millis,
         cluster: &mut Cluster,
         peer: &PeerSocket,
-        core: &Core,
+        engine: &Engine,
         endpoints: &EndpointDirectory,
     ) {
-        let observed = self.observations.take_report(now, core.arrived_slots(), endpoints);
+        let observed = self.observations.take_report(now, engine.submitted_slots(), endpoints);
         let (Some(observed), Some(leader)) = (observed, cluster.role_holder(ZONE_PLANNER)) else { return };
         let report = ZoneReport { zone: self.local_zone as u8, observed };
         if leader == cluster.me() {
--- /dev/null
+++ b/crates/engine/src/job.rs
@@ -0,0 +1,169 @@
+//! One job's life.
+//!
+//! | state | event | next |
+//! | --- | --- | --- |
+//! | (none) | a frontend submits it; the decision module queues it | `Pending` |
+//! | `Pending` | the decision module starts an attempt | `Pending`, with an attempt in flight |
+//! | `Pending` | an attempt is served, it is rejected or it fails | `Answered` |
+//! | `Pending` | its client disconnects | `Answered`, without an answer |
+//! | `Answered` | its last attempt in flight ends | forgotten |
+//!
+//! An attempt's own states are in [`crate::attempt`].
+
+use crate::attempt::{Attempt, AttemptDeadlines};
+use crate::stats::JobEnd;
+use brackenledge_policy::{Effect, Millis, NewJob};
+use std::rc::Rc;
+
+/// A client as its frontend knows it.
+pub type ClientId = usize;
+
+/// What a worker is told of a job; the engine only passes it on.
+#[derive(Debug)]
+pub struct Request {
+    /// The client's id of it, unique among open jobs.
+    pub id: String,
+    /// The path and query it was sent to.
+    pub target: String,
+    /// By which workers recognise retries.
+    pub idempotency_key: Option<String>,
+    /// The body's type.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// What a second execution would do.
+    pub effect: Effect,
+    /// Each attempt's end is reported, with [`Command::AttemptEnded`](crate::Command::AttemptEnded).
+    pub reports_attempts: bool,
+}
+
+/// A job as a frontend submits it.
+pub struct JobRequest {
+    /// Who submitted it.
+    pub client: ClientId,
+    /// What the decision module is told; the engine assigns its id.
+    pub job: NewJob,
+    /// What the worker is told.
+    pub request: Request,
+}
+
+/// A job's final answer.
+#[derive(Debug)]
+pub enum Answer {
+    /// A worker's result.
+    Served(String),
+    /// Rejected: a retry by the client is harmless.
+    Rejected {
+        /// How long the client should wait before it.
+        retry_after: Option<Millis>,
+    },
+    /// Failed: the job may have run or not.
+    Failed,
+}
+
+impl Answer {
+    /// The end that the statistics count.
+    pub(crate) fn job_end(&self) -> JobEnd {
+        match self {
+            Answer::Served(_) => JobEnd::Served,
+            Answer::Rejected { .. } => JobEnd::Rejected,
+            Answer::Failed => JobEnd::Failed,
+        }
+    }
+}
+
+/// Whether a job's client still waits.
+#[derive(Clone, Copy, PartialEq)]
+enum JobState {
+    /// It has no answer yet, and its client waits.
+    Pending,
+    /// It has its answer, or its client is gone.
+    Answered,
+}
+
+/// A job that the engine holds.
+pub(crate) struct Job {
+    pub(crate) client: ClientId,
+    /// Its class's number in the settings.
+    pub(crate) class: usize,
+    pub(crate) request: Rc<Request>,
+    deadline: Millis,
+    state: JobState,
+    attempts: Vec<Attempt>,
+}
+
+impl Job {
+    /// A pending job. An attempt that another scheduler made counts as its first.
+    pub(crate) fn new(now: Millis, client: ClientId, job: &NewJob, request: Request) -> Self {
+        let earlier = job.ran.iter().map(|&(_, age)| Attempt::of_earlier_scheduler(now - age));
+        Job {
+            client,
+            class: job.class,
+            request: Rc::new(request),
+            deadline: now + job.time_left,
+            state: JobState::Pending,
+            attempts: earlier.collect(),
+        }
+    }
+
+    pub(crate) fn is_pending(&self) -> bool {
+        self.state == JobState::Pending
+    }
+
+    /// Its client has its answer, or waits no more.
+    pub(crate) fn mark_answered(&mut self) {
+        self.state = JobState::Answered;
+    }
+
+    /// Whether nothing more can happen to it.
+    pub(crate) fn is_finished(&self) -> bool {
+        !self.is_pending() && !self.has_attempt_in_flight()
+    }
+
+    /// Starts an attempt; its number and deadlines. Retries are written within `retry_window` of the first attempt that may
+    /// run the job. A `timeout` of 0 is none.
+    pub(crate) fn start_attempt(
+        &mut self,
+        now: Millis,
+        timeout: Option<Millis>,
+        retry_window: Millis,
+    ) -> (usize, AttemptDeadlines) {
+        let attempt = self.attempts.len();
+        let window_end =
+            self.first_possible_run().map_or(f64::INFINITY, |started_at| started_at + retry_window);
+        let timeout = timeout.filter(|&timeout| timeout != 0.0);
+        let response_deadline = timeout.map_or(self.deadline, |timeout| (now + timeout).min(self.deadline));
+        self.attempts.push(Attempt::start(now));
+        let write_deadline = response_deadline.min(window_end);
+        (attempt, AttemptDeadlines { write_deadline, response_deadline })
+    }
+
+    /// An attempt that has not ended.
+    pub(crate) fn attempt_in_flight(&mut self, attempt: usize) -> Option<&mut Attempt> {
+        self.attempts.get_mut(attempt).filter(|attempt| attempt.is_in_flight())
+    }
+
+    /// The numbers of all attempts that have not ended.
+    pub(crate) fn attempts_in_flight(&self) -> impl Iterator<Item = usize> + '_ {
+        let attempts = self.attempts.iter().enumerate();
+        attempts.filter(|(_, attempt)| attempt.is_in_flight()).map(|(number, _)| number)
+    }
+
+    /// Whether no worker can have its complete request. A job that reports its attempts counts as one that may run as
+    /// soon as one is in flight: whoever is told of them may know of more than is known here.
+    pub(crate) fn never_ran(&self) -> bool {
+        let may_have_run = self.attempts.iter().any(Attempt::may_have_run);
+        !(may_have_run || self.request.reports_attempts && self.has_attempt_in_flight())
+    }
+
+    fn has_attempt_in_flight(&self) -> bool {
+        self.attempts_in_flight().next().is_some()
+    }
+
+    /// When the first attempt was started that is in flight or may have run.
+    fn first_possible_run(&self) -> Option<Millis> {
+        let mut attempts = self.attempts.iter();
+        let first = attempts.find(|attempt| attempt.is_in_flight() || attempt.may_have_run());
+        first.map(|attempt| attempt.started_at)
+    }
+}
--- a/crates/engine/src/stats.rs
+++ b/crates/engine/src/stats.rs
@@ -1,84 +1,96 @@
-//! The figures that operators read: what became of the jobs of each class, and what is held now.
+//! Statistics for operators: how the jobs of each class ended, and what is in flight now.
 //!
-//! Counted where the core decides a job's end, so that every front and every way of ending a job is counted
-//! once and alike. Counts start with the process and only grow; no I/O, no clock.
+//! Counted where the engine ends a job, so that every frontend and every way of ending a job is counted once and alike.
+//! Counts start with the process and only grow; no I/O, no clock.
 
-/// What became of one class's jobs since the start.
+/// How one class's jobs ended since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ClassFigures {
-    /// Served: the client was given what a backend server made.
-    pub fulfilled: u64,
-    /// Refused: trying again is harmless.
-    pub throttled: u64,
-    /// Failed: nothing is promised.
-    pub faulted: u64,
+pub struct ClassStats {
+    /// Answered with a worker's result.
+    pub served: u64,
+    /// Rejected: a retry by the client is harmless.
+    pub rejected: u64,
+    /// Failed: the job may have run or not.
+    pub failed: u64,
 }
 
 /// Counts since the start, per class and in all.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Figures {
+pub struct JobStats {
     /// By the class's number in the settings.
-    pub classes: Vec<ClassFigures>,
-    /// Dispatches whose request was written whole to a backend server.
-    pub relayed: u64,
+    pub classes: Vec<ClassStats>,
+    /// Jobs whose client disconnected before the answer.
+    pub abandoned: u64,
+    /// Attempts whose request was written completely to a worker.
+    pub sent_attempts: u64,
 }
 
-/// How a job ended, as the figures count it.
+/// How an answered job ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// Served.
-    Fulfilled,
-    /// Refused.
-    Throttled,
+pub enum JobEnd {
+    /// With a worker's result.
+    Served,
+    /// Rejected.
+    Rejected,
     /// Failed.
-    Faulted,
+    Failed,
 }
 
-impl Figures {
-    /// Counts for `classes` classes, all naught.
+impl JobStats {
+    /// Counts for `classes` classes, all zero.
     pub fn new(classes: usize) -> Self {
-        Figures { classes: vec![ClassFigures::default(); classes], relayed: 0 }
+        JobStats { classes: vec![ClassStats::default(); classes], ..JobStats::default() }
     }
 
-    /// A job of this class has ended so.
-    pub fn ended(&mut self, class: usize, end: End) {
+    /// Counts the end of a job of this class.
+    pub fn record(&mut self, class: usize, end: JobEnd) {
         if self.classes.len() <= class {
-            self.classes.resize(class + 1, ClassFigures::default());
+            self.classes.resize(class + 1, ClassStats::default());
         }
-        let figures = &mut self.classes[class];
+        let stats = &mut self.classes[class];
         *match end {
-            End::Fulfilled => &mut figures.fulfilled,
-            End::Throttled => &mut figures.throttled,
-            End::Faulted => &mut figures.faulted,
+            JobEnd::Served => &mut stats.served,
+            JobEnd::Rejected => &mut stats.rejected,
+            JobEnd::Failed => &mut stats.failed,
         } += 1;
     }
+
+    /// The sums over all classes.
+    pub fn totals(&self) -> ClassStats {
+        self.classes.iter().fold(ClassStats::default(), |sum, class| ClassStats {
+            served: sum.served + class.served,
+            rejected: sum.rejected + class.rejected,
+            failed: sum.failed + class.failed,
+        })
+    }
 }
 
-/// The figures as lines of `name=value`, class names in the order of the settings, then what is held now.
-pub fn lines(figures: &Figures, class_names: &[String], gauges: &Gauges) -> Vec<String> {
+/// The statistics as lines of `name=value`: classes in the order of the settings, then what is in flight now. The names are
+/// the admin endpoint's and do not change.
+pub fn render_lines(stats: &JobStats, class_names: &[String], gauges: &Gauges) -> Vec<String> {
     let mut lines = Vec::new();
     for (at, name) in class_names.iter().enumerate() {
-        let class = figures.classes.get(at).copied().unwrap_or_default();
-        lines.push(format!("svc.fulfilled.{name}={}", class.fulfilled));
-        lines.push(format!("svc.throttled.{name}={}", class.throttled));
-        lines.push(format!("svc.faulted.{name}={}", class.faulted));
+        let class = stats.classes.get(at).copied().unwrap_or_default();
+        lines.push(format!("svc.fulfilled.{name}={}", class.served));
+        lines.push(format!("svc.throttled.{name}={}", class.rejected));
+        lines.push(format!("svc.faulted.{name}={}", class.failed));
     }
-    lines.push(format!("svc.relayed={}", figures.relayed));
-    lines.push(format!("svc.open_requests={}", gauges.open_requests));
-    lines.push(format!("svc.registry_entries={}", gauges.registry_entries));
-    lines.push(format!("svc.out_of_rotation={}", gauges.out_of_rotation));
+    lines.push(format!("svc.relayed={}", stats.sent_attempts));
+    lines.push(format!("svc.open_requests={}", gauges.pending_jobs));
+    lines.push(format!("svc.registry_entries={}", gauges.endpoints));
+    lines.push(format!("svc.out_of_rotation={}", gauges.unready_endpoints));
     lines
 }
 
-/// What is held at this moment.
+/// What is in flight at this moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Gauges {
-    /// Jobs taken and not yet ended.
-    pub open_requests: usize,
-    /// Backend servers in the server table.
-    pub registry_entries: usize,
-    /// Of those, the ones that get no new work now.
-    pub out_of_rotation: usize,
+    /// Jobs admitted and not yet answered.
+    pub pending_jobs: usize,
+    /// Workers in the endpoint table.
+    pub endpoints: usize,
+    /// Of those, the ones that get no new attempt now.
+    pub unready_endpoints: usize,
 }
 
 #[cfg(test)]
--- a/crates/engine/src/stats/tests.rs
+++ b/crates/engine/src/stats/tests.rs
@@ -2,15 +2,15 @@
 
 #[test]
 fn every_class_shows_three_counts_and_the_gauges_follow() {
-    let mut figures = Figures::new(2);
-    figures.ended(0, End::Fulfilled);
-    figures.ended(0, End::Fulfilled);
-    figures.ended(1, End::Throttled);
-    figures.ended(1, End::Faulted);
-    figures.relayed = 5;
+    let mut stats = JobStats::new(2);
+    stats.record(0, JobEnd::Served);
+    stats.record(0, JobEnd::Served);
+    stats.record(1, JobEnd::Rejected);
+    stats.record(1, JobEnd::Failed);
+    stats.sent_attempts = 5;
     let names = ["farm-view".to_string(), "coin-buy".to_string()];
-    let gauges = Gauges { open_requests: 3, registry_entries: 12, out_of_rotation: 1 };
-    let shown = lines(&figures, &names, &gauges);
+    let gauges = Gauges { pending_jobs: 3, endpoints: 12, unready_endpoints: 1 };
+    let shown = render_lines(&stats, &names, &gauges);
     assert_eq!(
         shown,
         [
--- /dev/null
+++ b/crates/engine/tests/job_completion.rs
@@ -0,0 +1,253 @@
+//! Random orders of everything that can end: each job ends exactly once, and no attempt of it is sent after that.
+#![allow(missing_docs)]
+
+use brackenledge_engine::{Answer, AttemptDeadlines, AttemptId, Command, Engine, JobRequest, Request};
+use brackenledge_policy::{
+    Class, Effect, JobId, ListKind, NewJob, Outcome, Readiness, Settings, WorkerEntry,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+const EFFECTS: [Effect; 3] = [Effect::Safe, Effect::Unsafe, Effect::Keyed];
+const WORKERS: usize = 4;
+/// How long workers drop retries of an idempotent job.
+const RETRY_WINDOW: f64 = 400.0;
+
+/// An attempt in flight, as the driver of its connection sees it.
+#[derive(Clone, Copy)]
+struct InFlight {
+    deadlines: AttemptDeadlines,
+    sent: bool,
+}
+
+struct Driver {
+    engine: Engine,
+    seed: u64,
+    now: f64,
+    timeout_at: f64,
+    class: BTreeMap<JobId, usize>,
+    /// Jobs without an answer whose clients wait.
+    pending: BTreeSet<JobId>,
+    in_flight: BTreeMap<AttemptId, InFlight>,
+    /// Attempts of each job that may have run or may yet.
+    possible_runs: BTreeMap<JobId, usize>,
+    /// When the first of those was sent.
+    first_sent_at: BTreeMap<JobId, f64>,
+    /// Attempts that were not sent by their write deadline.
+    expired: usize,
+    answers: usize,
+    abandoned: usize,
+    withdrawn: usize,
+}
+
+impl Driver {
+    fn new(seed: u64, cancelling: bool) -> Driver {
+        let class = |effect| Class { effect, deadline: 3_000.0, window: RETRY_WINDOW, ..Class::default() };
+        let settings = Settings {
+            classes: EFFECTS.map(class).to_vec(),
+            max_attempts: 4,
+            cancelling,
+            tells_start: true,
+            starts_in_order: true,
+            ..Settings::default()
+        };
+        let mut engine = Engine::new(0.0, settings, seed);
+        let worker = |id: usize| WorkerEntry {
+            id,
+            name: format!("w{id}"),
+            readiness: Readiness::Ready,
+            weight: 1.0,
+            ..WorkerEntry::default()
+        };
+        engine.update_workers(ListKind::Full, (0..WORKERS).map(worker).collect());
+        Driver {
+            engine,
+            seed,
+            now: 0.0,
+            timeout_at: f64::INFINITY,
+            class: BTreeMap::new(),
+            pending: BTreeSet::new(),
+            in_flight: BTreeMap::new(),
+            possible_runs: BTreeMap::new(),
+            first_sent_at: BTreeMap::new(),
+            expired: 0,
+            answers: 0,
+            abandoned: 0,
+            withdrawn: 0,
+        }
+    }
+
+    fn submit(&mut self, serial: usize, class: usize, time_left: f64) {
+        let submitted = JobRequest {
+            client: serial,
+            job: NewJob {
+                id: 0,
+                class,
+                tenant: 0,
+                key: None,
+                time_left,
+                effort: None,
+                slots: 1.0,
+                memory: 0.0,
+                is_retry: false,
+                ran: None,
+            },
+            request: Request {
+                id: format!("t{serial}"),
+                target: "/x".into(),
+                idempotency_key: None,
+                content_type: None,
+                body: Vec::new(),
+                effect: EFFECTS[class],
+                reports_attempts: false,
+            },
+        };
+        let job = self.engine.submit_job(self.now, submitted).expect("ids are new");
+        self.class.insert(job, class);
+        self.pending.insert(job);
+    }
+
+    /// Ends an attempt with this outcome, or as moot if it has not been sent.
+    fn end(&mut self, id: AttemptId, outcome: Outcome) {
+        let Some(attempt) = self.in_flight.remove(&id) else { return };
+        let outcome = if attempt.sent { outcome } else { Outcome::Moot };
+        if attempt.sent && outcome.never_ran() {
+            let possible_runs = self.possible_runs.entry(id.job).or_default();
+            *possible_runs -= 1;
+            if *possible_runs == 0 {
+                self.first_sent_at.remove(&id.job);
+            }
+        }
+        match outcome {
+            Outcome::Ok => self.engine.attempt_served(id, "ok".into(), None),
+            other => self.engine.attempt_ended(id, other, None),
+        }
+    }
+
+    /// The last byte of an attempt is sent, unless its write deadline has passed.
+    fn send(&mut self, id: AttemptId) {
+        let seed = self.seed;
+        if self.now >= self.in_flight[&id].deadlines.write_deadline {
+            self.expired += 1;
+            return self.end(id, Outcome::Moot);
+        }
+        assert!(self.pending.contains(&id.job), "seed {seed}: {id:?} is sent for a job that is not pending");
+        let possible_runs = self.possible_runs.entry(id.job).or_default();
+        *possible_runs += 1;
+        assert!(
+            *possible_runs == 1 || EFFECTS[self.class[&id.job]] != Effect::Unsafe,
+            "seed {seed}: {id:?} is a second execution of a job that is not idempotent"
+        );
+        let since = *self.first_sent_at.entry(id.job).or_insert(self.now);
+        assert!(
+            EFFECTS[self.class[&id.job]] != Effect::Keyed || self.now < since + RETRY_WINDOW,
+            "seed {seed}: {id:?} is sent after its retry window"
+        );
+        self.in_flight.get_mut(&id).expect("it is in flight").sent = true;
+        self.engine.attempt_sent(id);
+    }
+
+    fn execute_commands(&mut self) {
+        if self.now >= self.timeout_at {
+            self.timeout_at = f64::INFINITY;
+            self.engine.handle_timeout();
+        }
+        let seed = self.seed;
+        while let Some(command) = self.engine.poll_command(self.now) {
+            match command {
+                Command::Answer { job, answer, .. } => {
+                    self.answers += 1;
+                    let untouched =
+                        self.possible_runs.get(&job).is_none_or(|&possible_runs| possible_runs == 0);
+                    assert!(
+                        !untouched || !matches!(answer, Answer::Failed),
+                        "seed {seed}: {job} never ran, and is not rejected but failed"
+                    );
+                    assert!(self.pending.remove(&job), "seed {seed}: {job} ended before");
+                }
+                Command::StartAttempt { id, deadlines, .. } => {
+                    assert!(
+                        self.pending.contains(&id.job),
+                        "seed {seed}: {id:?} starts though its job is not pending"
+                    );
+                    assert!(self.in_flight.insert(id, InFlight { deadlines, sent: false }).is_none());
+                }
+                Command::CancelAttempt { id } => self.end(id, Outcome::Cancelled),
+                Command::WithdrawAttempt { id }
+                    if self.in_flight.get(&id).is_some_and(|attempt| !attempt.sent) =>
+                {
+                    self.withdrawn += 1;
+                    self.end(id, Outcome::Moot);
+                }
+                Command::SetTimer { after } => self.timeout_at = self.timeout_at.min(self.now + after),
+                _ => {}
+            }
+        }
+        assert_eq!(self.engine.pending_jobs(), self.pending.len(), "seed {seed}");
+    }
+}
+
+fn run(seed: u64) -> (usize, usize, usize, usize) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut driver = Driver::new(seed, seed.is_multiple_of(2));
+    for serial in 0..2_000 {
+        driver.now += rng.f64() * 15.0;
+        let now = driver.now;
+        let overdue: Vec<AttemptId> = driver
+            .in_flight
+            .iter()
+            .filter(|(_, attempt)| now >= attempt.deadlines.response_deadline)
+            .map(|(&id, _)| id)
+            .collect();
+        overdue.into_iter().for_each(|id| driver.end(id, Outcome::Timeout));
+        let in_flight: Vec<AttemptId> = driver.in_flight.keys().copied().collect();
+        match rng.u32(0..12) {
+            0..=3 => driver.submit(serial, rng.usize(0..3), 50.0 + rng.f64() * 2_000.0),
+            4 if !driver.pending.is_empty() => {
+                let job =
+                    *driver.pending.iter().nth(rng.usize(0..driver.pending.len())).expect("one of them");
+                driver.pending.remove(&job);
+                driver.abandoned += 1;
+                driver.engine.abandon_job(job);
+            }
+            5..=7 if !in_flight.is_empty() => {
+                let id = in_flight[rng.usize(0..in_flight.len())];
+                if !driver.in_flight[&id].sent {
+                    driver.send(id);
+                }
+            }
+            8 if !in_flight.is_empty() => {
+                driver.engine.attempt_started(in_flight[rng.usize(0..in_flight.len())])
+            }
+            9.. if !in_flight.is_empty() => {
+                let ends = [Outcome::Ok, Outcome::Ok, Outcome::Full, Outcome::Error, Outcome::Reset];
+                let id = in_flight[rng.usize(0..in_flight.len())];
+                driver.end(id, ends[rng.usize(0..ends.len())]);
+            }
+            _ => {}
+        }
+        driver.execute_commands();
+    }
+    // The process ends: every pending job is answered at once, and attempts in flight end in any order.
+    driver.engine.fail_pending(None);
+    driver.execute_commands();
+    assert!(driver.pending.is_empty(), "seed {seed}: {:?} are pending still", driver.pending);
+    while let Some(&id) = driver.in_flight.keys().next() {
+        driver.end(id, Outcome::Ok);
+        driver.execute_commands();
+    }
+    assert_eq!((driver.engine.pending_jobs(), driver.engine.open_jobs()), (0, 0), "seed {seed}");
+    let ended = driver.answers + driver.abandoned;
+    assert_eq!(ended, driver.class.len(), "seed {seed}: each job ends once");
+    (driver.answers, driver.abandoned, driver.withdrawn, driver.expired)
+}
+
+#[test]
+fn each_job_ends_once_and_no_attempt_of_it_is_sent_after_that() {
+    let mut sums = (0, 0, 0, 0);
+    for seed in 1..=60 {
+        let (answers, abandoned, withdrawn, expired) = run(seed);
+        sums = (sums.0 + answers, sums.1 + abandoned, sums.2 + withdrawn, sums.3 + expired);
+    }
+    // All of it has come up.
+    assert!(sums.0 > 1_000 && sums.1 > 1_000 && sums.2 > 100 && sums.3 > 50, "{sums:?}");
+}
