--- a/crates/engine/tests/job_completion.rs
+++ b/crates/engine/tests/job_completion.rs
@@ -1,14 +1,14 @@
 //! Random orders of everything that can end: each job ends exactly once, and no attempt of it is sent after that.
 #![allow(missing_docs)]
 
-use brackenledge_engine::{Answer, AttemptDeadlines, AttemptId, Command, Engine, JobRequest, Request};
-use brackenledge_policy::{
-    Class, Effect, JobId, ListKind, NewJob, Outcome, Readiness, Settings, WorkerEntry,
-};
+mod common;
+
+use brackenledge_engine::{Answer, AttemptDeadlines, AttemptId, Command, Engine};
+use brackenledge_policy::{Class, Effect, JobId, ListKind, Outcome, Settings};
+use common::{job_request, workers};
 use std::collections::{BTreeMap, BTreeSet};
 
 const EFFECTS: [Effect; 3] = [Effect::Safe, Effect::Unsafe, Effect::Keyed];
-const WORKERS: usize = 4;
 /// How long workers drop retries of an idempotent job.
 const RETRY_WINDOW: f64 = 400.0;
 
@@ -19,6 +19,26 @@
     sent: bool,
 }
 
+/// What has occurred.
+#[derive(Debug, Default)]
+struct Counts {
+    answers: usize,
+    abandoned: usize,
+    withdrawn: usize,
+    /// Attempts that were not sent by their write deadline.
+    expired: usize,
+}
+
+impl Counts {
+    fn add(&mut self, other: Counts) {
+        self.answers += other.answers;
+        self.abandoned += other.abandoned;
+        self.withdrawn += other.withdrawn;
+        self.expired += other.expired;
+    }
+}
+
+/// The engine with everything around it, and what the test expects of it.
 struct Driver {
     engine: Engine,
     seed: u64,
@@ -32,11 +52,7 @@
     possible_runs: BTreeMap<JobId, usize>,
     /// When the first of those was sent.
     first_sent_at: BTreeMap<JobId, f64>,
-    /// Attempts that were not sent by their write deadline.
-    expired: usize,
-    answers: usize,
-    abandoned: usize,
-    withdrawn: usize,
+    counts: Counts,
 }
 
 impl Driver {
@@ -51,14 +67,7 @@
             ..Settings::default()
         };
         let mut engine = Engine::new(0.0, settings, seed);
-        let worker = |id: usize| WorkerEntry {
-            id,
-            name: format!("w{id}"),
-            readiness: Readiness::Ready,
-            weight: 1.0,
-            ..WorkerEntry::default()
-        };
-        engine.update_workers(ListKind::Full, (0..WORKERS).map(worker).collect());
+        engine.update_workers(ListKind::Full, workers());
         Driver {
             engine,
             seed,
@@ -69,38 +78,12 @@
             in_flight: BTreeMap::new(),
             possible_runs: BTreeMap::new(),
             first_sent_at: BTreeMap::new(),
-            expired: 0,
-            answers: 0,
-            abandoned: 0,
-            withdrawn: 0,
+            counts: Counts::default(),
         }
     }
 
-    fn submit(&mut self, serial: usize, class: usize, time_left: f64) {
-        let submitted = JobRequest {
-            client: serial,
-            job: NewJob {
-                id: 0,
-                class,
-                tenant: 0,
-                key: None,
-                time_left,
-                effort: None,
-                slots: 1.0,
-                memory: 0.0,
-                is_retry: false,
-                ran: None,
-            },
-            request: Request {
-                id: format!("t{serial}"),
-                target: "/x".into(),
-                idempotency_key: None,
-                content_type: None,
-                body: Vec::new(),
-                effect: EFFECTS[class],
-                reports_attempts: false,
-            },
-        };
+    fn submit(&mut self, client: usize, class: usize, time_left: f64) {
+        let submitted = job_request(client, class, EFFECTS[class], None, time_left);
         let job = self.engine.submit_job(self.now, submitted).expect("ids are new");
         self.class.insert(job, class);
         self.pending.insert(job);
@@ -127,7 +110,7 @@
     fn send(&mut self, id: AttemptId) {
         let seed = self.seed;
         if self.now >= self.in_flight[&id].deadlines.write_deadline {
-            self.expired += 1;
+            self.counts.expired += 1;
             return self.end(id, Outcome::Moot);
         }
         assert!(self.pending.contains(&id.job), "seed {seed}: {id:?} is sent for a job that is not pending");
@@ -146,6 +129,35 @@
         self.engine.attempt_sent(id);
     }
 
+    fn abandon(&mut self, job: JobId) {
+        self.pending.remove(&job);
+        self.counts.abandoned += 1;
+        self.engine.abandon_job(job);
+    }
+
+    /// Ends the attempts whose response is overdue.
+    fn time_out_attempts(&mut self) {
+        let attempts = self.in_flight.iter();
+        let overdue = attempts.filter(|(_, attempt)| self.now >= attempt.deadlines.response_deadline);
+        let ids: Vec<AttemptId> = overdue.map(|(&id, _)| id).collect();
+        ids.into_iter().for_each(|id| self.end(id, Outcome::Timeout));
+    }
+
+    /// The process ends: every pending job is answered at once, and attempts in flight end in any order.
+    fn shut_down(&mut self) {
+        let seed = self.seed;
+        self.engine.fail_pending(None);
+        self.execute_commands();
+        assert!(self.pending.is_empty(), "seed {seed}: {:?} are pending still", self.pending);
+        while let Some(&id) = self.in_flight.keys().next() {
+            self.end(id, Outcome::Ok);
+            self.execute_commands();
+        }
+        assert_eq!((self.engine.pending_jobs(), self.engine.open_jobs()), (0, 0), "seed {seed}");
+        let ended = self.counts.answers + self.counts.abandoned;
+        assert_eq!(ended, self.class.len(), "seed {seed}: each job ends once");
+    }
+
     fn execute_commands(&mut self) {
         if self.now >= self.timeout_at {
             self.timeout_at = f64::INFINITY;
@@ -155,7 +167,7 @@
         while let Some(command) = self.engine.poll_command(self.now) {
             match command {
                 Command::Answer { job, answer, .. } => {
-                    self.answers += 1;
+                    self.counts.answers += 1;
                     let untouched =
                         self.possible_runs.get(&job).is_none_or(|&possible_runs| possible_runs == 0);
                     assert!(
@@ -175,7 +187,7 @@
                 Command::WithdrawAttempt { id }
                     if self.in_flight.get(&id).is_some_and(|attempt| !attempt.sent) =>
                 {
-                    self.withdrawn += 1;
+                    self.counts.withdrawn += 1;
                     self.end(id, Outcome::Moot);
                 }
                 Command::SetTimer { after } => self.timeout_at = self.timeout_at.min(self.now + after),
@@ -186,68 +198,51 @@
     }
 }
 
-fn run(seed: u64) -> (usize, usize, usize, usize) {
-    let mut rng = fastrand::Rng::with_seed(seed);
-    let mut driver = Driver::new(seed, seed.is_multiple_of(2));
-    for serial in 0..2_000 {
-        driver.now += rng.f64() * 15.0;
-        let now = driver.now;
-        let overdue: Vec<AttemptId> = driver
-            .in_flight
-            .iter()
-            .filter(|(_, attempt)| now >= attempt.deadlines.response_deadline)
-            .map(|(&id, _)| id)
-            .collect();
-        overdue.into_iter().for_each(|id| driver.end(id, Outcome::Timeout));
-        let in_flight: Vec<AttemptId> = driver.in_flight.keys().copied().collect();
-        match rng.u32(0..12) {
-            0..=3 => driver.submit(serial, rng.usize(0..3), 50.0 + rng.f64() * 2_000.0),
-            4 if !driver.pending.is_empty() => {
-                let job =
-                    *driver.pending.iter().nth(rng.usize(0..driver.pending.len())).expect("one of them");
-                driver.pending.remove(&job);
-                driver.abandoned += 1;
-                driver.engine.abandon_job(job);
-            }
-            5..=7 if !in_flight.is_empty() => {
-                let id = in_flight[rng.usize(0..in_flight.len())];
-                if !driver.in_flight[&id].sent {
-                    driver.send(id);
-                }
-            }
-            8 if !in_flight.is_empty() => {
-                driver.engine.attempt_started(in_flight[rng.usize(0..in_flight.len())])
-            }
-            9.. if !in_flight.is_empty() => {
-                let ends = [Outcome::Ok, Outcome::Ok, Outcome::Full, Outcome::Error, Outcome::Reset];
-                let id = in_flight[rng.usize(0..in_flight.len())];
-                driver.end(id, ends[rng.usize(0..ends.len())]);
+/// A random event: a job, the end of a job, or progress of an attempt.
+fn step(driver: &mut Driver, rng: &mut fastrand::Rng, client: usize) {
+    let in_flight: Vec<AttemptId> = driver.in_flight.keys().copied().collect();
+    match rng.u32(0..12) {
+        0..=3 => driver.submit(client, rng.usize(0..3), 50.0 + rng.f64() * 2_000.0),
+        4 if !driver.pending.is_empty() => {
+            let job = *driver.pending.iter().nth(rng.usize(0..driver.pending.len())).expect("one of them");
+            driver.abandon(job);
+        }
+        5..=7 if !in_flight.is_empty() => {
+            let id = in_flight[rng.usize(0..in_flight.len())];
+            if !driver.in_flight[&id].sent {
+                driver.send(id);
             }
-            _ => {}
         }
-        driver.execute_commands();
+        8 if !in_flight.is_empty() => driver.engine.attempt_started(in_flight[rng.usize(0..in_flight.len())]),
+        9.. if !in_flight.is_empty() => {
+            let ends = [Outcome::Ok, Outcome::Ok, Outcome::Full, Outcome::Error, Outcome::Reset];
+            let id = in_flight[rng.usize(0..in_flight.len())];
+            driver.end(id, ends[rng.usize(0..ends.len())]);
+        }
+        _ => {}
     }
-    // The process ends: every pending job is answered at once, and attempts in flight end in any order.
-    driver.engine.fail_pending(None);
-    driver.execute_commands();
-    assert!(driver.pending.is_empty(), "seed {seed}: {:?} are pending still", driver.pending);
-    while let Some(&id) = driver.in_flight.keys().next() {
-        driver.end(id, Outcome::Ok);
+}
+
+fn run(seed: u64) -> Counts {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut driver = Driver::new(seed, seed.is_multiple_of(2));
+    for client in 0..2_000 {
+        driver.now += rng.f64() * 15.0;
+        driver.time_out_attempts();
+        step(&mut driver, &mut rng, client);
         driver.execute_commands();
     }
-    assert_eq!((driver.engine.pending_jobs(), driver.engine.open_jobs()), (0, 0), "seed {seed}");
-    let ended = driver.answers + driver.abandoned;
-    assert_eq!(ended, driver.class.len(), "seed {seed}: each job ends once");
-    (driver.answers, driver.abandoned, driver.withdrawn, driver.expired)
+    driver.shut_down();
+    driver.counts
 }
 
 #[test]
 fn each_job_ends_once_and_no_attempt_of_it_is_sent_after_that() {
-    let mut sums = (0, 0, 0, 0);
+    let mut total = Counts::default();
     for seed in 1..=60 {
-        let (answers, abandoned, withdrawn, expired) = run(seed);
-        sums = (sums.0 + answers, sums.1 + abandoned, sums.2 + withdrawn, sums.3 + expired);
+        total.add(run(seed));
     }
-    // All of it has come up.
-    assert!(sums.0 > 1_000 && sums.1 > 1_000 && sums.2 > 100 && sums.3 > 50, "{sums:?}");
+    // All of it has occurred.
+    assert!(total.answers > 1_000 && total.abandoned > 1_000, "{total:?}");
+    assert!(total.withdrawn > 100 && total.expired > 50, "{total:?}");
 }
