--- a/crates/daemon/src/net/backend/connection.rs
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -4,7 +4,7 @@
 use crate::net::buffered_stream::BufferedStream;
 use crate::net::event_loop::{Connection, Flow, Millis};
 use brackenledge_discovery::EndpointSignal;
-use brackenledge_engine::{DispatchId, Request, Times};
+use brackenledge_engine::{AttemptDeadlines, AttemptId, Request};
 use brackenledge_policy::{LoadReport, Outcome, WorkerId};
 use brackenledge_protocol::http::{MAX_BODY_BYTES, MAX_HEAD_BYTES, ResponseHead};
 use mio::net::TcpStream;
@@ -20,7 +20,7 @@
 /// What a connection carries.
 #[derive(Clone)]
 pub(super) enum Task {
-    Attempt { id: DispatchId, request: Rc<Request>, times: Times },
+    Attempt { id: AttemptId, request: Rc<Request>, times: AttemptDeadlines },
     Probe,
 }
 
@@ -73,7 +73,7 @@
     }
 
     /// The attempt that it carries.
-    pub(super) fn attempt(&self) -> Option<DispatchId> {
+    pub(super) fn attempt(&self) -> Option<AttemptId> {
         match &self.task {
             Some(Task::Attempt { id, .. }) => Some(*id),
             _ => None,
@@ -95,7 +95,7 @@
             && self.is_request_written()
         {
             self.is_counted_as_written = true;
-            cx.core.dispatch_written(*id);
+            cx.engine.attempt_sent(*id);
         }
     }
 
@@ -121,9 +121,9 @@
                     cx.endpoints.handle_signal(cx.now, self.worker, signal);
                 }
                 self.report_to_zone_routing(outcome, report, cx);
-                cx.core.dispatch_ended(id, outcome, report);
+                cx.engine.attempt_ended(id, outcome, report);
             }
-            Some(Task::Probe) => cx.core.probed(self.worker, outcome, report),
+            Some(Task::Probe) => cx.engine.health_check_ended(self.worker, outcome, report),
             None => {}
         }
     }
@@ -167,7 +167,7 @@
         let Some(task) = self.task.take() else { return Flow::Close };
         // Much may have changed since the connection was asked for: a worker that has been told to drain meanwhile must
         // get nothing new, a late job serves nobody, and a retry has its window. Nothing has been written: it is moot.
-        let is_late = matches!(&task, Task::Attempt { times, .. } if cx.now >= times.leave_by);
+        let is_late = matches!(&task, Task::Attempt { times, .. } if cx.now >= times.write_deadline);
         if is_late || !cx.endpoints.is_ready(self.worker) {
             self.task = Some(task);
             // Nothing was written: it must not be counted as written.
--- a/crates/daemon/src/net/backend/mod.rs
+++ b/crates/daemon/src/net/backend/mod.rs
@@ -20,7 +20,7 @@
 use self::connection::{Task, WorkerConnection};
 use super::Context;
 use super::event_loop::{Alarm, Flow, Millis, Owner, drive, push_out};
-use brackenledge_engine::{DispatchId, Request, Times};
+use brackenledge_engine::{AttemptDeadlines, AttemptId, Request};
 use brackenledge_policy::{Outcome, WorkerId};
 use slab::Slab;
 use std::collections::HashMap;
@@ -32,7 +32,7 @@
     /// Slots of idle connections by worker, the one used last at the end.
     idle: HashMap<WorkerId, Vec<usize>>,
     /// Slots of the connections that carry attempts.
-    attempts: HashMap<DispatchId, usize>,
+    attempts: HashMap<AttemptId, usize>,
     max_connections: usize,
     connect_timeout: Millis,
     idle_timeout: Millis,
@@ -55,14 +55,14 @@
     /// Starts an attempt. It ends once, whatever happens.
     pub fn dispatch(
         &mut self,
-        id: DispatchId,
+        id: AttemptId,
         worker: WorkerId,
         request: Rc<Request>,
-        times: Times,
+        times: AttemptDeadlines,
         cx: &mut Context,
     ) {
-        if !cx.endpoints.is_ready(worker) || cx.now >= times.leave_by {
-            cx.core.dispatch_ended(id, Outcome::Moot, None);
+        if !cx.endpoints.is_ready(worker) || cx.now >= times.write_deadline {
+            cx.engine.attempt_ended(id, Outcome::Moot, None);
             return;
         }
         let zone = cx.endpoints.zone(worker);
@@ -73,13 +73,13 @@
         match self.assign(task, worker, cx) {
             Some(slot) => {
                 self.attempts.insert(id, slot);
-                cx.event_loop.set_alarm(times.until, Alarm::ResponseDeadline(id));
-                if times.leave_by < times.until {
-                    cx.event_loop.set_alarm(times.leave_by, Alarm::WriteDeadline(id));
+                cx.event_loop.set_alarm(times.response_deadline, Alarm::ResponseDeadline(id));
+                if times.write_deadline < times.response_deadline {
+                    cx.event_loop.set_alarm(times.write_deadline, Alarm::WriteDeadline(id));
                 }
                 self.flush(slot, cx);
             }
-            None => cx.core.dispatch_ended(id, Outcome::ConnectFailed, None),
+            None => cx.engine.attempt_ended(id, Outcome::ConnectFailed, None),
         }
     }
 
@@ -90,12 +90,12 @@
                 self.set_probe_timeout(slot, cx);
                 self.flush(slot, cx);
             }
-            None => cx.core.probed(worker, Outcome::ConnectFailed, None),
+            None => cx.engine.health_check_ended(worker, Outcome::ConnectFailed, None),
         }
     }
 
     /// Ends an attempt by closing its connection. One whose request is not wholly written by then never ran.
-    pub fn cancel(&mut self, id: DispatchId, outcome: Outcome, cx: &mut Context) {
+    pub fn cancel(&mut self, id: AttemptId, outcome: Outcome, cx: &mut Context) {
         let Some(&slot) = self.attempts.get(&id) else { return };
         let connection = &mut self.connections[slot];
         let outcome = if connection.is_request_written() { outcome } else { Outcome::Moot };
@@ -104,7 +104,7 @@
     }
 
     /// Ends an attempt unless its request's last byte is written.
-    pub fn cancel_unsent(&mut self, id: DispatchId, cx: &mut Context) {
+    pub fn cancel_unsent(&mut self, id: AttemptId, cx: &mut Context) {
         if self.attempts.get(&id).is_some_and(|&slot| !self.connections[slot].is_request_written()) {
             self.cancel(id, Outcome::Moot, cx);
         }
@@ -133,7 +133,7 @@
     fn after_callback(
         &mut self,
         slot: usize,
-        attempt_before: Option<DispatchId>,
+        attempt_before: Option<AttemptId>,
         flow: Flow,
         cx: &mut Context,
     ) {
--- a/crates/daemon/src/net/backend/request_writer.rs
+++ b/crates/daemon/src/net/backend/request_writer.rs
@@ -3,7 +3,7 @@
 use super::connection::{Task, WorkerConnection};
 use crate::net::Context;
 use crate::net::event_loop::{Alarm, Millis};
-use brackenledge_engine::{Request, Times};
+use brackenledge_engine::{AttemptDeadlines, Request};
 use brackenledge_policy::Effect;
 
 /// While pooled connections are not trusted, the last byte of a request that must not run twice is withheld for so long
@@ -29,7 +29,7 @@
         self.stream.buffer.push(probe.as_bytes());
     }
 
-    fn write_job(&mut self, request: &Request, times: Times, cx: &mut Context) {
+    fn write_job(&mut self, request: &Request, times: AttemptDeadlines, cx: &mut Context) {
         let mut head = self.job_head(request, times, cx.now);
         let withhold = request.effect == Effect::Unsafe && *cx.distrust_until > cx.now;
         let (last, rest) = match request.body.split_last() {
@@ -48,13 +48,13 @@
     }
 
     /// The worker is told how long the job is worth working on.
-    fn job_head(&self, request: &Request, times: Times, now: Millis) -> String {
+    fn job_head(&self, request: &Request, times: AttemptDeadlines, now: Millis) -> String {
         let mut head = format!(
             "POST {} HTTP/1.1\r\nHost: {}\r\nX-Trace-Id: {}\r\nX-Expires-In-Ms: {:.0}\r\nContent-Length: {}\r\n",
             request.target,
             self.address,
             request.id,
-            (times.until - now).max(1.0),
+            (times.response_deadline - now).max(1.0),
             request.body.len()
         );
         let optional_headers =
--- a/crates/daemon/src/net/backend/response_reader.rs
+++ b/crates/daemon/src/net/backend/response_reader.rs
@@ -4,7 +4,7 @@
 use crate::net::Context;
 use crate::net::event_loop::Flow;
 use brackenledge_discovery::EndpointSignal;
-use brackenledge_engine::DispatchId;
+use brackenledge_engine::AttemptId;
 use brackenledge_policy::{LoadReport, Outcome};
 use brackenledge_protocol::http::take_response_head;
 use brackenledge_protocol::worker::{read_line, read_load, read_load_header};
@@ -56,7 +56,7 @@
     }
 
     /// Handles one line of the response to an attempt; `Close` where it is malformed.
-    fn on_line(&mut self, line: &[u8], id: DispatchId, request_id: &str, cx: &mut Context) -> Flow {
+    fn on_line(&mut self, line: &[u8], id: AttemptId, request_id: &str, cx: &mut Context) -> Flow {
         let line = read_line(line);
         // A line that names another request, or none, is no response to this one.
         let Some(line) = line.filter(|line| line.id.as_deref() == Some(request_id)) else {
@@ -66,9 +66,9 @@
         match (line.state.as_str(), line.result) {
             ("started", _) => {
                 self.job_started_at = cx.now;
-                cx.core.dispatch_started(id);
+                cx.engine.attempt_started(id);
             }
-            ("running", _) => cx.core.dispatch_progress(id, line.share.unwrap_or(0.0)),
+            ("running", _) => cx.engine.attempt_progressed(id, line.share.unwrap_or(0.0)),
             ("done", Some(result)) => {
                 self.task = None;
                 cx.endpoints.handle_signal(cx.now, self.worker, EndpointSignal::JobServed);
@@ -76,7 +76,7 @@
                     zones.on_job_served(cx.now - self.job_started_at);
                 }
                 self.report_to_zone_routing(Outcome::Ok, report, cx);
-                cx.core.dispatch_served(id, result, report);
+                cx.engine.attempt_served(id, result, report);
             }
             // A response without its result can't be given to the client.
             ("done" | "failed", _) => self.end_task(Outcome::Error, report, cx),
--- a/crates/daemon/src/net/backend/timeouts.rs
+++ b/crates/daemon/src/net/backend/timeouts.rs
@@ -4,7 +4,7 @@
 use super::connection::{Task, WorkerConnection};
 use crate::net::Context;
 use crate::net::event_loop::{Alarm, Millis};
-use brackenledge_engine::DispatchId;
+use brackenledge_engine::AttemptId;
 use brackenledge_policy::Outcome;
 
 /// A probe that takes longer than this says as much as one that fails.
@@ -18,7 +18,7 @@
     }
 
     /// An attempt has waited as long as it may.
-    pub fn on_response_deadline(&mut self, id: DispatchId, cx: &mut Context) {
+    pub fn on_response_deadline(&mut self, id: AttemptId, cx: &mut Context) {
         self.cancel(id, Outcome::Timeout, cx);
     }
 
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use brackenledge_engine::DispatchId;
+use brackenledge_engine::AttemptId;
 
 pub use brackenledge_policy::Millis;
 
@@ -36,9 +36,9 @@
     /// The policy asked to be woken.
     Wake,
     /// An attempt has waited for its response as long as it may.
-    ResponseDeadline(DispatchId),
+    ResponseDeadline(AttemptId),
     /// An attempt whose request is not wholly written by now must not be sent any more.
-    WriteDeadline(DispatchId),
+    WriteDeadline(AttemptId),
     /// A connection to a worker should be open by now.
     Connect(u64),
     /// The last byte of a request, which was withheld, may be written.
--- a/crates/daemon/src/net/frontend/admission.rs
+++ b/crates/daemon/src/net/frontend/admission.rs
@@ -4,7 +4,7 @@
 
 use super::connection::Rejection;
 use crate::net::event_loop::Millis;
-use brackenledge_engine::{Arrival, ClientId, Request};
+use brackenledge_engine::{ClientId, JobRequest, Request};
 use brackenledge_policy::settings::SettingsDocument;
 use brackenledge_policy::{Effect, NewJob, Settings};
 use brackenledge_protocol::http::{header, single};
@@ -59,7 +59,7 @@
         method: &str,
         target: &str,
         headers: &[httparse::Header],
-    ) -> Result<Arrival, Rejection> {
+    ) -> Result<JobRequest, Rejection> {
         check_request_line(method, target)?;
         let path = self.read_path(target, headers)?;
         let class = path.class;
@@ -82,7 +82,7 @@
             is_retry: header(headers, "X-Second-Try") == Some("1"),
             ran: None,
         };
-        Ok(Arrival {
+        Ok(JobRequest {
             client,
             job,
             request: Request {
@@ -92,7 +92,7 @@
                 content_type: single_header(headers, "Content-Type")?.map(str::to_owned),
                 body: Vec::new(),
                 effect: self.effects[class],
-                watched: false,
+                reports_attempts: false,
             },
         })
     }
--- a/crates/daemon/src/net/frontend/connection.rs
+++ b/crates/daemon/src/net/frontend/connection.rs
@@ -4,7 +4,7 @@
 use crate::net::Context;
 use crate::net::buffered_stream::BufferedStream;
 use crate::net::event_loop::{Connection, Flow, Millis};
-use brackenledge_engine::{Arrival, ClientId};
+use brackenledge_engine::{ClientId, JobRequest};
 use brackenledge_failover::Waiter;
 use brackenledge_policy::JobId;
 use brackenledge_protocol::http::{Body, MAX_BODY_BYTES, MAX_HEAD_BYTES};
@@ -31,7 +31,7 @@
 
 /// What a request asks for, by its head.
 pub(super) enum RequestKind {
-    Job(Box<Arrival>),
+    Job(Box<JobRequest>),
     /// `GET /up`.
     HealthCheck,
 }
@@ -108,7 +108,7 @@
     /// Tells whoever has its open job, if there is one, that nobody waits for the answer any more.
     pub(super) fn abandon_job(&self, cx: &mut Context) {
         match (&self.state, &mut *cx.job_failover) {
-            (State::AwaitingJob(job), _) => cx.core.client_gone(*job),
+            (State::AwaitingJob(job), _) => cx.engine.abandon_job(*job),
             (State::AwaitingReplicatedJob(waiter), Some(job_failover)) => {
                 job_failover.client_disconnected(*waiter);
             }
--- a/crates/daemon/src/net/frontend/request_reader.rs
+++ b/crates/daemon/src/net/frontend/request_reader.rs
@@ -3,7 +3,7 @@
 use super::connection::{ClientConnection, MAX_PIPELINED_INPUT, Rejection, RequestKind, State};
 use crate::net::Context;
 use crate::net::event_loop::Millis;
-use brackenledge_engine::{Answer, Arrival};
+use brackenledge_engine::{Answer, JobRequest};
 use brackenledge_protocol::http::{
     Body, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, Malformed, has_bare_line_feed, has_token, header,
 };
@@ -132,8 +132,8 @@
                     || !cx.drain.admits_jobs(cx.now)
                     || cx.time_left() == 0.0 =>
             {
-                cx.core.refused_at_door(arrival.job.class);
-                self.respond(Answer::Denied { retry_after: self.rules.retry_after }, cx);
+                cx.engine.rejected_at_admission(arrival.job.class);
+                self.respond(Answer::Rejected { retry_after: self.rules.retry_after }, cx);
             }
             RequestKind::Job(mut arrival) => {
                 arrival.request.body = body;
@@ -143,7 +143,7 @@
     }
 
     /// `elapsed`: the time since the first bytes of the request were received; the job has that much less.
-    fn submit_job(&mut self, mut arrival: Box<Arrival>, elapsed: Millis, cx: &mut Context) {
+    fn submit_job(&mut self, mut arrival: Box<JobRequest>, elapsed: Millis, cx: &mut Context) {
         arrival.job.time_left = (arrival.job.time_left - elapsed).max(0.0).min(cx.time_left());
         if let Some(job_failover) =
             cx.job_failover.as_mut().filter(|job_failover| job_failover.handles(&arrival))
@@ -151,7 +151,7 @@
             self.state = State::AwaitingReplicatedJob(job_failover.submit(*arrival));
             return;
         }
-        match cx.core.job_arrived(cx.now, *arrival) {
+        match cx.engine.submit_job(cx.now, *arrival) {
             Some(job) => self.state = State::AwaitingJob(job),
             None => {
                 let rejection = Rejection { status: 409, reason: "a job with this X-Trace-Id is open" };
--- a/crates/daemon/src/net/frontend/responses.rs
+++ b/crates/daemon/src/net/frontend/responses.rs
@@ -9,10 +9,10 @@
     pub(super) fn respond(&mut self, answer: Answer, cx: &Context) {
         match answer {
             Answer::Served(result) => self.write_response(200, "", result.as_bytes(), cx),
-            Answer::Denied { retry_after: Some(wait) } => {
+            Answer::Rejected { retry_after: Some(wait) } => {
                 self.write_response(503, &format!("Retry-After: {:.3}\r\n", wait / 1_000.0), b"", cx);
             }
-            Answer::Denied { retry_after: None } => self.write_response(503, "", b"", cx),
+            Answer::Rejected { retry_after: None } => self.write_response(503, "", b"", cx),
             Answer::Failed => self.write_response(502, "", b"", cx),
         }
     }
