--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -56,8 +56,8 @@
         match command {
             FailoverCommand::Send { to, message, urgent } => job_failover.send(to, message, urgent),
             FailoverCommand::StartJob { key, payload, deadline, prior_execution, .. } => {
-                let arrival = job_failover.decode_job(&key, &payload, deadline);
-                self.start_failover_job(key, arrival, prior_execution);
+                let submitted = job_failover.decode_job(&key, &payload, deadline);
+                self.start_failover_job(key, submitted, prior_execution);
             }
             FailoverCommand::PermitAttempt { key, attempt } => {
                 if let Some(attempt) = job_failover.release_attempt(&key, attempt) {
@@ -87,7 +87,7 @@
     fn start_failover_job(
         &mut self,
         key: JobKey,
-        arrival: Option<JobRequest>,
+        submitted: Option<JobRequest>,
         prior: Option<PriorExecution>,
     ) {
         let cx = &mut context!(self);
@@ -99,8 +99,8 @@
             return;
         }
         let prior_attempt = worker.flatten().zip(prior).map(|(worker, prior)| (worker, prior.max_age));
-        let arrival = arrival.map(|arrival| job_failover::with_prior_attempt(arrival, prior_attempt));
-        match arrival.and_then(|arrival| cx.engine.submit_job(cx.now, arrival)) {
+        let submitted = submitted.map(|submitted| job_failover::with_prior_attempt(submitted, prior_attempt));
+        match submitted.and_then(|submitted| cx.engine.submit_job(cx.now, submitted)) {
             Some(job) => job_failover.job_admitted(key, job),
             // Its request's id is open here: it may be submitted again.
             None => {
--- a/crates/daemon/src/net/job_failover/mod.rs
+++ b/crates/daemon/src/net/job_failover/mod.rs
@@ -140,8 +140,8 @@
     }
 
     /// Whether a job that a client submits is to be replicated.
-    pub fn handles(&self, arrival: &JobRequest) -> bool {
-        arrival.request.idempotency_key.is_some() && self.options_of(arrival.job.class).is_some()
+    pub fn handles(&self, submitted: &JobRequest) -> bool {
+        submitted.request.idempotency_key.is_some() && self.options_of(submitted.job.class).is_some()
     }
 
     fn options_of(&self, class: usize) -> Option<ClassOptions> {
@@ -149,8 +149,8 @@
     }
 
     /// A client submits a job, for the first time or again.
-    pub fn submit(&mut self, arrival: JobRequest) -> Waiter {
-        let JobRequest { client, job, request } = arrival;
+    pub fn submit(&mut self, submitted: JobRequest) -> Waiter {
+        let JobRequest { client, job, request } = submitted;
         self.last_waiter += 1;
         let waiter = self.last_waiter;
         self.clients.insert(waiter, client);
@@ -242,9 +242,9 @@
 }
 
 /// Adds the attempt of an earlier owner to a job that the engine takes: its worker, and its greatest age.
-pub fn with_prior_attempt(mut arrival: JobRequest, prior: Option<(WorkerId, Micros)>) -> JobRequest {
-    arrival.job.ran = prior.map(|(worker, max_age)| (worker, to_millis(max_age)));
-    arrival
+pub fn with_prior_attempt(mut submitted: JobRequest, prior: Option<(WorkerId, Micros)>) -> JobRequest {
+    submitted.job.ran = prior.map(|(worker, max_age)| (worker, to_millis(max_age)));
+    submitted
 }
 
 /// The engine's answer to a client.
