Backend and frontend follow the engine's names: deadlines, health checks, job requests

Cause: the engine says AttemptDeadlines, HealthCheck and JobRequest since it was renamed; its callers still said times, probe and arrival. Change: renames only, in net/backend, net/frontend, two alarms' call sites and deregister's parameter.

--- a/crates/daemon/src/net/backend/connection.rs
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -20,8 +20,8 @@
 /// What a connection carries.
 #[derive(Clone)]
 pub(super) enum Task {
-    Attempt { id: AttemptId, request: Rc<Request>, times: AttemptDeadlines },
-    Probe,
+    Attempt { id: AttemptId, request: Rc<Request>, deadlines: AttemptDeadlines },
+    HealthCheck,
 }
 
 /// A connection to a worker. It carries one request at a time.
@@ -123,7 +123,7 @@
                 self.report_to_zone_routing(outcome, report, cx);
                 cx.engine.attempt_ended(id, outcome, report);
             }
-            Some(Task::Probe) => cx.engine.health_check_ended(self.worker, outcome, report),
+            Some(Task::HealthCheck) => cx.engine.health_check_ended(self.worker, outcome, report),
             None => {}
         }
     }
@@ -167,7 +167,7 @@
         let Some(task) = self.task.take() else { return Flow::Close };
         // Much may have changed since the connection was asked for: a worker that has been told to drain meanwhile must
         // get nothing new, a late job serves nobody, and a retry has its window. Nothing has been written: it is moot.
-        let is_late = matches!(&task, Task::Attempt { times, .. } if cx.now >= times.write_deadline);
+        let is_late = matches!(&task, Task::Attempt { deadlines, .. } if cx.now >= deadlines.write_deadline);
         if is_late || !cx.endpoints.is_ready(self.worker) {
             self.task = Some(task);
             // Nothing was written: it must not be counted as written.
--- a/crates/daemon/src/net/backend/mod.rs
+++ b/crates/daemon/src/net/backend/mod.rs
@@ -1,4 +1,4 @@
-//! The workers' side: a pool of connections, and the attempts and probes that travel on them.
+//! The workers' side: a pool of connections, and the attempts and health checks that travel on them.
 //!
 //! **Invariant.** Each attempt ends exactly once. It ends as never sent (`Moot`, `ConnectFailed`) only if its request's
 //! last byte was not handed to the system.
@@ -58,10 +58,10 @@
         id: AttemptId,
         worker: WorkerId,
         request: Rc<Request>,
-        times: AttemptDeadlines,
+        deadlines: AttemptDeadlines,
         cx: &mut Context,
     ) {
-        if !cx.endpoints.is_ready(worker) || cx.now >= times.write_deadline {
+        if !cx.endpoints.is_ready(worker) || cx.now >= deadlines.write_deadline {
             cx.engine.attempt_ended(id, Outcome::Moot, None);
             return;
         }
@@ -69,13 +69,13 @@
         if let Some(zones) = cx.zones {
             zones.on_attempt_started(zone);
         }
-        let task = Task::Attempt { id, request, times };
+        let task = Task::Attempt { id, request, deadlines };
         match self.assign(task, worker, cx) {
             Some(slot) => {
                 self.attempts.insert(id, slot);
-                cx.event_loop.set_alarm(times.response_deadline, Alarm::ResponseDeadline(id));
-                if times.write_deadline < times.response_deadline {
-                    cx.event_loop.set_alarm(times.write_deadline, Alarm::WriteDeadline(id));
+                cx.event_loop.set_alarm(deadlines.response_deadline, Alarm::ResponseDeadline(id));
+                if deadlines.write_deadline < deadlines.response_deadline {
+                    cx.event_loop.set_alarm(deadlines.write_deadline, Alarm::WriteDeadline(id));
                 }
                 self.flush(slot, cx);
             }
@@ -84,10 +84,10 @@
     }
 
     /// Asks a worker for its load.
-    pub fn probe(&mut self, worker: WorkerId, cx: &mut Context) {
-        match self.assign(Task::Probe, worker, cx) {
+    pub fn check_health(&mut self, worker: WorkerId, cx: &mut Context) {
+        match self.assign(Task::HealthCheck, worker, cx) {
             Some(slot) => {
-                self.set_probe_timeout(slot, cx);
+                self.set_health_check_timeout(slot, cx);
                 self.flush(slot, cx);
             }
             None => cx.engine.health_check_ended(worker, Outcome::ConnectFailed, None),
--- a/crates/daemon/src/net/backend/request_writer.rs
+++ b/crates/daemon/src/net/backend/request_writer.rs
@@ -18,19 +18,19 @@
         self.is_counted_as_written = false;
         self.job_started_at = cx.now;
         match &task {
-            Task::Probe => self.write_probe(),
-            Task::Attempt { request, times, .. } => self.write_job(request, *times, cx),
+            Task::HealthCheck => self.write_health_check(),
+            Task::Attempt { request, deadlines, .. } => self.write_job(request, *deadlines, cx),
         }
         self.task = Some(task);
     }
 
-    fn write_probe(&mut self) {
-        let probe = format!("GET /metrics/load HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
-        self.stream.buffer.push(probe.as_bytes());
+    fn write_health_check(&mut self) {
+        let request = format!("GET /metrics/load HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
+        self.stream.buffer.push(request.as_bytes());
     }
 
-    fn write_job(&mut self, request: &Request, times: AttemptDeadlines, cx: &mut Context) {
-        let mut head = self.job_head(request, times, cx.now);
+    fn write_job(&mut self, request: &Request, deadlines: AttemptDeadlines, cx: &mut Context) {
+        let mut head = self.job_head(request, deadlines, cx.now);
         let withhold = request.effect == Effect::Unsafe && *cx.distrust_until > cx.now;
         let (last, rest) = match request.body.split_last() {
             Some((&last, rest)) => (last, rest),
@@ -48,13 +48,13 @@
     }
 
     /// The worker is told how long the job is worth working on.
-    fn job_head(&self, request: &Request, times: AttemptDeadlines, now: Millis) -> String {
+    fn job_head(&self, request: &Request, deadlines: AttemptDeadlines, now: Millis) -> String {
         let mut head = format!(
             "POST {} HTTP/1.1\r\nHost: {}\r\nX-Trace-Id: {}\r\nX-Expires-In-Ms: {:.0}\r\nContent-Length: {}\r\n",
             request.target,
             self.address,
             request.id,
-            (times.response_deadline - now).max(1.0),
+            (deadlines.response_deadline - now).max(1.0),
             request.body.len()
         );
         let optional_headers =
--- a/crates/daemon/src/net/backend/response_reader.rs
+++ b/crates/daemon/src/net/backend/response_reader.rs
@@ -1,4 +1,4 @@
-//! Reads responses from a worker's connection: a job's progress line by line, or a probe's load.
+//! Reads responses from a worker's connection: a job's progress line by line, or the load that a health check asks for.
 
 use super::connection::{MAX_LINE_LEN, Task, WorkerConnection};
 use crate::net::Context;
@@ -93,7 +93,7 @@
         let Some(mut head) = self.response_head.take() else { return };
         let body = head.body.take_all(&mut self.stream.buffer);
         let from_header: Option<LoadReport> = head.load.as_deref().map(read_load_header);
-        if let Some(Task::Probe) = self.task {
+        if let Some(Task::HealthCheck) = self.task {
             let report = read_load(&body);
             let outcome = if head.status == 200 { Outcome::Ok } else { Outcome::Error };
             self.end_task(outcome, from_header.or(report), cx);
--- a/crates/daemon/src/net/backend/timeouts.rs
+++ b/crates/daemon/src/net/backend/timeouts.rs
@@ -7,14 +7,14 @@
 use brackenledge_engine::AttemptId;
 use brackenledge_policy::Outcome;
 
-/// A probe that takes longer than this says as much as one that fails.
-const PROBE_TIMEOUT: Millis = 1_000.0;
+/// A health check that takes longer than this says as much as one that fails.
+const HEALTH_CHECK_TIMEOUT: Millis = 1_000.0;
 
 impl Backend {
-    /// Sets the timeout of the probe that a connection carries.
-    pub(super) fn set_probe_timeout(&mut self, slot: usize, cx: &mut Context) {
+    /// Sets the timeout of the health check that a connection carries.
+    pub(super) fn set_health_check_timeout(&mut self, slot: usize, cx: &mut Context) {
         let serial = self.connections[slot].serial;
-        cx.event_loop.set_alarm(cx.now + PROBE_TIMEOUT, Alarm::Probe(serial));
+        cx.event_loop.set_alarm(cx.now + HEALTH_CHECK_TIMEOUT, Alarm::HealthCheck(serial));
     }
 
     /// An attempt has waited as long as it may.
@@ -40,9 +40,9 @@
         self.flush(slot, cx);
     }
 
-    /// A probe should have its response by now.
-    pub fn on_probe_alarm(&mut self, serial: u64, cx: &mut Context) {
-        let is_late = |c: &WorkerConnection| c.serial == serial && matches!(c.task, Some(Task::Probe));
+    /// A health check should have its response by now.
+    pub fn on_health_check_alarm(&mut self, serial: u64, cx: &mut Context) {
+        let is_late = |c: &WorkerConnection| c.serial == serial && matches!(c.task, Some(Task::HealthCheck));
         if let Some((slot, connection)) = self.connections.iter_mut().find(|(_, c)| is_late(c)) {
             connection.end_task(Outcome::Timeout, None, cx);
             self.remove(slot, cx);
--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -149,7 +149,7 @@
             Command::SetTimer { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
             Command::WatchEndpoints { on } => cx.endpoints.set_watching(cx.now, on),
             Command::PollEndpoints => cx.endpoints.request_poll(cx.now),
-            Command::HealthCheck { worker } => self.backend.probe(worker, cx),
+            Command::HealthCheck { worker } => self.backend.check_health(worker, cx),
             Command::SendMessage { to, text } => self.send_to_peers(to, &text),
             Command::CloseIdleConnections { worker } => self.backend.close_idle(worker, cx),
             Command::Log(text) => info!(self.log, "policy"; "message" => text),
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -277,7 +277,7 @@
 }
 
 /// Takes a socket off the poll before it is closed.
-pub fn deregister(link: &mut BufferedStream, event_loop: &EventLoop) {
+pub fn deregister(stream: &mut BufferedStream, event_loop: &EventLoop) {
     // A socket that the poll does not know any more is closed all the same.
-    let _ = event_loop.registry().deregister(&mut link.socket);
+    let _ = event_loop.registry().deregister(&mut stream.socket);
 }
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -43,8 +43,8 @@
     Connect(u64),
     /// The last byte of a request, which was withheld, may be written.
     LastByte(u64),
-    /// A probe has waited as long as it may.
-    Probe(u64),
+    /// A health check has waited for its response as long as it may.
+    HealthCheck(u64),
     /// The endpoint directory has a timeout: a late request, a message to be sent again.
     Discovery,
     /// Accepting may work again.
--- a/crates/daemon/src/net/events.rs
+++ b/crates/daemon/src/net/events.rs
@@ -73,7 +73,7 @@
             Alarm::WriteDeadline(id) => self.backend.cancel_unsent(id, cx),
             Alarm::Connect(serial) => self.backend.on_connect_alarm(serial, cx),
             Alarm::LastByte(serial) => self.backend.on_last_byte_alarm(serial, cx),
-            Alarm::Probe(serial) => self.backend.on_probe_alarm(serial, cx),
+            Alarm::HealthCheck(serial) => self.backend.on_health_check_alarm(serial, cx),
             Alarm::Discovery => self.discovery.on_alarm(cx),
             Alarm::Accept => self.frontend.accept(cx),
             Alarm::Report => {
--- a/crates/daemon/src/net/frontend/request_reader.rs
+++ b/crates/daemon/src/net/frontend/request_reader.rs
@@ -103,8 +103,8 @@
         match path {
             "/up" if method == "GET" => Ok(RequestKind::HealthCheck),
             _ => {
-                let arrival = self.rules.read_job(self.id, method, target, request.headers)?;
-                Ok(RequestKind::Job(Box::new(arrival)))
+                let job_request = self.rules.read_job(self.id, method, target, request.headers)?;
+                Ok(RequestKind::Job(Box::new(job_request)))
             }
         }
     }
@@ -127,31 +127,31 @@
         self.has_sent_job |= matches!(kind, RequestKind::Job(_));
         match kind {
             RequestKind::HealthCheck => self.respond_to_health_check(cx),
-            RequestKind::Job(arrival)
+            RequestKind::Job(job_request)
                 if cx.held() >= self.rules.max_open_jobs
                     || !cx.drain.admits_jobs(cx.now)
                     || cx.time_left() == 0.0 =>
             {
-                cx.engine.rejected_at_admission(arrival.job.class);
+                cx.engine.rejected_at_admission(job_request.job.class);
                 self.respond(Answer::Rejected { retry_after: self.rules.retry_after }, cx);
             }
-            RequestKind::Job(mut arrival) => {
-                arrival.request.body = body;
-                self.submit_job(arrival, elapsed, cx);
+            RequestKind::Job(mut job_request) => {
+                job_request.request.body = body;
+                self.submit_job(job_request, elapsed, cx);
             }
         }
     }
 
     /// `elapsed`: the time since the first bytes of the request were received; the job has that much less.
-    fn submit_job(&mut self, mut arrival: Box<JobRequest>, elapsed: Millis, cx: &mut Context) {
-        arrival.job.time_left = (arrival.job.time_left - elapsed).max(0.0).min(cx.time_left());
+    fn submit_job(&mut self, mut job_request: Box<JobRequest>, elapsed: Millis, cx: &mut Context) {
+        job_request.job.time_left = (job_request.job.time_left - elapsed).max(0.0).min(cx.time_left());
         if let Some(job_failover) =
-            cx.job_failover.as_mut().filter(|job_failover| job_failover.handles(&arrival))
+            cx.job_failover.as_mut().filter(|job_failover| job_failover.handles(&job_request))
         {
-            self.state = State::AwaitingReplicatedJob(job_failover.submit(*arrival));
+            self.state = State::AwaitingReplicatedJob(job_failover.submit(*job_request));
             return;
         }
-        match cx.engine.submit_job(cx.now, *arrival) {
+        match cx.engine.submit_job(cx.now, *job_request) {
             Some(job) => self.state = State::AwaitingJob(job),
             None => {
                 let rejection = Rejection { status: 409, reason: "a job with this X-Trace-Id is open" };
