--- a/crates/daemon/src/net/backend/connection.rs
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -21,7 +21,7 @@
 #[derive(Clone)]
 pub(super) enum Task {
     Attempt { id: AttemptId, request: Rc<Request>, deadlines: AttemptDeadlines },
-    Probe,
+    HealthCheck,
 }
 
 /// A connection to a worker. It carries one request at a time.
@@ -123,7 +123,7 @@
                 self.report_to_zone_routing(outcome, report, cx);
                 cx.engine.attempt_ended(id, outcome, report);
             }
-            Some(Task::Probe) => cx.engine.health_check_ended(self.worker, outcome, report),
+            Some(Task::HealthCheck) => cx.engine.health_check_ended(self.worker, outcome, report),
             None => {}
         }
     }
--- a/crates/daemon/src/net/backend/mod.rs
+++ b/crates/daemon/src/net/backend/mod.rs
@@ -1,4 +1,4 @@
-//! The workers' side: a pool of connections, and the attempts and probes that travel on them.
+//! The workers' side: a pool of connections, and the attempts and health checks that travel on them.
 //!
 //! **Invariant.** Each attempt ends exactly once. It ends as never sent (`Moot`, `ConnectFailed`) only if its request's
 //! last byte was not handed to the system.
@@ -84,10 +84,10 @@
     }
 
     /// Asks a worker for its load.
-    pub fn probe(&mut self, worker: WorkerId, cx: &mut Context) {
-        match self.assign(Task::Probe, worker, cx) {
+    pub fn check_health(&mut self, worker: WorkerId, cx: &mut Context) {
+        match self.assign(Task::HealthCheck, worker, cx) {
             Some(slot) => {
-                self.set_probe_timeout(slot, cx);
+                self.set_health_check_timeout(slot, cx);
                 self.flush(slot, cx);
             }
             None => cx.engine.health_check_ended(worker, Outcome::ConnectFailed, None),
--- a/crates/daemon/src/net/backend/request_writer.rs
+++ b/crates/daemon/src/net/backend/request_writer.rs
@@ -18,15 +18,15 @@
         self.is_counted_as_written = false;
         self.job_started_at = cx.now;
         match &task {
-            Task::Probe => self.write_probe(),
+            Task::HealthCheck => self.write_health_check(),
             Task::Attempt { request, deadlines, .. } => self.write_job(request, *deadlines, cx),
         }
         self.task = Some(task);
     }
 
-    fn write_probe(&mut self) {
-        let probe = format!("GET /metrics/load HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
-        self.stream.buffer.push(probe.as_bytes());
+    fn write_health_check(&mut self) {
+        let request = format!("GET /metrics/load HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
+        self.stream.buffer.push(request.as_bytes());
     }
 
     fn write_job(&mut self, request: &Request, deadlines: AttemptDeadlines, cx: &mut Context) {
