--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use brackenledge_engine::DispatchId;
+use brackenledge_engine::AttemptId;
 
 pub use brackenledge_policy::Millis;
 
@@ -35,16 +35,16 @@
 pub enum Alarm {
     /// The policy asked to be woken.
     Wake,
-    /// A dispatch has waited as long as it may.
-    Dispatch(DispatchId),
-    /// A dispatch whose last byte has not left by now must not leave any more.
-    Leave(DispatchId),
-    /// A connection to a backend server has had the time that it may take to come up.
+    /// An attempt has waited for its response as long as it may.
+    ResponseDeadline(AttemptId),
+    /// An attempt whose request is not wholly written by now must not be sent any more.
+    WriteDeadline(AttemptId),
+    /// A connection to a worker should be open by now.
     Connect(u64),
-    /// The last byte of a request may be written.
-    Held(u64),
-    /// A probe has waited as long as it may.
-    Probe(u64),
+    /// The last byte of a request, which was withheld, may be written.
+    LastByte(u64),
+    /// A health check has waited for its response as long as it may.
+    HealthCheck(u64),
     /// The endpoint directory has a timeout: a late request, a message to be sent again.
     Discovery,
     /// Accepting may work again.
