The story of a held last byte waits until the scheduler has stopped

Cause: it looked for the held byte right behind SIGSTOP, which the kernel takes a moment to carry out; the byte could leave between the look and the stop. Change: it waits until the kernel says that the process is stopped, then looks; what it asserts is unchanged.

--- a/crates/daemon/tests/endings.rs
+++ b/crates/daemon/tests/endings.rs
@@ -739,7 +739,7 @@
             head.push(byte[0]);
         }
         // Stopped, it can't send that one; its client goes meanwhile. Now and then the stop comes too late for that.
-        stage.signal("-STOP");
+        stage.stop_process();
         served.set_nonblocking(true).expect("a mode");
         let held = matches!(served.read(&mut [0; 1]), Err(e) if e.kind() == ErrorKind::WouldBlock);
         served.set_nonblocking(false).expect("a mode");
--- a/crates/daemon/tests/stage/mod.rs
+++ b/crates/daemon/tests/stage/mod.rs
@@ -327,6 +327,22 @@
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
+    /// Stops the process, and waits until it has stopped: a signal that is sent is not yet taken.
+    pub fn stop_process(&self) {
+        self.signal("-STOP");
+        let since = Instant::now();
+        while self.process_state() != Some('T') {
+            assert!(since.elapsed() < PATIENCE, "the scheduler does not stop");
+            std::thread::sleep(Duration::from_micros(100));
+        }
+    }
+
+    /// The process's state as the kernel tells it.
+    fn process_state(&self) -> Option<char> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("a process");
+        stat.rsplit(')').next()?.trim_start().chars().next()
+    }
+
     /// Waits for the process to end by itself.
     pub fn ended(&mut self) -> ExitStatus {
         let since = Instant::now();
