Checker: a request written to a killed duplicate's connection may go unanswered

A duplicate process is killed and the first one goes on, so the checker's time of trouble is over 1 ms after the kill; the test cluster writes a request to a connection of the dead process for as long as it has not read its end. Change: a request tells when its connection was opened; a lost answer is excused where the connection was open at the kill and ended within 200 ms of it (the time that the client already waits before it takes an end for a crossing).

--- a/crates/test-cluster/src/ledger.rs
+++ b/crates/test-cluster/src/ledger.rs
@@ -20,6 +20,8 @@
 /// What a cold worker can take is counted over a span of so long, and so many times over.
 const COLD_SPAN: Millis = 3_000.0;
 const COLD_MULTIPLE: f64 = 4.0;
+/// What a killed process's connections still had to say is read by then.
+pub const KILL_SEEN: Millis = 200.0;
 /// An owner's lease, as operators have it unless they say otherwise.
 const LEASE: Millis = 1_500.0;
 /// The longest message between schedulers.
@@ -64,8 +66,9 @@
 pub enum Event {
     /// A client has a job.
     Born { at: Millis, job: usize, class: usize, zone: usize },
-    /// A try of it has been written whole to a scheduler that had accepted the connection.
-    Asked { at: Millis, job: usize, id: String, scheduler: usize, deadline: Millis },
+    /// A try of it has been written whole to a scheduler that had accepted the connection, which was opened at
+    /// `connected`.
+    Asked { at: Millis, connected: Millis, job: usize, id: String, scheduler: usize, deadline: Millis },
     /// The try has ended.
     Ended { at: Millis, id: String, how: How },
     /// The client is done with the job.
@@ -181,6 +184,7 @@
 struct Try {
     job: usize,
     scheduler: usize,
+    connected: Millis,
     asked: Millis,
     deadline: Millis,
     ends: Vec<(Millis, How)>,
@@ -223,10 +227,16 @@
     all
 }
 
-/// What of a scheduler's troubles bears on a try that was open from one time until another: whether it may have died
-/// with it, and whether its answer may be late for it or not be heard.
-fn excuses(troubles: &[Trouble], asked: Millis, last: Millis) -> (bool, bool) {
-    let (mut died, mut late) = (false, false);
+/// What of a scheduler's troubles bears on a try that was open until `last`: whether it may have died with it, and
+/// whether its answer may be late for it or not be heard.
+fn excuses(troubles: &[Trouble], one: &Try, last: Millis) -> (bool, bool) {
+    let asked = one.asked;
+    // Of two processes under one name the other goes on, so that the time of trouble is over at once. A client that did not
+    // know of the death yet may have written to a connection of the dead one.
+    let mut died = troubles.iter().any(|&(from, _, why)| {
+        why == Some(Turn::Killed) && one.connected <= from && from <= last && last <= from + KILL_SEEN
+    });
+    let mut late = false;
     for &(from, until, why) in troubles.iter().filter(|t| t.0 <= last && asked <= t.1) {
         match why {
             Some(Turn::Killed) => died = true,
@@ -264,11 +274,12 @@
             Event::Born { at, job, class, zone } => {
                 jobs.insert(*job, (*at, *class, *zone, None));
             }
-            Event::Asked { at, job, id, scheduler, deadline } => {
+            Event::Asked { at, connected, job, id, scheduler, deadline } => {
                 let (job, scheduler, asked, deadline) = (*job, *scheduler, *at, *deadline);
                 // Attempts can't come before, but the note of the write may.
                 let entry = tries.entry(id).or_default();
-                *entry = Try { job, scheduler, asked, deadline, ..std::mem::take(entry) };
+                *entry =
+                    Try { job, scheduler, connected: *connected, asked, deadline, ..std::mem::take(entry) };
             }
             Event::Crossed { at, id } => {
                 let one = tries.entry(id).or_default();
@@ -505,7 +516,7 @@
 ) {
     let scheduler = one.scheduler;
     let last = one.ends.last().map_or(one.deadline + LATE, |end| end.0);
-    let (died, excused) = excuses(troubles, one.asked, last);
+    let (died, excused) = excuses(troubles, one, last);
     let mut breach = |at, what: String| {
         audit.breaches.push(Breach { rule: "answers", at, what: format!("{id} at {scheduler}: {what}") });
     };
--- a/crates/test-cluster/src/tier.rs
+++ b/crates/test-cluster/src/tier.rs
@@ -7,7 +7,7 @@
 
 use crate::Millis;
 use crate::discovery::{Directory, Status};
-use crate::ledger::{Event, How, Turn};
+use crate::ledger::{Event, How, KILL_SEEN, Turn};
 use crate::process::Process;
 use crate::scenario::{CLASSES, Deed, KEYED_WINDOW, Node, Scenario};
 use crate::traffic::{Crowd, Front, Next, TENANTS};
@@ -45,8 +45,6 @@
 /// The first bytes of what the tier's own messages are.
 const OWNERSHIP: u8 = 0xf2;
 const DEED: u8 = 0xf3;
-/// What a kill ended is read by then.
-const KILL_SEEN: Millis = 200.0;
 /// Clients may still wait after the last job has come: their deadline, and what an answer may be late.
 const TAIL: Millis = crate::ledger::LATE + 200.0;
 /// Connections that wait to be taken from a door.
@@ -161,6 +159,7 @@
     scheduler: usize,
     far: Node,
     opening: bool,
+    opened_at: Millis,
     /// From the scheduler, and to it.
     away: Pipe,
     toward: Pipe,
@@ -1253,6 +1252,7 @@
             scheduler,
             far,
             opening,
+            opened_at: self.at(),
             away: Pipe::default(),
             toward: Pipe::default(),
             output: Vec::new(),
@@ -1388,7 +1388,7 @@
         while connection.marks.front().is_some_and(|mark| mark.0 <= connection.written) {
             marks.extend(connection.marks.pop_front().map(|mark| mark.1));
         }
-        let scheduler = connection.scheduler;
+        let (scheduler, connected) = (connection.scheduler, connection.opened_at);
         if connection.end_output && connection.output.is_empty() {
             let _ = connection.stream.shutdown(Shutdown::Write);
         }
@@ -1397,7 +1397,7 @@
             match mark {
                 Mark::Asked(job, id) => {
                     let deadline = self.crowd.jobs[job].deadline;
-                    self.note(Event::Asked { at, job, id, scheduler, deadline });
+                    self.note(Event::Asked { at, connected, job, id, scheduler, deadline });
                 }
                 Mark::Told(workers) => {
                     for worker in workers {
