--- a/crates/test-cluster/tests/ledger.rs
+++ b/crates/test-cluster/tests/ledger.rs
@@ -194,7 +194,14 @@
         asked(SALE, 0, "a", 0.0),
         ran("a", 1, 5.0),
         vec![process(Turn::Killed, 50.0), ended("a", How::Lost, 51.0)],
-        vec![Event::Asked { at: 200.0, connected: 200.0, job: 0, id: "b".into(), scheduler: 1, deadline: 3_000.0 }],
+        vec![Event::Asked {
+            at: 200.0,
+            connected: 200.0,
+            job: 0,
+            id: "b".into(),
+            scheduler: 1,
+            deadline: 3_000.0,
+        }],
         ran("b", 2, 205.0),
         vec![served("b", 2, 310.0), Event::Settled { at: 310.0, job: 0, served: true }],
     ]);
