Help and errors of the operators' file say cluster, role, lease and replica

They now say what each does in the field's terms; keys, ranges, file and line stand as before, and so do the words of the admin endpoint's replies. One test compared such a text (`handover.copies must be a whole number of keepers`): it expects the new word (replicas), in the same place and as strictly.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -24,13 +24,13 @@
 enum Command {
     /// Run a scheduler until SIGTERM
     Serve(Options),
-    /// Read the configuration, say what it holds, and exit
+    /// Validate the configuration and the operators' file, print a summary, and exit
     Check(Options),
-    /// Ask a running scheduler who is in the tier
+    /// Show the cluster's view and members, as a running scheduler knows them
     Members(StatusOptions),
-    /// Ask a running scheduler who owns which duty on behalf of the tier
+    /// Show the cluster's roles and which scheduler holds the lease of each
     Duties(StatusOptions),
-    /// Ask a running scheduler where each zone's work goes
+    /// Show the traffic plan in force: which share of each zone's work goes to which zone
     Zones(StatusOptions),
     /// Print the version
     Version,
@@ -38,10 +38,10 @@
 
 #[derive(Clone, clap::Args)]
 struct StatusOptions {
-    /// The scheduler's door for operators
+    /// The running scheduler's admin endpoint
     #[arg(long, env = "PROXY_CONTROL", value_name = "ADDRESS")]
     control: String,
-    /// An object a line in place of the table
+    /// Print a JSON object per line in place of columns
     #[arg(long)]
     json: bool,
 }
@@ -51,19 +51,19 @@
     /// The JSON configuration
     #[arg(long, env = "PROXY_CONFIG", value_name = "FILE")]
     config: Option<PathBuf>,
-    /// This scheduler's name, in place of the file's
+    /// This scheduler's name; overrides `name` of the configuration
     #[arg(long, env = "PROXY_NAME")]
     name: Option<String>,
-    /// Where clients connect, in place of the file's
+    /// Where clients connect; overrides `listen` of the configuration
     #[arg(long, env = "PROXY_LISTEN", value_name = "ADDRESS")]
     listen: Option<String>,
-    /// Where discovery is, in place of the file's
+    /// Where discovery is; overrides `discovery` of the configuration
     #[arg(long, env = "PROXY_DISCOVERY", value_name = "ADDRESS")]
     discovery: Option<String>,
-    /// Where the operators' door listens, in place of the file's
+    /// Where the admin endpoint listens; overrides `control` of the configuration
     #[arg(long, env = "PROXY_CONTROL", value_name = "ADDRESS")]
     control: Option<String>,
-    /// The operators' own settings of the door and the drain (TOML)
+    /// The operators' file (TOML): admin endpoint, drain, cluster, failover, zone routing
     #[arg(long, env = "PROXY_OPERATIONS", value_name = "FILE")]
     operations: Option<PathBuf>,
 }
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -165,7 +165,7 @@
     },
     /// There is not one link address for each scheduler.
     #[error(
-        "{}:{line}: handover.links has {links} addresses and there are {schedulers} schedulers: give one for each, by number",
+        "{}:{line}: handover.links has {links} addresses and there are {schedulers} schedulers: give one for each, in the order of their ordinals",
         .file.display()
     )]
     LinkCount {
--- a/crates/protocol/src/operations/control.rs
+++ b/crates/protocol/src/operations/control.rs
@@ -22,7 +22,7 @@
 pub(super) const KEYS: &[Key<ControlOptions>] = &[
     Key {
         name: "callers_most",
-        remedy: "a whole number of callers, 1 to 256",
+        remedy: "a whole number of admin clients, 1 to 256",
         set: |options, entry| {
             options.max_clients = entry.number(1.0..=256.0)? as usize;
             Some(())
--- a/crates/protocol/src/operations/failover.rs
+++ b/crates/protocol/src/operations/failover.rs
@@ -74,7 +74,7 @@
     // A scheduler and all its replicas must be lost at once for a job to be; more than four only cost.
     Key {
         name: "copies",
-        remedy: "a whole number of keepers, 1 to 4",
+        remedy: "a whole number of replicas, 1 to 4",
         set: |options, entry| {
             options.replication_factor = entry.number(1.0..=4.0)? as usize;
             Some(())
@@ -154,7 +154,7 @@
             file: source.path.to_owned(),
             line: source.line_of_table("handover"),
             table: "handover",
-            reason: "keepers go by the roll that the tier agrees on",
+            reason: "replicas are chosen from the cluster's member list",
         })
     }
 
--- a/crates/protocol/src/operations/zone_routing.rs
+++ b/crates/protocol/src/operations/zone_routing.rs
@@ -46,7 +46,7 @@
             file: source.path.to_owned(),
             line: source.line_of_table("zones"),
             table: "zones",
-            reason: "one owner plans for all",
+            reason: "the plan is made by one scheduler, which holds a role of the cluster",
         })
     }
 
--- a/crates/protocol/tests/operations.rs
+++ b/crates/protocol/tests/operations.rs
@@ -122,7 +122,7 @@
         ),
         (
             "[handover]\ncopies = 0\n",
-            "deploy/operations.toml:2: handover.copies must be a whole number of keepers",
+            "deploy/operations.toml:2: handover.copies must be a whole number of replicas",
         ),
         ("[doors]\n", "deploy/operations.toml:1: unknown table [doors]"),
         ("callers_most = 3\n", "deploy/operations.toml:1: `callers_most` must be a table"),
