The toy worker and discovery service in standard terms

The example that README starts with called its worker a backend server and its functions `work` and `tell`. They are `serve_jobs` and `serve_endpoint_list`, and comments say worker, endpoint and keep-alive.

--- a/crates/daemon/examples/toy_server.rs
+++ b/crates/daemon/examples/toy_server.rs
@@ -1,7 +1,7 @@
-//! A toy backend server and a toy discovery service in one, to try the scheduler with.
+//! A toy worker and a toy discovery service in one, to try the scheduler with.
 //!
 //! Run `cargo run -p brackenledge --example toy_server`, then a scheduler with `examples/config.json`. Every job "runs" for
-//! 100 ms and its result is its own body in capitals. A toy: a thread for each connection, and no limits.
+//! 100 ms and its result is its own body in capitals. It has a thread for each connection, and no limits.
 
 use serde_json::{Value, json};
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -40,8 +40,8 @@
     output.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes())
 }
 
-/// The backend server: tells of the start, works, and gives the result.
-fn work(stream: TcpStream) -> io::Result<()> {
+/// The worker: reports each job's start, takes 100 ms, and returns the result.
+fn serve_jobs(stream: TcpStream) -> io::Result<()> {
     let mut output = stream.try_clone()?;
     let mut input = BufReader::new(stream);
     while let Some((first, id, body)) = read_request(&mut input)? {
@@ -59,16 +59,16 @@
     Ok(())
 }
 
-/// Discovery: the whole list, then an empty line every 2 s to those who watch.
-fn tell(stream: TcpStream) -> io::Result<()> {
+/// Discovery: the list of one endpoint, then, on a watch, a keep-alive every 2 s.
+fn serve_endpoint_list(stream: TcpStream) -> io::Result<()> {
     let mut output = stream.try_clone()?;
     let mut input = BufReader::new(stream);
     while let Some((first, ..)) = read_request(&mut input)? {
         print!("discovery: {first}");
-        let server = json!({"name": "toy", "address": WORKER, "zone": "jhb-north", "type": "small-3c",
+        let endpoint = json!({"name": "toy", "address": WORKER, "zone": "jhb-north", "type": "small-3c",
             "group": 0, "status": "ready", "weight": 1.0, "since_ms": 0});
         output.write_all(CHUNKED.as_bytes())?;
-        write_line(&mut output, &json!({"index": 1, "snapshot": true, "endpoints": [server]}).to_string())?;
+        write_line(&mut output, &json!({"index": 1, "snapshot": true, "endpoints": [endpoint]}).to_string())?;
         while first.contains("follow=1") {
             thread::sleep(Duration::from_secs(2));
             write_line(&mut output, "")?;
@@ -89,6 +89,6 @@
 }
 
 fn main() -> io::Result<()> {
-    thread::spawn(|| listen(DISCOVERY, tell));
-    listen(WORKER, work)
+    thread::spawn(|| listen(DISCOVERY, serve_endpoint_list));
+    listen(WORKER, serve_jobs)
 }
