--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -9,7 +9,9 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use brackenledge_policy::{Action, Dispatcher, Event, ListKind, Response, Settings, WorkerEntry, WorkerId};
+use brackenledge_policy::{
+    Action, AttemptResult, Dispatcher, Event, ListKind, Settings, WorkerEntry, WorkerId,
+};
 use wire::{Batch, Happening, Member, Order, Reply};
 
 /// Directories are numbered from 0 to one less than this.
@@ -108,21 +110,21 @@
         Happening::Ask(ask) => Event::from(ask),
         Happening::Opened { job, leg, .. } => Event::StreamOpened { job, attempt: leg },
         Happening::Change { job, leg, sort, value, .. } => match sort {
-            1 => Event::Started { job, attempt: leg },
-            2 => Event::Progress { job, attempt: leg, done: value },
+            1 => Event::JobStarted { job, attempt: leg },
+            2 => Event::JobProgress { job, attempt: leg, done: value },
             _ => return Ok(None),
         },
         Happening::Response { job, leg, code, settled, telemetry, .. } => {
             let (outcome, report) = (wire::outcome(code)?, telemetry.map(Into::into));
-            Event::Response(Response { job, attempt: leg, outcome, settled, report })
+            Event::AttemptEnded(AttemptResult { job, attempt: leg, outcome, job_answered: settled, report })
         }
-        Happening::TimedOutClient { job, .. } => Event::ClientGone { job },
+        Happening::TimedOutClient { job, .. } => Event::ClientDisconnected { job },
         Happening::Timer { .. } => Event::Timer,
         Happening::StatusBack { runner, code, telemetry, .. } => {
             let (outcome, report) = (wire::outcome(code)?, telemetry.map(Into::into));
-            Event::Probed { worker: instance.number(&runner), outcome, report }
+            Event::HealthChecked { worker: instance.number(&runner), outcome, report }
         }
-        Happening::Inbox { from, data, .. } => Event::Message { from, text: data },
+        Happening::Inbox { from, data, .. } => Event::PeerMessage { from, text: data },
         Happening::Directory { .. } | Happening::Boot { .. } | Happening::Kill { .. } => return Ok(None),
     }))
 }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -142,13 +142,13 @@
             id: ask.job,
             class: ask.category,
             tenant: ask.realm,
-            key: ask.key,
+            affinity_key: ask.key,
             time_left: ask.left,
-            effort: ask.effort,
+            expected_run_time: ask.effort,
             slots: ask.slots,
             memory: ask.mem,
             is_retry: ask.is_retry,
-            ran: None,
+            prior_execution: None,
         })
     }
 }
@@ -214,8 +214,8 @@
                 WireReadiness::Left => Readiness::Gone,
             },
             weight: self.weight,
-            launched: (self.launched > 0.0).then_some(self.launched),
-            doubt: 0.0,
+            started_at: (self.launched > 0.0).then_some(self.launched),
+            drain_probability: 0.0,
         }
     }
 }
@@ -234,12 +234,12 @@
 impl From<Telemetry> for LoadReport {
     fn from(t: Telemetry) -> LoadReport {
         LoadReport {
-            held: t.concurrent,
-            waiting: t.depth,
-            busy: t.load_share,
+            in_flight: t.concurrent,
+            queued: t.depth,
+            utilization: t.load_share,
             free_slots: t.x0,
             free_memory: t.x1,
-            errors: t.err_ps,
+            errors_per_second: t.err_ps,
         }
     }
 }
@@ -247,14 +247,14 @@
 /// An outcome code in the module's terms.
 pub fn outcome(code: u32) -> Result<Outcome, String> {
     Ok(match code {
-        200 => Outcome::Ok,
-        502 => Outcome::Error,
+        200 => Outcome::Served,
+        502 => Outcome::WorkerError,
         429 => Outcome::Full,
         408 => Outcome::Timeout,
         521 => Outcome::ConnectFailed,
         520 => Outcome::Reset,
         444 => Outcome::Cancelled,
-        409 => Outcome::Moot,
+        409 => Outcome::NeverSent,
         other => return Err(format!("unknown outcome code {other}")),
     })
 }
@@ -348,18 +348,20 @@
 pub fn order(dispatcher: &str, names: &[String], action: Action) -> Order {
     let dispatcher = dispatcher.to_owned();
     match action {
-        Action::Send { job, worker, timeout } => {
+        Action::StartAttempt { job, worker, timeout } => {
             Order::Place { dispatcher, job, cap: timeout, runner: names[worker].clone() }
         }
-        Action::Cancel { job, attempt } => Order::Cancel { dispatcher, job, leg: attempt },
-        Action::Refuse { job, retry_after } => Order::TurnAway { dispatcher, job, retry_after },
+        Action::CancelAttempt { job, attempt } => Order::Cancel { dispatcher, job, leg: attempt },
+        Action::Reject { job, retry_after } => Order::TurnAway { dispatcher, job, retry_after },
         Action::Fail { job } => Order::ReportFailure { dispatcher, job },
-        Action::Wake { after } => Order::WakeMe { dispatcher, label: "sweep", sleep_for: after },
-        Action::Watch { on } => Order::StreamChanges { dispatcher, on },
-        Action::FetchList => Order::GetList { dispatcher },
-        Action::Probe { worker } => Order::Sample { dispatcher, runner: names[worker].clone() },
-        Action::Tell { to, text } => Order::Share { dispatcher, dest: to, data: text },
-        Action::CloseIdle { worker } => Order::CloseIdle { dispatcher, runner: names[worker].clone() },
+        Action::SetTimer { after } => Order::WakeMe { dispatcher, label: "sweep", sleep_for: after },
+        Action::WatchEndpoints { on } => Order::StreamChanges { dispatcher, on },
+        Action::PollEndpoints => Order::GetList { dispatcher },
+        Action::HealthCheck { worker } => Order::Sample { dispatcher, runner: names[worker].clone() },
+        Action::SendMessage { to, text } => Order::Share { dispatcher, dest: to, data: text },
+        Action::CloseIdleConnections { worker } => {
+            Order::CloseIdle { dispatcher, runner: names[worker].clone() }
+        }
         Action::Log(words) => Order::Trace { dispatcher, words },
     }
 }
--- a/crates/daemon/src/net/backend/connection.rs
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -172,7 +172,7 @@
             self.task = Some(task);
             // Nothing was written: it must not be counted as written.
             self.is_counted_as_written = true;
-            self.end_task(Outcome::Moot, None, cx);
+            self.end_task(Outcome::NeverSent, None, cx);
             return Flow::Close;
         }
         self.start(task, cx);
--- a/crates/daemon/src/net/backend/mod.rs
+++ b/crates/daemon/src/net/backend/mod.rs
@@ -1,6 +1,6 @@
 //! The workers' side: a pool of connections, and the attempts and health checks that travel on them.
 //!
-//! **Invariant.** Each attempt ends exactly once. It ends as never sent (`Moot`, `ConnectFailed`) only if its request's
+//! **Invariant.** Each attempt ends exactly once. It ends as never sent (`NeverSent`, `ConnectFailed`) only if its request's
 //! last byte was not handed to the system.
 //!
 //! | module | job |
@@ -62,7 +62,7 @@
         cx: &mut Context,
     ) {
         if !cx.endpoints.is_ready(worker) || cx.now >= deadlines.write_deadline {
-            cx.engine.attempt_ended(id, Outcome::Moot, None);
+            cx.engine.attempt_ended(id, Outcome::NeverSent, None);
             return;
         }
         let zone = cx.endpoints.zone(worker);
@@ -98,7 +98,7 @@
     pub fn cancel(&mut self, id: AttemptId, outcome: Outcome, cx: &mut Context) {
         let Some(&slot) = self.attempts.get(&id) else { return };
         let connection = &mut self.connections[slot];
-        let outcome = if connection.is_request_written() { outcome } else { Outcome::Moot };
+        let outcome = if connection.is_request_written() { outcome } else { Outcome::NeverSent };
         connection.end_task(outcome, None, cx);
         self.remove(slot, cx);
     }
@@ -106,7 +106,7 @@
     /// Ends an attempt unless its request's last byte is written.
     pub fn cancel_unsent(&mut self, id: AttemptId, cx: &mut Context) {
         if self.attempts.get(&id).is_some_and(|&slot| !self.connections[slot].is_request_written()) {
-            self.cancel(id, Outcome::Moot, cx);
+            self.cancel(id, Outcome::NeverSent, cx);
         }
     }
 
--- a/crates/daemon/src/net/backend/pool.rs
+++ b/crates/daemon/src/net/backend/pool.rs
@@ -46,7 +46,7 @@
         cx: &mut Context,
     ) -> Option<usize> {
         let reuse_delay = match task {
-            Task::Attempt { request, .. } if request.effect != Effect::Safe => REUSE_DELAY,
+            Task::Attempt { request, .. } if request.effect != Effect::Repeatable => REUSE_DELAY,
             _ => 0.0,
         };
         while let Some(slot) = self.take_idle(worker, cx.now - reuse_delay) {
--- a/crates/daemon/src/net/backend/request_writer.rs
+++ b/crates/daemon/src/net/backend/request_writer.rs
@@ -31,7 +31,7 @@
 
     fn write_job(&mut self, request: &Request, deadlines: AttemptDeadlines, cx: &mut Context) {
         let mut head = self.job_head(request, deadlines, cx.now);
-        let withhold = request.effect == Effect::Unsafe && *cx.distrust_until > cx.now;
+        let withhold = request.effect == Effect::NonIdempotent && *cx.distrust_until > cx.now;
         let (last, rest) = match request.body.split_last() {
             Some((&last, rest)) => (last, rest),
             None => (b'\n', &[][..]),
--- a/crates/daemon/src/net/backend/response_reader.rs
+++ b/crates/daemon/src/net/backend/response_reader.rs
@@ -75,11 +75,11 @@
                 if let Some(zones) = cx.zones {
                     zones.on_job_served(cx.now - self.job_started_at);
                 }
-                self.report_to_zone_routing(Outcome::Ok, report, cx);
+                self.report_to_zone_routing(Outcome::Served, report, cx);
                 cx.engine.attempt_served(id, result, report);
             }
             // A response without its result can't be given to the client.
-            ("done" | "failed", _) => self.end_task(Outcome::Error, report, cx),
+            ("done" | "failed", _) => self.end_task(Outcome::WorkerError, report, cx),
             ("returned", _) => self.end_task(Outcome::Full, report, cx),
             ("lost", _) => self.end_task(Outcome::Reset, report, cx),
             // A state that later versions may add is not final.
@@ -95,7 +95,7 @@
         let from_header: Option<LoadReport> = head.load.as_deref().map(read_load_header);
         if let Some(Task::HealthCheck) = self.task {
             let report = read_load(&body);
-            let outcome = if head.status == 200 { Outcome::Ok } else { Outcome::Error };
+            let outcome = if head.status == 200 { Outcome::Served } else { Outcome::WorkerError };
             self.end_task(outcome, from_header.or(report), cx);
             return;
         }
@@ -123,7 +123,7 @@
         200 => Outcome::Reset,
         503 | 504 if never_ran => Outcome::Full,
         // The request itself was malformed: that says nothing of the worker's health.
-        400..=499 => Outcome::Rejected,
-        _ => Outcome::Error,
+        400..=499 => Outcome::BadRequest,
+        _ => Outcome::WorkerError,
     }
 }
--- a/crates/daemon/src/net/cluster/mod.rs
+++ b/crates/daemon/src/net/cluster/mod.rs
@@ -21,7 +21,7 @@
     Role, RoleGrant, Term,
 };
 use brackenledge_membership::{Command as MembershipCommand, Membership, ProcessId, SwimConfig};
-use brackenledge_policy::split_sums;
+use brackenledge_policy::split_aggregated_loads;
 use brackenledge_protocol::operations::Operations;
 use slog::Logger;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -343,7 +343,7 @@
         };
         // One byte tells the datagram's kind.
         let max_length = MAX_DATAGRAM_LENGTH - 1 - FencingToken::MAX_ENCODED_LENGTH;
-        for part in split_sums(text, max_length) {
+        for part in split_aggregated_loads(text, max_length) {
             self.broadcast_fenced(socket, roles::AGGREGATOR, term, part.as_bytes());
         }
     }
--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -67,13 +67,13 @@
             }
             FailoverCommand::AttemptExpired { key, attempt } => {
                 if let Some(id) = job_failover.drop_attempt(&key, attempt) {
-                    cx.engine.attempt_ended(id, Outcome::Moot, None);
+                    cx.engine.attempt_ended(id, Outcome::NeverSent, None);
                 }
             }
             FailoverCommand::Revoke { key } => {
                 if let Some(job) = job_failover.revoke(&key) {
                     for attempt in job.held_attempts {
-                        cx.engine.attempt_ended(attempt, Outcome::Moot, None);
+                        cx.engine.attempt_ended(attempt, Outcome::NeverSent, None);
                     }
                     cx.engine.abandon_job(job.id);
                 }
@@ -142,7 +142,7 @@
             Command::CancelAttempt { id } | Command::WithdrawAttempt { id }
                 if cx.job_failover.as_mut().is_some_and(|job_failover| job_failover.cancel_attempt(id)) =>
             {
-                cx.engine.attempt_ended(id, Outcome::Moot, None);
+                cx.engine.attempt_ended(id, Outcome::NeverSent, None);
             }
             Command::CancelAttempt { id } => self.backend.cancel(id, Outcome::Cancelled, cx),
             Command::WithdrawAttempt { id } => self.backend.cancel_unsent(id, cx),
@@ -175,7 +175,7 @@
     fn send_to_peers(&mut self, to: Option<u32>, text: &str) {
         let Some(peer) = &self.peer else { return };
         match &mut self.cluster {
-            Some(cluster) if to.is_none() && brackenledge_policy::is_sums(text) => {
+            Some(cluster) if to.is_none() && brackenledge_policy::is_aggregated_loads(text) => {
                 cluster.broadcast_aggregated_loads(peer, text);
             }
             _ => peer.send_text(to, text),
--- a/crates/daemon/src/net/frontend/admission.rs
+++ b/crates/daemon/src/net/frontend/admission.rs
@@ -47,7 +47,7 @@
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
             effects: settings.classes.iter().map(|class| class.effect).collect(),
             tenants: document.tenant_names(),
-            max_open_jobs: document.most_held().unwrap_or(usize::MAX),
+            max_open_jobs: document.max_open_jobs().unwrap_or(usize::MAX),
             retry_after: settings.retry_after.then_some(OVERLOAD_RETRY_AFTER.min(settings.max_retry_after)),
         }
     }
@@ -73,14 +73,14 @@
             id: 0,
             class,
             tenant,
-            key: path.key.map(str::to_owned),
+            affinity_key: path.key.map(str::to_owned),
             // Nobody waits longer than the class's deadline, whatever the client states.
             time_left: expires_in.unwrap_or(f64::INFINITY).min(self.deadlines[class]),
-            effort: size_hint.map(|micros| micros / 1_000.0),
+            expected_run_time: size_hint.map(|micros| micros / 1_000.0),
             slots: resources.slots,
             memory: resources.memory,
             is_retry: header(headers, "X-Second-Try") == Some("1"),
-            ran: None,
+            prior_execution: None,
         };
         Ok(JobRequest {
             client,
@@ -129,7 +129,7 @@
         headers: &[httparse::Header],
     ) -> Result<Option<String>, Rejection> {
         let key = single_header(headers, "Idempotency-Key")?.filter(|key| !key.is_empty()).map(str::to_owned);
-        if self.effects[class] == Effect::Keyed && key.is_none() {
+        if self.effects[class] == Effect::Idempotent && key.is_none() {
             return Err(Rejection::bad_request("Idempotency-Key is missing"));
         }
         Ok(key)
--- a/crates/daemon/src/net/job_failover/mod.rs
+++ b/crates/daemon/src/net/job_failover/mod.rs
@@ -24,7 +24,7 @@
 use brackenledge_failover::{
     Command, Failover, JobKey, JobOutcome, JobSubmission, Micros, ProcessId, Settings, Waiter,
 };
-use brackenledge_policy::{Effect, JobId, WorkerId};
+use brackenledge_policy::{Effect, JobId, PriorExecution, WorkerId};
 use brackenledge_protocol::operations::FailoverOptions;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -162,7 +162,7 @@
         };
         let now = micros();
         let submission = JobSubmission {
-            requires_ack: options.is_some_and(|options| options.effect != Effect::Safe),
+            requires_ack: options.is_some_and(|options| options.effect != Effect::Repeatable),
             requires_replication: options.is_some_and(|options| options.requires_replication),
             deadline: now + to_micros(job.time_left.max(0.0)),
             payload: ReplicatedJob::new(job, request).encode(),
@@ -195,7 +195,7 @@
             class: key.class,
             tenant: key.tenant,
             idempotency_key: &key.idempotency_key,
-            effect: effect.unwrap_or(Effect::Unsafe),
+            effect: effect.unwrap_or(Effect::NonIdempotent),
             time_left: to_millis(deadline.saturating_sub(micros())),
         };
         let (job, request) = ReplicatedJob::decode(payload).ok()?.into_engine_job(&context);
@@ -243,7 +243,8 @@
 
 /// Adds the attempt of an earlier owner to a job that the engine takes: its worker, and its greatest age.
 pub fn with_prior_attempt(mut submitted: JobRequest, prior: Option<(WorkerId, Micros)>) -> JobRequest {
-    submitted.job.ran = prior.map(|(worker, max_age)| (worker, to_millis(max_age)));
+    submitted.job.prior_execution =
+        prior.map(|(worker, max_age)| PriorExecution { worker, age: to_millis(max_age) });
     submitted
 }
 
--- a/crates/daemon/src/net/job_failover/tests.rs
+++ b/crates/daemon/src/net/job_failover/tests.rs
@@ -73,7 +73,7 @@
         replicated_classes: vec!["sale".into()],
         ..FailoverOptions::default()
     };
-    let classes = [("view".to_owned(), Effect::Safe), ("sale".to_owned(), Effect::Unsafe)];
+    let classes = [("view".to_owned(), Effect::Repeatable), ("sale".to_owned(), Effect::NonIdempotent)];
     let local = ProcessId { ordinal: 0, incarnation: 1 };
     let failover = JobFailover::new(&options, local, 0, &classes);
     let lines = failover.figures(&["view".to_owned(), "sale".to_owned()]);
--- a/crates/daemon/src/net/startup.rs
+++ b/crates/daemon/src/net/startup.rs
@@ -92,7 +92,7 @@
         let document = &config.settings;
         let limits = ConnectionLimits::new(config.sockets, operations.control.max_clients);
         let discovery_settings = discovery_settings(&settings, parts.peer.is_some(), config.seed);
-        let idle_limit = document.idle_limit().unwrap_or(DEFAULT_IDLE_TIMEOUT);
+        let idle_limit = document.idle_timeout().unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let (job_failover, peer_links) =
             parts.failover.map(|failover| (failover.job_failover, failover.links)).unzip();
         let mut scheduler = Scheduler {
@@ -205,7 +205,7 @@
     settings: &Settings,
     event_loop: &EventLoop,
 ) -> Result<Option<PeerSocket>, StartError> {
-    let Some(config) = config.filter(|_| settings.messages) else { return Ok(None) };
+    let Some(config) = config.filter(|_| settings.peer_messages) else { return Ok(None) };
     let address = config.listen;
     let mut peer = PeerSocket::bind(config, settings.ordinal).map_err(|source| StartError::Bind {
         socket: BoundSocket::Peer,
@@ -272,10 +272,10 @@
 fn discovery_settings(settings: &Settings, has_peer_socket: bool, seed: u64) -> DiscoverySettings {
     DiscoverySettings {
         ordinal: settings.ordinal,
-        schedulers: settings.dispatchers,
+        schedulers: settings.schedulers,
         gossip: has_peer_socket,
         push_mode: !settings.list_on_request,
-        max_list_age: settings.ask_within,
+        max_list_age: settings.max_poll_interval,
         seed,
     }
 }
--- a/crates/daemon/src/net/zone_routing/observations.rs
+++ b/crates/daemon/src/net/zone_routing/observations.rs
@@ -17,8 +17,8 @@
 /// Routes, load and workers as one scheduler observes them.
 pub(super) struct Observations {
     /// The share of its slots that a worker has when it starts, and how long it takes to have all.
-    cold_share: f64,
-    warm_within: Millis,
+    initial_capacity_fraction: f64,
+    warm_up_duration: Millis,
     routes: Vec<RouteStats>,
     interval_start: Millis,
     /// Slots of all jobs that had arrived at the start of the interval.
@@ -34,8 +34,8 @@
 impl Observations {
     pub fn new(zone_count: usize, policy: &brackenledge_policy::Settings) -> Observations {
         Observations {
-            cold_share: policy.cold_share,
-            warm_within: policy.warm_within,
+            initial_capacity_fraction: policy.initial_capacity_fraction,
+            warm_up_duration: policy.warm_up_duration,
             routes: vec![RouteStats::default(); zone_count],
             interval_start: 0.0,
             arrived_slots: 0.0,
@@ -60,11 +60,11 @@
         if let Some(route) = zone.and_then(|zone| self.routes.get_mut(zone as usize)) {
             match outcome {
                 Outcome::ConnectFailed | Outcome::Reset => route.failed += 1,
-                Outcome::Moot | Outcome::Cancelled => {}
+                Outcome::NeverSent | Outcome::Cancelled => {}
                 _ => route.reached += 1,
             }
         }
-        if let Some((free, held)) = report.and_then(|report| Some((report.free_slots?, report.held?))) {
+        if let Some((free, held)) = report.and_then(|report| Some((report.free_slots?, report.in_flight?))) {
             self.on_slots_reported(worker, free, held);
         }
     }
@@ -137,7 +137,8 @@
 
     /// The part of its slots that a worker has while it warms up.
     fn warmth(&self, now: Millis, worker: &EndpointRecord) -> f64 {
-        let age = worker.started_at.map_or(1.0, |started_at| (now - started_at) / self.warm_within.max(1.0));
-        self.cold_share + (1.0 - self.cold_share) * age.clamp(0.0, 1.0)
+        let age =
+            worker.started_at.map_or(1.0, |started_at| (now - started_at) / self.warm_up_duration.max(1.0));
+        self.initial_capacity_fraction + (1.0 - self.initial_capacity_fraction) * age.clamp(0.0, 1.0)
     }
 }
--- a/crates/daemon/tests/discovery.rs
+++ b/crates/daemon/tests/discovery.rs
@@ -19,12 +19,12 @@
 }
 
 /// The same with this time for which a list holds without a watch.
-fn two_servers_asked_within(ask_within: f64) -> (Stage, TcpListener, TcpListener, TcpStream) {
+fn two_servers_asked_within(max_poll_interval: f64) -> (Stage, TcpListener, TcpListener, TcpStream) {
     let (a, b) = (listener(), listener());
     let at = |worker: &TcpListener| worker.local_addr().expect("an address");
     let mut config = settings();
     // What the module itself waits after a failed call must have no part in these stories.
-    config["obligations"]["ask-within"] = json!(ask_within);
+    config["obligations"]["ask-within"] = json!(max_poll_interval);
     let known = [endpoint("s-a", at(&a), "ready"), endpoint("s-b", at(&b), "ready")];
     let stage = Stage::start_with(config, &known, None);
     let (_, watch) = stage.watch(&[list(2, false, &[])]);
--- a/crates/discovery/src/command.rs
+++ b/crates/discovery/src/command.rs
@@ -47,7 +47,9 @@
 impl PartialEq for WorkerUpdate {
     fn eq(&self, other: &Self) -> bool {
         let key =
-            |e: &WorkerEntry| (e.id, e.readiness, e.zone, e.kind, e.cell, e.launched.map(Millis::to_bits));
-        key(&self.0) == key(&other.0) && self.0.name == other.0.name && self.0.doubt == other.0.doubt
+            |e: &WorkerEntry| (e.id, e.readiness, e.zone, e.kind, e.cell, e.started_at.map(Millis::to_bits));
+        key(&self.0) == key(&other.0)
+            && self.0.name == other.0.name
+            && self.0.drain_probability == other.0.drain_probability
     }
 }
--- a/crates/discovery/src/gossip/message.rs
+++ b/crates/discovery/src/gossip/message.rs
@@ -13,7 +13,7 @@
 
 use brackenledge_policy::Readiness;
 use brackenledge_policy::measure::hash;
-use brackenledge_policy::symbols::{put, take};
+use brackenledge_policy::symbols::{InvalidSymbol, decode, encode};
 use thiserror::Error;
 
 /// The first byte of every gossip message.
@@ -79,8 +79,8 @@
     Checksum,
     #[error("unknown purpose {0:#x}")]
     Purpose(u8),
-    #[error("a byte is no symbol")]
-    Symbol,
+    #[error(transparent)]
+    Symbol(#[from] InvalidSymbol),
     #[error("unknown status {0}")]
     Status(u64),
     #[error("a change lies before the first revision")]
@@ -105,19 +105,19 @@
         let mut text = String::from(MARK);
         let symbol = PURPOSES.iter().find(|(purpose, _)| *purpose == self.purpose).map(|(_, symbol)| symbol);
         text.extend(symbol);
-        put(&mut text, self.held_revision, REVISION_SYMBOLS);
-        put(&mut text, self.known_revision, REVISION_SYMBOLS);
+        encode(&mut text, self.held_revision, REVISION_SYMBOLS);
+        encode(&mut text, self.known_revision, REVISION_SYMBOLS);
         let newest = self.held_revision.max(self.known_revision);
         for change in self.changes.iter().take(MAX_CHANGES) {
             // Changes that lie further back than the symbols can say are as good as those at their limit.
             let revisions_back =
                 newest.saturating_sub(change.revision).min(max_value(REVISIONS_BACK_SYMBOLS));
-            put(&mut text, change.tag, TAG_SYMBOLS);
-            put(&mut text, change.readiness as u64, STATUS_SYMBOLS);
-            put(&mut text, revisions_back, REVISIONS_BACK_SYMBOLS);
+            encode(&mut text, change.tag, TAG_SYMBOLS);
+            encode(&mut text, change.readiness as u64, STATUS_SYMBOLS);
+            encode(&mut text, revisions_back, REVISIONS_BACK_SYMBOLS);
         }
         let checksum = hash(&text);
-        put(&mut text, checksum, CHECKSUM_SYMBOLS);
+        encode(&mut text, checksum, CHECKSUM_SYMBOLS);
         text
     }
 
@@ -169,5 +169,5 @@
 }
 
 fn number(symbols: &[u8]) -> Result<u64, MessageError> {
-    take(symbols).ok_or(MessageError::Symbol)
+    Ok(decode(symbols)?)
 }
--- a/crates/discovery/src/signals.rs
+++ b/crates/discovery/src/signals.rs
@@ -5,7 +5,7 @@
 mod tests;
 
 use brackenledge_policy::Millis;
-use brackenledge_policy::measure::Fading;
+use brackenledge_policy::measure::DecayingSum;
 
 /// Something that an endpoint did, as a hint of its status.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,7 +49,7 @@
 
 /// Evidence that an endpoint drains: a decaying sum of the weights of its signals.
 #[derive(Clone, Copy, Default)]
-pub(crate) struct DrainEvidence(Fading);
+pub(crate) struct DrainEvidence(DecayingSum);
 
 impl DrainEvidence {
     pub(crate) fn add(&mut self, now: Millis, signal: EndpointSignal) {
@@ -60,7 +60,7 @@
     }
 
     pub(crate) fn value(&self, now: Millis) -> f64 {
-        self.0.now(now, EVIDENCE_DECAY_TIME)
+        self.0.value_at(now, EVIDENCE_DECAY_TIME)
     }
 
     pub(crate) fn is_negligible(&self, now: Millis) -> bool {
--- a/crates/discovery/src/table.rs
+++ b/crates/discovery/src/table.rs
@@ -360,8 +360,8 @@
                 cell,
                 readiness: endpoint.readiness(),
                 weight,
-                launched: started_at,
-                doubt: endpoint.drain_probability(),
+                started_at,
+                drain_probability: endpoint.drain_probability(),
             })
         };
         changed.into_iter().filter_map(entry).collect()
--- a/crates/discovery/tests/endpoint_status.rs
+++ b/crates/discovery/tests/endpoint_status.rs
@@ -261,7 +261,8 @@
     node.handle_timeout(20_000.0);
     while let Some(command) = node.poll_command() {
         if let Command::UpdateEndpoints { entries, .. } = command {
-            probabilities.extend(entries.into_iter().map(|entry| (entry.0.name.clone(), entry.0.doubt)));
+            probabilities
+                .extend(entries.into_iter().map(|entry| (entry.0.name.clone(), entry.0.drain_probability)));
         }
     }
     assert!(probabilities["a1"] > probabilities["b2"] && probabilities["b2"] > 0.0, "{probabilities:?}");
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -5,8 +5,8 @@
 use crate::job::{Answer, ClientId, Job, JobRequest};
 use crate::stats::{JobEnd, JobStats};
 use brackenledge_policy::{
-    Action, Class, Dispatcher, Effect, Event, JobId, ListKind, LoadReport, Millis, NewJob, Outcome, Response,
-    Settings, WorkerEntry, WorkerId,
+    Action, AttemptResult, Class, Dispatcher, Effect, Event, JobId, ListKind, LoadReport, Millis, NewJob,
+    Outcome, Settings, WorkerEntry, WorkerId,
 };
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -38,7 +38,7 @@
 /// How long after its first attempt a job of this class may be retried. What else limits retries is the decision
 /// module's; this bounds what passes between its decision and the last byte.
 fn retry_window(class: &Class) -> Millis {
-    if class.effect == Effect::Keyed { class.window } else { f64::INFINITY }
+    if class.effect == Effect::Idempotent { class.deduplication_window } else { f64::INFINITY }
 }
 
 impl Engine {
@@ -114,7 +114,7 @@
     pub fn abandon_job(&mut self, id: JobId) {
         if self.end_job(id).is_some() {
             self.stats.abandoned += 1;
-            self.events.push_back(Event::ClientGone { job: id });
+            self.events.push_back(Event::ClientDisconnected { job: id });
             self.withdraw_attempts(id);
         }
     }
@@ -127,7 +127,7 @@
         ids.sort_unstable();
         for id in ids {
             let never_ran = self.jobs[&id].never_ran();
-            self.events.push_back(Event::ClientGone { job: id });
+            self.events.push_back(Event::ClientDisconnected { job: id });
             self.answer(id, if never_ran { Answer::Rejected { retry_after } } else { Answer::Failed });
         }
     }
@@ -142,18 +142,18 @@
 
     /// A worker has started to run an attempt.
     pub fn attempt_started(&mut self, AttemptId { job, attempt }: AttemptId) {
-        self.events.push_back(Event::Started { job, attempt });
+        self.events.push_back(Event::JobStarted { job, attempt });
     }
 
     /// A worker has done this share of an attempt, 0 to 1.
     pub fn attempt_progressed(&mut self, AttemptId { job, attempt }: AttemptId, done: f64) {
-        self.events.push_back(Event::Progress { job, attempt, done });
+        self.events.push_back(Event::JobProgress { job, attempt, done });
     }
 
     /// An attempt was served. The first of a job is its answer.
     pub fn attempt_served(&mut self, id: AttemptId, result: String, report: Option<LoadReport>) {
         self.end_with_answer(id.job, Answer::Served(result));
-        self.attempt_ended(id, Outcome::Ok, report);
+        self.attempt_ended(id, Outcome::Served, report);
         self.withdraw_attempts(id.job);
     }
 
@@ -162,12 +162,18 @@
         let Some(attempt) = self.attempt_in_flight(id) else { return };
         attempt.mark_ended(!outcome.never_ran());
         let Some(job) = self.jobs.get(&id.job) else { return };
-        let settled = !job.is_pending();
+        let job_answered = !job.is_pending();
         if job.request.reports_attempts {
             self.commands.push_back(Command::AttemptEnded { id, never_ran: outcome.never_ran() });
         }
         let AttemptId { job, attempt } = id;
-        self.events.push_back(Event::Response(Response { job, attempt, outcome, settled, report }));
+        self.events.push_back(Event::AttemptEnded(AttemptResult {
+            job,
+            attempt,
+            outcome,
+            job_answered,
+            report,
+        }));
     }
 
     /// The endpoint table has changed.
@@ -177,22 +183,22 @@
 
     /// A health check ended.
     pub fn health_check_ended(&mut self, worker: WorkerId, outcome: Outcome, report: Option<LoadReport>) {
-        self.events.push_back(Event::Probed { worker, outcome, report });
+        self.events.push_back(Event::HealthChecked { worker, outcome, report });
     }
 
     /// A message came from another scheduler.
     pub fn handle_message(&mut self, from: u32, text: String) {
-        self.events.push_back(Event::Message { from, text });
+        self.events.push_back(Event::PeerMessage { from, text });
     }
 
     /// Sets each zone's route cost, in latency objectives; empty: there is no traffic plan.
     pub fn set_zone_costs(&mut self, costs: Vec<f64>) {
-        self.events.push_back(Event::Zones { prices: costs });
+        self.events.push_back(Event::ZoneCosts { costs });
     }
 
     /// Sets the number of active schedulers that share the workers, this one included.
     pub fn set_active_schedulers(&mut self, schedulers: u32) {
-        self.events.push_back(Event::Living { dispatchers: schedulers });
+        self.events.push_back(Event::ActiveSchedulers { schedulers });
     }
 
     /// A timer of [`Command::SetTimer`] has expired.
@@ -213,7 +219,7 @@
 
     fn handle_event(&mut self, now: Millis, event: Event) {
         let ended_job = match &event {
-            Event::Response(Response { job, .. }) | Event::ClientGone { job } => Some(*job),
+            Event::AttemptEnded(AttemptResult { job, .. }) | Event::ClientDisconnected { job } => Some(*job),
             _ => None,
         };
         let mut actions = std::mem::take(&mut self.actions);
@@ -229,16 +235,20 @@
 
     fn execute(&mut self, now: Millis, action: Action) {
         let command = match action {
-            Action::Send { job, worker, timeout } => return self.start_attempt(now, job, worker, timeout),
-            Action::Refuse { job, retry_after } => return self.answer(job, Answer::Rejected { retry_after }),
+            Action::StartAttempt { job, worker, timeout } => {
+                return self.start_attempt(now, job, worker, timeout);
+            }
+            Action::Reject { job, retry_after } => return self.answer(job, Answer::Rejected { retry_after }),
             Action::Fail { job } => return self.answer(job, Answer::Failed),
-            Action::Cancel { job, attempt } => Command::CancelAttempt { id: AttemptId { job, attempt } },
-            Action::Wake { after } => Command::SetTimer { after },
-            Action::Watch { on } => Command::WatchEndpoints { on },
-            Action::FetchList => Command::PollEndpoints,
-            Action::Probe { worker } => Command::HealthCheck { worker },
-            Action::Tell { to, text } => Command::SendMessage { to, text },
-            Action::CloseIdle { worker } => Command::CloseIdleConnections { worker },
+            Action::CancelAttempt { job, attempt } => {
+                Command::CancelAttempt { id: AttemptId { job, attempt } }
+            }
+            Action::SetTimer { after } => Command::SetTimer { after },
+            Action::WatchEndpoints { on } => Command::WatchEndpoints { on },
+            Action::PollEndpoints => Command::PollEndpoints,
+            Action::HealthCheck { worker } => Command::HealthCheck { worker },
+            Action::SendMessage { to, text } => Command::SendMessage { to, text },
+            Action::CloseIdleConnections { worker } => Command::CloseIdleConnections { worker },
             Action::Log(text) => Command::Log(text),
         };
         self.commands.push_back(command);
@@ -253,7 +263,7 @@
         let request = Rc::clone(&job.request);
         let id = AttemptId { job: id, attempt };
         if is_moot {
-            self.attempt_ended(id, Outcome::Moot, None);
+            self.attempt_ended(id, Outcome::NeverSent, None);
             return;
         }
         self.commands.push_back(Command::StartAttempt { id, worker, request, deadlines });
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -95,7 +95,7 @@
 impl Job {
     /// A pending job. An attempt that another scheduler made counts as its first.
     pub(crate) fn new(now: Millis, client: ClientId, job: &NewJob, request: Request) -> Self {
-        let earlier = job.ran.iter().map(|&(_, age)| Attempt::of_earlier_scheduler(now - age));
+        let earlier = job.prior_execution.iter().map(|prior| Attempt::of_earlier_scheduler(now - prior.age));
         Job {
             client,
             class: job.class,
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -21,7 +21,7 @@
     client: usize,
     class: usize,
     effect: Effect,
-    key: Option<String>,
+    affinity_key: Option<String>,
     time_left: f64,
 ) -> JobRequest {
     JobRequest {
@@ -30,13 +30,13 @@
             id: 0,
             class,
             tenant: 0,
-            key,
+            affinity_key,
             time_left,
-            effort: None,
+            expected_run_time: None,
             slots: 1.0,
             memory: 0.0,
             is_retry: false,
-            ran: None,
+            prior_execution: None,
         },
         request: Request {
             id: format!("t{client}"),
--- a/crates/engine/tests/job_completion.rs
+++ b/crates/engine/tests/job_completion.rs
@@ -8,7 +8,7 @@
 use common::{job_request, workers};
 use std::collections::{BTreeMap, BTreeSet};
 
-const EFFECTS: [Effect; 3] = [Effect::Safe, Effect::Unsafe, Effect::Keyed];
+const EFFECTS: [Effect; 3] = [Effect::Repeatable, Effect::NonIdempotent, Effect::Idempotent];
 /// How long workers drop retries of an idempotent job.
 const RETRY_WINDOW: f64 = 400.0;
 
@@ -56,13 +56,18 @@
 }
 
 impl Driver {
-    fn new(seed: u64, cancelling: bool) -> Driver {
-        let class = |effect| Class { effect, deadline: 3_000.0, window: RETRY_WINDOW, ..Class::default() };
+    fn new(seed: u64, cancellation: bool) -> Driver {
+        let class = |effect| Class {
+            effect,
+            deadline: 3_000.0,
+            deduplication_window: RETRY_WINDOW,
+            ..Class::default()
+        };
         let settings = Settings {
             classes: EFFECTS.map(class).to_vec(),
             max_attempts: 4,
-            cancelling,
-            tells_start: true,
+            cancellation,
+            reports_job_start: true,
             starts_in_order: true,
             ..Settings::default()
         };
@@ -92,7 +97,7 @@
     /// Ends an attempt with this outcome, or as moot if it has not been sent.
     fn end(&mut self, id: AttemptId, outcome: Outcome) {
         let Some(attempt) = self.in_flight.remove(&id) else { return };
-        let outcome = if attempt.sent { outcome } else { Outcome::Moot };
+        let outcome = if attempt.sent { outcome } else { Outcome::NeverSent };
         if attempt.sent && outcome.never_ran() {
             let possible_runs = self.possible_runs.entry(id.job).or_default();
             *possible_runs -= 1;
@@ -101,7 +106,7 @@
             }
         }
         match outcome {
-            Outcome::Ok => self.engine.attempt_served(id, "ok".into(), None),
+            Outcome::Served => self.engine.attempt_served(id, "ok".into(), None),
             other => self.engine.attempt_ended(id, other, None),
         }
     }
@@ -111,18 +116,18 @@
         let seed = self.seed;
         if self.now >= self.in_flight[&id].deadlines.write_deadline {
             self.counts.expired += 1;
-            return self.end(id, Outcome::Moot);
+            return self.end(id, Outcome::NeverSent);
         }
         assert!(self.pending.contains(&id.job), "seed {seed}: {id:?} is sent for a job that is not pending");
         let possible_runs = self.possible_runs.entry(id.job).or_default();
         *possible_runs += 1;
         assert!(
-            *possible_runs == 1 || EFFECTS[self.class[&id.job]] != Effect::Unsafe,
+            *possible_runs == 1 || EFFECTS[self.class[&id.job]] != Effect::NonIdempotent,
             "seed {seed}: {id:?} is a second execution of a job that is not idempotent"
         );
         let since = *self.first_sent_at.entry(id.job).or_insert(self.now);
         assert!(
-            EFFECTS[self.class[&id.job]] != Effect::Keyed || self.now < since + RETRY_WINDOW,
+            EFFECTS[self.class[&id.job]] != Effect::Idempotent || self.now < since + RETRY_WINDOW,
             "seed {seed}: {id:?} is sent after its retry window"
         );
         self.in_flight.get_mut(&id).expect("it is in flight").sent = true;
@@ -150,7 +155,7 @@
         self.execute_commands();
         assert!(self.pending.is_empty(), "seed {seed}: {:?} are pending still", self.pending);
         while let Some(&id) = self.in_flight.keys().next() {
-            self.end(id, Outcome::Ok);
+            self.end(id, Outcome::Served);
             self.execute_commands();
         }
         assert_eq!((self.engine.pending_jobs(), self.engine.open_jobs()), (0, 0), "seed {seed}");
@@ -188,7 +193,7 @@
                     if self.in_flight.get(&id).is_some_and(|attempt| !attempt.sent) =>
                 {
                     self.counts.withdrawn += 1;
-                    self.end(id, Outcome::Moot);
+                    self.end(id, Outcome::NeverSent);
                 }
                 Command::SetTimer { after } => self.timeout_at = self.timeout_at.min(self.now + after),
                 _ => {}
@@ -215,7 +220,8 @@
         }
         8 if !in_flight.is_empty() => driver.engine.attempt_started(in_flight[rng.usize(0..in_flight.len())]),
         9.. if !in_flight.is_empty() => {
-            let ends = [Outcome::Ok, Outcome::Ok, Outcome::Full, Outcome::Error, Outcome::Reset];
+            let ends =
+                [Outcome::Served, Outcome::Served, Outcome::Full, Outcome::WorkerError, Outcome::Reset];
             let id = in_flight[rng.usize(0..in_flight.len())];
             driver.end(id, ends[rng.usize(0..ends.len())]);
         }
--- a/crates/engine/tests/job_stats.rs
+++ b/crates/engine/tests/job_stats.rs
@@ -82,7 +82,7 @@
         let class = self.rng.usize(0..CLASSES);
         let key = Some(format!("k{}", self.rng.u32(0..20)));
         let time_left = 200.0 + self.rng.f64() * 2_000.0;
-        let submitted = job_request(self.last_client, class, Effect::Safe, key, time_left);
+        let submitted = job_request(self.last_client, class, Effect::Repeatable, key, time_left);
         let job = self.engine.submit_job(self.now, submitted).expect("ids are new");
         self.expected.class.insert(job, class);
     }
@@ -118,7 +118,7 @@
         }
         match (sent, self.rng.u32(0..6)) {
             (false, _) => self.engine.attempt_ended(id, Outcome::ConnectFailed, None),
-            (true, 0) => self.engine.attempt_ended(id, Outcome::Error, None),
+            (true, 0) => self.engine.attempt_ended(id, Outcome::WorkerError, None),
             (true, 1) => self.engine.attempt_ended(id, Outcome::Reset, None),
             (true, 2) => self.engine.attempt_ended(id, Outcome::Full, None),
             _ => self.engine.attempt_served(id, "ok".into(), None),
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -162,7 +162,7 @@
         started_at: None,
     };
     directory.load_cached(0.0, 1, vec![listed("s-a"), listed("s-b")]);
-    let settings = Settings { dispatchers: 12, messages: true, ..Settings::default() };
+    let settings = Settings { schedulers: 12, peer_messages: true, ..Settings::default() };
     let mut dispatcher = Dispatcher::new(0.0, settings, 1);
     let entry = |id: usize| WorkerEntry {
         id,
@@ -180,7 +180,7 @@
         for text in [text.to_owned(), format!("d{text}"), format!("{{{text}}}")] {
             let now = 1.0 + at as f64;
             if !directory.handle_message(now, 1, &text) {
-                dispatcher.handle(now, Event::Message { from: 1, text }, &mut actions);
+                dispatcher.handle(now, Event::PeerMessage { from: 1, text }, &mut actions);
             }
         }
         while directory.poll_command().is_some() {}
--- a/crates/policy/src/dispatcher/answers.rs
+++ b/crates/policy/src/dispatcher/answers.rs
@@ -7,10 +7,14 @@
         let Some(job) = self.jobs.get(&id).filter(|job| !job.answered) else { return };
         if self.may_refuse(job) {
             let aims = 0.5 + self.rng.f64();
-            let wait = if job.lane == 0 { self.settings.classes[job.class].aim } else { f64::INFINITY };
+            let wait = if job.lane == 0 {
+                self.settings.classes[job.class].latency_objective
+            } else {
+                f64::INFINITY
+            };
             let wait = (aims * wait).min(self.settings.max_retry_after);
             let retry_after = (self.settings.retry_after && wait > 0.0).then_some(wait);
-            out.push(Action::Refuse { job: id, retry_after });
+            out.push(Action::Reject { job: id, retry_after });
         } else {
             out.push(Action::Fail { job: id });
         }
@@ -19,9 +23,8 @@
 
     /// Nobody waits any more: what is still out is called off, so that its slots serve others.
     pub(super) fn client_gone(&mut self, id: JobId, out: &mut Vec<Action>) {
-        if let Some(job) = self.jobs.get(&id).filter(|_| self.settings.cancelling) {
-            let attempts = job.attempts.iter().enumerate().filter(|(_, attempt)| attempt.out);
-            out.extend(attempts.map(|(attempt, _)| Action::Cancel { job: id, attempt }));
+        if let Some(job) = self.jobs.get(&id).filter(|_| self.settings.cancellation) {
+            out.extend(job.in_flight().map(|(attempt, _)| Action::CancelAttempt { job: id, attempt }));
         }
         self.close(id);
     }
@@ -31,7 +34,7 @@
         self.unqueue(id);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.answered = true;
-        if !job.attempts.iter().any(|attempt| attempt.out) {
+        if !job.has_attempt_in_flight() {
             self.jobs.remove(&id);
         }
     }
@@ -54,19 +57,19 @@
                 let loads = self.ready.ids.iter().map(|&id| load(&self.workers[id], id)).collect();
                 self.peers.pour(loads, STALE / self.mean_run());
             }
-            if self.settings.messages && self.peers.direct() {
+            if self.settings.peer_messages && self.peers.direct() {
                 self.tell_loads(out);
             }
         }
         if now >= self.ask_at {
             self.ask_at = f64::INFINITY;
-            out.push(Action::Watch { on: true });
+            out.push(Action::WatchEndpoints { on: true });
         }
     }
 
     pub(super) fn come_due(&mut self, now: Millis, id: JobId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.answered && !job.streaming) else { return };
-        let ungranted = job.queued && now + CLOCK_STEP >= job.grant_until;
+        let ungranted = job.queued && now + CLOCK_STEP >= job.queue_deadline;
         if ungranted || now + CLOCK_STEP >= job.deadline + self.settings.answer_slack / 2.0 {
             self.finish(id, out);
         }
@@ -75,16 +78,18 @@
     /// Where workers start jobs in the order of their coming, one not started long after a later one was is
     /// on no queue: its request or notes were lost on the way. It is called back where it may be sent again.
     pub(super) fn call_back_overtaken(&self, out: &mut Vec<Action>) {
-        if !self.settings.cancelling || !self.settings.starts_in_order {
+        if !self.settings.cancellation || !self.settings.starts_in_order {
             return;
         }
         for (&id, job) in self.jobs.iter().filter(|(_, job)| !job.answered) {
             let effect = self.settings.classes[job.class].effect;
-            let silent = job.attempts.iter().enumerate().filter(|(_, a)| a.out && a.started.is_none());
-            for (attempt, sent) in silent {
-                let overtaken = self.workers[sent.worker].start_sent > sent.sent + OVERTAKEN;
-                if overtaken && effect != Effect::Unsafe && job.attempts.len() < self.settings.max_attempts {
-                    out.push(Action::Cancel { job: id, attempt });
+            for (attempt, sent) in job.in_flight().filter(|(_, attempt)| attempt.started_at.is_none()) {
+                let overtaken = self.workers[sent.worker].start_sent > sent.sent_at + OVERTAKEN;
+                if overtaken
+                    && effect != Effect::NonIdempotent
+                    && job.attempts.len() < self.settings.max_attempts
+                {
+                    out.push(Action::CancelAttempt { job: id, attempt });
                 }
             }
         }
@@ -94,11 +99,12 @@
     pub(super) fn note_overdue(&mut self, now: Millis) {
         for job in self.jobs.values_mut() {
             let usual = self.runs[job.class].usual;
-            for attempt in job.attempts.iter_mut().filter(|attempt| attempt.out && !attempt.overdue) {
-                let ratio = (now - attempt.started.unwrap_or(attempt.sent)) / usual;
+            for attempt in job.attempts.iter_mut().filter(|attempt| attempt.in_flight && !attempt.is_overdue)
+            {
+                let ratio = (now - attempt.started_at.unwrap_or(attempt.sent_at)) / usual;
                 let worker = &mut self.workers[attempt.worker];
-                if ratio > OVERDUE * (1.0 + worker.slowness.now(now, SLOW_LIFE)).max(1.0) {
-                    attempt.overdue = true;
+                if ratio > OVERDUE * (1.0 + worker.slowness.value_at(now, SLOW_LIFE)).max(1.0) {
+                    attempt.is_overdue = true;
                     worker.slowness.note(now, SLOW_LIFE, LEARN, ratio.min(SLOW_MOST));
                 }
             }
@@ -111,7 +117,7 @@
         let next = self.due.next().min(self.budget.tick_at).min(self.sweep_at).min(self.ask_at).min(stuck);
         if next < self.armed {
             self.armed = next;
-            out.push(Action::Wake { after: (next - now).max(0.0) });
+            out.push(Action::SetTimer { after: (next - now).max(0.0) });
         }
     }
 }
--- a/crates/policy/src/dispatcher/budget.rs
+++ b/crates/policy/src/dispatcher/budget.rs
@@ -15,7 +15,7 @@
     }
 
     pub(super) fn tick(&mut self, now: Millis) {
-        let dispatchers = f64::from(self.settings.dispatchers);
+        let dispatchers = f64::from(self.settings.schedulers);
         let queued = self.tenants.iter().any(|t| t.lanes.iter().any(|lane| !lane.queue.is_empty()));
         let budget = &mut self.budget;
         while budget.delays.front().is_some_and(|&(at, _)| at < now - WINDOW) {
@@ -30,7 +30,7 @@
         }
         // Whoever is left carries the others' part too. In a large tier that is not known: none is held back.
         let live =
-            if self.settings.messages { self.peers.heard_directly() as f64 + 1.0 } else { dispatchers };
+            if self.settings.peer_messages { self.peers.heard_directly() as f64 + 1.0 } else { dispatchers };
         let (least, most) = (CAP_FLOOR / dispatchers, CAP_CEILING / live.min(dispatchers));
         let bound = std::mem::take(&mut budget.bound);
         if delay > BAND.1 && budget.hold == 0 && seen >= EVIDENCE {
--- a/crates/policy/src/dispatcher/mod.rs
+++ b/crates/policy/src/dispatcher/mod.rs
@@ -1,4 +1,4 @@
-//! Every decision of a dispatcher. Settings, events and actions are defined in `interface.rs`.
+//! Every decision of a dispatcher. Its settings, events and actions are defined beside it.
 //! Jobs queue per tenant, deficit round-robin drains them into a slot budget, AIMD tunes that budget by the
 //! delay until jobs start, and each job goes to an idle worker first.
 mod answers;
@@ -7,12 +7,17 @@
 mod membership;
 mod placement;
 mod queues;
-use crate::interface::*;
+use crate::action::Action;
+use crate::event::{AttemptResult, Event, LoadReport, NewJob, Outcome, PriorExecution};
+use crate::job::{Attempt, Job};
 use crate::keys::KeyShares;
-use crate::measure::{Due, Fading, ReadySet, RunTime, Slowness, Trouble, distance, hash, quantiles};
+use crate::measure::{DecayingSum, Due, ReadySet, RunTime, Slowness, Trouble, distance, hash, quantiles};
 use crate::peers::{Peers, turn};
+use crate::settings::{Class, DeduplicationScope, Effect, Settings, Tenant, Weights};
 use crate::shares::{RATE_TIME, Shares};
 use crate::tenants::{LANES, TenantQueue, tenant_queues};
+use crate::units::{JobId, Millis, WorkerId};
+use crate::worker_list::{ListKind, Readiness, WorkerEntry};
 use attempts::Resend;
 use fastrand::Rng;
 use std::collections::{BTreeMap, VecDeque};
@@ -83,8 +88,8 @@
     cell: u32,
     readiness: Readiness,
     size: f64,
-    launched: Option<Millis>,
-    doubt: f64,
+    started_at: Option<Millis>,
+    drain_probability: f64,
     /// Slots that our attempts hold here, and those of them not known to have started.
     own: f64,
     unstarted: f64,
@@ -92,7 +97,7 @@
     slowness: Slowness,
     trouble: Trouble,
     /// Wait for a start as last seen, fading.
-    wait: Fading,
+    wait: DecayingSum,
     freed_at: Millis,
     /// When the job that started last of all was sent here.
     start_sent: Millis,
@@ -119,43 +124,10 @@
 /// A zone's connect failures, fading, and the shortest time seen from sending to the note of a start.
 #[derive(Default)]
 struct Zone {
-    trouble: Fading,
+    trouble: DecayingSum,
     trip: Option<Millis>,
 }
 
-#[derive(Clone, Copy, Default)]
-struct Attempt {
-    worker: WorkerId,
-    sent: Millis,
-    started: Option<Millis>,
-    out: bool,
-    may_have_run: bool,
-    overdue: bool,
-}
-
-#[derive(Default)]
-struct Job {
-    class: usize,
-    tenant: usize,
-    lane: usize,
-    key: Option<u64>,
-    key_share: f64,
-    deadline: Millis,
-    grant_until: Millis,
-    slots: f64,
-    queued: bool,
-    answered: bool,
-    streaming: bool,
-    attempts: Vec<Attempt>,
-}
-
-impl Job {
-    /// The first attempt that may have run or may still run.
-    fn risk(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|attempt| attempt.out || attempt.may_have_run)
-    }
-}
-
 #[derive(Default)]
 struct Budget {
     cap: f64,
@@ -165,7 +137,7 @@
     hold: u32,
     bound: bool,
     /// Work that arrived within shares, in slot-milliseconds, and the slots that it needs.
-    within: Fading,
+    within: DecayingSum,
     floor: f64,
     /// Part of the budget open to work beyond a tenant's share.
     over: f64,
@@ -184,7 +156,7 @@
     visited: [bool; LANES],
     budget: Budget,
     runs: Vec<RunTime>,
-    work_done: Fading,
+    work_done: DecayingSum,
     jobs: BTreeMap<JobId, Job>,
     due: Due,
     ask_at: Millis,
@@ -202,17 +174,18 @@
 impl Dispatcher {
     /// A dispatcher that knows nothing yet.
     pub fn new(now: Millis, settings: Settings, seed: u64) -> Self {
-        let mut settings = Settings { dispatchers: settings.dispatchers.max(1), ..settings };
+        let mut settings = Settings { schedulers: settings.schedulers.max(1), ..settings };
         if settings.tenants.is_empty() {
-            settings.tenants.push(Tenant { share: 1.0, quota: 0.0 });
+            settings.tenants.push(Tenant { quota_fraction: 1.0, quota_per_second: 0.0 });
         }
         // Low at first, it would turn away the load that comes to a restarted dispatcher as others stop.
-        let cap = CAP_CEILING / if settings.messages { 1.0 } else { f64::from(settings.dispatchers) };
+        let cap = CAP_CEILING / if settings.peer_messages { 1.0 } else { f64::from(settings.schedulers) };
         let tenants = tenant_queues(&settings);
-        let runs = settings.classes.iter().map(|class| RunTime::guess(class.aim.max(1.0))).collect();
+        let runs =
+            settings.classes.iter().map(|class| RunTime::guess(class.latency_objective.max(1.0))).collect();
         let budget = Budget { cap, tick_at: now + TICK, over: OVER_MOST, ..Budget::default() };
         let mut rng = Rng::with_seed(seed);
-        let ask_in = ASK_SPREAD * settings.ask_within * rng.f64();
+        let ask_in = ASK_SPREAD * settings.max_poll_interval * rng.f64();
         let ask_at = if settings.list_on_request { now + ask_in } else { f64::INFINITY };
         Dispatcher {
             rng,
@@ -225,12 +198,12 @@
             visited: [false; LANES],
             budget,
             runs,
-            work_done: Fading::default(),
+            work_done: DecayingSum::default(),
             jobs: BTreeMap::new(),
             due: Due::default(),
             ask_at,
             sweep_at: now + SWEEP,
-            peers: Peers::new(now, settings.ordinal, settings.dispatchers),
+            peers: Peers::new(now, settings.ordinal, settings.schedulers),
             key_shares: KeyShares::default(),
             message_credit: 0.0,
             changed: false,
@@ -246,17 +219,17 @@
         match event {
             Event::Workers { kind, entries } => self.learn_workers(now, kind, entries),
             Event::Job(job) => self.take(now, job, out),
-            Event::Started { job, attempt } => self.started(now, job, attempt),
-            Event::Message { from, text } => {
+            Event::JobStarted { job, attempt } => self.started(now, job, attempt),
+            Event::PeerMessage { from, text } => {
                 self.peers.hear(now, from, &text, |id| self.workers[id].shown(now))
             }
-            Event::Zones { prices } => self.settings.zone_prices = prices,
-            Event::Living { dispatchers } => self.settings.dispatchers = dispatchers.max(1),
+            Event::ZoneCosts { costs } => self.settings.zone_costs = costs,
+            Event::ActiveSchedulers { schedulers } => self.settings.schedulers = schedulers.max(1),
             Event::StreamOpened { job, .. } => {
                 self.jobs.entry(job).and_modify(|job| job.streaming = true);
             }
-            Event::Response(response) => self.response(now, response, out),
-            Event::ClientGone { job } => self.client_gone(job, out),
+            Event::AttemptEnded(response) => self.response(now, response, out),
+            Event::ClientDisconnected { job } => self.client_gone(job, out),
             Event::Timer => {
                 // The clock may be rounded: a timer that came a hair early is still the one set.
                 if now >= self.armed - CLOCK_STEP {
@@ -264,8 +237,10 @@
                 }
                 self.sweep(now, out);
             }
-            Event::Probed { worker, report: Some(report), .. } => self.note_report(now, worker, report),
-            Event::Progress { .. } | Event::Probed { .. } => {}
+            Event::HealthChecked { worker, report: Some(report), .. } => {
+                self.note_report(now, worker, report)
+            }
+            Event::JobProgress { .. } | Event::HealthChecked { .. } => {}
         }
         self.drain(now, out);
         self.tell_relay(now, out);
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -33,7 +33,7 @@
             }
         }
         // Where what all hold is known, a job that would wait too long makes room for those that need not.
-        let told = !self.peers.direct() && self.peers.complete(now, self.settings.dispatchers);
+        let told = !self.peers.direct() && self.peers.complete(now, self.settings.schedulers);
         let job = &self.jobs[&id];
         let most = if told { ADMIT * self.slack(job.class) } else { f64::INFINITY };
         best.map(|best| best.1).filter(|&worker| self.wait(now, worker, job) <= most)
@@ -52,56 +52,56 @@
                 OWN_STEP * run * (worker.own + self.peers.load(id)) / worker.size - fresh
             }
         };
-        let waits = worker.wait.now(now, run)
-            + if self.settings.tells_start { worker.unstarted * OWN_STEP * run } else { 0.0 };
+        let waits = worker.wait.value_at(now, run)
+            + if self.settings.reports_job_start { worker.unstarted * OWN_STEP * run } else { 0.0 };
         queue + waits
     }
 
     /// What sending a job to a worker is expected to cost it, in milliseconds.
     pub(super) fn cost(&self, now: Millis, id: WorkerId, job: &Job) -> f64 {
         let worker = &self.workers[id];
-        let (run, aim) = (self.runs[job.class].usual, self.settings.classes[job.class].aim);
-        let zone = self.zones.get(&worker.zone).map_or(0.0, |zone| zone.trouble.now(now, Trouble::LIFE));
+        let (run, aim) = (self.runs[job.class].usual, self.settings.classes[job.class].latency_objective);
+        let zone = self.zones.get(&worker.zone).map_or(0.0, |zone| zone.trouble.value_at(now, Trouble::LIFE));
         let trouble = worker.trouble.part(now) + zone;
-        let away = self.settings.away(worker.zone) * aim;
+        let away = self.settings.cross_zone_cost(worker.zone) * aim;
         let fetch = job.key.map_or(0.0, |key| {
-            let homes = job.key_share * HOME_MARGIN;
+            let homes = job.key_popularity * HOME_MARGIN;
             let rank = self.ready.ids.len() as f64 * (distance(key, worker.hash) - homes).max(0.0);
             let kept = worker.keys.contains(&key);
             FETCH_COST * run * rank / (rank + 1.0) * if kept { KEPT_PART } else { 1.0 }
         });
-        let slower = worker.slowness.now(now, SLOW_LIFE) * run;
+        let slower = worker.slowness.value_at(now, SLOW_LIFE) * run;
         let late = (slower - 0.5 * self.slack(job.class)).max(0.0);
         let slower = SPEED_PART.0 * slower + SPEED_PART.1 * late;
         let wait = self.wait(now, id, job);
-        wait + slower + (TROUBLE_COST * trouble + DOUBT_COST * worker.doubt) * aim + away + fetch
+        wait + slower + (TROUBLE_COST * trouble + DOUBT_COST * worker.drain_probability) * aim + away + fetch
     }
 
     /// Tells the others how many slots we hold where; each job sent pays for a part of a message.
     pub(super) fn tell_loads(&mut self, out: &mut Vec<Action>) {
         let held = self.ready.ids.iter().map(|&id| &self.workers[id]).filter(|worker| worker.own > 0.0);
         let texts = Peers::tell(held.map(|worker| (worker.hash, worker.own)));
-        let price = texts.len() as f64 * f64::from(self.settings.dispatchers - 1);
+        let price = texts.len() as f64 * f64::from(self.settings.schedulers - 1);
         if price > 0.0 && self.message_credit >= price {
             self.message_credit = 0.0;
-            out.extend(texts.into_iter().map(|text| Action::Tell { to: None, text }));
+            out.extend(texts.into_iter().map(|text| Action::SendMessage { to: None, text }));
         }
     }
 
     /// In a large tier one dispatcher is told by all, and tells all.
     pub(super) fn tell_relay(&mut self, now: Millis, out: &mut Vec<Action>) {
         let changed = std::mem::take(&mut self.changed);
-        if self.settings.messages {
+        if self.settings.peer_messages {
             let ready = self.ready.ids.iter().map(|&id| &self.workers[id]);
             let texts = self.peers.relay(now, changed, ready.map(|w| (w.hash, w.shown(now))));
-            out.extend(texts.into_iter().map(|(to, text)| Action::Tell { to, text }));
+            out.extend(texts.into_iter().map(|(to, text)| Action::SendMessage { to, text }));
         }
     }
 
     /// Free slots as far as the others' messages, or else a fresh report, and our own doings since tell.
     pub(super) fn free_slots(&self, now: Millis, id: WorkerId, worker: &Worker) -> Option<f64> {
         // What all the others told of themselves is newer than a report, and exact.
-        let all_heard = self.peers.complete(now, self.settings.dispatchers);
+        let all_heard = self.peers.complete(now, self.settings.schedulers);
         let others =
             if all_heard { self.peers.expected(now, id, worker.hash, worker.own) } else { worker.others };
         let slots = self.slots(worker);
@@ -117,7 +117,7 @@
 
     pub(super) fn note_report(&mut self, now: Millis, id: WorkerId, report: LoadReport) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let (Some(free), held) = (report.free_slots, report.held.unwrap_or(0.0)) else { return };
+        let (Some(free), held) = (report.free_slots, report.in_flight.unwrap_or(0.0)) else { return };
         if !(free.is_finite() && held.is_finite()) {
             return;
         }
--- a/crates/policy/src/dispatcher/queues.rs
+++ b/crates/policy/src/dispatcher/queues.rs
@@ -7,8 +7,8 @@
         let tenant = new.tenant.min(self.tenants.len() - 1);
         let lane = usize::from(!self.shares.within(now, tenant));
         let deadline = now + new.time_left;
-        let grant = now + GRANT * self.settings.classes[class].aim;
-        let worth = |class: usize| self.settings.classes[class].worth;
+        let grant = now + GRANT * self.settings.classes[class].latency_objective;
+        let worth = |class: usize| self.settings.classes[class].priority_weight;
         let held = |id: &JobId| self.jobs.get(id).map_or(0.0, |job| worth(job.class));
         let queue = &self.tenants[tenant].lanes[lane].queue;
         // What is worth most for its work goes first, and the last of a full queue gives way to it.
@@ -16,23 +16,27 @@
         let full = queue.len() >= self.tenants[tenant].depth;
         let last = queue.back().copied().filter(|_| full && place < queue.len());
         let fits = !full || last.is_some();
-        let key = new.key.as_deref().map(hash);
-        let ran =
-            |(worker, ago)| Attempt { worker, sent: now - ago, may_have_run: true, ..Attempt::default() };
+        let key = new.affinity_key.as_deref().map(hash);
+        let ran = |PriorExecution { worker, age }| Attempt {
+            worker,
+            sent_at: now - age,
+            may_have_run: true,
+            ..Attempt::default()
+        };
         let job = Job {
             class,
             tenant,
             lane,
             key,
-            key_share: key.map_or(0.0, |key| self.key_shares.add(now, key)),
+            key_popularity: key.map_or(0.0, |key| self.key_shares.add(now, key)),
             deadline,
-            grant_until: grant.min(deadline - DEADLINE_MARGIN),
+            queue_deadline: grant.min(deadline - DEADLINE_MARGIN),
             slots: new.slots.max(1.0),
             queued: fits,
-            attempts: new.ran.map(ran).into_iter().collect(),
+            attempts: new.prior_execution.map(ran).into_iter().collect(),
             ..Job::default()
         };
-        self.due.push(job.grant_until, new.id);
+        self.due.push(job.queue_deadline, new.id);
         if lane == 0 {
             self.budget.within.add(now, RATE_TIME, self.runs[class].shortest * job.slots);
             let mean = self.budget.within.sum / self.shares.seen_for(now).max(TICK);
--- /dev/null
+++ b/crates/policy/src/job.rs
@@ -0,0 +1,56 @@
+//! What a dispatcher remembers of a job and its attempts. Nothing is decided here.
+
+use crate::units::{Millis, WorkerId};
+
+/// An attempt of a job.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Attempt {
+    pub(crate) worker: WorkerId,
+    pub(crate) sent_at: Millis,
+    /// When its worker reported that it started to run.
+    pub(crate) started_at: Option<Millis>,
+    pub(crate) in_flight: bool,
+    /// It ended, and may have run.
+    pub(crate) may_have_run: bool,
+    /// It has counted as slow for its worker before its end.
+    pub(crate) is_overdue: bool,
+}
+
+/// A job that has not ended, or has an attempt in flight.
+#[derive(Default)]
+pub(crate) struct Job {
+    pub(crate) class: usize,
+    pub(crate) tenant: usize,
+    /// The queue of its tenant that it belongs to.
+    pub(crate) lane: usize,
+    /// The hash of its affinity key.
+    pub(crate) key: Option<u64>,
+    /// The fraction of all jobs that have this key.
+    pub(crate) key_popularity: f64,
+    pub(crate) deadline: Millis,
+    /// Until when it may wait for an attempt.
+    pub(crate) queue_deadline: Millis,
+    pub(crate) slots: f64,
+    pub(crate) queued: bool,
+    pub(crate) answered: bool,
+    /// Its streamed answer has begun.
+    pub(crate) streaming: bool,
+    pub(crate) attempts: Vec<Attempt>,
+}
+
+impl Job {
+    /// Its attempts in flight, with their numbers.
+    pub(crate) fn in_flight(&self) -> impl Iterator<Item = (usize, &Attempt)> {
+        self.attempts.iter().enumerate().filter(|(_, attempt)| attempt.in_flight)
+    }
+
+    /// Whether an attempt of it is in flight.
+    pub(crate) fn has_attempt_in_flight(&self) -> bool {
+        self.in_flight().next().is_some()
+    }
+
+    /// The first attempt that may have run or may still run.
+    pub(crate) fn first_possible_run(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|attempt| attempt.in_flight || attempt.may_have_run)
+    }
+}
--- a/crates/policy/src/keys.rs
+++ b/crates/policy/src/keys.rs
@@ -1,7 +1,7 @@
 //! How much of the work concerns each key, as one dispatcher sees it.
 
-use crate::interface::Millis;
-use crate::measure::Fading;
+use crate::Millis;
+use crate::measure::DecayingSum;
 use std::collections::BTreeMap;
 
 /// Memory of what was asked for: some sixty jobs where a hundred dispatchers share 300 a second.
@@ -14,8 +14,8 @@
 /// Counts of the keys asked for lately.
 #[derive(Default)]
 pub(crate) struct KeyShares {
-    all: Fading,
-    keys: BTreeMap<u64, Fading>,
+    all: DecayingSum,
+    keys: BTreeMap<u64, DecayingSum>,
     forget_at: Millis,
 }
 
@@ -24,7 +24,7 @@
     pub(crate) fn add(&mut self, now: Millis, key: u64) -> f64 {
         if now >= self.forget_at {
             self.forget_at = now + LIFE;
-            self.keys.retain(|_, count| count.now(now, LIFE) > FORGOTTEN);
+            self.keys.retain(|_, count| count.value_at(now, LIFE) > FORGOTTEN);
         }
         self.all.add(now, LIFE, 1.0);
         let count = self.keys.entry(key).or_default();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,8 +17,10 @@
 #[cfg(doctest)]
 struct Readme;
 
+mod action;
 pub mod dispatcher;
-pub mod interface;
+mod event;
+mod job;
 mod keys;
 pub mod measure;
 mod peers;
@@ -26,7 +28,15 @@
 mod shares;
 pub mod symbols;
 mod tenants;
+mod units;
+mod worker_list;
 
+pub use action::Action;
 pub use dispatcher::Dispatcher;
-pub use interface::*;
-pub use peers::{is_sums, split_sums};
+pub use event::{AttemptResult, Event, LoadReport, NewJob, Outcome, PriorExecution};
+pub use peers::{is_aggregated_loads, split_aggregated_loads};
+pub use settings::{
+    Class, DeduplicationScope, Effect, ReportSource, Settings, SettingsDocument, Tenant, Weights,
+};
+pub use units::{JobId, Millis, WorkerId};
+pub use worker_list::{ListKind, Readiness, WorkerEntry};
--- a/crates/policy/src/measure.rs
+++ b/crates/policy/src/measure.rs
@@ -1,21 +1,21 @@
 //! Small instruments of the decision module and of others that decide: a fading count, running times, the ready workers, hashes.
 
-use crate::interface::{JobId, Millis, WorkerId};
+use crate::{JobId, Millis, WorkerId};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
 /// A count that fades with time, so that it tells a rate.
 #[derive(Clone, Copy, Default)]
-pub struct Fading {
+pub struct DecayingSum {
     /// The count when it was last added to.
     pub sum: f64,
     /// When that was.
     pub at: Millis,
 }
 
-impl Fading {
+impl DecayingSum {
     /// The count now; it fades to a third in `life`.
-    pub fn now(&self, now: Millis, life: Millis) -> f64 {
+    pub fn value_at(&self, now: Millis, life: Millis) -> f64 {
         if self.sum < 1e-6 {
             return 0.0;
         }
@@ -24,7 +24,7 @@
 
     /// Adds to the count.
     pub fn add(&mut self, now: Millis, life: Millis, amount: f64) {
-        *self = Fading { sum: self.now(now, life) + amount, at: now };
+        *self = DecayingSum { sum: self.value_at(now, life) + amount, at: now };
     }
 }
 
@@ -37,8 +37,8 @@
 /// Attempts at a worker that failed, and all that ended, both fading.
 #[derive(Clone, Copy, Default)]
 pub struct Trouble {
-    failures: Fading,
-    endings: Fading,
+    failures: DecayingSum,
+    endings: DecayingSum,
 }
 
 impl Trouble {
@@ -57,13 +57,13 @@
 
     /// The part of the attempts that fails.
     pub fn part(&self, now: Millis) -> f64 {
-        self.failures.now(now, Self::LIFE) / (self.endings.now(now, Self::LIFE) + Self::PRIOR)
+        self.failures.value_at(now, Self::LIFE) / (self.endings.value_at(now, Self::LIFE) + Self::PRIOR)
     }
 
     /// Slots that count as held at the worker for what failed there. One that fails at once is idle at once, and
     /// looks the best of all to whoever has not tried it.
     pub fn slots(&self, now: Millis) -> f64 {
-        Self::SLOTS * self.failures.now(now, Self::LIFE) * self.part(now)
+        Self::SLOTS * self.failures.value_at(now, Self::LIFE) * self.part(now)
     }
 }
 
@@ -127,19 +127,19 @@
 
 /// How much slower than usual a worker runs: its running time over the usual one, less 1, as last seen.
 #[derive(Clone, Copy, Default)]
-pub struct Slowness(Fading);
+pub struct Slowness(DecayingSum);
 
 impl Slowness {
     /// The slowness now. What is not seen any more fades in `life`, or a worker that was slow once would be left
     /// out for good.
-    pub fn now(&self, now: Millis, life: Millis) -> f64 {
-        if self.0.sum > 0.0 { self.0.now(now, life) } else { self.0.sum }
+    pub fn value_at(&self, now: Millis, life: Millis) -> f64 {
+        if self.0.sum > 0.0 { self.0.value_at(now, life) } else { self.0.sum }
     }
 
     /// Takes in a running time, in usual ones, with this weight.
     pub fn note(&mut self, now: Millis, life: Millis, weight: f64, ratio: f64) {
-        let slowness = self.now(now, life);
-        self.0 = Fading { sum: slowness + weight * (ratio - 1.0 - slowness), at: now };
+        let slowness = self.value_at(now, life);
+        self.0 = DecayingSum { sum: slowness + weight * (ratio - 1.0 - slowness), at: now };
     }
 }
 
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -4,9 +4,9 @@
 //! them, the relay, is told by all others and tells all of the sums, a few times a second. It is whoever has the
 //! next number after one that has fallen silent, and it needs no vote: two of them cost a message.
 
-use crate::interface::{Millis, WorkerId};
 use crate::measure::{distance, hash};
-use crate::symbols::{put, take};
+use crate::symbols::{decode, encode};
+use crate::{Millis, WorkerId};
 use std::collections::BTreeMap;
 
 /// Symbols for one worker: those of its name's hash, and one of the slots held there.
@@ -43,10 +43,10 @@
 fn write_loads(kind: u32, loads: &[(u32, f64)]) -> Vec<String> {
     let message = |(part, loads): (usize, &[(u32, f64)])| {
         let mut text = String::new();
-        put(&mut text, u64::from(if kind == FIRST && part > 0 { MORE } else { kind }), 1);
+        encode(&mut text, u64::from(if kind == FIRST && part > 0 { MORE } else { kind }), 1);
         for &(tag, slots) in loads {
-            put(&mut text, u64::from(tag), TAG);
-            put(&mut text, slots.round().clamp(0.0, SLOTS_MOST) as u64, 1);
+            encode(&mut text, u64::from(tag), TAG);
+            encode(&mut text, slots.round().clamp(0.0, SLOTS_MOST) as u64, 1);
         }
         text
     };
@@ -58,21 +58,21 @@
 /// What such a message says: its kind, and the loads; `None` if it is none.
 fn read_loads(text: &str) -> Option<(u32, Vec<(u32, f64)>)> {
     let (kind, entries) = text.as_bytes().split_first()?;
-    let kind = take(&[*kind]).filter(|&kind| kind <= u64::from(TOTAL))?;
+    let kind = decode(&[*kind]).ok().filter(|&kind| kind <= u64::from(TOTAL))?;
     if entries.len() % ENTRY != 0 {
         return None;
     }
-    let load = |e: &[u8]| Some((take(&e[..TAG])? as u32, take(&e[TAG..])? as f64));
+    let load = |e: &[u8]| Some((decode(&e[..TAG]).ok()? as u32, decode(&e[TAG..]).ok()? as f64));
     Some((kind as u32, entries.chunks(ENTRY).map(load).collect::<Option<_>>()?))
 }
 
 /// Whether a message is a relay's sums: what only one relay at a time should tell.
-pub fn is_sums(text: &str) -> bool {
+pub fn is_aggregated_loads(text: &str) -> bool {
     read_loads(text).is_some_and(|(kind, _)| kind == TOTAL)
 }
 
 /// Sums as messages of at most so many bytes each: each says a part, and all that the one said.
-pub fn split_sums(text: &str, most: usize) -> Vec<String> {
+pub fn split_aggregated_loads(text: &str, most: usize) -> Vec<String> {
     if text.len() <= most || most <= 1 + ENTRY {
         return vec![text.to_owned()];
     }
@@ -358,12 +358,16 @@
     fn sums_in_parts_say_what_the_whole_said() {
         let loads: Vec<(u32, f64)> = (0..60).map(|n| (n * 31, f64::from(n % 5))).collect();
         let whole = write_loads(TOTAL, &loads).remove(0);
-        assert!(is_sums(&whole) && !is_sums(&write_loads(FIRST, &loads)[0]) && !is_sums("!T000"));
-        let parts = split_sums(&whole, 200);
-        assert!(parts.len() == 2 && parts.iter().all(|part| part.len() <= 200 && is_sums(part)));
+        assert!(
+            is_aggregated_loads(&whole)
+                && !is_aggregated_loads(&write_loads(FIRST, &loads)[0])
+                && !is_aggregated_loads("!T000")
+        );
+        let parts = split_aggregated_loads(&whole, 200);
+        assert!(parts.len() == 2 && parts.iter().all(|part| part.len() <= 200 && is_aggregated_loads(part)));
         let read: Vec<_> = parts.iter().flat_map(|part| read_loads(part).expect("sums").1).collect();
         assert_eq!(read, loads);
-        assert_eq!(split_sums("2", 200), ["2"]);
+        assert_eq!(split_aggregated_loads("2", 200), ["2"]);
     }
 
     /// Foreign, cut and garbled text costs nothing but itself, whatever the tier's size.
--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -1,7 +1,7 @@
 //! Which jobs lie within their tenants' shares, as far as one of many dispatchers can tell.
 
-use crate::interface::{Millis, Settings, Tenant};
-use crate::measure::Fading;
+use crate::measure::DecayingSum;
+use crate::{Millis, Settings, Tenant};
 
 /// Memory of arrival and work rates.
 pub const RATE_TIME: Millis = 10_000.0;
@@ -16,7 +16,7 @@
     quota: f64,
     tokens: f64,
     tokens_at: Millis,
-    arrivals: Fading,
+    arrivals: DecayingSum,
 }
 
 /// The tenants' quotas, scaled to the part of all traffic that this dispatcher sees.
@@ -30,12 +30,12 @@
     /// Meters that have seen nothing yet.
     pub fn new(now: Millis, settings: &Settings) -> Self {
         let meter = |tenant: &Tenant| Meter {
-            quota: tenant.quota,
+            quota: tenant.quota_per_second,
             tokens: f64::INFINITY,
             tokens_at: now,
-            arrivals: Fading::default(),
+            arrivals: DecayingSum::default(),
         };
-        let even = 1.0 / f64::from(settings.dispatchers.max(1));
+        let even = 1.0 / f64::from(settings.schedulers.max(1));
         Shares { meters: settings.tenants.iter().map(meter).collect(), even, booted: now }
     }
 
@@ -66,7 +66,7 @@
         let seen_for = self.seen_for(now);
         let part = |meter: &Meter| {
             let per_ms = meter.quota / 1_000.0;
-            (meter.arrivals.now(now, RATE_TIME) + PRIOR) / (per_ms * seen_for + PRIOR / self.even)
+            (meter.arrivals.value_at(now, RATE_TIME) + PRIOR) / (per_ms * seen_for + PRIOR / self.even)
         };
         let mut parts: Vec<f64> = self.meters.iter().filter(|m| m.quota > 0.0).map(part).collect();
         parts.sort_by(f64::total_cmp);
--- a/crates/policy/src/symbols.rs
+++ b/crates/policy/src/symbols.rs
@@ -1,29 +1,30 @@
-//! The text of messages between schedulers: numbers as symbols of six bits, printable, and one byte each in UTF-8 and JSON.
+//! The alphabet of the messages between schedulers: each symbol stands for six bits, and is printable and one byte long
+//! in UTF-8 and JSON.
 
 const SYMBOLS: &[u8; 64] = b"0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_";
+const BITS_PER_SYMBOL: usize = 6;
+const SYMBOL_MASK: u64 = (1 << BITS_PER_SYMBOL) - 1;
 
-/// Appends the lowest bits of a value, six for each symbol, the lowest first.
-pub fn put(text: &mut String, value: u64, symbols: usize) {
-    text.extend((0..symbols).map(|at| char::from(SYMBOLS[(value >> (6 * at) & 63) as usize])));
-}
+/// A byte that is not in the alphabet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("byte {0:#04x} is no symbol")]
+pub struct InvalidSymbol(pub u8);
 
-/// The value that these symbols, ten at most, stand for; `None` if one of them is none.
-pub fn take(bytes: &[u8]) -> Option<u64> {
-    let value = |byte: &u8| SYMBOLS.iter().position(|symbol| symbol == byte).map(|at| at as u64);
-    bytes.iter().rev().try_fold(0, |sum, byte| Some(sum << 6 | value(byte)?))
+/// Appends the lowest bits of a value as this many symbols, the lowest first.
+pub fn encode(text: &mut String, value: u64, symbols: usize) {
+    let symbol = |index: usize| SYMBOLS[(value >> (BITS_PER_SYMBOL * index) & SYMBOL_MASK) as usize];
+    text.extend((0..symbols).map(|index| char::from(symbol(index))));
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+/// The value that these symbols stand for. More than ten of them do not fit in it: the last ones are cut off.
+pub fn decode(bytes: &[u8]) -> Result<u64, InvalidSymbol> {
+    bytes.iter().rev().try_fold(0, |value, &byte| Ok(value << BITS_PER_SYMBOL | decode_symbol(byte)?))
+}
 
-    #[test]
-    fn values_come_back_and_other_bytes_are_none() {
-        for (value, symbols) in [(0, 1), (63, 1), (64, 2), (0x3_ffff, 3), (u64::MAX >> 4, 10)] {
-            let mut text = String::new();
-            put(&mut text, value, symbols);
-            assert_eq!((text.len(), take(text.as_bytes())), (symbols, Some(value)));
-        }
-        assert_eq!([take(b"0!"), take("\u{e9}".as_bytes()), take(b"")], [None, None, Some(0)]);
-    }
+fn decode_symbol(byte: u8) -> Result<u64, InvalidSymbol> {
+    let index = SYMBOLS.iter().position(|&symbol| symbol == byte);
+    index.map(|index| index as u64).ok_or(InvalidSymbol(byte))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/policy/src/tenants.rs
+++ b/crates/policy/src/tenants.rs
@@ -1,6 +1,6 @@
 //! The queues of the tenants: how long they may be, and what part of the work is each one's.
 
-use crate::interface::{JobId, Settings, Tenant};
+use crate::{JobId, Settings, Tenant};
 use std::collections::VecDeque;
 
 /// Jobs queued at most: of tenants whose weight is above the median, and of the others.
@@ -25,13 +25,13 @@
 /// Empty queues for the settings' tenants.
 pub(crate) fn tenant_queues(settings: &Settings) -> Vec<TenantQueue> {
     let tenants = &settings.tenants;
-    let mut shares: Vec<f64> = tenants.iter().map(|tenant| tenant.share).collect();
+    let mut shares: Vec<f64> = tenants.iter().map(|tenant| tenant.quota_fraction).collect();
     shares.sort_by(f64::total_cmp);
     let median = shares[shares.len() / 2];
     let lane = || Lane { queue: VecDeque::new(), credit: 0.0 };
     let queue = |tenant: &Tenant| TenantQueue {
-        weight: tenant.share.max(0.01),
-        depth: if tenant.share > median { DEPTHS.0 } else { DEPTHS.1 },
+        weight: tenant.quota_fraction.max(0.01),
+        depth: if tenant.quota_fraction > median { DEPTHS.0 } else { DEPTHS.1 },
         lanes: [lane(), lane()],
     };
     tenants.iter().map(queue).collect()
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -2,8 +2,8 @@
 #![allow(dead_code, missing_docs)]
 
 use brackenledge_policy::{
-    Action, Class, Dispatcher, Effect, Event, Group, JobId, ListKind, Millis, NewJob, Outcome, Readiness,
-    Response, Settings, Tenant, WorkerEntry, WorkerId,
+    Action, AttemptResult, Class, DeduplicationScope, Dispatcher, Effect, Event, JobId, ListKind, Millis,
+    NewJob, Outcome, Readiness, Settings, Tenant, WorkerEntry, WorkerId,
 };
 use std::collections::BTreeMap;
 
@@ -36,31 +36,42 @@
     next_id: JobId,
 }
 
-pub fn class(effect: Effect, group: Group) -> Class {
-    Class { effect, group, window: 4_000.0, aim: 300.0, stretch: 2.0, deadline: 5_000.0, ..Class::default() }
+pub fn class(effect: Effect, deduplication_scope: DeduplicationScope) -> Class {
+    Class {
+        effect,
+        deduplication_scope,
+        deduplication_window: 4_000.0,
+        latency_objective: 300.0,
+        stretch: 2.0,
+        deadline: 5_000.0,
+        ..Class::default()
+    }
 }
 
 pub fn settings() -> Settings {
     Settings {
         classes: vec![
-            class(Effect::Safe, Group::All),
-            class(Effect::Keyed, Group::Zone),
-            class(Effect::Unsafe, Group::All),
-            class(Effect::Keyed, Group::All),
-            class(Effect::Keyed, Group::Cell),
+            class(Effect::Repeatable, DeduplicationScope::All),
+            class(Effect::Idempotent, DeduplicationScope::Zone),
+            class(Effect::NonIdempotent, DeduplicationScope::All),
+            class(Effect::Idempotent, DeduplicationScope::All),
+            class(Effect::Idempotent, DeduplicationScope::Cell),
+        ],
+        tenants: vec![
+            Tenant { quota_fraction: 0.6, quota_per_second: 60.0 },
+            Tenant { quota_fraction: 0.4, quota_per_second: 40.0 },
         ],
-        tenants: vec![Tenant { share: 0.6, quota: 60.0 }, Tenant { share: 0.4, quota: 40.0 }],
-        second_copies: true,
-        cancelling: true,
+        hedged_requests: true,
+        cancellation: true,
         retry_after: true,
         max_retry_after: 2_000.0,
         max_attempts: 4,
         drain_grace: 200.0,
-        cold_share: 0.25,
-        warm_within: 8_000.0,
-        fall_multiple: 3.0,
-        overload_for: 1_000.0,
-        tells_start: true,
+        initial_capacity_fraction: 0.25,
+        warm_up_duration: 8_000.0,
+        overload_multiple: 3.0,
+        overload_duration: 1_000.0,
+        reports_job_start: true,
         starts_in_order: true,
         ..Settings::default()
     }
@@ -136,30 +147,36 @@
         let state = &mut job.attempts[attempt];
         assert!(std::mem::take(&mut state.out), "attempt {attempt} of job {id} ends once");
         state.may_have_run = !outcome.never_ran();
-        if outcome == Outcome::Ok && job.answered.is_none() {
+        if outcome == Outcome::Served && job.answered.is_none() {
             job.answered = Some(now);
         }
-        let settled = job.answered.is_some();
-        self.event(Event::Response(Response { job: id, attempt, outcome, settled, report: None }));
+        let job_answered = job.answered.is_some();
+        self.event(Event::AttemptEnded(AttemptResult {
+            job: id,
+            attempt,
+            outcome,
+            job_answered,
+            report: None,
+        }));
     }
 
     /// Serves every attempt that was sent at least this long ago.
     pub fn serve_after(&mut self, run: Millis) {
         for (id, attempt) in self.out() {
             if self.jobs[&id].attempts[attempt].sent + run <= self.now {
-                self.respond(id, attempt, Outcome::Ok);
+                self.respond(id, attempt, Outcome::Served);
             }
         }
     }
 
     pub fn start(&mut self, id: JobId, attempt: usize) {
-        self.event(Event::Started { job: id, attempt });
+        self.event(Event::JobStarted { job: id, attempt });
     }
 
     pub fn client_gone(&mut self, id: JobId) {
         let now = self.now;
         self.jobs.get_mut(&id).expect("a known job").answered.get_or_insert(now);
-        self.event(Event::ClientGone { job: id });
+        self.event(Event::ClientDisconnected { job: id });
     }
 
     /// Moves the clock, bringing the timers asked for and the time-outs at clients' deadlines.
@@ -208,23 +225,24 @@
     fn check(&mut self, action: Action) {
         let now = self.now;
         match action {
-            Action::Send { job: id, worker, .. } => {
+            Action::StartAttempt { job: id, worker, .. } => {
                 let stop = self.stop_at.get(&worker).copied().unwrap_or(f64::INFINITY);
                 assert!(now <= stop, "job {id} sent to worker {worker} past the drain grace");
                 let job = &self.jobs[&id];
                 assert!(job.answered.is_none(), "job {id} sent after its final answer");
                 assert!(job.attempts.len() < self.settings.max_attempts, "job {id}: too many attempts");
-                let copies = self.settings.second_copies || !job.attempts.iter().any(|a| a.out);
+                let copies = self.settings.hedged_requests || !job.attempts.iter().any(|a| a.out);
                 assert!(copies, "job {id} has two attempts out");
                 assert!(self.may_send(job, worker), "job {id} sent where it may run twice");
                 let attempt = Attempt { worker, sent: now, out: true, may_have_run: false };
                 self.jobs.get_mut(&id).expect("a known job").attempts.push(attempt);
             }
-            Action::Refuse { job: id, .. } => {
+            Action::Reject { job: id, .. } => {
                 let job = &self.jobs[&id];
                 let class = &self.settings.classes[job.class];
-                let free = class.effect == Effect::Safe
-                    || class.effect == Effect::Keyed && class.group == Group::All;
+                let free = class.effect == Effect::Repeatable
+                    || class.effect == Effect::Idempotent
+                        && class.deduplication_scope == DeduplicationScope::All;
                 let risk = job.attempts.iter().any(|a| a.out || a.may_have_run);
                 assert!(free || !risk, "job {id} refused though it may have run");
                 self.refused.push(id);
@@ -234,13 +252,13 @@
                 self.failed.push(id);
                 self.answer(id);
             }
-            Action::Wake { after } => {
+            Action::SetTimer { after } => {
                 assert!(after >= 0.0, "a timer in the past");
                 self.wakes.push(now + after);
             }
-            Action::Watch { .. } => self.watches += 1,
-            Action::Cancel { job, attempt } => {
-                assert!(self.settings.cancelling, "cancelling is not allowed");
+            Action::WatchEndpoints { .. } => self.watches += 1,
+            Action::CancelAttempt { job, attempt } => {
+                assert!(self.settings.cancellation, "cancelling is not allowed");
                 assert!(self.jobs[&job].attempts.len() > attempt, "cancelled what was never sent");
                 self.cancelled.push((job, attempt));
             }
@@ -259,15 +277,15 @@
         let class = &self.settings.classes[job.class];
         let Some(first) = job.attempts.iter().find(|a| a.out || a.may_have_run) else { return true };
         let (from, to) = (&self.workers[&first.worker], &self.workers[&to]);
-        let in_group = match class.group {
-            Group::All => true,
-            Group::Zone => from.zone == to.zone,
-            Group::Cell => from.cell == to.cell,
+        let in_group = match class.deduplication_scope {
+            DeduplicationScope::All => true,
+            DeduplicationScope::Zone => from.zone == to.zone,
+            DeduplicationScope::Cell => from.cell == to.cell,
         };
         match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => in_group && self.now <= first.sent + class.window,
-            Effect::Unsafe => false,
+            Effect::Repeatable => true,
+            Effect::Idempotent => in_group && self.now <= first.sent + class.deduplication_window,
+            Effect::NonIdempotent => false,
         }
     }
 
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use brackenledge_policy::{
-    Action, Class, Dispatcher, Effect, Event, Group, ListKind, LoadReport, NewJob, Outcome, Readiness,
-    Settings, WorkerEntry,
+    Action, Class, DeduplicationScope, Dispatcher, Effect, Event, ListKind, LoadReport, NewJob, Outcome,
+    PriorExecution, Readiness, Settings, WorkerEntry,
 };
 use common::{Driver, settings, worker};
 
@@ -42,7 +42,7 @@
 
 #[test]
 fn an_unsafe_job_that_may_have_run_fails_at_once() {
-    for outcome in [Outcome::Error, Outcome::Reset, Outcome::Timeout, Outcome::Cancelled] {
+    for outcome in [Outcome::WorkerError, Outcome::Reset, Outcome::Timeout, Outcome::Cancelled] {
         let (driver, id) = after_one_attempt(4, UNSAFE, 0.0, outcome);
         assert_eq!(driver.failed, vec![id]);
     }
@@ -50,11 +50,17 @@
 
 #[test]
 fn what_another_dispatcher_may_have_run_counts_as_the_first_attempt() {
-    let window = settings().classes[KEYED_ZONE].window;
+    let window = settings().classes[KEYED_ZONE].deduplication_window;
     // The worker of the earlier attempt is number 3, in the second of two zones.
     let sent = |class: usize, ago: f64| {
         let mut driver = Driver::new(settings(), 6, 5);
-        let new = NewJob { class, time_left: 5_000.0, slots: 1.0, ran: Some((3, ago)), ..NewJob::default() };
+        let new = NewJob {
+            class,
+            time_left: 5_000.0,
+            slots: 1.0,
+            prior_execution: Some(PriorExecution { worker: 3, age: ago }),
+            ..NewJob::default()
+        };
         let id = driver.job_with(new);
         let zones: Vec<usize> = driver.sends(id).into_iter().map(|worker| worker % 2).collect();
         (zones, driver.failed.contains(&id))
@@ -69,7 +75,7 @@
         class: KEYED_ZONE,
         time_left: 500.0,
         slots: 1.0,
-        ran: Some((99, 10.0)),
+        prior_execution: Some(PriorExecution { worker: 99, age: 10.0 }),
         ..NewJob::default()
     };
     let id = driver.job_with(new);
@@ -84,7 +90,7 @@
     assert_eq!(sends.len(), 2, "tried again");
     assert_eq!(sends[0] % 2, sends[1] % 2, "in the same zone");
 
-    let window = settings().classes[KEYED_ZONE].window;
+    let window = settings().classes[KEYED_ZONE].deduplication_window;
     let (driver, id) = after_one_attempt(6, KEYED_ZONE, window, Outcome::Reset);
     assert_eq!(driver.sends(id).len(), 1, "past the window");
     assert_eq!(driver.failed, vec![id], "and not refused, as it may have run");
@@ -123,15 +129,15 @@
     dispatcher.handle(now, Event::Job(job), &mut actions);
     for _ in 0..40 {
         let mut wake = actions.iter().filter_map(|a| match a {
-            Action::Wake { after } => Some(*after),
+            Action::SetTimer { after } => Some(*after),
             _ => None,
         });
         let Some(after) = wake.next_back() else { break };
-        actions.retain(|action| !matches!(action, Action::Wake { .. }));
+        actions.retain(|action| !matches!(action, Action::SetTimer { .. }));
         now = ((now + after) * 1_000.0).floor() / 1_000.0;
         dispatcher.handle(now, Event::Timer, &mut actions);
     }
-    assert!(actions.iter().any(|action| matches!(action, Action::Refuse { job: 1, .. })));
+    assert!(actions.iter().any(|action| matches!(action, Action::Reject { job: 1, .. })));
 }
 
 #[test]
@@ -161,13 +167,13 @@
 
 /// One dispatcher of several at a steady load, whose worker 0 has just started; work sent to it in the worst
 /// second, in slot-milliseconds, when each job takes `run`.
-fn worst_second_of_a_cold_worker(dispatchers: u32, cold: usize, run: f64) -> f64 {
-    let mut driver = Driver::new(Settings { dispatchers, ..settings() }, 10, 11);
+fn worst_second_of_a_cold_worker(schedulers: u32, cold: usize, run: f64) -> f64 {
+    let mut driver = Driver::new(Settings { schedulers, ..settings() }, 10, 11);
     let mut sent = Vec::new();
     for step in 0..1_200 {
         if step == 600 {
-            let launched = Some(driver.now);
-            let fresh = (0..cold).map(|id| WorkerEntry { launched, ..worker(id) }).collect();
+            let started_at = Some(driver.now);
+            let fresh = (0..cold).map(|id| WorkerEntry { started_at, ..worker(id) }).collect();
             driver.list(ListKind::Delta, fresh);
         }
         if step % 2 == 0 {
@@ -195,7 +201,7 @@
 
 #[test]
 fn erring_workers_lose_the_work_and_get_trials() {
-    let mut driver = Driver::new(Settings { dispatchers: 1, ..settings() }, 6, 2);
+    let mut driver = Driver::new(Settings { schedulers: 1, ..settings() }, 6, 2);
     let mut to_sick = 0;
     for _ in 0..200 {
         let id = driver.job(UNSAFE);
@@ -206,9 +212,9 @@
             let (worker, sent) =
                 (driver.jobs[&id].attempts[number].worker, driver.jobs[&id].attempts[number].sent);
             if worker == 0 {
-                driver.respond(id, number, Outcome::Error);
+                driver.respond(id, number, Outcome::WorkerError);
             } else if sent + 40.0 <= driver.now {
-                driver.respond(id, number, Outcome::Ok);
+                driver.respond(id, number, Outcome::Served);
             }
         }
     }
@@ -218,13 +224,18 @@
 #[test]
 fn a_request_that_is_no_good_fails_once_and_tells_nothing_of_its_worker() {
     let mut driver = Driver::new(settings(), 2, 2);
-    let job =
-        || NewJob { class: SAFE, key: Some("k".into()), time_left: 5_000.0, slots: 1.0, ..NewJob::default() };
+    let job = || NewJob {
+        class: SAFE,
+        affinity_key: Some("k".into()),
+        time_left: 5_000.0,
+        slots: 1.0,
+        ..NewJob::default()
+    };
     let homes: Vec<usize> = (0..10)
         .map(|_| {
             let id = driver.job_with(job());
             driver.advance(10.0);
-            driver.respond(id, 0, Outcome::Rejected);
+            driver.respond(id, 0, Outcome::BadRequest);
             assert_eq!(driver.sends(id).len(), 1);
             driver.sends(id)[0]
         })
@@ -238,13 +249,19 @@
     let mut driver = Driver::new(settings(), 2, 2);
     let mut others = 0;
     let mut home = |outcome| {
-        let with_key = |key| NewJob { class: SAFE, key, time_left: 5_000.0, slots: 1.0, ..NewJob::default() };
+        let with_key = |affinity_key| NewJob {
+            class: SAFE,
+            affinity_key,
+            time_left: 5_000.0,
+            slots: 1.0,
+            ..NewJob::default()
+        };
         // Alone, the key would have both workers for its homes.
         for _ in 0..9 {
             others += 1;
             let id = driver.job_with(with_key(Some(format!("other-{others}"))));
             driver.advance(100.0);
-            driver.respond(id, 0, Outcome::Ok);
+            driver.respond(id, 0, Outcome::Served);
         }
         let id = driver.job_with(with_key(Some("kk".to_owned())));
         let to = driver.sends(id)[0];
@@ -254,10 +271,10 @@
         driver.serve_after(0.0);
         to
     };
-    let first = home(Outcome::Ok);
-    (0..40).for_each(|_| assert_eq!(home(Outcome::Ok), first));
+    let first = home(Outcome::Served);
+    (0..40).for_each(|_| assert_eq!(home(Outcome::Served), first));
     home(Outcome::Reset);
-    (0..3).for_each(|_| assert_eq!(home(Outcome::Ok), first, "after one reset among forty answers"));
+    (0..3).for_each(|_| assert_eq!(home(Outcome::Served), first, "after one reset among forty answers"));
 }
 
 #[test]
@@ -292,21 +309,21 @@
 }
 
 /// Whether the word of one other dispatcher goes before an old report, among so many, of whom so many live.
-fn goes_by_the_word_of_one(dispatchers: u32, living: Option<u32>) -> bool {
-    let mut driver = Driver::new(Settings { dispatchers, messages: true, ..settings() }, 2, 2);
-    let report = |worker, free, held| Event::Probed {
+fn goes_by_the_word_of_one(schedulers: u32, living: Option<u32>) -> bool {
+    let mut driver = Driver::new(Settings { schedulers, peer_messages: true, ..settings() }, 2, 2);
+    let report = |worker, free, held| Event::HealthChecked {
         worker,
-        outcome: Outcome::Ok,
-        report: Some(LoadReport { free_slots: Some(free), held: Some(held), ..LoadReport::default() }),
+        outcome: Outcome::Served,
+        report: Some(LoadReport { free_slots: Some(free), in_flight: Some(held), ..LoadReport::default() }),
     };
-    living.into_iter().for_each(|dispatchers| driver.event(Event::Living { dispatchers }));
+    living.into_iter().for_each(|schedulers| driver.event(Event::ActiveSchedulers { schedulers }));
     (0..2).for_each(|id| driver.event(report(id, 3.0, 0.0)));
     let first = driver.job(SAFE);
     let used = driver.sends(first)[0];
     let other = 1 - used;
     driver.event(report(other, 0.0, 3.0));
     // As far as the report goes, the other dispatcher holds all of that worker; it says that it holds nothing.
-    driver.event(Event::Message { from: 1, text: "0".into() });
+    driver.event(Event::PeerMessage { from: 1, text: "0".into() });
     let second = driver.job(SAFE);
     driver.sends(second) == [other]
 }
@@ -359,8 +376,8 @@
 
 #[test]
 fn a_job_that_no_worker_can_run_does_not_block_those_behind_it() {
-    let special = Class { kind: Some(7), ..common::class(Effect::Safe, Group::All) };
-    let classes = vec![special, common::class(Effect::Safe, Group::All)];
+    let special = Class { kind: Some(7), ..common::class(Effect::Repeatable, DeduplicationScope::All) };
+    let classes = vec![special, common::class(Effect::Repeatable, DeduplicationScope::All)];
     let mut driver = Driver::new(Settings { classes, ..settings() }, 4, 2);
     let stuck = driver.job(0);
     let other = driver.job(1);
@@ -373,12 +390,12 @@
     let mut driver = Driver::new(settings(), 6, 2);
     let mut homes: Vec<usize> = Vec::new();
     for _ in 0..20 {
-        let key = Some("a-key".to_owned());
-        let new = NewJob { class: SAFE, key, time_left: 5_000.0, slots: 1.0, ..NewJob::default() };
+        let affinity_key = Some("a-key".to_owned());
+        let new = NewJob { class: SAFE, affinity_key, time_left: 5_000.0, slots: 1.0, ..NewJob::default() };
         let id = driver.job_with(new);
         homes.extend(driver.sends(id));
         driver.advance(100.0);
-        driver.respond(id, 0, Outcome::Ok);
+        driver.respond(id, 0, Outcome::Served);
         driver.advance(100.0);
     }
     assert!(homes.windows(2).all(|pair| pair[0] == pair[1]), "{homes:?}");
@@ -388,12 +405,12 @@
 fn a_worker_that_had_a_key_lately_gets_it_again_before_one_nearer_to_it() {
     let mut driver = Driver::new(settings(), 2, 2);
     let home = |driver: &mut Driver| {
-        let key = Some("a-key".to_owned());
-        let new = NewJob { class: SAFE, key, time_left: 5_000.0, slots: 1.0, ..NewJob::default() };
+        let affinity_key = Some("a-key".to_owned());
+        let new = NewJob { class: SAFE, affinity_key, time_left: 5_000.0, slots: 1.0, ..NewJob::default() };
         let id = driver.job_with(new);
         let to = driver.sends(id)[0];
         driver.advance(100.0);
-        driver.respond(id, 0, Outcome::Ok);
+        driver.respond(id, 0, Outcome::Served);
         to
     };
     let first = home(&mut driver);
@@ -402,16 +419,16 @@
     let second = home(&mut driver);
     assert_ne!(first, second);
     // A worker that starts again has lost what it kept; the other one still has it.
-    let launched = Some(driver.now - 60_000.0);
-    driver.list(ListKind::Delta, vec![WorkerEntry { launched, ..worker(first) }]);
+    let started_at = Some(driver.now - 60_000.0);
+    driver.list(ListKind::Delta, vec![WorkerEntry { started_at, ..worker(first) }]);
     assert_eq!(home(&mut driver), second);
 }
 
 #[test]
 fn what_is_worth_most_for_its_work_goes_first_and_stays_in_a_full_queue() {
     let mut settings = settings();
-    settings.tenants[0].quota = 0.001;
-    settings.classes[UNSAFE].worth = 5.0;
+    settings.tenants[0].quota_per_second = 0.001;
+    settings.classes[UNSAFE].priority_weight = 5.0;
     let mut driver = Driver::new(settings, 1, 5);
     let mut cheap = Vec::new();
     while driver.refused.is_empty() {
@@ -421,21 +438,21 @@
     let dear = driver.job(UNSAFE);
     // The last that found room in the queue gave way.
     assert_eq!(driver.refused, [cheap[cheap.len() - 1], cheap[cheap.len() - 2]]);
-    driver.respond(out[0].0, 0, Outcome::Ok);
+    driver.respond(out[0].0, 0, Outcome::Served);
     assert_eq!(driver.out().len(), out.len());
     assert_eq!(driver.sends(dear).len(), 1);
 }
 
 /// Attempts out at five workers when a burst meets what 60 s of light load have made of the budget.
 fn out_in_a_burst(others: u32) -> usize {
-    let settings = Settings { dispatchers: 4, messages: true, ..settings() };
+    let settings = Settings { schedulers: 4, peer_messages: true, ..settings() };
     let mut driver = Driver::new(settings, 5, 2);
     for _ in 0..600 {
-        (1..=others).for_each(|from| driver.event(Event::Message { from, text: "0".into() }));
+        (1..=others).for_each(|from| driver.event(Event::PeerMessage { from, text: "0".into() }));
         let id = driver.job(SAFE);
         driver.start(id, 0);
         driver.advance(100.0);
-        driver.respond(id, 0, Outcome::Ok);
+        driver.respond(id, 0, Outcome::Served);
     }
     for _ in 0..100 {
         driver.job(SAFE);
@@ -445,7 +462,7 @@
 
 #[test]
 fn what_calm_times_made_of_the_budget_swamps_no_worker_in_a_burst() {
-    // A quarter of 8 slots a worker, and more where the other dispatchers are silent.
+    // A quarter of 8 slots a worker, and more where the other schedulers are silent.
     let (alone, among) = (out_in_a_burst(0), out_in_a_burst(3));
     assert!((5..=10).contains(&among), "{among}");
     assert!((20..=40).contains(&alone), "{alone}");
@@ -465,7 +482,7 @@
             let slow = driver.sends(id)[attempt] == 0 && step < 200;
             let sent = driver.jobs[&id].attempts[attempt].sent;
             if driver.now - sent >= if slow { 1_500.0 } else { 150.0 } {
-                driver.respond(id, attempt, Outcome::Ok);
+                driver.respond(id, attempt, Outcome::Served);
             }
         }
         driver.advance(100.0);
@@ -477,38 +494,40 @@
 #[test]
 fn a_dispatcher_that_has_just_started_takes_what_the_others_leave_it() {
     // In a rolling restart the whole load may come to the one that started last.
-    let mut driver = Driver::new(Settings { dispatchers: 4, messages: true, ..settings() }, 5, 2);
+    let mut driver = Driver::new(Settings { schedulers: 4, peer_messages: true, ..settings() }, 5, 2);
     let ids: Vec<u32> = (0..18).map(|_| driver.job(SAFE)).collect();
     assert!(ids.iter().all(|&id| driver.sends(id).len() == 1));
 }
 
-/// Forty dispatchers see four jobs each of one key in ten jobs: together that is much for one worker.
+/// Forty schedulers see four jobs each of one key in ten jobs: together that is much for one worker.
 #[test]
 fn a_key_that_many_ask_for_has_many_homes_and_a_rare_one_has_few() {
-    // Workers as many as dispatchers, 60 jobs each. A dispatcher that sees them all needs no more homes than jobs.
+    // Workers as many as schedulers, 60 jobs each. A dispatcher that sees them all needs no more homes than jobs.
     // Few share one idle home all the same.
-    for (dispatchers, least, most) in [(4, 1, 4), (40, 4, 12), (100, 8, 30)] {
-        let fleet = Settings { dispatchers, ..settings() };
-        let workers = dispatchers as usize;
+    for (schedulers, least, most) in [(4, 1, 4), (40, 4, 12), (100, 8, 30)] {
+        let fleet = Settings { schedulers, ..settings() };
+        let workers = schedulers as usize;
         let (mut hot, mut rare) = (vec![0; workers], vec![0; workers]);
         for seed in 0..workers {
             let mut driver = Driver::new(fleet.clone(), workers, seed as u64);
             for n in 0..60 {
-                let key = Some(if n % 10 < 4 { "hot".to_owned() } else { format!("rare-{}", n % 10) });
-                let new = NewJob { class: SAFE, key, time_left: 5_000.0, slots: 1.0, ..NewJob::default() };
+                let affinity_key =
+                    Some(if n % 10 < 4 { "hot".to_owned() } else { format!("rare-{}", n % 10) });
+                let new =
+                    NewJob { class: SAFE, affinity_key, time_left: 5_000.0, slots: 1.0, ..NewJob::default() };
                 let id = driver.job_with(new);
                 let to = driver.sends(id)[0];
                 let counts = if n % 10 < 4 { &mut hot } else { &mut rare };
                 // What is asked for often must first be seen to be.
                 counts[to] += usize::from(n >= 30 && (n % 10 < 4 || n % 10 == 9));
                 driver.advance(300.0);
-                driver.respond(id, 0, Outcome::Ok);
+                driver.respond(id, 0, Outcome::Served);
                 driver.advance(300.0);
             }
         }
         // A hot key's jobs were all sent to its one home. Equal homes keep whom they have served last.
         let used = |counts: &[usize]| counts.iter().filter(|&&count| count > 0).count();
-        println!("{dispatchers}: {} homes of the hot key, {} of a rare one", used(&hot), used(&rare));
+        println!("{schedulers}: {} homes of the hot key, {} of a rare one", used(&hot), used(&rare));
         assert!(used(&hot) >= least, "{hot:?}");
         assert!(least == 1 || hot.iter().all(|&count| count < workers * 12 * 2 / 3), "{hot:?}");
         assert!(used(&rare) <= most, "{rare:?}");
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -3,7 +3,9 @@
 
 mod common;
 
-use brackenledge_policy::{Event, ListKind, LoadReport, NewJob, Outcome, Readiness, Response, WorkerEntry};
+use brackenledge_policy::{
+    AttemptResult, Event, ListKind, LoadReport, NewJob, Outcome, Readiness, WorkerEntry,
+};
 use common::{Driver, settings, worker};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -21,14 +23,14 @@
 }
 
 const OUTCOMES: [Outcome; 8] = [
-    Outcome::Ok,
-    Outcome::Error,
+    Outcome::Served,
+    Outcome::WorkerError,
     Outcome::Full,
     Outcome::Timeout,
     Outcome::ConnectFailed,
     Outcome::Reset,
     Outcome::Cancelled,
-    Outcome::Moot,
+    Outcome::NeverSent,
 ];
 
 fn step() -> impl Strategy<Value = Step> {
@@ -47,7 +49,7 @@
 
 fn entry(driver: &Driver, id: usize, state: usize) -> WorkerEntry {
     let readiness = [Readiness::Ready, Readiness::Ready, Readiness::Draining, Readiness::Gone][state];
-    WorkerEntry { readiness, launched: (state == 1).then_some(driver.now - 900.0), ..worker(id) }
+    WorkerEntry { readiness, started_at: (state == 1).then_some(driver.now - 900.0), ..worker(id) }
 }
 
 fn play(driver: &mut Driver, step: Step) {
@@ -86,32 +88,33 @@
         // Stale and made-up notes are taken calmly; jobs still open are left to the driver.
         Step::Stray { job, attempt } => {
             if driver.jobs.get(&job).is_none_or(|known| known.attempts.get(attempt).is_none_or(|a| !a.out)) {
-                driver.event(Event::Started { job, attempt });
-                driver.event(Event::Progress { job, attempt, done: 0.5 });
-                let outcome = Outcome::Error;
-                driver.event(Event::Response(Response {
+                driver.event(Event::JobStarted { job, attempt });
+                driver.event(Event::JobProgress { job, attempt, done: 0.5 });
+                let outcome = Outcome::WorkerError;
+                driver.event(Event::AttemptEnded(AttemptResult {
                     job,
                     attempt,
                     outcome,
-                    settled: false,
+                    job_answered: false,
                     report: None,
                 }));
             }
         }
         Step::Probe { worker, free, held } => {
-            let report = LoadReport { free_slots: Some(free), held: Some(held), ..LoadReport::default() };
-            driver.event(Event::Probed { worker, outcome: Outcome::Ok, report: Some(report) });
+            let report =
+                LoadReport { free_slots: Some(free), in_flight: Some(held), ..LoadReport::default() };
+            driver.event(Event::HealthChecked { worker, outcome: Outcome::Served, report: Some(report) });
         }
     }
 }
 
-fn run(second_copies: bool, list_on_request: bool, seed: u8) {
+fn run(hedged_requests: bool, list_on_request: bool, seed: u8) {
     let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let steps = prop::collection::vec(step(), 1..120);
     let result = runner.run(&(steps, any::<u64>()), |(steps, seed)| {
-        let settings = brackenledge_policy::Settings { second_copies, list_on_request, ..settings() };
+        let settings = brackenledge_policy::Settings { hedged_requests, list_on_request, ..settings() };
         let mut driver = Driver::new(settings, 6, seed);
         for step in steps {
             play(&mut driver, step);
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -20,12 +20,12 @@
 impl From<LoadDocument> for LoadReport {
     fn from(load: LoadDocument) -> LoadReport {
         LoadReport {
-            held: load.inflight.or(load.concurrent),
-            waiting: load.queue.or(load.depth),
-            busy: load.util.or(load.load_share),
+            in_flight: load.inflight.or(load.concurrent),
+            queued: load.queue.or(load.depth),
+            utilization: load.util.or(load.load_share),
             free_slots: load.x0,
             free_memory: load.x1,
-            errors: load.eps.or(load.err_ps),
+            errors_per_second: load.eps.or(load.err_ps),
         }
     }
 }
@@ -37,10 +37,10 @@
     for (name, value) in pairs.filter_map(|pair| pair.split_once('=')) {
         let value = value.trim().parse().ok();
         match name.trim() {
-            "inflight" | "concurrent" => report.held = value,
-            "queue" | "depth" => report.waiting = value,
-            "util" | "load_share" => report.busy = value,
-            "eps" | "err_ps" => report.errors = value,
+            "inflight" | "concurrent" => report.in_flight = value,
+            "queue" | "depth" => report.queued = value,
+            "util" | "load_share" => report.utilization = value,
+            "eps" | "err_ps" => report.errors_per_second = value,
             "x0" => report.free_slots = value,
             "x1" => report.free_memory = value,
             _ => {}
--- a/crates/simulator/src/experiment.rs
+++ b/crates/simulator/src/experiment.rs
@@ -216,7 +216,7 @@
 /// Plays an experiment, under a textbook's rule if one is given: its seconds, and the rules that were broken.
 pub fn run(experiment: &Experiment, rule: Option<Rule>) -> (Vec<Window>, Vec<String>) {
     let Experiment { fleet: size, traffic, network, faults, seed, .. } = experiment;
-    let settings = Settings { dispatchers: size.schedulers, ..settings() };
+    let settings = Settings { schedulers: size.schedulers, ..settings() };
     let mut fleet = Fleet::new(settings, size.workers, size.slots, traffic.run_ms, traffic.keys, *seed);
     rule.into_iter().for_each(|rule| fleet.go_by(rule));
     let usual = traffic.load * (size.workers * size.slots) as f64 * 1_000.0 / traffic.run_ms;
@@ -251,7 +251,7 @@
         windows.push(window(second, &tally, traffic.run_ms));
     }
     let (most, _) = fleet.cold_most();
-    if most >= fleet.settings.fall_multiple {
+    if most >= fleet.settings.overload_multiple {
         fleet.broken.push(format!("a cold worker was sent {most:.2} times what it could do in a span"));
     }
     (windows, fleet.broken)
--- a/crates/simulator/src/fleet.rs
+++ b/crates/simulator/src/fleet.rs
@@ -5,8 +5,8 @@
 
 use crate::textbook::{Rule, Textbook};
 use brackenledge_policy::{
-    Action, Class, Dispatcher, Effect, Event, JobId, ListKind, LoadReport, Millis, NewJob, Outcome, Response,
-    Settings, Tenant, WorkerEntry, WorkerId,
+    Action, AttemptResult, Class, Dispatcher, Effect, Event, JobId, ListKind, LoadReport, Millis, NewJob,
+    Outcome, Settings, Tenant, WorkerEntry, WorkerId,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -25,18 +25,20 @@
 
 /// What schedulers are told here: one class, which may run twice, two tenants, and cold workers that can be pushed over.
 pub fn settings() -> Settings {
-    let class = Class { aim: 300.0, stretch: 2.0, deadline: 5_000.0, ..Class::default() };
+    let class = Class { latency_objective: 300.0, stretch: 2.0, deadline: 5_000.0, ..Class::default() };
     Settings {
-        classes: vec![Class { effect: Effect::Safe, ..class }],
-        tenants: [(0.6, 60.0), (0.4, 40.0)].map(|(share, quota)| Tenant { share, quota }).to_vec(),
-        messages: true,
-        tells_start: true,
+        classes: vec![Class { effect: Effect::Repeatable, ..class }],
+        tenants: [(0.6, 60.0), (0.4, 40.0)]
+            .map(|(quota_fraction, quota_per_second)| Tenant { quota_fraction, quota_per_second })
+            .to_vec(),
+        peer_messages: true,
+        reports_job_start: true,
         starts_in_order: true,
         max_attempts: 4,
-        cold_share: 0.25,
-        warm_within: 8_000.0,
-        fall_multiple: 3.0,
-        overload_for: 1_000.0,
+        initial_capacity_fraction: 0.25,
+        warm_up_duration: 8_000.0,
+        overload_multiple: 3.0,
+        overload_duration: 1_000.0,
         ..Settings::default()
     }
 }
@@ -136,7 +138,7 @@
 impl Fleet {
     /// A fleet that all schedulers know, each worker with that many slots and that mean running time, at a load of 0.6.
     pub fn new(settings: Settings, workers: usize, slots: usize, run: Millis, keys: u32, seed: u64) -> Fleet {
-        let schedulers = settings.dispatchers as usize;
+        let schedulers = settings.schedulers as usize;
         let mut fleet = Fleet {
             settings,
             rate: 0.6 * (workers * slots) as f64 * 1_000.0 / run,
@@ -214,7 +216,7 @@
         self.cold = (0..count, self.now);
         self.sent_cold.clear();
         for number in 0..self.schedulers.len() {
-            let start = |id| WorkerEntry { launched: Some(self.now), ..Self::entry(id) };
+            let start = |id| WorkerEntry { started_at: Some(self.now), ..Self::entry(id) };
             let entries = (0..count).map(start).collect();
             self.event(number, Event::Workers { kind: ListKind::Delta, entries });
         }
@@ -251,8 +253,8 @@
         }
         for action in actions {
             match action {
-                Action::Wake { after } => self.after(after, Next::Wake(number)),
-                Action::Send { job, worker, .. } => {
+                Action::SetTimer { after } => self.after(after, Next::Wake(number)),
+                Action::StartAttempt { job, worker, .. } => {
                     self.tally.sends += 1;
                     if self.cold.0.contains(&worker) {
                         self.sent_cold.push((self.now, worker));
@@ -260,7 +262,7 @@
                     let attempt = self.attempts.get(&(number, job)).copied().unwrap_or(0);
                     self.place(worker, (number, job, attempt));
                 }
-                Action::Tell { to, text } => {
+                Action::SendMessage { to, text } => {
                     if text.len() > 256 {
                         self.broken.push(format!("{:.0} ms: a message of {} bytes", self.now, text.len()));
                     }
@@ -279,7 +281,7 @@
                         }
                     }
                 }
-                Action::Refuse { job, .. } => {
+                Action::Reject { job, .. } => {
                     self.tally.refused += usize::from(self.answered(job).is_some());
                 }
                 Action::Fail { job } => {
@@ -301,7 +303,8 @@
 
     /// The part of its capacity that a worker has.
     pub fn warmth(&self, now: Millis, at: WorkerId) -> f64 {
-        let (share, age) = (self.settings.cold_share, (now - self.cold.1) / self.settings.warm_within);
+        let (share, age) =
+            (self.settings.initial_capacity_fraction, (now - self.cold.1) / self.settings.warm_up_duration);
         if self.cold.0.contains(&at) { (share + (1.0 - share) * age).min(1.0) } else { 1.0 }
     }
 
@@ -324,7 +327,7 @@
             self.run * (0.5 + self.rng.f64() + fetch) / self.warmth(self.now, at)
         };
         self.after(took, Next::End { at, sent });
-        self.event(sent.0, Event::Started { job: sent.1, attempt: sent.2 });
+        self.event(sent.0, Event::JobStarted { job: sent.1, attempt: sent.2 });
     }
 
     /// Lets time pass.
@@ -337,7 +340,7 @@
             self.now = self.now.max(at as f64 / 1_000.0);
             match next {
                 Next::Wake(number) => self.event(number, Event::Timer),
-                Next::Message { to, from, text } => self.event(to, Event::Message { from, text }),
+                Next::Message { to, from, text } => self.event(to, Event::PeerMessage { from, text }),
                 Next::Arrive => self.arrive(),
                 Next::End { at, sent } => self.end(at, sent),
             }
@@ -360,7 +363,7 @@
         let key = (self.rng.f64().powi(SKEW) * f64::from(self.keys)) as u32;
         self.key_of.insert(self.jobs as JobId, key);
         let job = NewJob {
-            key: Some(format!("k{key}")),
+            affinity_key: Some(format!("k{key}")),
             id: self.jobs as JobId,
             tenant: self.rng.usize(..2),
             time_left: self.settings.classes[0].deadline,
@@ -388,7 +391,7 @@
         let odd = f64::from(self.rng.f64() < ODD);
         let report = LoadReport {
             free_slots: Some((self.slots - self.workers[at].running) as f64 + odd),
-            held: Some(held as f64),
+            in_flight: Some(held as f64),
             ..LoadReport::default()
         };
         let fails = at >= self.failing_from;
@@ -400,11 +403,11 @@
         {
             let class = &self.settings.classes[0];
             self.tally.served += 1;
-            self.tally.in_time += usize::from(took <= class.aim + class.stretch * self.run);
+            self.tally.in_time += usize::from(took <= class.latency_objective + class.stretch * self.run);
         }
-        let outcome = if fails { Outcome::Error } else { Outcome::Ok };
-        let response = Response { job, attempt, outcome, settled: !fails, report: Some(report) };
-        self.event(number, Event::Response(response));
+        let outcome = if fails { Outcome::WorkerError } else { Outcome::Served };
+        let response = AttemptResult { job, attempt, outcome, job_answered: !fails, report: Some(report) };
+        self.event(number, Event::AttemptEnded(response));
     }
 
     /// The most work that a worker of those that started last was sent within a span, in times of what it could do then,
@@ -416,7 +419,7 @@
             let times: Vec<Millis> = sent.map(|sent| sent.0).collect();
             used += usize::from(!times.is_empty());
             for (first, &since) in times.iter().enumerate() {
-                let span = self.settings.overload_for;
+                let span = self.settings.overload_duration;
                 let within = times[first..].iter().take_while(|&&at| at < since + span).count();
                 let can = self.slots as f64 * self.warmth(since, id) * span;
                 most = most.max(within as f64 * self.run / can);
@@ -438,7 +441,7 @@
     /// The ledger must be able to fail: each of its rules is broken once, by hand.
     #[test]
     fn each_rule_of_the_ledger_can_be_broken() {
-        let mut fleet = Fleet::new(Settings { dispatchers: 2, ..settings() }, 4, 3, 300.0, 10, 1);
+        let mut fleet = Fleet::new(Settings { schedulers: 2, ..settings() }, 4, 3, 300.0, 10, 1);
         fleet.rate = 1e-6;
         fleet.play(10_000.0);
         assert_eq!(fleet.broken, Vec::<String>::new());
@@ -456,6 +459,6 @@
         // Forty jobs at once are more than a worker that has just started may get in a span.
         fleet.restart_workers(1);
         fleet.sent_cold = vec![(fleet.now, 0); 40];
-        assert!(fleet.cold_most().0 > fleet.settings.fall_multiple);
+        assert!(fleet.cold_most().0 > fleet.settings.overload_multiple);
     }
 }
--- a/crates/simulator/src/textbook.rs
+++ b/crates/simulator/src/textbook.rs
@@ -67,16 +67,16 @@
             }
             Event::Job(job) => {
                 self.jobs.insert(job.id, (now + job.time_left, 0));
-                actions.push(Action::Wake { after: job.time_left });
+                actions.push(Action::SetTimer { after: job.time_left });
                 self.send(job.id, held, actions);
             }
-            Event::Response(end) => {
+            Event::AttemptEnded(end) => {
                 if let Some(worker) = self.out.remove(&(end.job, end.attempt)) {
                     self.own[worker] -= 1;
                 }
                 match (end.outcome, self.jobs.get(&end.job)) {
                     (_, None) => {}
-                    (Outcome::Ok, _) => {
+                    (Outcome::Served, _) => {
                         self.jobs.remove(&end.job);
                     }
                     (_, Some((_, attempts))) if *attempts < ATTEMPTS => self.send(end.job, held, actions),
@@ -120,6 +120,6 @@
             *attempts += 1;
         }
         self.own[worker] += 1;
-        actions.push(Action::Send { job, worker, timeout: None });
+        actions.push(Action::StartAttempt { job, worker, timeout: None });
     }
 }
--- a/crates/simulator/tests/fleet.rs
+++ b/crates/simulator/tests/fleet.rs
@@ -9,7 +9,7 @@
 const RUN: Millis = 300.0;
 
 fn fleet(schedulers: usize, workers: usize, span: Millis, seed: u64) -> Fleet {
-    let settings = Settings { dispatchers: schedulers as u32, overload_for: span, ..settings() };
+    let settings = Settings { schedulers: schedulers as u32, overload_duration: span, ..settings() };
     Fleet::new(settings, workers, SLOTS, RUN, 300, seed)
 }
 
@@ -128,7 +128,7 @@
         println!(
             "{dispatchers} x {workers}, load {load}, span {span} | {worst:.2} times what it can do in a span | {part:.2} | {used} of {cold} used"
         );
-        assert!(worst < fleet.settings.fall_multiple, "{dispatchers}: {worst} times what it can do");
+        assert!(worst < fleet.settings.overload_multiple, "{dispatchers}: {worst} times what it can do");
         // Split by each one's own work, the allowance kept all of a large tier's work from them for seconds.
         assert!(part >= least, "{dispatchers}: {part} of the work in the first 2 s");
         assert!(used * 10 >= cold * 9, "{dispatchers}: {used} of {cold} used");
