Failover: nobody takes over a job that its owner claims again or has rejected

Cause, two holes: - Coordinator::resolution took a record that may have run and that its owner had not reported for a job that the owner had forgotten. An owner whose grant was lost does not report the job, it claims it again. The same claim by the same owner now decides: nothing has left under it, and it is granted again. - Discard is lost with its coordinator, and was said once. A replica that became the coordinator took the rejected job over. Discards of classes that wait for acknowledgement are now remembered until the job's deadline is over by everybody's clock, and sent again under each new list before ReportComplete. No new message, no new bytes on the wire.

Not mended: a scheduler that rejects and is lost itself before its Discard has arrived; an owner that is lost after its rejection while an older replica, of which the coordinator of that time does not know, still has the record.

--- a/crates/failover/src/coordinator/takeover.rs
+++ b/crates/failover/src/coordinator/takeover.rs
@@ -1,9 +1,10 @@
 //! What members report under a new member list, and the takeover of jobs whose owners are gone.
 
-use super::ReportedJob;
+use super::{DeferredClaim, ReportedJob};
 use crate::job_key::JobKey;
 use crate::job_record::{JobOutcome, RecordSnapshot};
 use crate::{Event, Failover, Message, Micros, ProcessId};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// What becomes of a record once all members' reports are complete.
@@ -45,8 +46,9 @@
     /// All members' reports are complete: what we hold as coordinator is all there is.
     pub(crate) fn handle_all_reported(&mut self, now: Micros) {
         self.revoke_superseded();
-        let keys: Vec<JobKey> =
-            self.replicas.keys().filter(|key| self.is_coordinator(key)).cloned().collect();
+        let reclaimed = self.reclaimed_jobs();
+        let coordinated = self.replicas.keys().filter(|key| self.is_coordinator(key));
+        let keys: Vec<JobKey> = coordinated.filter(|key| !reclaimed.contains(key)).cloned().collect();
         let (mut jobs, mut may_have_run) = (0, 0);
         for key in keys {
             let Some(resolution) = self.resolution(now, &key) else { continue };
@@ -65,6 +67,17 @@
         }
     }
 
+    /// Jobs that their owners claim again by the same claim, since the grant has not reached them. No attempt under it has
+    /// left, so that the claim decides, and not the record.
+    fn reclaimed_jobs(&self) -> BTreeSet<JobKey> {
+        let reclaims = |claim: &&DeferredClaim| {
+            let replica = self.replicas.get(&claim.record.key);
+            let unfinished = replica.filter(|replica| replica.record.outcome.is_none());
+            unfinished.is_some_and(|replica| replica.is_owned_by(claim.claimant, claim.record.claim_id))
+        };
+        self.deferred_claims.iter().filter(reclaims).map(|claim| claim.record.key.clone()).collect()
+    }
+
     /// Tells members which of the jobs that they reported have a newer owner.
     fn revoke_superseded(&mut self) {
         let term = self.term;
--- a/crates/failover/src/job_owner/mod.rs
+++ b/crates/failover/src/job_owner/mod.rs
@@ -88,10 +88,10 @@
         let (key, claim_id) = (key.clone(), job.record.claim_id);
         let claimed = matches!(job.state, ClaimState::Pending | ClaimState::Owned);
         self.revoke(&key);
-        self.jobs.remove(&key);
         if claimed {
             self.send_discard(&key, claim_id, true);
         }
+        self.jobs.remove(&key);
         self.deliver_loopback(now);
     }
 
@@ -242,14 +242,6 @@
         }
     }
 
-    /// Tells the coordinator that the record of a claim is not needed any more.
-    fn send_discard(&mut self, key: &JobKey, claim_id: u64, urgent: bool) {
-        let term = self.term;
-        if let Some(coordinator) = key.coordinator(&self.members).filter(|_| self.is_member()) {
-            self.send_with(coordinator, Message::Discard { term, key: key.clone(), claim_id }, urgent);
-        }
-    }
-
     /// Answers all clients of a job, and removes it.
     fn end_job(&mut self, key: &JobKey, outcome: JobOutcome) {
         self.answer_clients(key, &outcome, |_| true);
--- a/crates/failover/src/job_record.rs
+++ b/crates/failover/src/job_record.rs
@@ -86,7 +86,7 @@
 
 /// The longest time that a snapshot travels. A process that does not read for longer is removed from the member list
 /// (membership takes 3 s, a member lease 2.5 s), and then the snapshot is of an older term and dropped.
-const MAX_TRANSIT_TIME: Micros = 6_000_000;
+pub(crate) const MAX_TRANSIT_TIME: Micros = 6_000_000;
 
 /// What a record takes in memory beside its payload and result, and what each attempt adds, roughly.
 const RECORD_OVERHEAD: usize = 256;
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -15,9 +15,9 @@
 //!
 //! # Member lists
 //!
-//! A new member list invalidates all messages of the last one. Owners report their jobs to the new coordinators,
-//! replicas report the jobs that have ended and those whose owners are gone, and each member then sends
-//! [`Message::ReportComplete`]. A coordinator grants nothing, acknowledges nothing and takes nothing over before all
+//! A new member list invalidates all messages of the last one. Owners report their jobs and the claims that they have
+//! discarded to the new coordinators, replicas report the jobs that have ended and those whose owners are gone, and each
+//! member then sends [`Message::ReportComplete`]. A coordinator grants nothing, acknowledges nothing and takes nothing over before all
 //! members of its list have sent that: by then it has received whatever was acknowledged under an older list. Then it
 //! takes over the jobs without an owner; each starts once its replicas have acknowledged that. A former owner that
 //! resumes is refused, for the record has a newer ownership epoch.
@@ -40,7 +40,8 @@
 //! | `ReportOwned`, `ReportOrphaned`, `ReportComplete` | with their sender: a new list follows without it | dropped, as they are sent again under the next list |
 //! | `Replicate` | with the replica: another is chosen under the next list, or after [`Settings::replica_timeout`] | dropped |
 //! | `AttemptStarted`, `JobFinished` | with the owner: what was not acknowledged to it has not been done | dropped; reported again under the new list |
-//! | `Discard`, `TransferOwnership` | with the owner: taken over with the rest | dropped; a discarded job may run once more if it never ran |
+//! | `Discard` | with the owner: taken over with the rest; with the coordinator: sent again under each new list until the deadline | dropped, as it is sent again |
+//! | `TransferOwnership` | with the owner: taken over with the rest | dropped |
 //! | `OwnershipRevoked` | with the coordinator: the next one revokes it again | dropped |
 //!
 //! # Limits
@@ -54,6 +55,7 @@
 mod command;
 mod coordinator;
 mod counters;
+mod discarded_claims;
 mod frame;
 mod job_key;
 mod job_owner;
@@ -79,6 +81,7 @@
 
 use client_job::ClientJob;
 use coordinator::{DeferredClaim, ReportedJob};
+use discarded_claims::DiscardedClaims;
 use replica::ReplicaRecord;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -135,6 +138,8 @@
     /// Jobs that members have reported to own under this list.
     reported_jobs: Vec<ReportedJob>,
     deferred_messages: VecDeque<DeferredMessage>,
+    /// Claims of ours of which replicas may still hold a record.
+    discarded_claims: DiscardedClaims,
     /// Peers that read too slowly to be given more jobs.
     lagging_peers: BTreeSet<u16>,
     /// Messages from this process to itself, handled within the same call.
@@ -167,6 +172,7 @@
             deferred_claims: VecDeque::new(),
             reported_jobs: Vec::new(),
             deferred_messages: VecDeque::new(),
+            discarded_claims: DiscardedClaims::default(),
             lagging_peers: BTreeSet::new(),
             loopback: VecDeque::new(),
             commands: VecDeque::new(),
--- a/crates/failover/src/member_list.rs
+++ b/crates/failover/src/member_list.rs
@@ -27,6 +27,7 @@
         self.members = members.clone();
         self.reset_for_term();
         if self.is_member() {
+            self.report_all_discarded();
             self.report_all_owned(now);
             self.report_all_orphaned(now);
             for (&ordinal, &incarnation) in &self.members.clone() {
--- a/crates/failover/src/replica.rs
+++ b/crates/failover/src/replica.rs
@@ -121,6 +121,7 @@
             return;
         }
         self.last_sweep = now;
+        self.discarded_claims.expire(now);
         let expired: Vec<JobKey> = self
             .replicas
             .iter()
--- a/crates/failover/tests/model.rs
+++ b/crates/failover/tests/model.rs
@@ -26,6 +26,8 @@
     resubmissions: u8,
     /// Attempts that find no worker: they never ran.
     refusals: u8,
+    /// How often a scheduler rejects a job that has not been sent.
+    rejections: u8,
     sabotage: Option<Sabotage>,
 }
 
@@ -71,6 +73,11 @@
     returns: u8,
     resubmissions: u8,
     refusals: u8,
+    rejections: u8,
+    /// The process whose scheduler rejected the job last, while it lives and has its lease.
+    rejected_by: Option<u16>,
+    /// The client was told so, and has not come again.
+    client_rejected: bool,
     runs: u8,
     /// Where the client waits now.
     client: Option<(u16, Waiter)>,
@@ -87,6 +94,8 @@
     PerformPending(u16),
     /// The attempt finds no worker.
     Refusal(u16),
+    /// The scheduler rejects the job, none of whose attempts has left there.
+    Reject(u16),
     /// A run ends: with a result, or its connection breaks.
     Result(u16, usize, bool),
     Crash(u16),
@@ -119,6 +128,7 @@
         let waiter = state.next_waiter;
         state.next_waiter += 1;
         state.client = Some((node, waiter));
+        state.client_rejected = false;
         let submission = JobSubmission {
             payload: Arc::from(&b"sell"[..]),
             requires_ack: true,
@@ -220,6 +230,9 @@
             returns: self.returns,
             resubmissions: self.resubmissions,
             refusals: self.refusals,
+            rejections: self.rejections,
+            rejected_by: None,
+            client_rejected: false,
             runs: 0,
             client: None,
             next_waiter: 1,
@@ -263,6 +276,11 @@
                     actions.push(Action::Refusal(node));
                 }
             }
+            let caller = &state.callers[at];
+            let unsent = caller.actions.is_empty() && caller.running_attempts.is_empty();
+            if state.rejections > 0 && caller.running.is_some() && unsent && state.runs == 0 {
+                actions.push(Action::Reject(node));
+            }
             for run in 0..state.callers[at].running_attempts.len() {
                 actions.extend([Action::Result(node, run, true), Action::Result(node, run, false)]);
             }
@@ -311,7 +329,9 @@
                         && waiters.contains(&waiter)
                     {
                         state.client = None;
-                        if !matches!(outcome, JobOutcome::Rejected(_)) {
+                        if matches!(outcome, JobOutcome::Rejected(_)) {
+                            state.client_rejected = true;
+                        } else {
                             state.client_outcomes.push(outcome);
                         }
                     }
@@ -328,6 +348,12 @@
                 self.dispatch(&mut state, node);
                 self.carry_out(&mut state, node);
             }
+            Action::Reject(node) => {
+                state.rejections -= 1;
+                state.rejected_by = Some(node);
+                self.end(&mut state, node, JobOutcome::Rejected(None));
+                self.carry_out(&mut state, node);
+            }
             Action::Result(node, at, whole) => {
                 let (_, run) = state.callers[usize::from(node)].running_attempts.remove(at);
                 let outcome = if whole { JobOutcome::Served(Arc::from([run])) } else { JobOutcome::Failed };
@@ -344,10 +370,13 @@
                 state.in_transit.retain(|ends, _| ends.1 != node);
                 state.client = state.client.filter(|client| client.0 != node);
                 state.without_lease.insert(node);
+                // Its discard may be lost with it, and the job is taken over.
+                state.rejected_by = state.rejected_by.filter(|&by| by != node);
             }
             Action::LeaseExpires(node) => {
                 state.exclusions -= 1;
                 state.without_lease.insert(node);
+                state.rejected_by = state.rejected_by.filter(|&by| by != node);
                 state.nodes[usize::from(node)].as_mut()?.set_member_lease(NOW, 0);
                 self.carry_out(&mut state, node);
             }
@@ -439,6 +468,10 @@
                         || !state.member_lists.last().is_some_and(|member_list| member_list.contains(&node))
                 },
             ),
+            Property::always("nobody takes over what its client was told has not run", |_, state: &State| {
+                let rejected = state.client_rejected && state.rejected_by.is_some();
+                !rejected || state.taken_over == 0 && state.runs == 0
+            }),
             Property::sometimes("it is served", |_, state: &State| {
                 state.client_outcomes.iter().any(|outcome| matches!(outcome, JobOutcome::Served(_)))
             }),
@@ -462,6 +495,7 @@
     returns: 0,
     resubmissions: 1,
     refusals: 0,
+    rejections: 0,
     sabotage: None,
 };
 
@@ -567,6 +601,18 @@
     );
 }
 
+/// The client comes once: a rejection is of that submission, and says nothing of others.
+#[test]
+fn a_job_is_rejected_while_its_coordinator_crashes() {
+    holds("rejected", Cluster { crashes: 1, resubmissions: 0, rejections: 1, ..PLAIN }, false);
+}
+
+#[test]
+fn a_job_is_rejected_while_two_of_four_crash() {
+    let base = Cluster { nodes: 4, replication_factor: 2, resubmissions: 0, ..PLAIN };
+    holds("rejected, two crashes", Cluster { crashes: 2, rejections: 1, ..base }, false);
+}
+
 /// A wrong program is caught, or the model shows nothing.
 #[test]
 fn each_sabotage_is_caught() {
