--- a/crates/daemon/src/net/frontend/admission.rs
+++ b/crates/daemon/src/net/frontend/admission.rs
@@ -16,12 +16,12 @@
 
 /// The classes and tenants of the settings, and the limits that apply before the policy sees a job.
 pub struct AdmissionRules {
-    classes: Vec<String>,
+    pub(super) classes: Vec<String>,
     /// By class.
-    deadlines: Vec<Millis>,
+    pub(super) deadlines: Vec<Millis>,
     /// By class.
-    effects: Vec<Effect>,
-    tenants: Vec<String>,
+    pub(super) effects: Vec<Effect>,
+    pub(super) tenants: Vec<String>,
     /// Jobs that clients may wait for at the same time.
     pub(super) max_open_jobs: usize,
     /// The `Retry-After` of clients that are rejected before the policy sees their jobs.
--- a/crates/daemon/src/net/frontend/mod.rs
+++ b/crates/daemon/src/net/frontend/mod.rs
@@ -122,3 +122,6 @@
         deregister(&mut client.stream, cx.event_loop);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/net/frontend/request_reader.rs
+++ b/crates/daemon/src/net/frontend/request_reader.rs
@@ -162,7 +162,7 @@
 }
 
 impl Rejection {
-    fn of_body(malformed: Malformed) -> Self {
+    pub(super) fn of_body(malformed: Malformed) -> Self {
         match malformed {
             Malformed::TooLarge => Rejection { status: 413, reason: "the body is larger than 64 KiB" },
             Malformed::Framing => Rejection::bad_request("the body's framing is broken"),
@@ -171,7 +171,7 @@
 }
 
 /// Parses a head; returns its length, or `None` while it is incomplete.
-fn parse_head<'input>(
+pub(super) fn parse_head<'input>(
     request: &mut httparse::Request<'_, 'input>,
     input: &'input [u8],
 ) -> Result<Option<usize>, Rejection> {
@@ -189,7 +189,7 @@
 }
 
 /// Whether the client keeps the connection for further requests: the default since HTTP/1.1.
-fn is_keep_alive(request: &httparse::Request) -> bool {
+pub(super) fn is_keep_alive(request: &httparse::Request) -> bool {
     let connection = header(request.headers, "Connection");
     match request.version {
         Some(1) => !has_token(connection, "close"),
