--- a/crates/daemon/src/net/frontend/tests.rs
+++ b/crates/daemon/src/net/frontend/tests.rs
@@ -64,11 +64,11 @@
             text.push_str(&format!(", {name} {value:?}"));
         }
     };
-    add("key", job.key.clone());
+    add("key", job.affinity_key.clone());
     add("idempotency key", request.idempotency_key.clone());
     add("type", request.content_type.clone());
     add("time", Some(job.time_left).filter(|time| time.is_finite()).map(|time| time.to_string()));
-    add("effort", job.effort.map(|effort| effort.to_string()));
+    add("effort", job.expected_run_time.map(|time| time.to_string()));
     add("slots", Some(job.slots).filter(|&slots| slots != 1.0).map(|slots| slots.to_string()));
     add("memory", Some(job.memory).filter(|&memory| memory != 0.0).map(|memory| memory.to_string()));
     add("retry", job.is_retry.then(|| "yes".to_owned()));
--- a/crates/protocol/tests/common/request_heads.rs
+++ b/crates/protocol/tests/common/request_heads.rs
@@ -6,7 +6,7 @@
 
 /// The classes of the table, in the order of their numbers.
 pub const CLASSES: [(&str, Effect); 3] =
-    [("view", Effect::Safe), ("sale", Effect::Unsafe), ("buy", Effect::Keyed)];
+    [("view", Effect::Repeatable), ("sale", Effect::NonIdempotent), ("buy", Effect::Idempotent)];
 /// The tenants of the table, in the order of their numbers.
 pub const TENANTS: [&str; 2] = ["karoo", "vaal"];
 
