Daemon's tests by concern, in standard terms, with one support module

What each test checks is unchanged, but that reads of a scripted worker now assert the kind of error in all files, as those of endings.rs did.

Old name -> new name: a_job_whose_client_leaves_while_its_connection_comes_up_is_not_sent -> a_job_whose_client_disconnects_while_the_attempt_connects_is_not_sent a_job_whose_client_leaves_while_it_waits_for_a_worker_is_not_sent -> a_queued_job_whose_client_disconnects_is_not_sent a_job_handed_back_after_its_client_left_is_not_sent_again -> a_job_returned_unstarted_after_its_client_disconnected_is_not_retried a_client_that_leaves_behind_more_than_is_read_early_is_missed_all_the_same -> a_disconnect_behind_more_pipelined_bytes_than_are_buffered_cancels_the_attempt early_bytes_that_are_dropped_end_the_connection_with_the_answer_and_hide_no_request -> excess_pipelined_bytes_close_the_connection_after_the_response_and_hide_no_request a_stop_answers_all_before_sigkill_with_deadlines_of_800_ms -> graceful_shutdown_answers_every_request_before_sigkill_with_deadlines_of_800_ms a_stop_answers_all_before_sigkill_with_deadlines_of_1500_ms -> graceful_shutdown_answers_every_request_before_sigkill_with_deadlines_of_1500_ms a_stop_answers_all_before_sigkill_with_deadlines_of_5_s -> graceful_shutdown_answers_every_request_before_sigkill_with_deadlines_of_5_s a_second_answer_on_its_way_is_not_taken_for_the_next_requests -> a_late_second_response_is_not_taken_for_the_next_requests a_line_that_names_no_request_is_no_answer -> a_response_line_without_the_requests_id_fails_the_attempt a_reset_at_any_byte_of_an_answer_ends_that_attempt_as_one_that_may_have_run -> a_reset_at_any_byte_of_a_response_ends_the_attempt_as_one_that_may_have_run an_answer_that_never_ends_ends_with_its_attempts_time_and_gives_all_back -> an_endless_response_ends_at_the_attempts_deadline_and_frees_its_resources a_client_that_is_closed_for_room_is_read_first -> a_request_already_received_is_read_before_its_connection_is_evicted a_stop_answers_a_job_whose_connection_is_still_coming_up -> graceful_shutdown_rejects_a_job_whose_attempt_still_connects a_stop_refuses_a_job_that_still_waits_for_a_worker -> graceful_shutdown_rejects_a_queued_job settings_without_any_of_their_optional_parts_serve_every_effect_under_any_name -> every_effect_is_served_under_any_class_name_without_each_optional_setting hostile_clients_at_every_stage_of_a_job_leave_nothing_behind -> clients_that_disconnect_at_every_phase_of_a_job_leak_nothing a_repeat_whose_connection_comes_up_after_its_window_does_not_leave -> a_retry_that_connects_after_its_retry_window_is_not_sent a_worker_that_says_on_as_fast_as_it_is_read_keeps_nobody_else_waiting -> a_worker_that_streams_without_pause_does_not_starve_other_jobs a_client_that_says_far_too_much_early_gets_its_answer_all_the_same -> a_client_that_pipelines_megabytes_still_gets_its_response requests_that_waited_in_the_socket_until_their_sender_read_its_answers_are_served -> requests_left_in_the_socket_are_served_once_their_client_reads_its_responses a_job_whose_time_is_up_while_its_connection_comes_up_is_refused_and_never_sent -> a_job_that_expires_while_its_attempt_connects_is_rejected_and_never_sent a_job_whose_client_leaves_while_its_last_byte_is_held_back_is_never_whole -> a_job_whose_client_disconnects_before_its_last_byte_is_sent_is_never_complete the_last_answer_is_whole_for_a_client_that_reads_it_after_the_exit -> the_last_response_is_complete_for_a_client_that_reads_it_after_the_exit requests_at_the_moment_in_which_resting_connections_are_closed_are_answered_or_never_attempted -> requests_racing_the_close_of_idle_connections_are_answered_or_never_attempted a_request_that_is_read_in_the_very_turn_of_the_close_has_its_answer_before_sigkill -> a_request_read_in_the_same_turn_as_the_close_is_answered_before_sigkill a_request_behind_the_time_of_the_last_answers_is_rejected_and_no_worker_gets_it -> a_request_after_the_shutdowns_answer_deadline_is_rejected_without_an_attempt requests_behind_the_last_answer_of_a_stop_are_not_sent_on_and_do_not_cut_it_off -> requests_behind_the_last_response_of_a_shutdown_start_no_attempt_and_do_not_truncate_it a_rejection_is_whole_though_the_rest_of_its_request_comes_on -> a_rejection_is_complete_though_the_rest_of_its_request_still_arrives half_a_line_from_a_worker_at_a_stop_leaves_one_answer_when_the_rest_never_comes -> a_partial_response_line_at_shutdown_leaves_one_answer_when_the_rest_never_arrives half_a_line_from_a_worker_at_a_stop_leaves_one_answer_when_a_reset_follows -> a_partial_response_line_at_shutdown_leaves_one_answer_when_a_reset_follows half_a_line_from_a_worker_at_a_stop_is_served_when_the_rest_comes_at_the_last_moment -> a_partial_response_line_at_shutdown_is_served_when_the_rest_arrives_at_the_last_moment half_a_line_on_a_resting_connection_of_a_worker_is_no_part_of_the_next_answer -> a_partial_line_on_an_idle_worker_connection_is_no_part_of_the_next_response a_client_that_has_left_when_its_request_is_read_starts_no_attempt -> a_client_that_has_disconnected_when_its_request_is_read_starts_no_attempt a_client_that_leaves_behind_early_bytes_while_its_job_waits_starts_no_attempt -> a_disconnect_behind_pipelined_requests_while_the_job_is_queued_starts_no_attempt a_client_that_leaves_behind_early_bytes_while_a_connection_comes_up_starts_no_attempt -> a_disconnect_behind_pipelined_requests_while_the_attempt_connects_starts_no_attempt a_second_request_of_a_client_that_left_before_the_first_ones_answer_starts_no_attempt -> a_second_request_of_a_client_that_disconnected_before_the_first_response_starts_no_attempt a_client_that_sends_hundreds_of_requests_at_once_and_goes_starts_the_first_alone -> a_client_that_pipelines_hundreds_of_requests_and_disconnects_starts_only_the_first a_stop_under_a_crowd_that_fills_the_descriptors_answers_what_is_in_hand_and_ends_in_time -> graceful_shutdown_with_every_descriptor_in_use_answers_jobs_in_flight_and_exits_in_time a_further_attempt_tells_its_worker_at_most_what_is_left -> a_retry_sends_its_worker_at_most_the_time_left an_attempt_whose_connection_comes_up_late_tells_its_worker_what_is_left_then -> an_attempt_that_connects_late_sends_the_time_left_then a_request_that_was_written_slowly_is_attempted_with_what_is_left_of_its_time -> a_slowly_written_request_is_attempted_with_the_time_left a_request_that_waited_behind_another_is_attempted_with_what_is_left_of_its_time -> a_pipelined_request_is_attempted_with_the_time_left_after_its_wait a_request_whose_time_went_by_behind_another_is_rejected_without_an_attempt -> a_pipelined_request_that_expires_in_its_wait_is_rejected_without_an_attempt new_clients_in_the_first_part_of_a_stop_all_have_an_answer -> new_clients_at_the_start_of_a_graceful_shutdown_are_all_served a_new_connection_that_a_worker_closes_unread_leaves_one_answer_and_no_second_run -> a_new_connection_that_the_worker_closes_unread_leaves_one_answer_and_no_second_execution second_answers_within_a_message_and_behind_it_leave_one_answer_to_each_request -> duplicate_responses_leave_one_answer_to_each_request garbled_and_endless_answers_leave_one_answer_before_the_requests_time -> malformed_and_endless_responses_leave_one_answer_before_the_deadline no_retry_begins_behind_a_window_of_300_ms_and_those_within_it_do -> retries_start_within_a_retry_window_of_300_ms_and_none_after_it a_restarted_scheduler_with_a_known_list_is_ready_within_6_s_though_discovery_is_silent -> a_restarted_scheduler_with_a_cached_list_is_ready_within_6_s_without_discovery small_writes_to_clients_and_workers_are_not_held_back_by_the_system -> connections_to_clients_and_workers_have_tcp_nodelay_set lines_split_and_joined_across_reads_are_put_together -> response_lines_split_and_joined_across_reads_are_reassembled bad_requests_get_a_plain_4xx_and_the_scheduler_lives -> malformed_requests_get_a_4xx_and_the_scheduler_serves_on nothing_hidden_behind_a_bad_request_reaches_a_worker -> nothing_smuggled_behind_a_malformed_request_reaches_a_worker the_id_of_an_open_job_is_turned_away_and_that_job_goes_on -> a_request_with_the_id_of_a_pending_job_is_rejected_and_that_job_continues a_job_that_a_worker_cannot_use_fails_and_is_sent_nowhere_else -> a_job_that_a_worker_answers_with_4xx_fails_without_a_retry clients_that_say_nothing_or_half_a_request_are_ended_and_let_others_in -> silent_clients_and_partial_requests_are_closed_and_make_room_for_others a_client_that_has_just_connected_is_not_closed_for_room_before_idle_ones -> a_new_connection_is_not_evicted_before_idle_ones clients_that_only_ask_whether_it_is_up_give_way_before_those_with_jobs -> clients_that_only_check_health_are_evicted_before_those_with_jobs a_job_that_may_have_run_is_not_sent_again -> a_job_that_may_have_run_is_retried_only_where_it_is_idempotent an_answer_that_comes_at_once_still_finds_its_request_written -> a_response_before_its_request_is_read_ends_an_attempt_that_was_sent_once after_a_kept_connection_was_reset_jobs_travel_on_new_ones_and_show_early_if_they_never_ran -> after_a_reused_connection_was_reset_jobs_use_new_ones_that_show_early_if_they_never_ran a_job_refused_a_connection_goes_elsewhere -> a_job_whose_connection_is_refused_is_retried_elsewhere a_job_handed_back_unstarted_goes_elsewhere -> a_job_returned_unstarted_is_retried_elsewhere a_server_told_to_drain_gets_nothing_new_and_a_moved_one_is_found -> a_draining_worker_gets_no_new_job_and_a_moved_one_is_found a_watch_that_drops_or_talks_nonsense_is_asked_for_again -> a_watch_that_drops_or_is_malformed_is_opened_again a_watch_cut_off_in_mid_line_is_asked_for_again_at_once -> a_watch_closed_within_a_line_is_opened_again_at_once nonsense_from_workers_and_peers_ends_that_exchange_alone -> malformed_input_from_workers_and_peers_fails_only_its_exchange a_request_in_chunks_reaches_its_worker_whole -> a_chunked_request_reaches_its_worker_complete a_silent_worker_costs_a_job_its_time_and_no_more -> a_silent_worker_fails_its_job_at_the_deadline_and_no_other a_client_that_hangs_up_costs_nobody_else -> a_client_that_disconnects_does_not_affect_others a_watch_without_an_answer_is_doubled_and_the_first_to_answer_stays -> a_watch_without_a_response_is_hedged_and_the_first_to_respond_stays a_call_whose_connection_does_not_come_up_is_soon_made_again -> a_discovery_request_that_cannot_connect_is_soon_retried where_changes_arrive_by_themselves_the_watch_is_opened_unasked_and_again -> in_push_mode_the_watch_is_opened_at_the_start_and_again_after_its_end a_client_that_never_reads_or_never_ends_cannot_fill_the_memory -> clients_that_never_read_or_never_end_cannot_exhaust_the_memory without_servers_the_answer_is_a_prompt_denial -> without_workers_jobs_are_rejected_promptly up_tells_of_service_only_once_a_list_is_known -> the_health_check_succeeds_only_once_a_list_is_known sigterm_ends_the_program_once_nothing_is_owed -> sigterm_ends_the_process_once_no_job_is_pending sighup_moves_discovery_and_nothing_that_is_held_is_lost -> sighup_moves_discovery_and_keeps_the_list_and_jobs_in_flight a_bad_configuration_or_command_line_is_one_clear_line -> an_invalid_configuration_or_command_line_is_reported_in_one_line a_client_that_stays_after_its_last_answer_costs_no_processor_time -> a_client_that_stays_connected_after_its_last_response_uses_no_processor_time a_drain_in_a_line_that_stands_still_counts_and_the_rest_is_asked_for -> a_drain_in_a_stalled_line_takes_effect_and_a_second_watch_is_opened what_another_scheduler_has_heard_counts_while_the_own_watch_is_dead -> a_peers_gossip_takes_effect_while_the_own_watch_is_silent the_log_says_how_an_endpoints_status_changed_in_both_directions_and_by_whom -> status_changes_are_logged_in_both_directions_with_their_source the_log_counts_statuses_where_an_update_changes_many -> an_update_that_changes_many_statuses_is_logged_as_counts after_a_restart_a_server_that_peers_withdrew_waits_for_the_own_list_whatever_peers_say_of_its_return -> after_a_restart_an_endpoint_that_peers_withdrew_is_ready_only_by_the_own_list garbled_word_from_another_scheduler_changes_nothing -> corrupt_gossip_changes_nothing a_list_of_ten_thousand_servers_is_taken_whole_and_a_change_of_one_is_found -> a_list_of_ten_thousand_endpoints_is_applied_completely_and_a_change_of_one_is_found a_list_that_goes_back_is_believed -> a_list_with_a_lower_revision_is_applied what_lists_cost_by_their_size -> cost_of_endpoint_lists_by_their_size a_watch_that_falls_silent_behind_a_whole_line_is_replaced_in_time -> a_watch_silent_after_a_complete_line_is_replaced_in_time a_watch_that_falls_silent_behind_a_beat_is_replaced_in_time -> a_watch_silent_after_a_keep_alive_is_replaced_in_time a_watch_that_falls_silent_within_a_chunks_length_is_replaced_in_time -> a_watch_silent_within_a_chunks_length_is_replaced_in_time a_watch_that_falls_silent_within_a_line_is_replaced_in_time -> a_watch_silent_within_a_line_is_replaced_in_time a_watch_that_never_says_a_thing_is_replaced_in_time -> a_watch_silent_before_its_first_line_is_replaced_in_time a_watch_reset_within_a_line_is_replaced_in_time_and_what_the_line_took_away_is_gone -> a_watch_reset_within_a_line_is_replaced_in_time_and_the_lines_drain_takes_effect each_call_is_answered_and_what_is_no_call_gets_an_error_and_the_end -> each_admin_call_is_answered_and_an_unknown_one_gets_an_error callers_that_hold_the_door_or_flood_it_delay_no_answer -> clients_that_hold_or_flood_the_admin_endpoint_delay_no_reply a_lame_duck_says_no_ends_idle_connections_finishes_jobs_and_rejoins -> a_lame_duck_is_not_ready_closes_idle_connections_finishes_jobs_and_rejoins a_bad_door_or_operators_file_stops_the_start_with_one_line_that_names_it -> an_invalid_admin_address_or_operations_file_fails_the_start_with_one_line_that_names_it the_door_answers_while_clients_hold_every_descriptor_the_scheduler_may_give_them -> the_admin_endpoint_answers_while_clients_hold_every_descriptor a_call_whose_caller_ends_its_sending_without_a_line_end_is_answered -> an_admin_call_that_ends_by_a_half_close_instead_of_a_line_end_is_answered the_door_says_that_the_tier_is_off_and_the_command_line_passes_it_on -> cluster_calls_report_that_the_tier_is_off_and_the_command_line_passes_that_on what_a_member_has_heard_of_epochs_is_kept_and_told_after_a_sudden_end -> the_latest_epoch_known_is_stored_and_sent_after_a_crash

--- /dev/null
+++ b/crates/daemon/tests/client_disconnects.rs
@@ -0,0 +1,239 @@
+//! Clients that disconnect at any time of their job. No attempt of it may start after that.
+//!
+//! The order of events is forced by what is sent, or by pausing the scheduler (SIGSTOP) until all of it has come.
+#![allow(missing_docs)]
+
+mod support;
+
+use serde_json::json;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::{Duration, Instant};
+use support::{
+    SYN_RETRANSMISSION_TIMEOUT, Scheduler, TEST_TIMEOUT, accept, address_of, bind_loopback, endpoint,
+    endpoint_list, is_closed, job_request, job_with_time_left, line_chunk, ms, read_message, received_within,
+    reset_connection, scheduler_with_one_worker, send, served_response, set_in_each_class, settings,
+    settings_without_cancelling, start_scheduler, with_time_left, worker_with_full_backlog,
+};
+
+#[test]
+fn a_client_that_disconnects_does_not_affect_others() {
+    let (scheduler, worker) = scheduler_with_one_worker();
+    let client = scheduler.send_request(&job_request("view", "h1", ""));
+    let mut attempt = accept(&worker);
+    read_message(&mut attempt);
+    drop(client);
+    let since = Instant::now();
+    // Half a request, and a head alone, go with their connections.
+    drop(scheduler.send_request("POST /view/k1 HTT"));
+    drop(scheduler.send_request(&job_request("view", "h2", "1234").replace("1234", "12")));
+    let mut other = scheduler.send_request(&job_request("view", "h3", ""));
+    let mut second = accept(&worker);
+    assert!(read_message(&mut second).contains("X-Trace-Id: h3\r\n"));
+    // The worker sees that nobody waits for the first.
+    assert!(is_closed(&mut attempt) && since.elapsed() < Duration::from_secs(3));
+    send(&mut second, &served_response("h3", "somebody"));
+    assert!(read_message(&mut other).ends_with("\r\n\r\nsomebody"));
+}
+
+#[test]
+fn a_job_whose_client_disconnects_while_the_attempt_connects_is_not_sent() {
+    let (worker, first) = worker_with_full_backlog();
+    let scheduler = start_scheduler(settings_without_cancelling(), &worker);
+    let client = scheduler.send_request(&job_with_time_left("sale", "c1", 60_000));
+    scheduler.wait_for_pending_jobs(1.0);
+    drop(client);
+    scheduler.wait_for_pending_jobs(0.0);
+    // Only now does the worker accept connections.
+    drop(first);
+    let received = received_within(&worker, vec![], SYN_RETRANSMISSION_TIMEOUT);
+    assert!(!received.contains("X-Trace-Id: c1"), "{received}");
+    scheduler.assert_serves(&worker, "c2");
+}
+
+#[test]
+fn a_queued_job_whose_client_disconnects_is_not_sent() {
+    // No worker is ready yet.
+    let worker = bind_loopback();
+    let at = address_of(&worker);
+    let scheduler = Scheduler::start_with(settings_without_cancelling(), &[endpoint("s-a", at, "draining")]);
+    let (_, mut watch) =
+        scheduler.accept_watch(&[endpoint_list(2, true, &[endpoint("s-a", at, "draining")])]);
+    let client = scheduler.send_request(&job_with_time_left("view", "q1", 60_000));
+    scheduler.wait_for_pending_jobs(1.0);
+    drop(client);
+    scheduler.wait_for_pending_jobs(0.0);
+    let ready = endpoint_list(3, false, &[endpoint("s-a", at, "ready")]);
+    send(&mut watch, &line_chunk(&ready));
+    scheduler.assert_serves(&worker, "q2");
+}
+
+#[test]
+fn a_job_returned_unstarted_after_its_client_disconnected_is_not_retried() {
+    for class in ["view", "sale", "buy"] {
+        let mut settings = settings_without_cancelling();
+        // A worker that has returned one is selected again after a part of this.
+        set_in_each_class(&mut settings, "goal-time", 400.0);
+        let worker = bind_loopback();
+        let scheduler = start_scheduler(settings, &worker);
+        let client = scheduler.send_request(&job_with_time_left(class, "r1", 60_000));
+        let mut attempt = accept(&worker);
+        read_message(&mut attempt);
+        drop(client);
+        scheduler.wait_for_pending_jobs(0.0);
+        send(
+            &mut attempt,
+            "HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+        );
+        let received = received_within(&worker, vec![], ms(1_000));
+        assert_eq!(received, "");
+    }
+}
+
+#[test]
+fn a_job_whose_client_disconnects_before_its_last_byte_is_sent_is_never_complete() {
+    let worker = bind_loopback();
+    let scheduler = start_scheduler(settings_without_cancelling(), &worker);
+    let mut idle = Some(scheduler.assert_serves(&worker, "b0"));
+    let mut hits = 0;
+    for n in 0..200 {
+        // A reused connection that is reset before it sent a byte back: from here on last bytes are held back.
+        if let Some(mut idle) = idle.take() {
+            let mut client = scheduler.send_request(&job_with_time_left("view", "b1", 60_000));
+            read_message(&mut idle);
+            reset_connection(idle);
+            let mut attempt = accept(&worker);
+            read_message(&mut attempt);
+            send(&mut attempt, &served_response("b1", "again"));
+            read_message(&mut client);
+        }
+        let client =
+            scheduler.send_request(&with_time_left(&job_request("sale", &format!("b2-{n}"), "1234"), 60_000));
+        let mut attempt = accept(&worker);
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n123") {
+            let mut byte = [0; 1];
+            attempt.read_exact(&mut byte).expect("all but the last byte");
+            head.push(byte[0]);
+        }
+        // Paused, it can't send that one; its client disconnects meanwhile. Now and then the pause comes too late.
+        scheduler.pause();
+        attempt.set_nonblocking(true).expect("set_nonblocking");
+        let held = matches!(attempt.read(&mut [0; 1]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+        attempt.set_nonblocking(false).expect("set_nonblocking");
+        drop(client);
+        scheduler.resume();
+        if held {
+            hits += 1;
+            assert!(is_closed(&mut attempt), "its last byte was sent though nobody waits");
+        }
+        if hits == 3 {
+            return;
+        }
+        scheduler.wait_for_pending_jobs(0.0);
+    }
+    panic!("no pause fell between the two bytes");
+}
+
+#[test]
+fn a_client_that_has_disconnected_when_its_request_is_read_starts_no_attempt() {
+    let worker = bind_loopback();
+    let scheduler = start_scheduler(settings(), &worker);
+    let idle = scheduler.assert_serves(&worker, "c0");
+    // All of it has arrived when it is read; an idle connection to the worker is there to send an attempt at once.
+    scheduler.signal("-STOP");
+    let disconnected = scheduler.send_request(&job_request("view", "c1", "x"));
+    drop(disconnected);
+    let half_closed = scheduler.send_request(&job_request("view", "c2", "x"));
+    half_closed.shutdown(Shutdown::Write).expect("shutdown");
+    let pipelined = scheduler.send_request(&format!(
+        "{}{}",
+        job_request("view", "c3", "x"),
+        job_request("view", "c4", "x").repeat(60)
+    ));
+    drop(pipelined);
+    scheduler.resume();
+    let received = received_within(&worker, vec![idle], ms(600));
+    assert_eq!(received, "");
+    assert_eq!(scheduler.admin_figure("open_requests"), 0.0);
+}
+
+/// Connections of which some process still holds an end, to either of these ports. Those to discovery come and go.
+fn count_open_connections(ports: [u16; 2]) -> usize {
+    const LISTENS: &str = "0A";
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
+    let held = |line: &&str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let port = |at: &str| u16::from_str_radix(at.rsplit(':').next().unwrap_or_default(), 16).ok();
+        let ours = |at: &str| port(at).is_some_and(|port| ports.contains(&port));
+        fields[3] != LISTENS && fields[9] != "0" && (ours(fields[1]) || ours(fields[2]))
+    };
+    table.lines().skip(1).filter(held).count()
+}
+
+/// How a client disconnects.
+#[derive(Clone, Copy, Debug)]
+enum Disconnect {
+    Close,
+    Reset,
+    GarbageThenClose,
+    HalfClose,
+}
+
+/// Disconnects a client whose request lacks this many bytes.
+fn disconnect(mut client: TcpStream, how: Disconnect, missing: usize) {
+    match how {
+        Disconnect::Close => drop(client),
+        Disconnect::Reset => reset_connection(client),
+        Disconnect::GarbageThenClose => {
+            // A body may hold anything: one that is not to become complete is sent less than it lacks.
+            let count = if missing == MISSING_BODY { MISSING_BODY / 2 } else { 40_000 };
+            let _ = client.write_all(&vec![0xff; count]);
+        }
+        Disconnect::HalfClose => {
+            let _ = client.shutdown(Shutdown::Write);
+            let _ = client.read_to_end(&mut Vec::new());
+        }
+    }
+}
+
+/// How much of its body a client lacks that disconnects within it.
+const MISSING_BODY: usize = 1_000;
+
+#[test]
+fn clients_that_disconnect_at_every_phase_of_a_job_leak_nothing() {
+    let worker = bind_loopback();
+    let mut settings = settings();
+    settings["limits"]["connect-timeout"] = json!(30_000.0);
+    let scheduler = start_scheduler(settings, &worker);
+    scheduler.wait_until_ready();
+    let ports = [scheduler.address.port(), address_of(&worker).port()];
+    let ways = [Disconnect::Close, Disconnect::Reset, Disconnect::GarbageThenClose, Disconnect::HalfClose];
+    for (round, how) in ways.into_iter().cycle().take(40).enumerate() {
+        let request = job_request("view", &format!("g{round}"), &"x".repeat(2_000));
+        // In its head, in its body, once it is with a worker.
+        for sent in [20, request.len() - MISSING_BODY, request.len()] {
+            let client = scheduler.send_request(&request[..sent]);
+            let mut attempt = (sent == request.len()).then(|| accept(&worker));
+            if let Some(attempt) = &mut attempt {
+                read_message(attempt);
+            }
+            disconnect(client, how, request.len() - sent);
+            if let Some(mut attempt) = attempt {
+                assert!(is_closed(&mut attempt), "the attempt of round {round} is not cancelled");
+            }
+        }
+    }
+    scheduler.wait_for_pending_jobs(0.0);
+    wait_until_no_connection_is_open(ports);
+    assert!(scheduler.memory_kb() < 20_000, "{} kB", scheduler.memory_kb());
+    scheduler.assert_serves(&worker, "g-last");
+}
+
+fn wait_until_no_connection_is_open(ports: [u16; 2]) {
+    let since = Instant::now();
+    while count_open_connections(ports) > 0 {
+        assert!(since.elapsed() < TEST_TIMEOUT, "{} connections are open", count_open_connections(ports));
+        std::thread::sleep(ms(20));
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/silent_watches.rs
@@ -0,0 +1,135 @@
+//! Watches that fall silent or are reset with a drain still to be reported.
+#![allow(missing_docs)]
+
+mod support;
+
+use std::time::{Duration, Instant};
+use support::{
+    RESPONSE_HEAD, Scheduler, TEST_TIMEOUT, TwoWorkers, accept, assert_all_jobs_go_to, bind_loopback, chunk,
+    closing_response, endpoint_list, entry, job_request, line_chunk, ms, read_message, reset_connection,
+    send, two_workers, two_workers_with_max_poll_interval, wait_until_not_used,
+};
+
+/// A watch that falls silent behind these bytes, and a drain on the next one: no job goes to the draining worker once
+/// that drain must be known, 6 s after the silence began.
+fn silent_watch_is_replaced(what: &str, last_bytes: &str) {
+    let TwoWorkers { scheduler, a, b, mut watch } = two_workers_with_max_poll_interval(5_000.0);
+    let mut since = Instant::now();
+    if !last_bytes.is_empty() {
+        send(&mut watch, last_bytes);
+        since = Instant::now();
+    }
+    // From here on it sends nothing and stays open. What it would have sent is sent on the next watch, which is opened
+    // in time for the drain to be known when it must be.
+    let mut second = accept(&scheduler.discovery);
+    assert!(read_message(&mut second).contains("follow=1"), "{what}");
+    assert!(since.elapsed() < ms(5_000), "{what}: {:?}", since.elapsed());
+    let drain = endpoint_list(9, false, &[entry("s-a", &a, "draining")]);
+    send(&mut second, &format!("{RESPONSE_HEAD}{}", line_chunk(&drain)));
+    wait_until_not_used(&scheduler, &a);
+    assert_all_jobs_go_to(&scheduler, &b, &a, 4);
+}
+
+#[test]
+fn a_watch_silent_after_a_complete_line_is_replaced_in_time() {
+    silent_watch_is_replaced("after a line", "");
+}
+
+#[test]
+fn a_watch_silent_after_a_keep_alive_is_replaced_in_time() {
+    silent_watch_is_replaced("after a keep-alive", &chunk("\n"));
+}
+
+#[test]
+fn a_watch_silent_within_a_chunks_length_is_replaced_in_time() {
+    silent_watch_is_replaced("within a chunk's length", "1");
+}
+
+#[test]
+fn a_watch_silent_within_a_line_is_replaced_in_time() {
+    silent_watch_is_replaced("within a line", &chunk("{\"index\":3,\"snapshot\":false,\"endp"));
+}
+
+#[test]
+fn a_watch_silent_before_its_first_line_is_replaced_in_time() {
+    // A watch that connects and gets no byte; one that gets a response head and no line.
+    for first_bytes in ["", RESPONSE_HEAD] {
+        let (a, b) = (bind_loopback(), bind_loopback());
+        let scheduler = Scheduler::start(&[entry("s-a", &a, "ready"), entry("s-b", &b, "ready")]);
+        let mut first = accept(&scheduler.discovery);
+        read_message(&mut first);
+        let since = Instant::now();
+        send(&mut first, first_bytes);
+        let mut second = accept(&scheduler.discovery);
+        read_message(&mut second);
+        assert!(since.elapsed() < ms(5_000), "{first_bytes:?}: {:?}", since.elapsed());
+        let whole = endpoint_list(9, true, &[entry("s-a", &a, "draining"), entry("s-b", &b, "ready")]);
+        send(&mut second, &format!("{RESPONSE_HEAD}{}", line_chunk(&whole)));
+        wait_until_not_used(&scheduler, &a);
+        assert_all_jobs_go_to(&scheduler, &b, &a, 4);
+    }
+}
+
+#[test]
+fn a_watch_reset_within_a_line_is_replaced_in_time_and_the_lines_drain_takes_effect() {
+    for cut in [1, 30, 70] {
+        let TwoWorkers { scheduler, a, b, mut watch } = two_workers_with_max_poll_interval(5_000.0);
+        let line = format!("{}\n", endpoint_list(9, false, &[entry("s-a", &a, "draining")]));
+        send(&mut watch, &chunk(&line)[..cut]);
+        let since = Instant::now();
+        reset_connection(watch);
+        // All that was written to it must be known, whether it was read or not.
+        let mut second = accept(&scheduler.discovery);
+        read_message(&mut second);
+        assert!(since.elapsed() < ms(250), "{cut}: {:?}", since.elapsed());
+        send(&mut second, &format!("{RESPONSE_HEAD}{}", chunk(&line)));
+        wait_until_not_used(&scheduler, &a);
+        assert_all_jobs_go_to(&scheduler, &b, &a, 4);
+    }
+}
+
+#[test]
+fn a_drain_in_a_stalled_line_takes_effect_and_a_second_watch_is_opened() {
+    let TwoWorkers { scheduler, a, b, mut watch } = two_workers();
+    let line =
+        endpoint_list(3, false, &[entry("s-a", &a, "draining"), entry("s-b", &b, "ready")]).to_string();
+    let first = line.find("}").expect("an entry's end") + 3;
+    send(&mut watch, &chunk(&line[..first]));
+    let since = Instant::now();
+    // Bytes are accepted and never delivered: a second watch is opened beside this one, which stays open.
+    let mut second = accept(&scheduler.discovery);
+    assert!(read_message(&mut second).contains("since=2"));
+    assert!(since.elapsed() < Duration::from_secs(2), "long before the watch counts as silent");
+    wait_until_not_used(&scheduler, &a);
+    assert_all_jobs_go_to(&scheduler, &b, &a, 6);
+    // The second watch brings a newer list that names it ready.
+    send(
+        &mut second,
+        &format!("{RESPONSE_HEAD}{}", line_chunk(endpoint_list(4, false, &[entry("s-a", &a, "ready")]))),
+    );
+    a.set_nonblocking(false).expect("set_nonblocking");
+    let mut client = scheduler.send_request(&job_request("view", "z1", "x"));
+    let since = Instant::now();
+    let mut n = 0;
+    // Either may be chosen; both are, soon.
+    while since.elapsed() < TEST_TIMEOUT {
+        n += 1;
+        a.set_nonblocking(true).expect("set_nonblocking");
+        b.set_nonblocking(true).expect("set_nonblocking");
+        std::thread::sleep(ms(20));
+        let (at_a, at_b) = (a.accept(), b.accept());
+        let to_a = at_a.is_ok();
+        let Ok((mut attempt, _)) = at_a.or(at_b) else { continue };
+        attempt.set_nonblocking(false).expect("set_nonblocking");
+        let request = read_message(&mut attempt);
+        let id = request.split("X-Trace-Id: ").nth(1).and_then(|t| t.split("\r\n").next()).expect("an id");
+        let close = closing_response(id, "yes");
+        send(&mut attempt, &close);
+        read_message(&mut client);
+        if to_a {
+            return;
+        }
+        client = scheduler.send_request(&job_request("view", &format!("z{}", n + 1), "x"));
+    }
+    panic!("the worker is never used again");
+}
--- /dev/null
+++ b/crates/daemon/tests/support/client.rs
@@ -0,0 +1,43 @@
+//! Requests of scripted clients.
+
+use super::{Scheduler, read_message, send};
+use std::net::TcpStream;
+
+/// The question whether the scheduler can serve.
+pub const HEALTH_REQUEST: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/// A job of this class with 4 s left.
+pub fn job_request(class: &str, id: &str, body: &str) -> String {
+    format!(
+        "POST /{class}/k1 HTTP/1.1\r\nHost: x\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\nX-Customer: karoo\r\n\
+         X-Expires-In-Ms: 4000\r\nIdempotency-Key: key-{id}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A job with this many milliseconds left.
+pub fn job_with_time_left(class: &str, id: &str, time_left: u64) -> String {
+    with_time_left(&job_request(class, id, "x"), time_left)
+}
+
+/// This request with so many milliseconds left instead of 4 s.
+pub fn with_time_left(request: &str, time_left: u64) -> String {
+    request.replace("X-Expires-In-Ms: 4000", &format!("X-Expires-In-Ms: {time_left}"))
+}
+
+/// A job whose client wants the connection closed behind the response.
+pub fn closing_job(class: &str, id: &str, time_left: u64) -> String {
+    job_with_time_left(class, id, time_left).replace("Host: x", "Host: x\r\nConnection: close")
+}
+
+/// Sends a job on an open connection, and checks that it is served.
+pub fn assert_served_on(client: &mut TcpStream, request: &str) {
+    send(client, request);
+    let response = read_message(client);
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+}
+
+/// The scheduler's answer to a health check.
+pub fn check_health(scheduler: &Scheduler) -> String {
+    read_message(&mut scheduler.send_request(HEALTH_REQUEST))
+}
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,32 @@
+//! A scheduler as a process of its own, between scripted clients, workers, discovery and another scheduler on loopback
+//! sockets.
+#![allow(dead_code, missing_docs, unused_imports)]
+
+mod client;
+mod discovery;
+mod http;
+mod scheduler;
+mod settings;
+mod sockets;
+mod worker;
+
+pub use client::*;
+pub use discovery::*;
+pub use http::*;
+pub use scheduler::*;
+pub use settings::*;
+pub use sockets::*;
+pub use worker::*;
+
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes; reaching it is a failure.
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub fn sleep_until(then: Instant) {
+    std::thread::sleep(then.saturating_duration_since(Instant::now()));
+}
