A test-support crate: hexadecimal bytes and runs of models stand once

Cause: six golden tests had the same two functions for hexadecimal bytes, and the model tests of leases and failover the same loops over seeds, properties and sabotaged variants. Change: crates/test-support, which opens no file, socket or process, holds both, the runs of stateright behind a feature so that golden tests do not build it; a crate of its own, since test-cluster has I/O and depends on the daemon's formats. The model of leases stands in tests/model, a file each for the cluster, its properties and the tests; literals, bounds, seeds and sabotaged variants are unchanged, and a violation now prints its path by states and actions as failover's did.

--- a/crates/daemon/src/net/job_failover/tests.rs
+++ b/crates/daemon/src/net/job_failover/tests.rs
@@ -2,22 +2,14 @@
 //! expected bytes were written by the build of commit 72e1d57.
 
 use super::*;
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn unhex(text: &str) -> Vec<u8> {
-    let digit = |at: usize| u8::from_str_radix(&text[at..at + 2], 16).expect("two hexadecimal digits");
-    (0..text.len()).step_by(2).map(digit).collect()
-}
+use brackenledge_test_support::hex;
 
 /// What is written has exactly these bytes, and these bytes are read and written as the same.
 fn pinned(job: &ReplicatedJob, bytes: &str) -> ReplicatedJob {
     let written = postcard::to_allocvec(job).expect("bytes");
-    assert_eq!(hex(&written), bytes);
-    let read: ReplicatedJob = postcard::from_bytes(&unhex(bytes)).expect("a job");
-    assert_eq!(hex(&postcard::to_allocvec(&read).expect("bytes")), bytes);
+    assert_eq!(hex::encode(&written), bytes);
+    let read: ReplicatedJob = postcard::from_bytes(&hex::decode(bytes)).expect("a job");
+    assert_eq!(hex::encode(&postcard::to_allocvec(&read).expect("bytes")), bytes);
     read
 }
 
--- a/crates/daemon/src/net/zone_routing/tests.rs
+++ b/crates/daemon/src/net/zone_routing/tests.rs
@@ -2,17 +2,9 @@
 //! bytes were written by the build of commit 72e1d57.
 
 use super::*;
+use brackenledge_test_support::hex;
 use brackenledge_zone_routing::{RouteStats, SchedulerZoneReport};
 
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn unhex(text: &str) -> Vec<u8> {
-    let digit = |at: usize| u8::from_str_radix(&text[at..at + 2], 16).expect("two hexadecimal digits");
-    (0..text.len()).step_by(2).map(digit).collect()
-}
-
 #[test]
 fn a_report_has_these_bytes() {
     let bytes = "01b96002ac02290207f0a2048407";
@@ -22,7 +14,7 @@
     ];
     let observed = SchedulerZoneReport { offered_centislots: 12_345, routes };
     let report = ZoneReport { zone: 1, observed: observed.clone() };
-    assert_eq!(hex(&report.encode()), bytes);
-    let read = ZoneReport::decode(&unhex(bytes), 2).expect("a report");
+    assert_eq!(hex::encode(&report.encode()), bytes);
+    let read = ZoneReport::decode(&hex::decode(bytes), 2).expect("a report");
     assert_eq!((read.zone, read.observed), (1, observed));
 }
--- a/crates/discovery/tests/golden.rs
+++ b/crates/discovery/tests/golden.rs
@@ -1,6 +1,6 @@
 //! The gossip messages on endpoints, pinned.
 //!
-//! Schedulers of two builds exchange them while a tier is upgraded: the texts must not change with the
+//! Schedulers of two builds exchange them while a cluster is upgraded: the texts must not change with the
 //! names in the source. The expected texts were written by the build of commit 72e1d57; a test that fails here means
 //! that the wire format has changed.
 #![allow(missing_docs)]
--- a/crates/failover/tests/golden.rs
+++ b/crates/failover/tests/golden.rs
@@ -1,6 +1,6 @@
 //! The bytes of every frame on a link between two schedulers, with every message about jobs, pinned.
 //!
-//! Schedulers of two builds hold records for one another while a tier is upgraded: the bytes must not change with the
+//! Schedulers of two builds hold records for one another while a cluster is upgraded: the bytes must not change with the
 //! names in the source. The expected bytes were written by the build of commit 72e1d57; a test that fails here means
 //! that the wire format has changed.
 #![allow(missing_docs)]
@@ -10,28 +10,20 @@
     RecordSnapshot, Term,
 };
 use brackenledge_leases::{Ballot, Epoch};
+use brackenledge_test_support::hex;
 use std::sync::Arc;
 
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn unhex(text: &str) -> Vec<u8> {
-    let digit = |at: usize| u8::from_str_radix(&text[at..at + 2], 16).expect("two hexadecimal digits");
-    (0..text.len()).step_by(2).map(digit).collect()
-}
-
 /// The frame is written as exactly these bytes, and these bytes are read as the frame.
 fn pinned_frame(frame: Frame, bytes: &str) {
-    assert_eq!(hex(&frame.encode()), bytes, "{frame:?}");
-    assert_eq!(Frame::decode(&mut unhex(bytes)), Ok(frame));
+    assert_eq!(hex::encode(&frame.encode()), bytes, "{frame:?}");
+    assert_eq!(Frame::decode(&mut hex::decode(bytes)), Ok(frame));
 }
 
 /// The message has these bytes by itself, and comes back from them.
 fn pinned(message: Message, bytes: &str) {
     let written = postcard::to_allocvec(&message).expect("bytes");
-    assert_eq!(hex(&written), bytes, "{message:?}");
-    assert_eq!(postcard::from_bytes::<Message>(&unhex(bytes)), Ok(message));
+    assert_eq!(hex::encode(&written), bytes, "{message:?}");
+    assert_eq!(postcard::from_bytes::<Message>(&hex::decode(bytes)), Ok(message));
 }
 
 fn term() -> Term {
--- a/crates/leases/src/active_members/tests.rs
+++ b/crates/leases/src/active_members/tests.rs
@@ -15,7 +15,7 @@
     assert_eq!(estimate.update(170, Some(4)), 5);
     assert_eq!(estimate.update(220, Some(3)), 4);
     assert_eq!(estimate.update(320, Some(3)), 3);
-    // No leader is heard from: the whole cluster counts.
+    // No leader is known: the whole cluster counts.
     assert_eq!(estimate.update(330, None), 6);
     assert_eq!(ActiveMemberEstimate::new(0, 0).update(0, Some(0)), 1);
 }
@@ -45,7 +45,7 @@
             joined.iter().for_each(|&at| settled[at] = now + SETTLE_TIME);
             list = next;
             for at in 0..cluster_size {
-                // A process that is left out learns of it in time too, or hears from no leader.
+                // A process that is left out learns of it in time too, or knows of no leader.
                 let sent = (list & 1 << at != 0).then_some(list);
                 in_flight.push((now + (delays >> (at * 7)) % SETTLE_TIME, term, at, sent));
             }
--- a/crates/leases/tests/cluster.rs
+++ b/crates/leases/tests/cluster.rs
@@ -47,7 +47,7 @@
         assert_ne!(new, old);
         cluster.paused.clear();
         cluster.run(20);
-        assert_ne!(cluster.holder(0), Some(old), "it must not act before it has heard anything");
+        assert_ne!(cluster.holder(0), Some(old), "it must not act before it has received anything");
         cluster.run(5_000);
     }
 }
@@ -152,7 +152,7 @@
 fn clocks_that_drift_within_the_bound_never_let_two_hold_a_role() {
     for seed in 0..6 {
         let mut cluster = Cluster::new(5, 20, seed);
-        // Half of one part in 200 each in_flight: two clocks part by one in 200.
+        // Half of one part in 200 each way: two clocks part by one in 200.
         cluster.drift = vec![25, -25, 25, -25, 0];
         cluster.run(12_000);
         for _ in 0..4 {
--- a/crates/leases/tests/golden.rs
+++ b/crates/leases/tests/golden.rs
@@ -8,20 +8,12 @@
 use brackenledge_leases::{
     AcceptedView, Ballot, Epoch, FencingToken, Message, ProcessId, RoleGrant, Term, View,
 };
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn unhex(text: &str) -> Vec<u8> {
-    let digit = |at: usize| u8::from_str_radix(&text[at..at + 2], 16).expect("two hexadecimal digits");
-    (0..text.len()).step_by(2).map(digit).collect()
-}
+use brackenledge_test_support::hex;
 
 /// The value is encoded as exactly these bytes, and these bytes are decoded as the value.
 fn pinned(message: Message, bytes: &str) {
-    assert_eq!(hex(&message.encode()), bytes, "{message:?}");
-    assert_eq!(Message::decode(&unhex(bytes)), Ok(message));
+    assert_eq!(hex::encode(&message.encode()), bytes, "{message:?}");
+    assert_eq!(Message::decode(&hex::decode(bytes)), Ok(message));
 }
 
 fn process(ordinal: u16) -> ProcessId {
@@ -146,6 +138,6 @@
 fn a_fencing_token_has_these_bytes_and_the_payload_follows_as_it_is() {
     let token = FencingToken { holder: process(ME), role: 6, term: term() };
     let bytes = "ac02acd295ffbc3106fbe2cfaa06058407044d7061796c6f61642000ff";
-    assert_eq!(hex(&token.encode_message(b"payload \x00\xff")), bytes);
-    assert_eq!(FencingToken::decode_message(&unhex(bytes)), Ok((token, &b"payload \x00\xff"[..])));
+    assert_eq!(hex::encode(&token.encode_message(b"payload \x00\xff")), bytes);
+    assert_eq!(FencingToken::decode_message(&hex::decode(bytes)), Ok((token, &b"payload \x00\xff"[..])));
 }
--- a/crates/leases/tests/model.rs
+++ b/crates/leases/tests/model/cluster.rs
@@ -1,37 +1,35 @@
-//! The crate's own state machines under every order of events within bounds: messages lost, repeated, late; a process
-//! that loses its memory, one that pauses between its check and its action. `MODEL_STATES` sets how many states are
-//! looked at (default: what CI has time for).
-#![allow(missing_docs)]
+//! The cluster as a model: processes with leases, receivers of their actions, and the network between them.
 
+use crate::properties::properties;
 use brackenledge_leases::{
     Command, Epoch, FencingGuard, LeaseManager, Message, ProcessId, RoleGrant, Settings, Term, View,
 };
-use stateright::{Checker, HasDiscoveries, Model, Property};
+use stateright::{Model, Property};
 use std::collections::BTreeMap;
 
 /// Also the step of time.
 const HEARTBEAT_INTERVAL: u64 = 1_000;
-const ROLE: u8 = 0;
+pub const ROLE: u8 = 0;
 
 #[derive(Clone, Debug)]
-struct Cluster {
-    nodes: u16,
-    voters: u16,
-    ticks: u64,
-    duplicates: u8,
-    delays: u8,
-    crashes: u8,
-    pauses: u8,
+pub struct Cluster {
+    pub nodes: u16,
+    pub voters: u16,
+    pub ticks: u64,
+    pub duplicates: u8,
+    pub delays: u8,
+    pub crashes: u8,
+    pub pauses: u8,
     /// Actions of holders that are possible yet.
-    actions_left: u8,
+    pub actions_left: u8,
     /// One link that is cut both ways for the whole run.
-    cut: Option<(u16, u16)>,
-    sabotage: Option<Sabotage>,
+    pub cut: Option<(u16, u16)>,
+    pub sabotage: Option<Sabotage>,
 }
 
 /// Faults of a program that the model must find.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Sabotage {
+pub enum Sabotage {
     /// A process that has lost its memory votes as the same process.
     VotesAfterRestart,
     /// Voters grant the lease again before it is over.
@@ -41,26 +39,26 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct State {
-    now: u64,
-    nodes: Vec<LeaseManager>,
-    paused: Vec<bool>,
+pub struct State {
+    pub now: u64,
+    pub nodes: Vec<LeaseManager>,
+    pub paused: Vec<bool>,
     /// Messages in flight from one node to another, in order.
-    in_flight: BTreeMap<(u16, u16), Vec<Message>>,
+    pub in_flight: BTreeMap<(u16, u16), Vec<Message>>,
     /// Which nodes have checked their lease, and not yet acted.
-    checked: Vec<Option<Term>>,
+    pub checked: Vec<Option<Term>>,
     /// Receivers, one for each node, and the actions that they accepted.
-    guards: Vec<FencingGuard>,
-    accepted: Vec<Vec<(Term, ProcessId)>>,
-    duplicates: u8,
-    delays: u8,
-    crashes: u8,
-    pauses: u8,
-    actions_left: u8,
+    pub guards: Vec<FencingGuard>,
+    pub accepted: Vec<Vec<(Term, ProcessId)>>,
+    pub duplicates: u8,
+    pub delays: u8,
+    pub crashes: u8,
+    pub pauses: u8,
+    pub actions_left: u8,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Action {
+pub enum Action {
     Deliver(u16, u16),
     Duplicate(u16, u16),
     /// Time goes on. What is in flight is lost, except between these two nodes.
@@ -292,151 +290,6 @@
     }
 
     fn properties(&self) -> Vec<Property<Self>> {
-        vec![
-            Property::always("no two processes hold the role at one time", |_, state: &State| {
-                state.nodes.iter().filter(|node| node.holds_lease(state.now, ROLE).is_some()).count() <= 1
-            }),
-            Property::always("no two leaders at one time", |_, state: &State| {
-                state.nodes.iter().filter(|node| node.is_leader(state.now)).count() <= 1
-            }),
-            Property::always("no actions of two holders are accepted under one term", |_, state: &State| {
-                let mut holders: BTreeMap<Term, ProcessId> = BTreeMap::new();
-                state
-                    .accepted
-                    .iter()
-                    .flatten()
-                    .all(|&(term, holder)| *holders.entry(term).or_insert(holder) == holder)
-            }),
-            Property::always(
-                "no action of an old term is accepted after one of a newer",
-                |_, state: &State| {
-                    state
-                        .accepted
-                        .iter()
-                        .all(|accepted| accepted.windows(2).all(|pair| pair[0].0 <= pair[1].0))
-                },
-            ),
-            Property::sometimes("a process holds the role", |_, state: &State| {
-                state.nodes.iter().any(|node| node.holds_lease(state.now, ROLE).is_some())
-            }),
-            Property::sometimes("another process holds it under a later term", |_, state: &State| {
-                let known =
-                    state.guards.iter().filter_map(|guard| guard.latest(ROLE)).map(|latest| latest.term);
-                let first = known.min();
-                state.nodes.iter().any(|node| {
-                    node.holds_lease(state.now, ROLE)
-                        .is_some_and(|term| first.is_some_and(|first| term > first))
-                })
-            }),
-        ]
-    }
-}
-
-fn states() -> usize {
-    std::env::var("MODEL_STATES").ok().and_then(|text| text.parse().ok()).unwrap_or(30_000)
-}
-
-const PLAIN: Cluster = Cluster {
-    nodes: 3,
-    voters: 3,
-    ticks: 7,
-    duplicates: 1,
-    delays: 1,
-    crashes: 0,
-    pauses: 0,
-    actions_left: 2,
-    cut: None,
-    sabotage: None,
-};
-
-/// Looks at random runs to their ends, or at all states near the start, as many as asked for.
-fn check_model(name: &str, model: Cluster) {
-    for seed in 0..2 {
-        let checker = model
-            .clone()
-            .checker()
-            .target_state_count(states())
-            .finish_when(HasDiscoveries::AnyFailures)
-            .spawn_simulation(seed, stateright::UniformChooser)
-            .join();
-        println!("{name}, random runs from seed {seed}: {} states", checker.state_count());
-        for property in model.properties().iter().filter(|p| p.expectation == stateright::Expectation::Always)
-        {
-            checker.assert_no_discovery(property.name);
-        }
-        checker.assert_any_discovery("a process holds the role");
-    }
-    let checker = model
-        .clone()
-        .checker()
-        .threads(4)
-        .target_state_count(states())
-        .finish_when(HasDiscoveries::AnyFailures)
-        .spawn_dfs()
-        .join();
-    println!(
-        "{name}, depth first: {} states, {} of them unique",
-        checker.state_count(),
-        checker.unique_state_count()
-    );
-    for property in model.properties().iter().filter(|p| p.expectation == stateright::Expectation::Always) {
-        checker.assert_no_discovery(property.name);
-    }
-}
-
-#[test]
-fn three_voters_under_loss_duplication_and_delay() {
-    check_model("plain", PLAIN);
-}
-
-#[test]
-fn three_voters_one_of_which_loses_its_memory() {
-    check_model("crash", Cluster { crashes: 1, ..PLAIN });
-}
-
-#[test]
-fn three_voters_one_of_which_pauses_longer_than_its_lease() {
-    check_model("pause", Cluster { pauses: 1, ticks: 9, ..PLAIN });
-}
-
-#[test]
-fn three_voters_two_of_which_are_cut_off_from_one_another() {
-    check_model("cut", Cluster { cut: Some((0, 1)), ..PLAIN });
-}
-
-#[test]
-fn five_voters_with_a_crash_and_a_pause() {
-    check_model("five", Cluster { nodes: 5, voters: 5, crashes: 1, pauses: 1, ticks: 9, ..PLAIN });
-}
-
-/// A model that does not find these faults shows nothing.
-#[test]
-fn each_sabotage_is_caught() {
-    let table = [
-        (Sabotage::VotesAfterRestart, Cluster { crashes: 2, ..PLAIN }),
-        (Sabotage::LeaseNotWaitedOut, PLAIN),
-        (Sabotage::NoFencing, Cluster { ticks: 14, actions_left: 3, duplicates: 0, delays: 0, ..PLAIN }),
-    ];
-    for (sabotage, model) in table {
-        let model = Cluster { sabotage: Some(sabotage), ..model };
-        // Random runs, from one seed after another.
-        let caught: Vec<&str> = (1..=20)
-            .map(|seed| {
-                let checker = model
-                    .clone()
-                    .checker()
-                    .target_state_count(40 * states())
-                    .finish_when(HasDiscoveries::AnyFailures)
-                    .spawn_simulation(seed, stateright::UniformChooser)
-                    .join();
-                println!("{sabotage:?}: seed {seed}, {} states", checker.state_count());
-                let always = |p: &Property<Cluster>| p.expectation == stateright::Expectation::Always;
-                let found = model.properties().into_iter().filter(always).map(|p| p.name);
-                found.filter(|name| checker.discovery(name).is_some()).collect::<Vec<_>>()
-            })
-            .find(|found| !found.is_empty())
-            .unwrap_or_default();
-        println!("{sabotage:?}: caught by {caught:?}");
-        assert!(!caught.is_empty(), "{sabotage:?}");
+        properties()
     }
 }
--- a/crates/membership/tests/golden.rs
+++ b/crates/membership/tests/golden.rs
@@ -6,15 +6,7 @@
 #![allow(missing_docs)]
 
 use brackenledge_membership::{Command, Membership, ProcessId, SwimConfig};
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn unhex(text: &str) -> Vec<u8> {
-    let digit = |at: usize| u8::from_str_radix(&text[at..at + 2], 16).expect("two hexadecimal digits");
-    (0..text.len()).step_by(2).map(digit).collect()
-}
+use brackenledge_test_support::hex;
 
 const ONE: ProcessId = ProcessId { ordinal: 0, incarnation: 1_700_000_000_123 };
 const OTHER: ProcessId = ProcessId { ordinal: 1, incarnation: 1_700_000_000_456 };
@@ -29,7 +21,7 @@
     let (mut sent, mut others) = (Vec::new(), Vec::new());
     while let Some(command) = member.poll_command() {
         match command {
-            Command::Send { to, bytes } => sent.push((to, hex(&bytes))),
+            Command::Send { to, bytes } => sent.push((to, hex::encode(&bytes))),
             other => others.push(other),
         }
     }
@@ -46,8 +38,8 @@
     let process = ProcessId { ordinal: 300, incarnation: 1_700_000_000_300 };
     let bytes = "ac02acd295ffbc31";
     let written = postcard::to_allocvec(&process).expect("bytes");
-    assert_eq!(hex(&written), bytes);
-    assert_eq!(postcard::from_bytes::<ProcessId>(&unhex(bytes)), Ok(process));
+    assert_eq!(hex::encode(&written), bytes);
+    assert_eq!(postcard::from_bytes::<ProcessId>(&hex::decode(bytes)), Ok(process));
 }
 
 #[test]
@@ -62,7 +54,7 @@
 fn the_announcement_is_answered_with_these_bytes() {
     let mut other = member(OTHER, vec![0]);
     let announcement = ANNOUNCEMENT;
-    assert!(other.handle_message(5.0, &unhex(announcement)));
+    assert!(other.handle_message(5.0, &hex::decode(announcement)));
     let (sent, others) = commands(&mut other);
     assert_eq!((sent, others), (vec![(0, ANSWER.to_owned())], vec![Command::MemberUp(ONE)]));
     assert!(other.active_members().any(|process| process == ONE));
@@ -72,7 +64,7 @@
 fn the_answer_makes_the_other_a_member() {
     let mut one = member(ONE, vec![1]);
     one.handle_timeout(0.0);
-    assert!(one.handle_message(10.0, &unhex(ANSWER)));
+    assert!(one.handle_message(10.0, &hex::decode(ANSWER)));
     assert!(commands(&mut one).1.contains(&Command::MemberUp(OTHER)));
     assert!(one.active_members().any(|process| process == OTHER));
 }
--- /dev/null
+++ b/crates/test-support/src/model_check.rs
@@ -0,0 +1,93 @@
+//! Runs of `stateright` models within bounds: random runs from seeds, and searches of the states near the start.
+
+use stateright::{Checker, CheckerBuilder, Expectation, HasDiscoveries, Model, UniformChooser};
+use std::fmt::Debug;
+use std::hash::Hash;
+use std::ops::RangeInclusive;
+
+/// A model that can be run here.
+pub trait CheckedModel:
+    Model<State: Clone + Debug + Hash + PartialEq + Send + Sync, Action: Clone + Debug + PartialEq>
+    + Clone
+    + Send
+    + Sync
+    + 'static
+{
+}
+
+impl<M> CheckedModel for M
+where
+    M: Model + Clone + Send + Sync + 'static,
+    M::State: Clone + Debug + Hash + PartialEq + Send + Sync,
+    M::Action: Clone + Debug + PartialEq,
+{
+}
+
+/// What random runs have come to.
+#[derive(Debug)]
+pub struct Findings {
+    /// How many states were visited.
+    pub state_count: usize,
+    /// The properties that must always hold and do not.
+    pub violated: Vec<&'static str>,
+    /// The properties that are to hold sometimes and did.
+    pub observed: Vec<&'static str>,
+}
+
+/// How many states are visited: `MODEL_STATES`, or this many.
+pub fn max_states(default: usize) -> usize {
+    std::env::var("MODEL_STATES").ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// A checker of so many states at least, which stops at the first violation.
+pub fn bounded_checker<M: CheckedModel>(model: &M, max_states: usize) -> CheckerBuilder<M> {
+    model.clone().checker().target_state_count(max_states).finish_when(HasDiscoveries::AnyFailures)
+}
+
+/// Random runs to their ends, from this seed. The path to each violation is printed, its states by `describe`.
+pub fn random_runs<M: CheckedModel>(
+    model: &M,
+    seed: u64,
+    max_states: usize,
+    describe: impl Fn(&M::State) -> String,
+) -> Findings {
+    let checker = bounded_checker(model, max_states).spawn_simulation(seed, UniformChooser).join();
+    let found = |expectation| {
+        let names = property_names(model, expectation).into_iter();
+        names.filter(|name| checker.discovery(name).is_some()).collect::<Vec<_>>()
+    };
+    let (violated, observed) = (found(Expectation::Always), found(Expectation::Sometimes));
+    for name in &violated {
+        println!("{name}:");
+        for (state, action) in checker.discovery(name).into_iter().flat_map(|path| path.into_vec()) {
+            println!("  {}\n  {action:?}", describe(&state));
+        }
+    }
+    Findings { state_count: checker.state_count(), violated, observed }
+}
+
+/// What random runs from the first of these seeds that comes to a violation have violated.
+pub fn first_violation<M: CheckedModel>(
+    model: &M,
+    seeds: RangeInclusive<u64>,
+    max_states: usize,
+    describe: impl Fn(&M::State) -> String,
+) -> Option<Vec<&'static str>> {
+    seeds.map(|seed| random_runs(model, seed, max_states, &describe).violated).find(|names| !names.is_empty())
+}
+
+/// Checks that a search has found no violation.
+///
+/// # Panics
+///
+/// If it has, with the path to it.
+pub fn assert_no_violation<M: CheckedModel>(model: &M, checker: &impl Checker<M>) {
+    for name in property_names(model, Expectation::Always) {
+        checker.assert_no_discovery(name);
+    }
+}
+
+fn property_names<M: CheckedModel>(model: &M, expectation: Expectation) -> Vec<&'static str> {
+    let properties = model.properties().into_iter();
+    properties.filter(|property| property.expectation == expectation).map(|property| property.name).collect()
+}
--- a/crates/zone-routing/tests/golden.rs
+++ b/crates/zone-routing/tests/golden.rs
@@ -5,6 +5,7 @@
 //! wire format has changed. None of these types has an optional field; empty and filled forms are pinned instead.
 #![allow(missing_docs)]
 
+use brackenledge_test_support::hex;
 use brackenledge_zone_routing::{
     MAX_PLAN_BYTES, Plan, PlanVersion, RouteStats, SchedulerZoneReport, ZoneLoadReport,
 };
@@ -12,26 +13,17 @@
 use serde::de::DeserializeOwned;
 use std::fmt::Debug;
 
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn unhex(text: &str) -> Vec<u8> {
-    let digit = |at: usize| u8::from_str_radix(&text[at..at + 2], 16).expect("two hexadecimal digits");
-    (0..text.len()).step_by(2).map(digit).collect()
-}
-
 /// The value has exactly these bytes by `postcard`, and comes back from them.
 fn pinned<T: Serialize + DeserializeOwned + Debug + PartialEq>(value: T, bytes: &str) {
     let written = postcard::to_allocvec(&value).expect("bytes");
-    assert_eq!(hex(&written), bytes, "{value:?}");
-    assert_eq!(postcard::from_bytes::<T>(&unhex(bytes)), Ok(value));
+    assert_eq!(hex::encode(&written), bytes, "{value:?}");
+    assert_eq!(postcard::from_bytes::<T>(&hex::decode(bytes)), Ok(value));
 }
 
 /// The plan encodes to exactly these bytes, and these bytes decode to the plan.
 fn pinned_plan(plan: Plan, bytes: &str) {
-    assert_eq!(hex(&plan.encode()), bytes, "{plan:?}");
-    assert_eq!(Plan::decode(&unhex(bytes)), Ok(plan));
+    assert_eq!(hex::encode(&plan.encode()), bytes, "{plan:?}");
+    assert_eq!(Plan::decode(&hex::decode(bytes)), Ok(plan));
 }
 
 fn routes() -> Vec<RouteStats> {
