A poll that was suspended on its way out is repeated before alarms are handled

Seen: a_job_whose_client_disconnects_before_its_last_byte_is_sent_is_never_complete failed in 1 of 40 runs on a busy machine; a probe printed the system call in which each pause fell. Cause: a stop at the very moment of the timeout does not interrupt epoll_wait, which returns with nothing long after; the alarm for the last byte is then handled without a look at the client's close. The wait was repeated only where a signal had interrupted it (EventLoop::wait). Ruled out: a pause before the process has stopped (the test waits for the kernel's word). Change: a poll that reports nothing and ends over 2 ms behind its timeout is repeated without a wait.

--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -1,5 +1,8 @@
 //! The event loop's parts: the poll, the clock, the timers, and the trait of all connections.
 
+#[cfg(test)]
+mod tests;
+
 use super::buffered_stream::{BufferedStream, StreamState};
 
 use mio::{Events, Interest, Poll, Registry, Token, event::Source};
@@ -113,6 +116,8 @@
     }
 }
 
+/// A poll that ends so long after its timeout was suspended on its way; the system rounds timeouts up to a millisecond.
+const MAX_POLL_OVERRUN: Duration = Duration::from_millis(2);
 /// Bytes read from one connection in one turn of the loop. A peer that sends as fast as it is read would otherwise
 /// starve all other connections and the timers.
 const MAX_BYTES_PER_TURN: usize = 64 * 1024;
@@ -190,14 +195,33 @@
         let until = self.alarms.peek().map(|&Reverse((at, _, _))| at as f64 / 1_000.0 - self.now());
         let until = if self.again.is_empty() { until } else { Some(0.0) };
         let timeout = until.map(|left| Duration::from_secs_f64(left.max(0.0) / 1_000.0));
-        let mut polled = self.poll.poll(events, timeout);
-        // A signal, or SIGCONT after a stop, interrupts the wait and reports nothing. Events that have come by now must
-        // be reported all the same: the alarms that are due are handled next.
-        while matches!(&polled, Err(e) if e.kind() == io::ErrorKind::Interrupted) {
-            polled = self.poll.poll(events, Some(Duration::ZERO));
-        }
-        polled
+        let poll = &mut self.poll;
+        poll_to_the_end(timeout, |timeout| {
+            poll.poll(events, timeout)?;
+            Ok(events.is_empty())
+        })
+    }
+}
+
+/// Polls until the timeout, so that whatever has come before it returns is reported: the alarms that are due are handled
+/// next. `poll` returns whether it has reported nothing.
+///
+/// A signal, or SIGCONT after a stop, interrupts a poll, which then reports nothing. A stop at the very moment of the
+/// timeout does not interrupt it, but it returns long after.
+fn poll_to_the_end(
+    timeout: Option<Duration>,
+    mut poll: impl FnMut(Option<Duration>) -> io::Result<bool>,
+) -> io::Result<()> {
+    let began_at = Instant::now();
+    let mut polled = poll(timeout);
+    let was_suspended = timeout.is_some_and(|timeout| began_at.elapsed() > timeout + MAX_POLL_OVERRUN);
+    if was_suspended && matches!(polled, Ok(true)) {
+        polled = poll(Some(Duration::ZERO));
+    }
+    while matches!(&polled, Err(error) if error.kind() == io::ErrorKind::Interrupted) {
+        polled = poll(Some(Duration::ZERO));
     }
+    polled.map(drop)
 }
 
 /// What becomes of a connection after a callback.
--- a/crates/daemon/tests/support/scheduler.rs
+++ b/crates/daemon/tests/support/scheduler.rs
@@ -43,6 +43,9 @@
     pub operations: Option<&'a Path>,
 }
 
+/// The system call that waits for events, by its number.
+const EPOLL_WAIT: &str = if cfg!(target_arch = "x86_64") { "232" } else { "22" };
+
 impl Default for Launch<'_> {
     fn default() -> Self {
         Launch {
@@ -304,6 +307,13 @@
         }
     }
 
+    /// Whether the paused process was in its poll for events, or just about to leave it.
+    pub fn is_paused_in_poll(&self) -> bool {
+        let path = format!("/proc/{}/syscall", self.child.id());
+        let syscall = std::fs::read_to_string(path).expect("the kernel names the system call");
+        syscall.split_whitespace().next() == Some(EPOLL_WAIT)
+    }
+
     pub fn resume(&self) {
         self.signal("-CONT");
     }
