Read a request's head in the protocol crate, as a typed RequestHead

The frontend parsed heads with httparse itself, beside the connection's state. RequestHead (method, target, version, headers, keep-alive, expects-continue, body framing) and JobHead (class, tenant, key, ids, numbers) are now decoded in the protocol crate, bytes in and values out, and what is rejected is one RequestError with its status, its line of text and whether the connection may go on. The daemon and the fuzz crate no longer depend on httparse.

--- a/crates/daemon/src/net/frontend/connection.rs
+++ b/crates/daemon/src/net/frontend/connection.rs
@@ -16,19 +16,6 @@
 /// Input that is read and discarded at most before a connection is closed while its client still sends, in bytes.
 const MAX_DISCARDED_INPUT: usize = 1024 * 1024;
 
-/// Why a request is not served: the status of its response, and a line of text for whoever sent it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Rejection {
-    pub(super) status: u16,
-    pub(super) reason: &'static str,
-}
-
-impl Rejection {
-    pub(super) const fn bad_request(reason: &'static str) -> Self {
-        Rejection { status: 400, reason }
-    }
-}
-
 /// What a request asks for, by its head.
 pub(super) enum RequestKind {
     Job(Box<JobRequest>),
--- a/crates/daemon/src/net/frontend/request_reader.rs
+++ b/crates/daemon/src/net/frontend/request_reader.rs
@@ -1,16 +1,24 @@
 //! Reads requests from a client's connection, and submits the jobs in them.
 
-use super::connection::{ClientConnection, MAX_PIPELINED_INPUT, Rejection, RequestKind, State};
+use super::connection::{ClientConnection, MAX_PIPELINED_INPUT, RequestKind, State};
 use crate::net::Context;
 use crate::net::event_loop::Millis;
 use brackenledge_engine::{Answer, JobRequest};
-use brackenledge_protocol::http::{
-    Body, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, Malformed, has_bare_line_feed, has_token, header,
-};
+use brackenledge_protocol::http::{Body, MAX_BODY_BYTES, RequestError, RequestHead};
 
 /// Responses that wait to be written, in bytes, beyond which no further request is read.
 const MAX_BUFFERED_OUTPUT: usize = 2 * MAX_BODY_BYTES;
 
+/// What the head of a request says.
+struct ReceivedHead {
+    kind: RequestKind,
+    /// An error in it counts after those in what `kind` is read from.
+    body: Result<Body, RequestError>,
+    keep_alive: bool,
+    expects_continue: bool,
+    length: usize,
+}
+
 impl ClientConnection {
     /// Reads requests as far as they have come. It stops at a job: the next request waits for the response.
     pub(super) fn read_requests(&mut self, cx: &mut Context) {
@@ -21,13 +29,11 @@
                         return;
                     }
                 }
-                State::ReadingBody(_, body) => {
-                    match body.advance(&mut self.stream.buffer) {
-                        Ok(false) => return,
-                        Ok(true) => self.on_request_complete(cx),
-                        Err(malformed) => self.reject(Rejection::of_body(malformed), cx),
-                    };
-                }
+                State::ReadingBody(_, body) => match body.advance(&mut self.stream.buffer) {
+                    Ok(false) => return,
+                    Ok(true) => self.on_request_complete(cx),
+                    Err(malformed) => self.reject(malformed.into(), cx),
+                },
                 State::AwaitingJob(_) | State::AwaitingReplicatedJob(_) => {
                     self.buffer_pipelined_input();
                     return;
@@ -69,43 +75,28 @@
         // One byte now and then must not keep an unfinished request for ever: its time runs from the first.
         self.request_began_at.get_or_insert(cx.now);
         self.receiving_since.get_or_insert(self.last_input_at);
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut request = httparse::Request::new(&mut headers);
-        let head_length = match parse_head(&mut request, input) {
-            Ok(Some(length)) => length,
+        match self.decode_head() {
             Ok(None) => return false,
-            Err(rejection) => {
-                self.reject(rejection, cx);
-                return true;
-            }
-        };
-        self.keep_alive = is_keep_alive(&request);
-        let body = Body::from_headers(request.headers, false, MAX_BODY_BYTES);
-        let kind = match self.read_kind(&request) {
-            Ok(kind) => kind,
-            Err(rejection) => {
-                self.reject(rejection, cx);
-                return true;
-            }
-        };
-        let expects_continue = has_token(header(request.headers, "Expect"), "100-continue");
-        self.stream.buffer.consume(head_length);
-        match body {
-            Ok(body) => self.begin_body(kind, body, expects_continue),
-            Err(malformed) => self.reject(Rejection::of_body(malformed), cx),
+            Ok(Some(head)) => self.on_head(head, cx),
+            Err(error) => self.reject(error, cx),
         }
         true
     }
 
-    fn read_kind(&self, request: &httparse::Request) -> Result<RequestKind, Rejection> {
-        let (method, target) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
-        let path = target.split('?').next().unwrap_or_default();
-        match path {
-            "/up" if method == "GET" => Ok(RequestKind::HealthCheck),
-            _ => {
-                let job_request = self.rules.read_job(self.id, method, target, request.headers)?;
-                Ok(RequestKind::Job(Box::new(job_request)))
-            }
+    /// Decodes a head; `None`: it has not all come.
+    fn decode_head(&self) -> Result<Option<ReceivedHead>, RequestError> {
+        let Some(head) = RequestHead::decode(self.stream.buffer.input())? else { return Ok(None) };
+        let RequestHead { keep_alive, expects_continue, length, .. } = head;
+        let kind = self.rules.read_kind(self.id, &head)?;
+        Ok(Some(ReceivedHead { kind, body: head.body(), keep_alive, expects_continue, length }))
+    }
+
+    fn on_head(&mut self, head: ReceivedHead, cx: &mut Context) {
+        self.keep_alive = head.keep_alive;
+        self.stream.buffer.consume(head.length);
+        match head.body {
+            Ok(body) => self.begin_body(head.kind, body, head.expects_continue),
+            Err(error) => self.reject(error, cx),
         }
     }
 
@@ -153,46 +144,7 @@
         }
         match cx.engine.submit_job(cx.now, *job_request) {
             Some(job) => self.state = State::AwaitingJob(job),
-            None => {
-                let rejection = Rejection { status: 409, reason: "a job with this X-Trace-Id is open" };
-                self.reject(rejection, cx);
-            }
+            None => self.reject(RequestError::DuplicateTraceId, cx),
         }
     }
 }
-
-impl Rejection {
-    pub(super) fn of_body(malformed: Malformed) -> Self {
-        match malformed {
-            Malformed::TooLarge => Rejection { status: 413, reason: "the body is larger than 64 KiB" },
-            Malformed::Framing => Rejection::bad_request("the body's framing is broken"),
-        }
-    }
-}
-
-/// Parses a head; returns its length, or `None` while it is incomplete.
-pub(super) fn parse_head<'input>(
-    request: &mut httparse::Request<'_, 'input>,
-    input: &'input [u8],
-) -> Result<Option<usize>, Rejection> {
-    match request.parse(input) {
-        Ok(httparse::Status::Complete(length)) if has_bare_line_feed(&input[..length]) => {
-            Err(Rejection::bad_request("a line ends without a carriage return"))
-        }
-        Ok(httparse::Status::Complete(length)) if length <= MAX_HEAD_BYTES => Ok(Some(length)),
-        Ok(httparse::Status::Partial) if input.len() <= MAX_HEAD_BYTES => Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
-            Err(Rejection { status: 431, reason: "the head is too large" })
-        }
-        Err(_) => Err(Rejection::bad_request("not an HTTP request")),
-    }
-}
-
-/// Whether the client keeps the connection for further requests: the default since HTTP/1.1.
-pub(super) fn is_keep_alive(request: &httparse::Request) -> bool {
-    let connection = header(request.headers, "Connection");
-    match request.version {
-        Some(1) => !has_token(connection, "close"),
-        _ => has_token(connection, "keep-alive"),
-    }
-}
--- a/crates/daemon/src/net/frontend/responses.rs
+++ b/crates/daemon/src/net/frontend/responses.rs
@@ -1,8 +1,9 @@
 //! Writes responses to a client's connection.
 
-use super::connection::{ClientConnection, Rejection, State};
+use super::connection::{ClientConnection, State};
 use crate::net::Context;
 use brackenledge_engine::Answer;
+use brackenledge_protocol::http::RequestError;
 
 impl ClientConnection {
     /// Writes the response to a job.
@@ -31,12 +32,11 @@
         self.write_response(status, "", body, cx);
     }
 
-    /// Rejects a request that can't be read or served, and reads nothing more: where the next request would begin is
-    /// unknown, and a request hidden behind a malformed one must not pass.
-    pub(super) fn reject(&mut self, rejection: Rejection, cx: &Context) {
-        self.keep_alive = false;
-        let body = format!("{}\n", rejection.reason);
-        self.write_response(rejection.status, "Content-Type: text/plain\r\n", body.as_bytes(), cx);
+    /// Rejects a request that can't be read or served.
+    pub(super) fn reject(&mut self, error: RequestError, cx: &Context) {
+        self.keep_alive &= error.keeps_connection();
+        let body = format!("{error}\n");
+        self.write_response(error.status(), "Content-Type: text/plain\r\n", body.as_bytes(), cx);
     }
 
     /// Buffers a response. `extra_headers`: whole lines with their ends.
--- a/crates/daemon/src/net/frontend/timeouts.rs
+++ b/crates/daemon/src/net/frontend/timeouts.rs
@@ -1,9 +1,10 @@
 //! Timeouts of clients' connections.
 
 use super::Frontend;
-use super::connection::{ClientConnection, Rejection, State};
+use super::connection::{ClientConnection, State};
 use crate::net::Context;
 use crate::net::event_loop::Millis;
+use brackenledge_protocol::http::RequestError;
 
 /// A client's first request must be complete this long after it connected, and later ones this long after their first
 /// byte. A client that has sent nothing at all until then is closed: connections are few.
@@ -48,8 +49,7 @@
             if client.request_began_at.is_none() || client.is_output_unread(now) {
                 self.remove(slot, cx);
             } else {
-                let rejection = Rejection { status: 408, reason: "the request did not come to its end" };
-                client.reject(rejection, cx);
+                client.reject(RequestError::Timeout, cx);
                 self.on_ready(slot, cx);
             }
         }
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -13,7 +13,8 @@
 };
 use brackenledge_membership::{Membership, ProcessId, SwimConfig};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
-use brackenledge_protocol::http::{Body, Buffer, MAX_BODY_BYTES, MAX_HEAD_BYTES, take_response_head};
+use brackenledge_protocol::http::{Buffer, MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestHead, take_response_head};
+use brackenledge_protocol::job_head::{ClassRule, JobHead, JobRules, MAX_TRACE_ID_LEN};
 use brackenledge_protocol::list_stream::{ListItem, ListReader};
 use brackenledge_protocol::{control, operations::Operations, worker};
 use std::path::Path;
@@ -216,11 +217,58 @@
     assert!(held <= MAX_BODY_BYTES, "{held} bytes are held");
 }
 
+/// Headers that a request's head may hold.
+const REQUEST_HEADERS: [&str; 12] = [
+    "X-Qos",
+    "X-Trace-Id",
+    "X-Customer",
+    "X-Expires-In-Ms",
+    "X-Size-Hint",
+    "Idempotency-Key",
+    "X-Props",
+    "Content-Type",
+    "Content-Length",
+    "Transfer-Encoding",
+    "Connection",
+    "Expect",
+];
+
+/// Heads of clients' requests: the input as it is, and as the values of headers of a job.
+pub fn request_heads(input: &[u8]) {
+    let mut text = b"POST /buy/k1 HTTP/1.1\r\nX-Qos: buy\r\nX-Trace-Id: t1\r\n".to_vec();
+    for line in messages(input) {
+        let Some((&header, value)) = line.split_first() else { continue };
+        let name = REQUEST_HEADERS[usize::from(header) % REQUEST_HEADERS.len()];
+        text.extend([name.as_bytes(), b": ", value, b"\r\n"].concat());
+    }
+    text.extend(b"\r\n");
+    request_head(input);
+    request_head(&text);
+}
+
+/// A head is complete at its length and not before, and the job in it keeps to its bounds.
+fn request_head(input: &[u8]) {
+    let Ok(Some(head)) = RequestHead::decode(input) else { return };
+    assert!(head.length <= input.len().min(MAX_HEAD_BYTES));
+    let length_alone = RequestHead::decode(&input[..head.length]).ok().flatten().map(|head| head.length);
+    assert_eq!(length_alone, Some(head.length));
+    assert!(matches!(RequestHead::decode(&input[..head.length - 1]), Ok(None)));
+    let _ = head.body();
+    let class = ClassRule { name: "buy".to_owned(), requires_idempotency_key: input.len() % 2 == 1 };
+    let rules = JobRules { classes: vec![class], tenants: Vec::new() };
+    let Ok(job) = JobHead::decode(&head, &rules) else { return };
+    assert!((1..=MAX_TRACE_ID_LEN).contains(&job.trace_id.len()));
+    let numbers =
+        [job.expires_in, job.size_hint_micros, Some(job.resources.slots), Some(job.resources.memory)];
+    assert!(numbers.into_iter().flatten().all(|number| number.is_finite() && number >= 0.0));
+}
+
 /// A body behind a head that announced chunks: its content comes out the same however it is cut.
 pub fn chunks(input: &[u8]) {
-    let headers = [httparse_header("Transfer-Encoding", b"chunked")];
+    let head = RequestHead::decode(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let head = head.ok().flatten().expect("the head is complete");
     let read = |pieces: &[&[u8]]| {
-        let mut body = Body::from_headers(&headers, false, MAX_BODY_BYTES).ok()?;
+        let mut body = head.body().ok()?;
         let mut buffer = Buffer::default();
         for piece in pieces {
             let mut source = *piece;
@@ -240,10 +288,6 @@
     );
 }
 
-fn httparse_header<'a>(name: &'a str, value: &'a [u8]) -> httparse::Header<'a> {
-    httparse::Header { name, value }
-}
-
 /// Discovery's lists, in pieces of any size: the same is read from them however they are cut.
 pub fn lists(input: &[u8]) {
     let read = |pieces: &mut dyn Iterator<Item = &[u8]>, lines: bool| {
--- a/crates/protocol/src/http/body.rs
+++ b/crates/protocol/src/http/body.rs
@@ -54,7 +54,7 @@
 impl Body {
     /// The body that a head announces. `until_end_by_default`: one of unstated length lasts until the connection
     /// ends, as in responses. `max_bytes`: limit of the payload held at once.
-    pub fn from_headers(
+    pub(super) fn from_headers(
         headers: &[httparse::Header],
         until_end_by_default: bool,
         max_bytes: usize,
--- a/crates/protocol/src/http/mod.rs
+++ b/crates/protocol/src/http/mod.rs
@@ -4,18 +4,22 @@
 //! | --- | --- |
 //! | `buffer` | the one buffer of each connection |
 //! | `body` | removes the framing of bodies: lengths and chunks |
-//! | `head` | response heads |
+//! | `request_head`, `response_head` | heads |
 //! | `headers` | single headers of a head |
+//! | `request_error` | why a request is rejected before it becomes a job |
 
 mod body;
 mod buffer;
-mod head;
 mod headers;
+mod request_error;
+mod request_head;
+mod response_head;
 
 pub use self::body::Body;
 pub use self::buffer::Buffer;
-pub use self::head::{ResponseHead, take_response_head};
-pub use self::headers::{has_bare_line_feed, has_token, header, single};
+pub use self::request_error::RequestError;
+pub use self::request_head::{RequestHead, Version};
+pub use self::response_head::{ResponseHead, take_response_head};
 
 /// Limit of a body in bytes, by the platform's protocol.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
--- /dev/null
+++ b/crates/protocol/src/job_head.rs
@@ -0,0 +1,186 @@
+//! The head of a job's request: its path and its headers, as typed values.
+//!
+//! A header that decides something must be there at most once, as plain text: whoever reads it next must read the same.
+
+use crate::http::{RequestError, RequestHead};
+use brackenledge_policy::Millis;
+
+/// The longest trace id that is accepted, in bytes.
+pub const MAX_TRACE_ID_LEN: usize = 128;
+
+const CLASS: &str = "X-Qos";
+const TRACE_ID: &str = "X-Trace-Id";
+const TENANT: &str = "X-Customer";
+const EXPIRES_IN: &str = "X-Expires-In-Ms";
+const SIZE_HINT: &str = "X-Size-Hint";
+const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
+const PROPERTIES: &str = "X-Props";
+const RETRY: &str = "X-Second-Try";
+const CONTENT_TYPE: &str = "Content-Type";
+
+/// A class of jobs, as far as heads refer to it.
+#[derive(Clone, Debug)]
+pub struct ClassRule {
+    /// Its name.
+    pub name: String,
+    /// Its jobs may run twice only under an idempotency key, and must have one.
+    pub requires_idempotency_key: bool,
+}
+
+/// What the heads of jobs may refer to.
+#[derive(Clone, Debug, Default)]
+pub struct JobRules {
+    /// The classes, by number.
+    pub classes: Vec<ClassRule>,
+    /// The tenants' names, by number; without any, the tenant that a job names is not looked at.
+    pub tenants: Vec<String>,
+}
+
+/// The head of a job's request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobHead<'input> {
+    /// The class's number.
+    pub class: usize,
+    /// The tenant's number; 0 where there are no tenants.
+    pub tenant: usize,
+    /// The affinity key at the path's end.
+    pub affinity_key: Option<&'input str>,
+    /// The client's id of the job.
+    pub trace_id: &'input str,
+    /// How long the client waits, from the request's first byte.
+    pub expires_in: Option<Millis>,
+    /// The run time that the client expects, in microseconds.
+    pub size_hint_micros: Option<f64>,
+    /// By which workers recognise retries.
+    pub idempotency_key: Option<&'input str>,
+    /// What the job occupies on a worker.
+    pub resources: Resources,
+    /// The client has submitted the job before.
+    pub is_retry: bool,
+    /// The body's type.
+    pub content_type: Option<&'input str>,
+}
+
+/// The resources that a job occupies on a worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Resources {
+    /// Slots of the worker.
+    pub slots: f64,
+    /// Units of memory.
+    pub memory: f64,
+}
+
+impl Default for Resources {
+    fn default() -> Self {
+        Resources { slots: 1.0, memory: 0.0 }
+    }
+}
+
+impl<'input> JobHead<'input> {
+    /// Decodes the job that a request's head describes. Of several faults, the first in this order is told.
+    pub fn decode(head: &RequestHead<'input>, rules: &JobRules) -> Result<Self, RequestError> {
+        check_request_line(head)?;
+        let class = decode_class(head, rules)?;
+        Ok(JobHead {
+            class,
+            affinity_key: affinity_key(head.path()),
+            trace_id: decode_trace_id(head)?,
+            tenant: decode_tenant(head, rules)?,
+            expires_in: decode_number(head, EXPIRES_IN)?,
+            size_hint_micros: decode_number(head, SIZE_HINT)?,
+            idempotency_key: decode_idempotency_key(head, &rules.classes[class])?,
+            resources: decode_resources(head)?,
+            is_retry: head.header(RETRY) == Some("1"),
+            content_type: head.single_header(CONTENT_TYPE)?,
+        })
+    }
+}
+
+fn check_request_line(head: &RequestHead) -> Result<(), RequestError> {
+    if head.method != "POST" {
+        return Err(RequestError::MethodNotAllowed);
+    }
+    // The target is passed on: whoever reads it next must read the same.
+    if !head.target.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(RequestError::InvalidTarget);
+    }
+    Ok(())
+}
+
+/// The path's segments. What stands before the first slash is none.
+fn segments(path: &str) -> impl Iterator<Item = &str> {
+    path.split('/').skip(1)
+}
+
+/// The path's first segment names the class, and must agree with the header.
+fn decode_class(head: &RequestHead, rules: &JobRules) -> Result<usize, RequestError> {
+    let in_path = segments(head.path()).next().unwrap_or_default();
+    let name = head.single_header(CLASS)?.unwrap_or(in_path);
+    let class = rules.classes.iter().position(|class| class.name == name);
+    let class = class.ok_or(RequestError::UnknownClass)?;
+    if in_path != name {
+        return Err(RequestError::ClassMismatch);
+    }
+    Ok(class)
+}
+
+/// The path's last segment, unless that is its first or empty.
+fn affinity_key(path: &str) -> Option<&str> {
+    segments(path).skip(1).last().filter(|key| !key.is_empty())
+}
+
+fn decode_trace_id<'input>(head: &RequestHead<'input>) -> Result<&'input str, RequestError> {
+    let id = head.single_header(TRACE_ID)?.filter(|id| !id.is_empty());
+    let id = id.ok_or(RequestError::MissingHeader(TRACE_ID))?;
+    if id.len() > MAX_TRACE_ID_LEN || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(RequestError::InvalidTraceId);
+    }
+    Ok(id)
+}
+
+fn decode_tenant(head: &RequestHead, rules: &JobRules) -> Result<usize, RequestError> {
+    let name = head.single_header(TENANT)?;
+    if rules.tenants.is_empty() {
+        return Ok(0);
+    }
+    let name = name.ok_or(RequestError::MissingHeader(TENANT))?;
+    let tenant = rules.tenants.iter().position(|tenant| tenant == name);
+    tenant.ok_or(RequestError::UnknownTenant)
+}
+
+fn decode_idempotency_key<'input>(
+    head: &RequestHead<'input>,
+    class: &ClassRule,
+) -> Result<Option<&'input str>, RequestError> {
+    let key = head.single_header(IDEMPOTENCY_KEY)?.filter(|key| !key.is_empty());
+    if class.requires_idempotency_key && key.is_none() {
+        return Err(RequestError::MissingHeader(IDEMPOTENCY_KEY));
+    }
+    Ok(key)
+}
+
+/// The `slots` and `memory` of a comma-separated list of `name=value`. All its values must be numbers.
+fn decode_resources(head: &RequestHead) -> Result<Resources, RequestError> {
+    let mut resources = Resources::default();
+    let properties = head.header(PROPERTIES).unwrap_or_default().split(',');
+    for (name, value) in properties.filter_map(|property| property.split_once('=')) {
+        let value = parse_number(value.trim()).ok_or(RequestError::InvalidProperty)?;
+        match name.trim() {
+            "slots" => resources.slots = value,
+            "memory" => resources.memory = value,
+            _ => {}
+        }
+    }
+    Ok(resources)
+}
+
+/// A header's number, if the header is there.
+fn decode_number(head: &RequestHead, name: &'static str) -> Result<Option<f64>, RequestError> {
+    let Some(text) = head.single_header(name)? else { return Ok(None) };
+    parse_number(text).map(Some).ok_or(RequestError::InvalidNumber(name))
+}
+
+/// A number that is finite and not negative.
+fn parse_number(text: &str) -> Option<f64> {
+    text.parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0)
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,6 +1,7 @@
 //! The codecs and documents of the platform's protocol: bytes in, values out. No sockets, no clock, no decisions.
 //!
-//! - [`http`]: framing of HTTP/1.1 messages in one buffer for each connection;
+//! - [`http`]: heads and framing of HTTP/1.1 messages, in one buffer for each connection;
+//! - [`job_head`]: the path and the headers of a job's request;
 //! - [`list_stream`]: discovery's endpoint lists, parsed as they arrive;
 //! - [`worker`]: the lines of workers' responses, and their load reports;
 //! - [`config`]: the configuration that a scheduler is given;
@@ -13,6 +14,7 @@
 pub mod control;
 mod error;
 pub mod http;
+pub mod job_head;
 pub mod list_stream;
 pub mod operations;
 pub mod worker;
--- a/crates/protocol/tests/common/request_heads.rs
+++ b/crates/protocol/tests/common/request_heads.rs
@@ -1,8 +1,11 @@
 //! A table of request heads and what each of them gives: the rejection's status and reason, or the values that are parsed.
 //!
-//! The outcomes were taken by running the parser in the daemon's frontend, whose tests play this table.
+//! The outcomes were taken by running the parser that stood in the daemon's frontend before it moved to this crate. The
+//! frontend's tests play the table too.
 
 use brackenledge_policy::Effect;
+use brackenledge_protocol::http::{RequestError, RequestHead};
+use brackenledge_protocol::job_head::{ClassRule, JobRules};
 
 /// The classes of the table, in the order of their numbers.
 pub const CLASSES: [(&str, Effect); 3] =
@@ -10,6 +13,90 @@
 /// The tenants of the table, in the order of their numbers.
 pub const TENANTS: [&str; 2] = ["karoo", "vaal"];
 
+/// The table's classes and tenants.
+pub fn job_rules() -> JobRules {
+    let class = |&(name, effect): &(&str, Effect)| ClassRule {
+        name: name.to_owned(),
+        requires_idempotency_key: effect == Effect::Idempotent,
+    };
+    JobRules {
+        classes: CLASSES.iter().map(class).collect(),
+        tenants: TENANTS.iter().map(|name| (*name).to_owned()).collect(),
+    }
+}
+
+/// What a head gives, as the table writes it. `describe`: what it asks for.
+pub fn outcome(
+    input: &[u8],
+    describe: impl Fn(&RequestHead) -> Result<String, RequestError>,
+) -> Result<String, RequestError> {
+    let Some(head) = RequestHead::decode(input)? else { return Ok("incomplete".to_owned()) };
+    let kind = describe(&head)?;
+    let body = format!("{:?}", head.body()?);
+    let framing = body.split("state: ").nth(1).and_then(|text| text.split(", ready").next());
+    let mut text = format!("{kind}; {}", framing.unwrap_or_default());
+    if !head.keep_alive {
+        text.push_str("; closes");
+    }
+    if head.expects_continue {
+        text.push_str("; expects continue");
+    }
+    if input.len() > head.length {
+        text.push_str(&format!("; {} bytes behind it", input.len() - head.length));
+    }
+    Ok(text)
+}
+
+/// Checks all cases.
+pub fn check(describe: impl Fn(&RequestHead) -> Result<String, RequestError>) {
+    for case in cases() {
+        let outcome = outcome(&case.head, &describe);
+        let outcome = outcome.unwrap_or_else(|error| format!("{} {error}", error.status()));
+        assert_eq!(outcome, case.outcome, "{:?}", String::from_utf8_lossy(&case.head));
+    }
+}
+
+/// A job's values.
+pub struct JobValues<'a> {
+    pub class: usize,
+    pub tenant: usize,
+    pub id: &'a str,
+    pub target: &'a str,
+    pub key: Option<&'a str>,
+    pub idempotency_key: Option<&'a str>,
+    pub content_type: Option<&'a str>,
+    pub time: Option<f64>,
+    pub effort: Option<f64>,
+    pub slots: f64,
+    pub memory: f64,
+    pub is_retry: bool,
+}
+
+impl JobValues<'_> {
+    /// The values as the table writes them, with a long id shortened and the defaults left out.
+    pub fn describe(&self) -> String {
+        let id = if self.id.len() > 20 { format!("{} bytes", self.id.len()) } else { self.id.to_owned() };
+        let mut text = format!("job {} of {}, id {id}, {}", self.class, self.tenant, self.target);
+        let number = |value: f64, default: f64| (value != default).then(|| value.to_string());
+        let values = [
+            ("key", self.key.map(str::to_owned)),
+            ("idempotency key", self.idempotency_key.map(str::to_owned)),
+            ("type", self.content_type.map(str::to_owned)),
+            ("time", self.time.map(|time| time.to_string())),
+            ("effort", self.effort.map(|effort| effort.to_string())),
+            ("slots", number(self.slots, 1.0)),
+            ("memory", number(self.memory, 0.0)),
+            ("retry", self.is_retry.then(|| "yes".to_owned())),
+        ];
+        for (name, value) in values {
+            if let Some(value) = value {
+                text.push_str(&format!(", {name} {value:?}"));
+            }
+        }
+        text
+    }
+}
+
 /// A head, and what it gives.
 pub struct Case {
     pub head: Vec<u8>,
