Workers' lines decode to a typed state, or to an error that says why

protocol::worker gave None for whatever it could not read, and a line's state as text that the backend compared with six literals. decode_line and decode_load now return WorkerError (not UTF-8, not JSON, a field missing or of a wrong type), and a line's state is an enum that holds the share or the result that belongs to it. What the backend does with each line is the same; its handling of a served job is a function of its own.

--- a/crates/daemon/src/net/backend/response_reader.rs
+++ b/crates/daemon/src/net/backend/response_reader.rs
@@ -7,7 +7,7 @@
 use brackenledge_engine::AttemptId;
 use brackenledge_policy::{LoadReport, Outcome};
 use brackenledge_protocol::http::take_response_head;
-use brackenledge_protocol::worker::{read_line, read_load, read_load_header};
+use brackenledge_protocol::worker::{LineState, decode_line, decode_load, decode_load_header};
 
 impl WorkerConnection {
     /// Reads a response as far as it has come; `Close` where the connection can't be used again.
@@ -57,44 +57,48 @@
 
     /// Handles one line of the response to an attempt; `Close` where it is malformed.
     fn on_line(&mut self, line: &[u8], id: AttemptId, request_id: &str, cx: &mut Context) -> Flow {
-        let line = read_line(line);
+        let Ok(line) = decode_line(line) else { return Flow::Close };
         // A line that names another request, or none, is no response to this one.
-        let Some(line) = line.filter(|line| line.id.as_deref() == Some(request_id)) else {
+        if line.id.as_deref() != Some(request_id) {
             return Flow::Close;
-        };
+        }
         let report = line.load;
-        match (line.state.as_str(), line.result) {
-            ("started", _) => {
+        match line.state {
+            LineState::Started => {
                 self.job_started_at = cx.now;
                 cx.engine.attempt_started(id);
             }
-            ("running", _) => cx.engine.attempt_progressed(id, line.share.unwrap_or(0.0)),
-            ("done", Some(result)) => {
-                self.task = None;
-                cx.endpoints.handle_signal(cx.now, self.worker, EndpointSignal::JobServed);
-                if let Some(zones) = cx.zones {
-                    zones.on_job_served(cx.now - self.job_started_at);
-                }
-                self.report_to_zone_routing(Outcome::Served, report, cx);
-                cx.engine.attempt_served(id, result, report);
-            }
+            LineState::Running { share } => cx.engine.attempt_progressed(id, share),
+            LineState::Done { result: Some(result) } => self.on_job_served(id, result, report, cx),
             // A response without its result can't be given to the client.
-            ("done" | "failed", _) => self.end_task(Outcome::WorkerError, report, cx),
-            ("returned", _) => self.end_task(Outcome::Full, report, cx),
-            ("lost", _) => self.end_task(Outcome::Reset, report, cx),
-            // A state that later versions may add is not final.
-            _ => {}
+            LineState::Done { result: None } | LineState::Failed => {
+                self.end_task(Outcome::WorkerError, report, cx);
+            }
+            LineState::Returned => self.end_task(Outcome::Full, report, cx),
+            LineState::Lost => self.end_task(Outcome::Reset, report, cx),
+            LineState::Unknown => {}
         }
         Flow::Keep
     }
 
+    /// Ends the attempt that it carries with its result.
+    fn on_job_served(&mut self, id: AttemptId, result: String, report: Option<LoadReport>, cx: &mut Context) {
+        self.task = None;
+        cx.endpoints.handle_signal(cx.now, self.worker, EndpointSignal::JobServed);
+        if let Some(zones) = cx.zones {
+            zones.on_job_served(cx.now - self.job_started_at);
+        }
+        self.report_to_zone_routing(Outcome::Served, report, cx);
+        cx.engine.attempt_served(id, result, report);
+    }
+
     /// Ends the task by what the response says as a whole, unless one of its lines has ended it.
     pub(super) fn on_response_complete(&mut self, cx: &mut Context) {
         let Some(mut head) = self.response_head.take() else { return };
         let body = head.body.take_all(&mut self.stream.buffer);
-        let from_header: Option<LoadReport> = head.load.as_deref().map(read_load_header);
+        let from_header: Option<LoadReport> = head.load.as_deref().map(decode_load_header);
         if let Some(Task::HealthCheck) = self.task {
-            let report = read_load(&body);
+            let report = decode_load(&body).ok();
             let outcome = if head.status == 200 { Outcome::Served } else { Outcome::WorkerError };
             self.end_task(outcome, from_header.or(report), cx);
             return;
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -205,11 +205,11 @@
         let Some(head) = &mut head else { continue };
         let Ok(ended) = head.body.advance(&mut buffer) else { return };
         while let Some(line) = head.body.take_line(&mut buffer) {
-            let _ = (worker::read_line(&line), worker::read_load(&line));
+            let _ = (worker::decode_line(&line), worker::decode_load(&line));
         }
         held = held.max(head.body.ready());
         if ended {
-            head.load.as_deref().map(worker::read_load_header);
+            head.load.as_deref().map(worker::decode_load_header);
             head.body.take_all(&mut buffer);
             return;
         }
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -1,6 +1,21 @@
 //! What workers send: the lines of a response, and load reports in either of their forms.
 
 use brackenledge_policy::LoadReport;
+use miniserde::json;
+
+/// Why bytes that a worker sent can't be decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum WorkerError {
+    /// They are not text.
+    #[error("not UTF-8")]
+    NotUtf8,
+    /// They are not one JSON value.
+    #[error("not JSON")]
+    NotJson,
+    /// The JSON value is no object with the fields that are expected.
+    #[error("a field is missing or has a wrong type")]
+    InvalidFields,
+}
 
 /// A report's values, under the names that discovery and the settings use.
 #[derive(miniserde::Deserialize)]
@@ -30,23 +45,40 @@
     }
 }
 
-/// Parses the header form of a load report: `TEXT name=value, name=value`. Values that are no numbers are skipped.
-pub fn read_load_header(text: &str) -> LoadReport {
-    let mut report = LoadReport::default();
-    let pairs = text.trim().trim_start_matches("TEXT").split(',');
-    for (name, value) in pairs.filter_map(|pair| pair.split_once('=')) {
-        let value = value.trim().parse().ok();
-        match name.trim() {
-            "inflight" | "concurrent" => report.in_flight = value,
-            "queue" | "depth" => report.queued = value,
-            "util" | "load_share" => report.utilization = value,
-            "eps" | "err_ps" => report.errors_per_second = value,
-            "x0" => report.free_slots = value,
-            "x1" => report.free_memory = value,
-            _ => {}
-        }
-    }
-    report
+/// Where a job stands by one line of a worker's response.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LineState {
+    /// It runs.
+    Started,
+    /// It runs, and so much is done, 0 to 1.
+    Running {
+        /// The part done; 0 where the line does not say.
+        share: f64,
+    },
+    /// It has run.
+    Done {
+        /// The result for the client; a worker at fault may leave it out.
+        result: Option<String>,
+    },
+    /// It has run and failed.
+    Failed,
+    /// The worker returns it unstarted.
+    Returned,
+    /// The worker does not know what became of it.
+    Lost,
+    /// A state that later versions may add; it is not final.
+    Unknown,
+}
+
+/// One line of a worker's response.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// The job that it is about.
+    pub id: Option<String>,
+    /// Where that job stands.
+    pub state: LineState,
+    /// The load report in the line.
+    pub load: Option<LoadReport>,
 }
 
 /// One line of a worker's response, as JSON has it.
@@ -59,30 +91,54 @@
     load: Option<LoadDocument>,
 }
 
-/// One line of a worker's response.
-#[derive(Debug)]
-pub struct Line {
-    /// The job that it is about.
-    pub id: Option<String>,
-    /// `started`, `running`, `done`, `failed`, `returned` or `lost`.
-    pub state: String,
-    /// With `running`: the part done, 0 to 1.
-    pub share: Option<f64>,
-    /// With `done`: the result for the client.
-    pub result: Option<String>,
-    /// The load report in the line.
-    pub load: Option<LoadReport>,
+impl From<LineDocument> for Line {
+    fn from(line: LineDocument) -> Line {
+        let state = match line.state.as_str() {
+            "started" => LineState::Started,
+            "running" => LineState::Running { share: line.share.unwrap_or(0.0) },
+            "done" => LineState::Done { result: line.result },
+            "failed" => LineState::Failed,
+            "returned" => LineState::Returned,
+            "lost" => LineState::Lost,
+            _ => LineState::Unknown,
+        };
+        Line { id: line.id, state, load: line.load.map(LoadReport::from) }
+    }
 }
 
-/// Parses one line of a worker's response; `None` if it is not such a line.
-pub fn read_line(line: &[u8]) -> Option<Line> {
-    let text = std::str::from_utf8(line).ok()?;
-    let LineDocument { id, state, share, result, load } = miniserde::json::from_str(text).ok()?;
-    Some(Line { id, state, share, result, load: load.map(LoadReport::from) })
+/// Decodes one line of a worker's response.
+pub fn decode_line(line: &[u8]) -> Result<Line, WorkerError> {
+    decode_json::<LineDocument>(line).map(Line::from)
 }
 
-/// Parses the body of a response to a health check; `None` if it is not a load report.
-pub fn read_load(body: &[u8]) -> Option<LoadReport> {
-    let text = std::str::from_utf8(body).ok()?;
-    miniserde::json::from_str::<LoadDocument>(text).ok().map(LoadReport::from)
+/// Decodes a load report: the body of the response to a health check.
+pub fn decode_load(body: &[u8]) -> Result<LoadReport, WorkerError> {
+    decode_json::<LoadDocument>(body).map(LoadReport::from)
+}
+
+fn decode_json<T: miniserde::Deserialize>(bytes: &[u8]) -> Result<T, WorkerError> {
+    let text = std::str::from_utf8(bytes).map_err(|_| WorkerError::NotUtf8)?;
+    json::from_str(text).map_err(|_| match json::from_str::<json::Value>(text) {
+        Ok(_) => WorkerError::InvalidFields,
+        Err(_) => WorkerError::NotJson,
+    })
+}
+
+/// Decodes the header form of a load report: `TEXT name=value, name=value`. Values that are no numbers are skipped.
+pub fn decode_load_header(text: &str) -> LoadReport {
+    let mut report = LoadReport::default();
+    let pairs = text.trim().trim_start_matches("TEXT").split(',');
+    for (name, value) in pairs.filter_map(|pair| pair.split_once('=')) {
+        let value = value.trim().parse().ok();
+        match name.trim() {
+            "inflight" | "concurrent" => report.in_flight = value,
+            "queue" | "depth" => report.queued = value,
+            "util" | "load_share" => report.utilization = value,
+            "eps" | "err_ps" => report.errors_per_second = value,
+            "x0" => report.free_slots = value,
+            "x1" => report.free_memory = value,
+            _ => {}
+        }
+    }
+    report
 }
