Engine: a job's life as one state machine, read in one place

The states of jobs and attempts stood in two tables, and wrong orders were kept out by debug assertions and filters. One table at the top of job.rs now holds all transitions with their inputs and commands. The client is part of the pending state and is given away with it, so a job can't be answered twice; an attempt's transitions exist only on one in flight, so one that has ended can't be sent or end again, and the two assertions are gone.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -1,11 +1,4 @@
-//! One attempt of a job: its identity, its deadlines and its state.
-//!
-//! | state | event | next |
-//! | --- | --- | --- |
-//! | `Connecting` | its request has been written completely | `Sent` |
-//! | `Connecting`, `Sent` | it ended | `Ended` |
-//!
-//! `Ended` is final.
+//! One attempt of a job: its identity, its deadlines and its state. Its transitions stand in [`crate::job`].
 
 use brackenledge_policy::{JobId, Millis};
 
@@ -29,13 +22,13 @@
 }
 
 /// Where an attempt stands.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum AttemptState {
     /// In flight; the request has not been written completely.
     Connecting,
     /// In flight; the worker may run it.
     Sent,
-    /// No longer in flight.
+    /// No longer in flight. Final.
     Ended { may_have_run: bool },
 }
 
@@ -57,16 +50,9 @@
         Attempt { started_at, state: AttemptState::Ended { may_have_run: true } }
     }
 
-    /// The request has been written completely. Only an attempt in flight can be sent.
-    pub(crate) fn mark_sent(&mut self) {
-        debug_assert!(self.is_in_flight());
-        self.state = AttemptState::Sent;
-    }
-
-    /// It ended. Only an attempt in flight can end.
-    pub(crate) fn mark_ended(&mut self, may_have_run: bool) {
-        debug_assert!(self.is_in_flight());
-        self.state = AttemptState::Ended { may_have_run };
+    /// The attempt, for a transition; `None` once it has ended, for then there is none.
+    pub(crate) fn in_flight(&mut self) -> Option<InFlight<'_>> {
+        self.is_in_flight().then_some(InFlight(&mut self.state))
     }
 
     /// Whether it has not ended.
@@ -79,3 +65,18 @@
         matches!(self.state, AttemptState::Sent | AttemptState::Ended { may_have_run: true })
     }
 }
+
+/// An attempt that has not ended: the only kind that has transitions.
+pub(crate) struct InFlight<'a>(&'a mut AttemptState);
+
+impl InFlight<'_> {
+    /// The request has been written completely.
+    pub(crate) fn mark_sent(self) {
+        *self.0 = AttemptState::Sent;
+    }
+
+    /// It ended.
+    pub(crate) fn end(self, may_have_run: bool) {
+        *self.0 = AttemptState::Ended { may_have_run };
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,6 +1,6 @@
 //! The engine itself: its inputs, and the queues of events for the decision module and of commands for the drivers.
 
-use crate::attempt::{Attempt, AttemptId};
+use crate::attempt::{AttemptId, InFlight};
 use crate::command::Command;
 use crate::job::{Answer, ClientId, Job, JobRequest};
 use crate::stats::{JobEnd, JobStats};
@@ -160,7 +160,7 @@
     /// An attempt ended. Each one ends once: later calls for it do nothing.
     pub fn attempt_ended(&mut self, id: AttemptId, outcome: Outcome, report: Option<LoadReport>) {
         let Some(attempt) = self.attempt_in_flight(id) else { return };
-        attempt.mark_ended(!outcome.never_ran());
+        attempt.end(!outcome.never_ran());
         let Some(job) = self.jobs.get(&id.job) else { return };
         let job_answered = !job.is_pending();
         if job.request.reports_attempts {
@@ -269,7 +269,7 @@
         self.commands.push_back(Command::StartAttempt { id, worker, request, deadlines });
     }
 
-    fn attempt_in_flight(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+    fn attempt_in_flight(&mut self, id: AttemptId) -> Option<InFlight<'_>> {
         self.jobs.get_mut(&id.job)?.attempt_in_flight(id.attempt)
     }
 
@@ -298,10 +298,10 @@
 
     /// Ends a pending job; `None`: it is not pending.
     fn end_job(&mut self, id: JobId) -> Option<EndedJob> {
-        let job = self.jobs.get_mut(&id).filter(|job| job.is_pending())?;
-        job.mark_answered();
+        let job = self.jobs.get_mut(&id)?;
+        let client = job.take_client()?;
         self.pending -= 1;
-        Some(EndedJob { client: job.client, class: job.class })
+        Some(EndedJob { client, class: job.class })
     }
 
     /// An attempt of an ended job that has not been sent by now must not be sent later.
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -1,16 +1,27 @@
-//! One job's life.
+//! A job's life, from its submission until its last attempt has ended. This is the whole state machine: [`crate::attempt`]
+//! has the states of one attempt, and [`Engine`](crate::Engine) the inputs.
 //!
-//! | state | event | next |
-//! | --- | --- | --- |
-//! | (none) | a frontend submits it; the decision module queues it | `Pending` |
-//! | `Pending` | the decision module starts an attempt | `Pending`, with an attempt in flight |
-//! | `Pending` | an attempt is served, it is rejected or it fails | `Answered` |
-//! | `Pending` | its client disconnects | `Answered`, without an answer |
-//! | `Answered` | its last attempt in flight ends | forgotten |
+//! A job is pending until it is answered. Meanwhile, and after that, each of its attempts goes through its own states; a
+//! hedged job has several in flight. A pending job without one is queued: when it gets its next is for the decision module
+//! to say.
 //!
-//! An attempt's own states are in [`crate::attempt`].
+//! | state | input | next state | commands |
+//! | --- | --- | --- | --- |
+//! | (none) | `submit_job` | job pending | |
+//! | job pending | the decision module starts an attempt | attempt connecting | `StartAttempt` |
+//! | job pending | the same, but too late, or once too often | attempt ended, and never ran | |
+//! | attempt connecting | `attempt_sent` | attempt sent | |
+//! | attempt connecting or sent | `attempt_ended` | attempt ended | |
+//! | attempt connecting or sent | `attempt_served` | attempt ended; job answered | `Answer`, `WithdrawAttempt` of the others |
+//! | job pending | the decision module rejects or fails it; `fail_pending` | job answered | `Answer`, `WithdrawAttempt` |
+//! | job pending | `abandon_job` | job answered | `WithdrawAttempt`; nobody is left to answer |
+//! | job answered | the decision module starts an attempt | attempt ended, and never ran | |
+//! | job answered | its last attempt in flight has ended | forgotten | |
+//!
+//! No other order can be written: the client is kept in `Pending` and given away with it, so that there is one answer, and
+//! an attempt that has ended offers no transition. An input for what is gone does nothing.
 
-use crate::attempt::{Attempt, AttemptDeadlines};
+use crate::attempt::{Attempt, AttemptDeadlines, InFlight};
 use crate::stats::JobEnd;
 use brackenledge_policy::{Effect, Millis, NewJob};
 use std::rc::Rc;
@@ -73,17 +84,16 @@
 }
 
 /// Whether a job's client still waits.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum JobState {
-    /// It has no answer yet, and its client waits.
-    Pending,
-    /// It has its answer, or its client is gone.
+    /// This client waits for the answer.
+    Pending(ClientId),
+    /// The client has its answer, or is gone.
     Answered,
 }
 
 /// A job that the engine holds.
 pub(crate) struct Job {
-    pub(crate) client: ClientId,
     /// Its class's number in the settings.
     pub(crate) class: usize,
     pub(crate) request: Rc<Request>,
@@ -97,22 +107,24 @@
     pub(crate) fn new(now: Millis, client: ClientId, job: &NewJob, request: Request) -> Self {
         let earlier = job.prior_execution.iter().map(|prior| Attempt::of_earlier_scheduler(now - prior.age));
         Job {
-            client,
             class: job.class,
             request: Rc::new(request),
             deadline: now + job.time_left,
-            state: JobState::Pending,
+            state: JobState::Pending(client),
             attempts: earlier.collect(),
         }
     }
 
     pub(crate) fn is_pending(&self) -> bool {
-        self.state == JobState::Pending
+        matches!(self.state, JobState::Pending(_))
     }
 
-    /// Its client has its answer, or waits no more.
-    pub(crate) fn mark_answered(&mut self) {
-        self.state = JobState::Answered;
+    /// Ends the wait of its client, and returns that; `None`: it was not pending.
+    pub(crate) fn take_client(&mut self) -> Option<ClientId> {
+        match std::mem::replace(&mut self.state, JobState::Answered) {
+            JobState::Pending(client) => Some(client),
+            JobState::Answered => None,
+        }
     }
 
     /// Whether nothing more can happen to it.
@@ -139,8 +151,8 @@
     }
 
     /// An attempt that has not ended.
-    pub(crate) fn attempt_in_flight(&mut self, attempt: usize) -> Option<&mut Attempt> {
-        self.attempts.get_mut(attempt).filter(|attempt| attempt.is_in_flight())
+    pub(crate) fn attempt_in_flight(&mut self, attempt: usize) -> Option<InFlight<'_>> {
+        self.attempts.get_mut(attempt)?.in_flight()
     }
 
     /// The numbers of all attempts that have not ended.
