Engine: commands refer to the decision module's actions, attempts start typed

Seven commands are the decision module's actions handed on, and each was explained in both crates, as were the three ways in which a job ends in Answer, JobEnd and ClassStats. The engine's pages now refer to the one place, and say only what is the engine's own: which input a timer's or a health check's end comes back to. Starting an attempt returns a NewAttempt in place of a pair, and its rule names the reasons not to send one. No behaviour changes; the engine's tests pass unchanged, and rustdoc has no broken link.

--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -1,7 +1,11 @@
 //! What drivers carry out for the engine, in the order in which it is handed out.
+//!
+//! Some commands are the decision module's own actions, handed on as they are; [`Action`] says what they mean.
 
 use crate::attempt::{AttemptDeadlines, AttemptId};
 use crate::job::{Answer, ClientId, Request};
+#[cfg(doc)]
+use brackenledge_policy::Action;
 use brackenledge_policy::{JobId, Millis, WorkerId};
 use std::rc::Rc;
 
@@ -45,35 +49,35 @@
         /// It is known that the job never ran by it.
         never_ran: bool,
     },
-    /// Call [`Engine::handle_timeout`](crate::Engine::handle_timeout) after this time.
+    /// [`Action::SetTimer`]; [`Engine::handle_timeout`](crate::Engine::handle_timeout) is called when it expires.
     SetTimer {
-        /// How far from now, in milliseconds.
+        /// Time until it expires.
         after: Millis,
     },
-    /// Open a watch of the endpoint list, or end it.
+    /// [`Action::WatchEndpoints`].
     WatchEndpoints {
         /// Whether to watch.
         on: bool,
     },
-    /// Poll the complete endpoint list once.
+    /// [`Action::PollEndpoints`].
     PollEndpoints,
-    /// Ask a worker for its load report.
+    /// [`Action::HealthCheck`]; its end is told to [`Engine::health_check_ended`](crate::Engine::health_check_ended).
     HealthCheck {
         /// The worker.
         worker: WorkerId,
     },
-    /// Send a message to one scheduler or to all.
+    /// [`Action::SendMessage`].
     SendMessage {
         /// The receiver's number; `None`: all.
         to: Option<u32>,
-        /// At most 256 bytes.
+        /// The text.
         text: String,
     },
-    /// Close the idle connections to a worker.
+    /// [`Action::CloseIdleConnections`].
     CloseIdleConnections {
         /// The worker.
         worker: WorkerId,
     },
-    /// A message of the decision module for the log.
+    /// [`Action::Log`].
     Log(String),
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::{AttemptId, InFlight};
 use crate::command::Command;
-use crate::job::{Answer, ClientId, Job, JobRequest};
+use crate::job::{Answer, ClientId, Job, JobRequest, NewAttempt};
 use crate::stats::{JobEnd, JobStats};
 use brackenledge_policy::{
     Action, AttemptResult, Class, Dispatcher, Effect, Event, JobId, ListKind, LoadReport, Millis, NewJob,
@@ -254,15 +254,16 @@
         self.commands.push_back(command);
     }
 
-    /// Starts an attempt, or ends it at once as moot: its job is answered, its deadline has passed, or the job has had all
-    /// its attempts. Either way the decision module gets one response for it.
+    /// Starts an attempt, or ends it at once as never sent: its job is answered, it would be written too late, or the job
+    /// has had all its attempts. Either way the decision module gets one result for it.
     fn start_attempt(&mut self, now: Millis, id: JobId, worker: WorkerId, timeout: Option<Millis>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let (attempt, deadlines) = job.start_attempt(now, timeout, self.retry_windows[job.class]);
-        let is_moot = !job.is_pending() || now >= deadlines.write_deadline || attempt >= self.max_attempts;
+        let NewAttempt { number, deadlines } = job.start_attempt(now, timeout, self.retry_windows[job.class]);
+        let is_too_late = now >= deadlines.write_deadline;
+        let is_useless = !job.is_pending() || is_too_late || number >= self.max_attempts;
         let request = Rc::clone(&job.request);
-        let id = AttemptId { job: id, attempt };
-        if is_moot {
+        let id = AttemptId { job: id, attempt: number };
+        if is_useless {
             self.attempt_ended(id, Outcome::NeverSent, None);
             return;
         }
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -102,6 +102,13 @@
     attempts: Vec<Attempt>,
 }
 
+/// An attempt that has just been started.
+pub(crate) struct NewAttempt {
+    /// Its number within the job.
+    pub(crate) number: usize,
+    pub(crate) deadlines: AttemptDeadlines,
+}
+
 impl Job {
     /// A pending job. An attempt that another scheduler made counts as its first.
     pub(crate) fn new(now: Millis, client: ClientId, job: &NewJob, request: Request) -> Self {
@@ -132,22 +139,22 @@
         !self.is_pending() && !self.has_attempt_in_flight()
     }
 
-    /// Starts an attempt; its number and deadlines. Retries are written within `retry_window` of the first attempt that may
-    /// run the job. A `timeout` of 0 is none.
+    /// Starts an attempt. Retries are written within `retry_window` of the first attempt that may run the job. A `timeout`
+    /// of 0 is none.
     pub(crate) fn start_attempt(
         &mut self,
         now: Millis,
         timeout: Option<Millis>,
         retry_window: Millis,
-    ) -> (usize, AttemptDeadlines) {
-        let attempt = self.attempts.len();
+    ) -> NewAttempt {
         let window_end =
             self.first_possible_run().map_or(f64::INFINITY, |started_at| started_at + retry_window);
         let timeout = timeout.filter(|&timeout| timeout != 0.0);
         let response_deadline = timeout.map_or(self.deadline, |timeout| (now + timeout).min(self.deadline));
-        self.attempts.push(Attempt::start(now));
         let write_deadline = response_deadline.min(window_end);
-        (attempt, AttemptDeadlines { write_deadline, response_deadline })
+        let number = self.attempts.len();
+        self.attempts.push(Attempt::start(now));
+        NewAttempt { number, deadlines: AttemptDeadlines { write_deadline, response_deadline } }
     }
 
     /// An attempt that has not ended.
--- a/crates/engine/src/stats.rs
+++ b/crates/engine/src/stats.rs
@@ -6,11 +6,11 @@
 /// How one class's jobs ended since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ClassStats {
-    /// Answered with a worker's result.
+    /// [`JobEnd::Served`].
     pub served: u64,
-    /// Rejected: a retry by the client is harmless.
+    /// [`JobEnd::Rejected`].
     pub rejected: u64,
-    /// Failed: the job may have run or not.
+    /// [`JobEnd::Failed`].
     pub failed: u64,
 }
 
@@ -25,14 +25,14 @@
     pub sent_attempts: u64,
 }
 
-/// How an answered job ended.
+/// How an answered job ended: the kinds of an [`Answer`](crate::Answer).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobEnd {
-    /// With a worker's result.
+    /// [`Answer::Served`](crate::Answer::Served).
     Served,
-    /// Rejected.
+    /// [`Answer::Rejected`](crate::Answer::Rejected), by the decision module or at admission.
     Rejected,
-    /// Failed.
+    /// [`Answer::Failed`](crate::Answer::Failed).
     Failed,
 }
 
