--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -1,15 +1,20 @@
 //! `brackenledge-simulator`: plays experiments on whole fleets of schedulers on a virtual clock, and scenarios on a tier of
 //! processes on loopback.
 
-mod flows;
 mod members;
 mod tier;
+mod zone_plot;
+mod zone_sweep;
 
 use brackenledge_simulator::{Experiment, Window, run};
 use clap::{Parser, Subcommand};
+use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// The scheduler broke a rule, or a scenario fell short of its file.
+const EXIT_RULE_BROKEN: u8 = 2;
+
 /// Plays whole fleets of schedulers on a virtual clock, with the scheduler's own decisions.
 ///
 /// An experiment is a TOML file; experiments/ has examples, docs/simulator.md every key. Equal files and seeds give equal runs.
@@ -42,7 +47,7 @@
     Members(members::Options),
     /// Plays six zones in three regions as flows of work, a zone and a region lost, under several ways to send work
     /// elsewhere: a table by load, and a plot.
-    Zones(flows::Options),
+    Zones(zone_sweep::Options),
     /// Reads an experiment and tells what is wrong with it.
     Check {
         /// The experiment.
@@ -106,20 +111,25 @@
     Ok(broken.is_empty())
 }
 
-fn main() -> ExitCode {
-    let done = match Arguments::parse().command {
-        Command::Emulate { file, seed, json } => emulate(&file, seed, json),
-        Command::Members(options) => members::run(&options),
-        Command::Tier(options) => tier::play(&options),
-        Command::Zones(options) => flows::run(&options),
-        Command::Check { file } => read(&file).map(|_| {
+/// Executes a command; whether all that it judges passed.
+fn execute(command: Command) -> Result<bool, Box<dyn Error>> {
+    match command {
+        Command::Emulate { file, seed, json } => return Ok(emulate(&file, seed, json)?),
+        Command::Tier(options) => return Ok(tier::play(&options)?),
+        Command::Members(options) => members::run(&options)?,
+        Command::Zones(options) => zone_sweep::run(&options)?,
+        Command::Check { file } => {
+            read(&file)?;
             println!("{}: an experiment", file.display());
-            true
-        }),
-    };
-    match done {
+        }
+    }
+    Ok(true)
+}
+
+fn main() -> ExitCode {
+    match execute(Arguments::parse().command) {
         Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(2),
+        Ok(false) => ExitCode::from(EXIT_RULE_BROKEN),
         Err(error) => {
             eprintln!("brackenledge-simulator: {error}");
             ExitCode::FAILURE
