--- a/crates/simulator/src/experiment.rs
+++ b/crates/simulator/src/experiment.rs
@@ -72,7 +72,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", tag = "kind")]
 pub enum Fault {
-    /// A part of the workers restarts and is cold.
+    /// A part of the workers restarts and warms up.
     #[serde(rename_all = "kebab-case")]
     RestartWorkers {
         /// When.
--- a/crates/simulator/src/fleet.rs
+++ b/crates/simulator/src/fleet.rs
@@ -5,22 +5,22 @@
 //! that retry.
 
 mod checker;
-mod cold_workers;
 mod event_loop;
 mod scheduler;
 mod settings;
 #[cfg(test)]
 mod tests;
+mod warming_workers;
 mod workers;
 
 pub use self::checker::Violation;
-pub use self::cold_workers::ColdWorkerLoad;
 pub use self::settings::settings;
+pub use self::warming_workers::WarmingWorkerLoad;
 
 use self::checker::Checker;
-use self::cold_workers::ColdWorkers;
 use self::event_loop::FleetEvent;
 use self::scheduler::Scheduler;
+use self::warming_workers::WarmingWorkers;
 use self::workers::WorkerPool;
 use crate::baselines::Baseline;
 use crate::event_queue::EventQueue;
@@ -68,7 +68,7 @@
     /// The running schedulers by ordinal.
     schedulers: Vec<Option<Scheduler>>,
     workers: WorkerPool,
-    cold_workers: ColdWorkers,
+    warming_workers: WarmingWorkers,
     checker: Checker,
     statistics: FleetStatistics,
     key_count: u32,
@@ -95,7 +95,7 @@
             baseline: None,
             schedulers: (0..scheduler_count).map(|_| None).collect(),
             workers: WorkerPool::new(worker_count, slots, mean_run_time),
-            cold_workers: ColdWorkers::default(),
+            warming_workers: WarmingWorkers::default(),
             checker: Checker::new(settings.classes[0].deadline),
             statistics: FleetStatistics::default(),
             key_count,
@@ -179,9 +179,9 @@
         }
     }
 
-    /// Restarts the first so many workers, which are cold then.
+    /// Restarts the first so many workers, which then warm up.
     pub fn restart_workers(&mut self, count: usize) {
-        self.cold_workers = ColdWorkers::restarted(0..count, self.now);
+        self.warming_workers = WarmingWorkers::restarted(0..count, self.now);
         for scheduler in 0..self.schedulers.len() {
             let restarted = |id| WorkerEntry { started_at: Some(self.now), ..worker_entry(id) };
             let entries = (0..count).map(restarted).collect();
@@ -190,20 +190,20 @@
     }
 
     /// What the workers that were restarted last were sent since.
-    pub fn cold_worker_load(&self) -> ColdWorkerLoad {
-        self.cold_workers.load(&self.settings, self.workers.slots, self.workers.mean_run_time)
+    pub fn warming_worker_load(&self) -> WarmingWorkerLoad {
+        self.warming_workers.load(&self.settings, self.workers.slots, self.workers.mean_run_time)
     }
 
     /// Attempts that the workers that were restarted last were sent since.
-    pub fn cold_worker_attempts(&self) -> usize {
-        self.cold_workers.attempt_count()
+    pub fn warming_worker_attempts(&self) -> usize {
+        self.warming_workers.attempt_count()
     }
 
-    /// Notes a violation if a cold worker was overloaded.
-    pub fn check_cold_workers(&mut self) {
-        let load = self.cold_worker_load().max_load;
+    /// Notes a violation if a worker was overloaded while it was warming up.
+    pub fn check_warming_workers(&mut self) {
+        let load = self.warming_worker_load().max_load;
         if load >= self.settings.overload_multiple {
-            self.checker.violations.push(Violation::ColdWorkerOverloaded { load });
+            self.checker.violations.push(Violation::WarmingWorkerOverloaded { load });
         }
     }
 }
--- a/crates/simulator/src/fleet/checker.rs
+++ b/crates/simulator/src/fleet/checker.rs
@@ -40,8 +40,8 @@
         /// Its length.
         bytes: usize,
     },
-    /// A cold worker was sent too much.
-    ColdWorkerOverloaded {
+    /// A worker that was warming up was sent too much.
+    WarmingWorkerOverloaded {
         /// The work in the span of [`overload_duration`](brackenledge_policy::Settings::overload_duration), as a multiple of what
         /// the worker could do in it.
         load: f64,
@@ -57,8 +57,11 @@
             }
             Violation::NeverAnswered { at, job } => write!(text, "{at:.0} ms: job {job} was never answered"),
             Violation::MessageTooLong { at, bytes } => write!(text, "{at:.0} ms: a message of {bytes} bytes"),
-            Violation::ColdWorkerOverloaded { load } => {
-                write!(text, "a cold worker was sent {load:.2} times what it could do in a span")
+            Violation::WarmingWorkerOverloaded { load } => {
+                write!(
+                    text,
+                    "a worker that was warming up was sent {load:.2} times what it could do in a span"
+                )
             }
         }
     }
--- a/crates/simulator/src/fleet/event_loop.rs
+++ b/crates/simulator/src/fleet/event_loop.rs
@@ -73,7 +73,7 @@
 
     fn send_attempt(&mut self, scheduler: usize, job: JobId, worker: WorkerId) {
         self.statistics.attempts += 1;
-        self.cold_workers.attempt_sent(self.now, worker);
+        self.warming_workers.attempt_sent(self.now, worker);
         let number = self.failed_attempts.get(&(scheduler, job)).copied().unwrap_or(0);
         let attempt = Attempt { scheduler, job, number };
         if self.workers.submit(self.now, worker, attempt) {
@@ -102,7 +102,7 @@
 
     fn start_attempt(&mut self, worker: WorkerId, attempt: Attempt) {
         let key = self.job_keys[&attempt.job];
-        let capacity = self.cold_workers.capacity_fraction(&self.settings, self.now, worker);
+        let capacity = self.warming_workers.capacity_fraction(&self.settings, self.now, worker);
         let run_time = self.workers.run_time(worker, key, capacity, &mut self.rng);
         self.schedule_after(run_time, FleetEvent::AttemptEnd { worker, attempt });
         let started = Event::JobStarted { job: attempt.job, attempt: attempt.number };
--- a/crates/simulator/src/fleet/tests.rs
+++ b/crates/simulator/src/fleet/tests.rs
@@ -25,23 +25,26 @@
     assert!(violations.iter().zip(rules).all(|(violation, rule)| violation.ends_with(rule)));
     // Forty jobs at once are more than a worker that has just started may get in a span.
     fleet.restart_workers(1);
-    (0..40).for_each(|_| fleet.cold_workers.attempt_sent(fleet.now, 0));
-    assert!(fleet.cold_worker_load().max_load > fleet.settings.overload_multiple);
+    (0..40).for_each(|_| fleet.warming_workers.attempt_sent(fleet.now, 0));
+    assert!(fleet.warming_worker_load().max_load > fleet.settings.overload_multiple);
 }
 
 #[test]
-fn a_message_over_the_limit_and_an_overloaded_cold_worker_are_violations() {
+fn a_message_over_the_limit_and_an_overloaded_warming_worker_are_violations() {
     let config = FleetConfig { worker_count: 4, slots: 3, mean_run_time: 300.0, key_count: 10, seed: 1 };
     let mut fleet = Fleet::new(Settings { schedulers: 2, ..settings() }, config);
     let now = fleet.now;
     fleet.send_message(0, Some(1), &"x".repeat(256));
-    fleet.check_cold_workers();
+    fleet.check_warming_workers();
     assert_eq!(fleet.violations(), []);
     fleet.send_message(0, Some(1), &"x".repeat(257));
     fleet.restart_workers(1);
-    (0..40).for_each(|_| fleet.cold_workers.attempt_sent(now, 0));
-    fleet.check_cold_workers();
-    let [message, cold_worker] = fleet.violations() else { panic!("{:?}", fleet.violations()) };
+    (0..40).for_each(|_| fleet.warming_workers.attempt_sent(now, 0));
+    fleet.check_warming_workers();
+    let [message, warming_worker] = fleet.violations() else { panic!("{:?}", fleet.violations()) };
     assert_eq!(*message, Violation::MessageTooLong { at: now, bytes: 257 });
-    assert!(matches!(*cold_worker, Violation::ColdWorkerOverloaded { load } if load > 3.0), "{cold_worker}");
+    assert!(
+        matches!(*warming_worker, Violation::WarmingWorkerOverloaded { load } if load > 3.0),
+        "{warming_worker}"
+    );
 }
--- a/crates/simulator/src/fleet/cold_workers.rs
+++ b/crates/simulator/src/fleet/warming_workers.rs
@@ -3,14 +3,14 @@
 use brackenledge_policy::{Millis, Settings, WorkerId};
 use std::ops::Range;
 
-struct ColdAttempt {
+struct WarmingAttempt {
     at: Millis,
     worker: WorkerId,
 }
 
 /// What the workers that were restarted last were sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ColdWorkerLoad {
+pub struct WarmingWorkerLoad {
     /// The most work that one of them was sent within a span, as a multiple of what it could do in it.
     pub max_load: f64,
     /// How many of them were sent any.
@@ -19,20 +19,20 @@
 
 /// The workers that were restarted last.
 #[derive(Default)]
-pub(super) struct ColdWorkers {
+pub(super) struct WarmingWorkers {
     workers: Range<WorkerId>,
     restarted_at: Millis,
-    attempts: Vec<ColdAttempt>,
+    attempts: Vec<WarmingAttempt>,
 }
 
-impl ColdWorkers {
-    pub fn restarted(workers: Range<WorkerId>, now: Millis) -> ColdWorkers {
-        ColdWorkers { workers, restarted_at: now, attempts: Vec::new() }
+impl WarmingWorkers {
+    pub fn restarted(workers: Range<WorkerId>, now: Millis) -> WarmingWorkers {
+        WarmingWorkers { workers, restarted_at: now, attempts: Vec::new() }
     }
 
     pub fn attempt_sent(&mut self, now: Millis, worker: WorkerId) {
         if self.workers.contains(&worker) {
-            self.attempts.push(ColdAttempt { at: now, worker });
+            self.attempts.push(WarmingAttempt { at: now, worker });
         }
     }
 
@@ -52,8 +52,8 @@
     }
 
     /// What they were sent, in any span of the settings' overload duration that begins with an attempt.
-    pub fn load(&self, settings: &Settings, slots: usize, mean_run_time: Millis) -> ColdWorkerLoad {
-        let mut load = ColdWorkerLoad::default();
+    pub fn load(&self, settings: &Settings, slots: usize, mean_run_time: Millis) -> WarmingWorkerLoad {
+        let mut load = WarmingWorkerLoad::default();
         for worker in self.workers.clone() {
             let attempts = self.attempts.iter().filter(|attempt| attempt.worker == worker);
             let times: Vec<Millis> = attempts.map(|attempt| attempt.at).collect();
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -19,6 +19,6 @@
 pub use baselines::Baseline;
 pub use error::{ExperimentError, InvalidValue, SimulatorError};
 pub use experiment::{Experiment, Fault, FleetSize, Network, Traffic};
-pub use fleet::{ColdWorkerLoad, Fleet, FleetConfig, Violation, settings};
+pub use fleet::{Fleet, FleetConfig, Violation, WarmingWorkerLoad, settings};
 pub use run::{RunResult, run};
 pub use statistics::{Broadcast, FleetStatistics, Window};
--- a/crates/simulator/src/members.rs
+++ b/crates/simulator/src/members.rs
@@ -44,7 +44,7 @@
     }
 }
 
-/// Plays all that was asked for and prints a table.
+/// Runs all scenarios that were asked for and prints a table.
 pub fn run(options: &Options) -> Result<(), SimulatorError> {
     options.validate()?;
     println!("{HEADING}");
--- a/crates/simulator/src/membership.rs
+++ b/crates/simulator/src/membership.rs
@@ -58,7 +58,7 @@
 }
 
 impl MembershipScenario {
-    /// Plays the scenario.
+    /// Runs the scenario.
     pub fn run(&self) -> MembershipResult {
         let mut world = World::new(self);
         (0..self.scheduler_count).for_each(|scheduler| world.start(scheduler));
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -34,7 +34,7 @@
         fleet.run_for(WINDOW_LENGTH);
         windows.push(Window::new(second, &fleet.take_statistics(), experiment.traffic.run_ms));
     }
-    fleet.check_cold_workers();
+    fleet.check_warming_workers();
     RunResult { windows, violations: fleet.violations().to_vec() }
 }
 
--- a/crates/simulator/src/zone_sweep.rs
+++ b/crates/simulator/src/zone_sweep.rs
@@ -18,7 +18,7 @@
 const HEADING: &str = "| load | strategy | served | crossed | worst zone | untouched zones | cascades | severe overloads | plans |\n\
                        | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 
-/// Plays each load under each strategy and prints a table.
+/// Runs each load under each strategy and prints a table.
 pub fn run(options: &Options) -> Result<(), SimulatorError> {
     println!("{HEADING}");
     let mut curves = Strategy::ALL.map(|strategy| Curve { name: strategy.name(), points: Vec::new() });
--- a/crates/simulator/src/zones.rs
+++ b/crates/simulator/src/zones.rs
@@ -1,5 +1,5 @@
 //! Zones as fluid flows of work, to compare routing strategies at sizes that sockets don't reach: a zone and then a
-//! region lose their workers and get them back cold.
+//! region lose their workers and get them back warming up.
 //!
 //! What it leaves out: single jobs and workers. A zone does what its slots can; work beyond that is queued, is lost once
 //! it has waited for its deadline, and a long queue makes the zone slower, as crowded workers are.
@@ -46,7 +46,7 @@
     pub zone: usize,
     /// When its workers are lost.
     pub from: u64,
-    /// When they are back, cold.
+    /// When they are back, warming up.
     pub until: u64,
 }
 
@@ -90,8 +90,8 @@
 const STEP: u64 = 100;
 /// Delay until schedulers notice that a zone is lost, or back.
 const DETECTION_DELAY: u64 = 2_000;
-/// Workers that have just started do this part of their work, and all of it after the warm-up time.
-const COLD_CAPACITY: f64 = 0.3;
+/// Workers that have just started have this part of their capacity, and all of it after the warm-up time in milliseconds.
+const INITIAL_CAPACITY_FRACTION: f64 = 0.3;
 const WARM_UP_TIME: f64 = 8_600.0;
 
 impl FlowScenario {
@@ -150,7 +150,7 @@
         }
         let restarted = outages().map(|outage| outage.until).filter(|&until| until <= now).max();
         let warmth = restarted.map_or(1.0, |at| ((now - at) as f64 / WARM_UP_TIME).min(1.0));
-        self.zone_slots() * (COLD_CAPACITY + (1.0 - COLD_CAPACITY) * warmth)
+        self.zone_slots() * (INITIAL_CAPACITY_FRACTION + (1.0 - INITIAL_CAPACITY_FRACTION) * warmth)
     }
 
     /// What a zone's clients ask for, in slots: some zones have more clients.
--- a/crates/simulator/src/zones/queues.rs
+++ b/crates/simulator/src/zones/queues.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Plays one step; the work that arrived at each zone, in slots.
+    /// Advances by one step; the work that arrived at each zone, in slots.
     pub fn step(&mut self, shares: &[Vec<f64>], capacity: &[f64]) -> Vec<f64> {
         let zone_count = self.demand.len();
         let arrivals_at =
--- a/crates/simulator/tests/experiment.rs
+++ b/crates/simulator/tests/experiment.rs
@@ -1,4 +1,4 @@
-//! Experiment files: what is wrong in them is named, and what is right plays the same each time.
+//! Experiment files: what is wrong in them is named, and what is right runs the same each time.
 #![allow(missing_docs)]
 
 use brackenledge_simulator::{Baseline, Experiment, run};
--- a/crates/simulator/tests/fleet.rs
+++ b/crates/simulator/tests/fleet.rs
@@ -43,7 +43,7 @@
         let messages = fleet.statistics().messages as f64 / fleet.statistics().attempts as f64;
         println!("{schedulers} x {workers}, {loss} | {queue_time:.2} | {messages:.2}");
         assert!(queue_time < 1.0, "{schedulers} schedulers: jobs waited {queue_time} running times");
-        // Two for a job, one of each scheduler from time to time, and the sums.
+        // Two for a job, one of each scheduler from time to time, and the aggregated loads.
         assert!(messages < 4.0 + schedulers as f64 / 100.0, "{schedulers} schedulers: {messages} a job");
     }
 }
@@ -52,7 +52,7 @@
 fn a_killed_aggregator_is_replaced_by_one_other_within_two_seconds() {
     let mut fleet = fleet(100, 60, 1_000.0, 9);
     fleet.run_for(4_000.0);
-    let aggregator = fleet.statistics().broadcasts.last().expect("sums were sent").scheduler;
+    let aggregator = fleet.statistics().broadcasts.last().expect("an aggregator").scheduler;
     // Most of the others are killed with it, as in a release.
     for number in 0..100 {
         if number == aggregator || number % 3 != 1 {
@@ -62,7 +62,7 @@
     let killed_at = fleet.now();
     fleet.take_statistics();
     fleet.run_for(2_000.0);
-    let first = fleet.statistics().broadcasts.first().expect("another one sends sums").at - killed_at;
+    let first = fleet.statistics().broadcasts.first().expect("another aggregator").at - killed_at;
     assert!(first < 1_500.0, "after {first} ms");
     fleet.restart_killed();
     fleet.run_for(2_000.0);
@@ -133,22 +133,22 @@
     ] {
         let mut fleet = fleet(schedulers, workers, span, 11);
         fleet.run_for(4_000.0);
-        let cold = workers * 6 / 10;
-        fleet.restart_workers(cold);
+        let restarted = workers * 6 / 10;
+        fleet.restart_workers(restarted);
         fleet.arrival_rate *= load;
         fleet.take_statistics();
         fleet.run_for(2_000.0);
-        let part = fleet.cold_worker_attempts() as f64 / fleet.statistics().attempts as f64;
+        let part = fleet.warming_worker_attempts() as f64 / fleet.statistics().attempts as f64;
         fleet.run_for(4_000.0);
-        let cold_load = fleet.cold_worker_load();
-        let (worst, used) = (cold_load.max_load, cold_load.workers_used);
+        let warming_load = fleet.warming_worker_load();
+        let (worst, used) = (warming_load.max_load, warming_load.workers_used);
         println!(
-            "{schedulers} x {workers}, load {load}, span {span} | {worst:.2} times what it can do in a span | {part:.2} | {used} of {cold} used"
+            "{schedulers} x {workers}, load {load}, span {span} | {worst:.2} times what it can do in a span | {part:.2} | {used} of {restarted} used"
         );
         assert!(worst < fleet.settings.overload_multiple, "{schedulers}: {worst} times what it can do");
         // When each scheduler had a share by its own work, a large fleet sent them nothing for seconds.
         assert!(part >= least, "{schedulers}: {part} of the work in the first 2 s");
-        assert!(used * 10 >= cold * 9, "{schedulers}: {used} of {cold} used");
+        assert!(used * 10 >= restarted * 9, "{schedulers}: {used} of {restarted} used");
         assert_eq!(fleet.violations(), []);
     }
 }
