Engine's tests share one engine on a virtual clock

Cause: both files of random runs built an engine, gave it its workers and kept its timer by themselves. Change: tests/common becomes tests/support, whose ClockedEngine does that once and submits jobs at its own time; what the drivers expect and check is unchanged.

--- a/crates/engine/tests/job_completion.rs
+++ b/crates/engine/tests/job_completion.rs
@@ -1,12 +1,12 @@
 //! Random orders of everything that can end: each job ends exactly once, and no attempt of it is sent after that.
 #![allow(missing_docs)]
 
-mod common;
+mod support;
 
-use brackenledge_engine::{Answer, AttemptDeadlines, AttemptId, Command, Engine};
-use brackenledge_policy::{Class, Effect, JobId, ListKind, Outcome, Settings};
-use common::{job_request, workers};
+use brackenledge_engine::{Answer, AttemptDeadlines, AttemptId, Command};
+use brackenledge_policy::{Class, Effect, JobId, Outcome, Settings};
 use std::collections::{BTreeMap, BTreeSet};
+use support::{ClockedEngine, job_request};
 
 const EFFECTS: [Effect; 3] = [Effect::Repeatable, Effect::NonIdempotent, Effect::Idempotent];
 /// How long workers drop retries of an idempotent job.
@@ -40,10 +40,8 @@
 
 /// The engine with everything around it, and what the test expects of it.
 struct Driver {
-    engine: Engine,
+    clocked: ClockedEngine,
     seed: u64,
-    now: f64,
-    timeout_at: f64,
     class: BTreeMap<JobId, usize>,
     /// Jobs without an answer whose clients wait.
     pending: BTreeSet<JobId>,
@@ -71,13 +69,9 @@
             starts_in_order: true,
             ..Settings::default()
         };
-        let mut engine = Engine::new(0.0, settings, seed);
-        engine.update_workers(ListKind::Full, workers());
         Driver {
-            engine,
+            clocked: ClockedEngine::new(0.0, settings, seed),
             seed,
-            now: 0.0,
-            timeout_at: f64::INFINITY,
             class: BTreeMap::new(),
             pending: BTreeSet::new(),
             in_flight: BTreeMap::new(),
@@ -89,7 +83,7 @@
 
     fn submit(&mut self, client: usize, class: usize, time_left: f64) {
         let submitted = job_request(client, class, EFFECTS[class], None, time_left);
-        let job = self.engine.submit_job(self.now, submitted).expect("ids are new");
+        let job = self.clocked.submit_job(submitted);
         self.class.insert(job, class);
         self.pending.insert(job);
     }
@@ -106,15 +100,15 @@
             }
         }
         match outcome {
-            Outcome::Served => self.engine.attempt_served(id, "ok".into(), None),
-            other => self.engine.attempt_ended(id, other, None),
+            Outcome::Served => self.clocked.engine.attempt_served(id, "ok".into(), None),
+            other => self.clocked.engine.attempt_ended(id, other, None),
         }
     }
 
     /// The last byte of an attempt is sent, unless its write deadline has passed.
     fn send(&mut self, id: AttemptId) {
         let seed = self.seed;
-        if self.now >= self.in_flight[&id].deadlines.write_deadline {
+        if self.clocked.now >= self.in_flight[&id].deadlines.write_deadline {
             self.counts.expired += 1;
             return self.end(id, Outcome::NeverSent);
         }
@@ -125,25 +119,25 @@
             *possible_runs == 1 || EFFECTS[self.class[&id.job]] != Effect::NonIdempotent,
             "seed {seed}: {id:?} is a second execution of a job that is not idempotent"
         );
-        let since = *self.first_sent_at.entry(id.job).or_insert(self.now);
+        let since = *self.first_sent_at.entry(id.job).or_insert(self.clocked.now);
         assert!(
-            EFFECTS[self.class[&id.job]] != Effect::Idempotent || self.now < since + RETRY_WINDOW,
+            EFFECTS[self.class[&id.job]] != Effect::Idempotent || self.clocked.now < since + RETRY_WINDOW,
             "seed {seed}: {id:?} is sent after its retry window"
         );
         self.in_flight.get_mut(&id).expect("it is in flight").sent = true;
-        self.engine.attempt_sent(id);
+        self.clocked.engine.attempt_sent(id);
     }
 
     fn abandon(&mut self, job: JobId) {
         self.pending.remove(&job);
         self.counts.abandoned += 1;
-        self.engine.abandon_job(job);
+        self.clocked.engine.abandon_job(job);
     }
 
     /// Ends the attempts whose response is overdue.
     fn time_out_attempts(&mut self) {
         let attempts = self.in_flight.iter();
-        let overdue = attempts.filter(|(_, attempt)| self.now >= attempt.deadlines.response_deadline);
+        let overdue = attempts.filter(|(_, attempt)| self.clocked.now >= attempt.deadlines.response_deadline);
         let ids: Vec<AttemptId> = overdue.map(|(&id, _)| id).collect();
         ids.into_iter().for_each(|id| self.end(id, Outcome::Timeout));
     }
@@ -151,25 +145,26 @@
     /// The process ends: every pending job is answered at once, and attempts in flight end in any order.
     fn shut_down(&mut self) {
         let seed = self.seed;
-        self.engine.fail_pending(None);
+        self.clocked.engine.fail_pending(None);
         self.execute_commands();
         assert!(self.pending.is_empty(), "seed {seed}: {:?} are pending still", self.pending);
         while let Some(&id) = self.in_flight.keys().next() {
             self.end(id, Outcome::Served);
             self.execute_commands();
         }
-        assert_eq!((self.engine.pending_jobs(), self.engine.open_jobs()), (0, 0), "seed {seed}");
+        assert_eq!(
+            (self.clocked.engine.pending_jobs(), self.clocked.engine.open_jobs()),
+            (0, 0),
+            "seed {seed}"
+        );
         let ended = self.counts.answers + self.counts.abandoned;
         assert_eq!(ended, self.class.len(), "seed {seed}: each job ends once");
     }
 
     fn execute_commands(&mut self) {
-        if self.now >= self.timeout_at {
-            self.timeout_at = f64::INFINITY;
-            self.engine.handle_timeout();
-        }
+        self.clocked.handle_due_timeout();
         let seed = self.seed;
-        while let Some(command) = self.engine.poll_command(self.now) {
+        while let Some(command) = self.clocked.poll_command() {
             match command {
                 Command::Answer { job, answer, .. } => {
                     self.counts.answers += 1;
@@ -195,11 +190,10 @@
                     self.counts.withdrawn += 1;
                     self.end(id, Outcome::NeverSent);
                 }
-                Command::SetTimer { after } => self.timeout_at = self.timeout_at.min(self.now + after),
                 _ => {}
             }
         }
-        assert_eq!(self.engine.pending_jobs(), self.pending.len(), "seed {seed}");
+        assert_eq!(self.clocked.engine.pending_jobs(), self.pending.len(), "seed {seed}");
     }
 }
 
@@ -218,7 +212,9 @@
                 driver.send(id);
             }
         }
-        8 if !in_flight.is_empty() => driver.engine.attempt_started(in_flight[rng.usize(0..in_flight.len())]),
+        8 if !in_flight.is_empty() => {
+            driver.clocked.engine.attempt_started(in_flight[rng.usize(0..in_flight.len())])
+        }
         9.. if !in_flight.is_empty() => {
             let ends =
                 [Outcome::Served, Outcome::Served, Outcome::Full, Outcome::WorkerError, Outcome::Reset];
@@ -233,7 +229,7 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut driver = Driver::new(seed, seed.is_multiple_of(2));
     for client in 0..2_000 {
-        driver.now += rng.f64() * 15.0;
+        driver.clocked.now += rng.f64() * 15.0;
         driver.time_out_attempts();
         step(&mut driver, &mut rng, client);
         driver.execute_commands();
--- a/crates/engine/tests/job_stats.rs
+++ b/crates/engine/tests/job_stats.rs
@@ -2,12 +2,12 @@
 //! the engine on a virtual clock. Every answer that the engine commands is counted; the statistics must say the same.
 #![allow(missing_docs)]
 
-mod common;
+mod support;
 
-use brackenledge_engine::{Answer, AttemptId, Command, Engine};
-use brackenledge_policy::{Class, Effect, JobId, ListKind, Outcome, Settings};
-use common::{job_request, workers};
+use brackenledge_engine::{Answer, AttemptId, Command};
+use brackenledge_policy::{Class, Effect, JobId, Outcome, Settings};
 use std::collections::BTreeMap;
+use support::{ClockedEngine, job_request};
 
 const CLASSES: usize = 3;
 const STEPS: usize = 3_000;
@@ -33,33 +33,26 @@
 struct Driver {
     seed: u64,
     rng: fastrand::Rng,
-    now: f64,
-    engine: Engine,
+    clocked: ClockedEngine,
     expected: ExpectedStats,
     in_flight: Vec<AttemptId>,
-    timeout_at: f64,
     last_client: usize,
 }
 
 impl Driver {
     fn new(seed: u64) -> Driver {
-        let now = 1_000_000.0;
-        let mut engine = Engine::new(now, settings(), seed);
-        engine.update_workers(ListKind::Full, workers());
         Driver {
             seed,
             rng: fastrand::Rng::with_seed(seed),
-            now,
-            engine,
+            clocked: ClockedEngine::new(1_000_000.0, settings(), seed),
             expected: ExpectedStats::default(),
             in_flight: Vec::new(),
-            timeout_at: f64::INFINITY,
             last_client: 0,
         }
     }
 
     fn step(&mut self) {
-        self.now += self.rng.f64() * 20.0;
+        self.clocked.now += self.rng.f64() * 20.0;
         match self.rng.u32(0..10) {
             0..=3 => self.submit_job(),
             4 => self.reject_at_admission(),
@@ -67,11 +60,8 @@
             _ if !self.in_flight.is_empty() => self.end_some_attempt(),
             _ => {}
         }
-        if self.now >= self.timeout_at {
-            self.timeout_at = f64::INFINITY;
-            self.engine.handle_timeout();
-        }
-        while let Some(command) = self.engine.poll_command(self.now) {
+        self.clocked.handle_due_timeout();
+        while let Some(command) = self.clocked.poll_command() {
             self.execute(command);
         }
         self.check();
@@ -83,14 +73,14 @@
         let key = Some(format!("k{}", self.rng.u32(0..20)));
         let time_left = 200.0 + self.rng.f64() * 2_000.0;
         let submitted = job_request(self.last_client, class, Effect::Repeatable, key, time_left);
-        let job = self.engine.submit_job(self.now, submitted).expect("ids are new");
+        let job = self.clocked.submit_job(submitted);
         self.expected.class.insert(job, class);
     }
 
     /// A frontend rejects a job before the engine sees it.
     fn reject_at_admission(&mut self) {
         let class = self.rng.usize(0..CLASSES);
-        self.engine.rejected_at_admission(class);
+        self.clocked.engine.rejected_at_admission(class);
         self.expected.rejected_at_admission[class] += 1;
     }
 
@@ -105,7 +95,7 @@
         let job = open[self.rng.usize(0..open.len())];
         if !self.expected.abandoned.contains(&job) {
             self.expected.abandoned.push(job);
-            self.engine.abandon_job(job);
+            self.clocked.engine.abandon_job(job);
         }
     }
 
@@ -113,15 +103,15 @@
         let id = self.in_flight.swap_remove(self.rng.usize(0..self.in_flight.len()));
         let sent = self.rng.u32(0..10) > 0;
         if sent {
-            self.engine.attempt_sent(id);
+            self.clocked.engine.attempt_sent(id);
             self.expected.sent += 1;
         }
         match (sent, self.rng.u32(0..6)) {
-            (false, _) => self.engine.attempt_ended(id, Outcome::ConnectFailed, None),
-            (true, 0) => self.engine.attempt_ended(id, Outcome::WorkerError, None),
-            (true, 1) => self.engine.attempt_ended(id, Outcome::Reset, None),
-            (true, 2) => self.engine.attempt_ended(id, Outcome::Full, None),
-            _ => self.engine.attempt_served(id, "ok".into(), None),
+            (false, _) => self.clocked.engine.attempt_ended(id, Outcome::ConnectFailed, None),
+            (true, 0) => self.clocked.engine.attempt_ended(id, Outcome::WorkerError, None),
+            (true, 1) => self.clocked.engine.attempt_ended(id, Outcome::Reset, None),
+            (true, 2) => self.clocked.engine.attempt_ended(id, Outcome::Full, None),
+            _ => self.clocked.engine.attempt_served(id, "ok".into(), None),
         }
     }
 
@@ -132,10 +122,9 @@
             Command::CancelAttempt { id } => {
                 if let Some(at) = self.in_flight.iter().position(|&attempt| attempt == id) {
                     self.in_flight.swap_remove(at);
-                    self.engine.attempt_ended(id, Outcome::Cancelled, None);
+                    self.clocked.engine.attempt_ended(id, Outcome::Cancelled, None);
                 }
             }
-            Command::SetTimer { after } => self.timeout_at = self.timeout_at.min(self.now + after),
             _ => {}
         }
     }
@@ -159,7 +148,7 @@
     /// The statistics agree with the count.
     fn check(&self) {
         let Driver { seed, expected, .. } = self;
-        let stats = self.engine.stats();
+        let stats = self.clocked.engine.stats();
         for class in 0..CLASSES {
             let counted = stats.classes[class];
             let [served, rejected, failed] = expected.ends[class];
@@ -173,7 +162,7 @@
         }
         assert_eq!(stats.sent_attempts, expected.sent, "seed {seed}: sent attempts");
         let open = expected.class.len() - expected.answered.len() - expected.abandoned.len();
-        assert_eq!(self.engine.pending_jobs(), open, "seed {seed}: pending jobs");
+        assert_eq!(self.clocked.engine.pending_jobs(), open, "seed {seed}: pending jobs");
     }
 
     /// Each way of ending has occurred.
