--- a/crates/discovery/examples/discovery_load.rs
+++ b/crates/discovery/examples/discovery_load.rs
@@ -3,7 +3,7 @@
 //! --example discovery_load`.
 #![allow(missing_docs)]
 
-#[path = "../tests/common/simulated_discovery.rs"]
+#[path = "../tests/support/simulated_discovery/mod.rs"]
 mod simulated_discovery;
 
 use brackenledge_discovery::{Command, EndpointRecord, RequestEnd, RequestId, RequestKind};
--- a/crates/discovery/tests/connection_faults.rs
+++ b/crates/discovery/tests/connection_faults.rs
@@ -1,20 +1,17 @@
 //! The endpoint directory and faults of its connection to discovery, on a virtual clock.
 #![allow(missing_docs)]
 
-#[path = "common/scenarios.rs"]
-mod scenarios;
-#[path = "common/simulated_discovery.rs"]
-mod simulated_discovery;
+mod support;
 
 use brackenledge_discovery::{DiscoverySettings, EndpointDirectory};
 use brackenledge_policy::Readiness;
-use scenarios::{is_ready, settled, time_until_not_ready};
-use simulated_discovery::{Fault, MAX_LIST_AGE, World, directory, endpoint};
+use support::scenarios::{is_ready, settled, time_until_not_ready};
+use support::simulated_discovery::{Fault, MAX_LIST_AGE, World, directory, endpoint};
 
 /// One fault of the only scheduler's connection, a drain during it, and by when that must be known. The bounds are the
 /// time that the fault itself takes, one request to discovery (290 ms), and the time until the watch is late.
 #[test]
-fn a_drain_is_known_soon_whatever_is_wrong_with_the_connection() {
+fn a_drain_is_known_soon_under_every_fault_of_the_connection() {
     for (fault, lasts, within) in [
         (Fault::None, 0.0, 125.0),
         // The connection breaks within an update: the watch is opened again at once.
@@ -42,7 +39,7 @@
     }
 }
 
-/// What goes wrong with the connection in the sweep below.
+/// A fault of the connection in the sweep below.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum ConnectionFault {
     /// The open watch is silent from now on; new requests work.
@@ -61,91 +58,100 @@
     Moved,
 }
 
-/// One scheduler of a tier of this size has faults, during each of which an endpoint begins to drain. Its requests are
-/// paid from its part of what discovery handles for all, so that the last fault of a row finds no tokens saved up.
+impl ConnectionFault {
+    /// By when a drain that begins in it counts as received, and what is needed to act on it.
+    fn max_time_until_known(self) -> f64 {
+        match self {
+            // The last byte came up to a keep-alive interval ago.
+            Self::Silence | Self::MidLine | Self::SilentFromTheFirst => 6_000.0,
+            Self::Moved => 4_000.0,
+            Self::Reset => MAX_LIST_AGE,
+            // After a failed request the list holds for four times `ask-within`; half of that, and the request.
+            Self::Refused => 2.0 * MAX_LIST_AGE + 1_000.0,
+            Self::Outage(seconds) => 1_000.0 * f64::from(seconds + 1) + 2.0 * MAX_LIST_AGE,
+        }
+    }
+
+    /// Lets it begin and end at the world's only scheduler.
+    fn occur(self, world: &mut World<EndpointDirectory>) {
+        let since = world.now;
+        match self {
+            Self::Silence => world.set_fault(0, Fault::BlackHole),
+            Self::SilentFromTheFirst => {
+                world.set_fault(0, Fault::RefuseConnections);
+                world.run_until(since + 2.0);
+                world.set_fault(0, Fault::OneWay);
+                world.run_until(since + 500.0);
+            }
+            Self::MidLine => {
+                world.set_fault(0, Fault::StallMidUpdate);
+                world.change(endpoint("b", Readiness::Ready));
+                world.run_until(since + 140.0);
+            }
+            Self::Reset => {
+                world.set_fault(0, Fault::RefuseConnections);
+                world.run_until(since + 2.0);
+            }
+            Self::Refused => {
+                world.set_fault(0, Fault::RefuseConnections);
+                world.run_until(since + 200.0);
+            }
+            Self::Outage(seconds) => {
+                world.set_down(true);
+                world.run_until(since + 1_000.0 * f64::from(seconds));
+                world.set_down(false);
+            }
+            Self::Moved => {
+                world.with_node(0, |node, now| node.handle_address_change(now));
+                world.set_fault(0, Fault::BlackHole);
+            }
+        }
+        world.set_fault(0, Fault::None);
+    }
+}
+
+/// One scheduler of a cluster of this size has four faults, during each of which an endpoint begins to drain.
+fn assert_drains_are_known_in_time(count: u32, first: ConnectionFault, second: ConnectionFault) {
+    let mut world = World::new(vec![directory(0.0, 0, count, false)], 7);
+    world.change(endpoint("a", Readiness::Ready));
+    world.change(endpoint("b", Readiness::Ready));
+    world.start();
+    world.run_until(6_000.0);
+    for (round, fault) in [first, second, first, second].into_iter().enumerate() {
+        let name = format!("s{round}");
+        world.change(endpoint(&name, Readiness::Ready));
+        world.run_until(world.now + 3_000.0);
+        let known = is_ready(&world.nodes[0], &name);
+        assert!(known, "{count}: {first:?} {second:?} round {round}: no watch works");
+        let since = world.now;
+        fault.occur(&mut world);
+        world.change(endpoint(&name, Readiness::Draining));
+        while is_ready(&world.nodes[0], &name) {
+            let took = world.now - since;
+            let limit = fault.max_time_until_known();
+            assert!(took < limit, "{count}: {first:?} {second:?} round {round}: {took} ms");
+            world.run_until(world.now + 10.0);
+        }
+    }
+    // What it costs: no more than its part of what discovery handles, and one request for each fault.
+    let opened = world.nodes[0].counts().requests as f64;
+    let part = (4.0 / f64::from(count)).clamp(0.05, 1.0);
+    let limit = 5.0 + part * world.now / 1_000.0 + 4.0 * 6.0;
+    assert!(opened <= limit, "{count}: {first:?} {second:?}: {opened} requests in {} ms", world.now);
+}
+
+/// Requests are paid from the scheduler's part of what discovery handles for all, so that the last fault of a row finds
+/// no tokens saved up.
 #[test]
-fn a_drain_during_any_fault_of_the_connection_is_known_in_time_in_a_tier_of_any_size() {
+fn a_drain_during_any_fault_of_the_connection_is_known_in_time_in_a_cluster_of_any_size() {
     use ConnectionFault::{MidLine, Moved, Outage, Refused, Reset, Silence, SilentFromTheFirst};
     let singles = [Silence, SilentFromTheFirst, MidLine, Reset, Refused, Moved];
     let outages = [1, 5, 12, 25].map(Outage);
     let all: Vec<ConnectionFault> = singles.into_iter().chain(outages).collect();
     for count in [1, 4, 40, 100, 300] {
-        for first in &all {
-            for second in &all {
-                let mut world = World::new(vec![directory(0.0, 0, count, false)], 7);
-                world.change(endpoint("a", Readiness::Ready));
-                world.change(endpoint("b", Readiness::Ready));
-                world.start();
-                world.run_until(6_000.0);
-                for (round, fault) in [first, second, first, second].into_iter().enumerate() {
-                    let name = format!("s{round}");
-                    world.change(endpoint(&name, Readiness::Ready));
-                    world.run_until(world.now + 3_000.0);
-                    let known = is_ready(&world.nodes[0], &name);
-                    assert!(known, "{count}: {first:?} {second:?} round {round}: no watch works");
-                    let since = world.now;
-                    // By when a drain that begins in it counts as received, and what is needed to act on it.
-                    let within = match *fault {
-                        // The last byte came up to a keep-alive interval ago.
-                        Silence | MidLine | SilentFromTheFirst => 6_000.0,
-                        Moved => 4_000.0,
-                        Reset => MAX_LIST_AGE,
-                        // After a failed request the list holds for four times `ask-within`; half of that, and the request.
-                        Refused => 2.0 * MAX_LIST_AGE + 1_000.0,
-                        Outage(seconds) => 1_000.0 * f64::from(seconds + 1) + 2.0 * MAX_LIST_AGE,
-                    };
-                    let drains = endpoint(&name, Readiness::Draining);
-                    match *fault {
-                        Silence => {
-                            world.set_fault(0, Fault::BlackHole);
-                            world.set_fault(0, Fault::None);
-                        }
-                        SilentFromTheFirst => {
-                            world.set_fault(0, Fault::RefuseConnections);
-                            world.run_until(since + 2.0);
-                            world.set_fault(0, Fault::OneWay);
-                            world.run_until(since + 500.0);
-                            world.set_fault(0, Fault::None);
-                        }
-                        MidLine => {
-                            world.set_fault(0, Fault::StallMidUpdate);
-                            world.change(endpoint("b", Readiness::Ready));
-                            world.run_until(since + 140.0);
-                            world.set_fault(0, Fault::None);
-                        }
-                        Reset => {
-                            world.set_fault(0, Fault::RefuseConnections);
-                            world.run_until(since + 2.0);
-                            world.set_fault(0, Fault::None);
-                        }
-                        Refused => {
-                            world.set_fault(0, Fault::RefuseConnections);
-                            world.run_until(since + 200.0);
-                            world.set_fault(0, Fault::None);
-                        }
-                        Outage(seconds) => {
-                            world.set_down(true);
-                            world.run_until(since + 1_000.0 * f64::from(seconds));
-                            world.set_down(false);
-                        }
-                        Moved => {
-                            world.with_node(0, |node, now| node.handle_address_change(now));
-                            world.set_fault(0, Fault::BlackHole);
-                            world.set_fault(0, Fault::None);
-                        }
-                    }
-                    world.change(drains);
-                    while is_ready(&world.nodes[0], &name) {
-                        let took = world.now - since;
-                        assert!(took < within, "{count}: {first:?} {second:?} round {round}: {took} ms");
-                        world.run_until(world.now + 10.0);
-                    }
-                }
-                // What it costs: no more than its part of what discovery handles, and one request for each fault.
-                let calls = world.nodes[0].counts().requests as f64;
-                let part = (4.0 / f64::from(count)).clamp(0.05, 1.0);
-                let most = 5.0 + part * world.now / 1_000.0 + 4.0 * 6.0;
-                assert!(calls <= most, "{count}: {first:?} {second:?}: {calls} requests in {} ms", world.now);
+        for &first in &all {
+            for &second in &all {
+                assert_drains_are_known_in_time(count, first, second);
             }
         }
     }
--- a/crates/discovery/tests/endpoint_status.rs
+++ b/crates/discovery/tests/endpoint_status.rs
@@ -1,16 +1,13 @@
 //! Which endpoints are ready: partial updates, overrides, signals and rollouts.
 #![allow(missing_docs)]
 
-#[path = "common/scenarios.rs"]
-mod scenarios;
-#[path = "common/simulated_discovery.rs"]
-mod simulated_discovery;
+mod support;
 
 use brackenledge_discovery::{Command, EndpointRecord, EndpointSignal, Freshness, RequestEnd, RequestKind};
 use brackenledge_policy::Readiness;
-use scenarios::{gossip_of_a_watch, is_ready, requests, restarted, settled};
-use simulated_discovery::{Fault, World, directory, endpoint};
 use std::collections::BTreeSet;
+use support::scenarios::{gossip_of_a_watch, is_ready, requests, restarted, settled};
+use support::simulated_discovery::{Fault, World, directory, endpoint};
 
 #[test]
 fn what_a_partial_update_withdrew_is_not_ready_and_what_it_added_waits_for_a_complete_one() {
@@ -77,7 +74,7 @@
     for text in gossip_of_a_watch(&[(8, "a", Readiness::Draining), (9, "a", Readiness::Ready)]) {
         node.handle_message(10.0, 1, &text);
     }
-    assert!(!is_ready(&node, "a"), "only the own list makes a server ready");
+    assert!(!is_ready(&node, "a"), "only the own list makes an endpoint ready");
 }
 
 #[test]
@@ -103,14 +100,14 @@
     for step in 0..200 {
         let now = 121_000.0 + 500.0 * f64::from(step);
         node.handle_timeout(now);
-        let (asked, dropped) = requests(&mut node);
-        for request in asked {
+        let (opened, cancelled) = requests(&mut node);
+        for request in opened {
             node.handle_connected(now, request);
             node.handle_response_head(now, request);
             node.handle_update(now, request, 2, false);
             watches.insert(request);
         }
-        watches.retain(|request| !dropped.contains(request));
+        watches.retain(|request| !cancelled.contains(request));
         watches.iter().for_each(|&request| node.handle_keep_alive(now, request));
         assert!(
             now > 180_000.0 || !is_ready(&node, "a"),
@@ -122,7 +119,7 @@
 }
 
 #[test]
-fn the_policy_is_told_of_an_endpoint_whose_override_has_expired() {
+fn the_policy_is_notified_of_an_endpoint_whose_override_has_expired() {
     let (mut node, watch) = restarted();
     node.handle_response_head(2.0, watch);
     node.handle_update(2.0, watch, 2, false);
@@ -130,7 +127,7 @@
         node.handle_message(10.0, 1, &text);
     }
     let mut watches = BTreeSet::from([watch]);
-    let mut told_ready = false;
+    let mut notified_ready = false;
     for step in 0..400 {
         let now = 500.0 * f64::from(step);
         node.handle_timeout(now);
@@ -147,15 +144,16 @@
                 }
                 Command::UpdateEndpoints { entries, .. } => {
                     let of_a = entries.iter().find(|entry| entry.0.name == "a");
-                    told_ready = of_a.map_or(told_ready, |entry| entry.0.readiness == Readiness::Ready);
+                    notified_ready =
+                        of_a.map_or(notified_ready, |entry| entry.0.readiness == Readiness::Ready);
                 }
                 _ => {}
             }
         }
-        assert_eq!(told_ready, is_ready(&node, "a"), "{now} ms");
+        assert_eq!(notified_ready, is_ready(&node, "a"), "{now} ms");
         watches.iter().for_each(|&request| node.handle_keep_alive(now, request));
     }
-    assert!(told_ready, "the override has not expired");
+    assert!(notified_ready, "the override has not expired");
 }
 
 /// After SIGHUP a scheduler may watch a discovery replica that lags behind the one that its peers still watch.
@@ -190,7 +188,7 @@
 }
 
 #[test]
-fn in_an_outage_of_discovery_alone_nobody_is_left_without_service() {
+fn in_an_outage_of_discovery_alone_no_scheduler_is_left_without_endpoints() {
     let names: Vec<String> = (0..12).map(|n| format!("s{n}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     let mut world = settled(3, &names, true);
--- a/crates/discovery/tests/gossip.rs
+++ b/crates/discovery/tests/gossip.rs
@@ -1,15 +1,12 @@
 //! What schedulers learn from one another.
 #![allow(missing_docs)]
 
-#[path = "common/scenarios.rs"]
-mod scenarios;
-#[path = "common/simulated_discovery.rs"]
-mod simulated_discovery;
+mod support;
 
 use brackenledge_discovery::{Command, StatusSource};
 use brackenledge_policy::Readiness;
-use scenarios::{is_ready, settled, time_until_not_ready};
-use simulated_discovery::{FAULTS, Fault, directory, endpoint};
+use support::scenarios::{is_ready, settled, time_until_not_ready};
+use support::simulated_discovery::{FAULTS, Fault, directory, endpoint};
 
 #[test]
 fn one_schedulers_open_watch_serves_all() {
@@ -41,7 +38,7 @@
 }
 
 #[test]
-fn a_large_tier_spreads_a_change_by_rumour() {
+fn a_large_cluster_spreads_a_change_by_rumours() {
     let mut world = settled(40, &["a", "b"], true);
     (1..40).for_each(|node| world.set_fault(node, Fault::BlackHole));
     let before = world.messages_sent;
@@ -103,8 +100,8 @@
     for seed in 0..120 {
         let mut world = settled(3, &["a", "b", "c", "d"], true);
         let mut rng = fastrand::Rng::with_seed(seed);
-        let keeper = rng.usize(..3);
-        for node in (0..3).filter(|&node| node != keeper) {
+        let connected = rng.usize(..3);
+        for node in (0..3).filter(|&node| node != connected) {
             world.set_fault(node, FAULTS[rng.usize(..FAULTS.len())]);
         }
         world.run_until(world.now + 2_000.0 * rng.f64());
--- a/crates/discovery/tests/random_histories.rs
+++ b/crates/discovery/tests/random_histories.rs
@@ -1,16 +1,13 @@
 //! Random histories of three schedulers.
 #![allow(missing_docs)]
 
-#[path = "common/scenarios.rs"]
-mod scenarios;
-#[path = "common/simulated_discovery.rs"]
-mod simulated_discovery;
+mod support;
 
 use brackenledge_discovery::Freshness;
 use brackenledge_policy::Readiness;
-use scenarios::is_ready;
-use simulated_discovery::{FAULTS, Fault, World, directory, endpoint};
 use std::collections::BTreeSet;
+use support::scenarios::is_ready;
+use support::simulated_discovery::{FAULTS, Fault, World, directory, endpoint};
 
 /// One random history: changes of the list, faults of connections, outages, losses and restarts for three schedulers.
 fn random_history(seed: u64) {
@@ -67,13 +64,13 @@
     world.run_until(world.now + 40_000.0);
     for (n, node) in world.nodes.iter().enumerate() {
         for name in &names {
-            let truly = world.list.get(name).is_some_and(|entry| entry.readiness == Readiness::Ready);
-            assert_eq!(is_ready(node, name), truly, "seed {seed}: scheduler {n} on {name} once healed");
+            let ready = world.list.get(name).is_some_and(|entry| entry.readiness == Readiness::Ready);
+            assert_eq!(is_ready(node, name), ready, "seed {seed}: scheduler {n} on {name} once healed");
         }
-        let calls = node.counts().requests as f64;
+        let opened = node.counts().requests as f64;
         assert!(
-            calls <= 5.0 + world.now / 1_000.0 + 1.0,
-            "seed {seed}: {calls} requests in {} ms",
+            opened <= 5.0 + world.now / 1_000.0 + 1.0,
+            "seed {seed}: {opened} requests in {} ms",
             world.now
         );
     }
--- a/crates/discovery/tests/status_events.rs
+++ b/crates/discovery/tests/status_events.rs
@@ -1,18 +1,15 @@
 //! The events for the log on changes of endpoints' statuses.
 #![allow(missing_docs)]
 
-#[path = "common/scenarios.rs"]
-mod scenarios;
-#[path = "common/simulated_discovery.rs"]
-mod simulated_discovery;
+mod support;
 
 use brackenledge_discovery::{
     Command, EndpointDirectory, EndpointSignal, Event, RequestEnd, RequestId, StatusChange,
     StatusChangeSource, StatusChangeSummary, StatusSource,
 };
 use brackenledge_policy::Readiness::{self, Draining, Gone, Ready};
-use scenarios::{gossip_of_a_watch, requests, restarted};
-use simulated_discovery::endpoint;
+use support::scenarios::{gossip_of_a_watch, requests, restarted};
+use support::simulated_discovery::endpoint;
 
 /// The status events among the commands since the last call.
 fn status_events(node: &mut EndpointDirectory) -> Vec<Event> {
--- a/crates/discovery/tests/common/scenarios.rs
+++ b/crates/discovery/tests/support/scenarios.rs
@@ -1,7 +1,7 @@
-//! Starting points and questions that several tests share.
+//! States that tests start from, and what they ask of a scheduler.
 #![allow(dead_code, missing_docs)]
 
-use crate::simulated_discovery::{World, directory, endpoint};
+use super::simulated_discovery::{World, directory, endpoint};
 use brackenledge_discovery::{Command, EndpointDirectory, Freshness, RequestId};
 use brackenledge_policy::Readiness;
 
@@ -71,13 +71,13 @@
 
 /// The requests that were opened, and those that were cancelled.
 pub fn requests(node: &mut EndpointDirectory) -> (Vec<RequestId>, Vec<RequestId>) {
-    let (mut asked, mut dropped) = (Vec::new(), Vec::new());
+    let (mut opened, mut cancelled) = (Vec::new(), Vec::new());
     while let Some(command) = node.poll_command() {
         match command {
-            Command::OpenRequest { request, .. } => asked.push(request),
-            Command::CancelRequest { request } => dropped.push(request),
+            Command::OpenRequest { request, .. } => opened.push(request),
+            Command::CancelRequest { request } => cancelled.push(request),
             _ => {}
         }
     }
-    (asked, dropped)
+    (opened, cancelled)
 }
