Examples: a typed request in the toy server; discovery's load in three files with named limits

A request is now a struct; the example is a folder with the earlier rules, the measurement (drain observation by itself) and the table, and each limit has a name.

--- a/crates/daemon/examples/toy_server.rs
+++ b/crates/daemon/examples/toy_server.rs
@@ -11,31 +11,47 @@
 
 const DISCOVERY: &str = "127.0.0.1:8500";
 const WORKER: &str = "127.0.0.1:8600";
-const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const RUN_TIME: Duration = Duration::from_millis(100);
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
-/// One request: its first line, its trace id and its body; `None` once the connection has ended.
-fn read_request(input: &mut BufReader<TcpStream>) -> io::Result<Option<(String, String, String)>> {
-    let (mut first, mut id, mut length) = (String::new(), String::new(), 0);
-    if input.read_line(&mut first)? == 0 {
+#[derive(Default)]
+struct Request {
+    /// Method, path and version, with the line's end.
+    request_line: String,
+    trace_id: String,
+    body: String,
+}
+
+/// The next request of a connection; `None` once it has ended.
+fn read_request(input: &mut BufReader<TcpStream>) -> io::Result<Option<Request>> {
+    let mut request = Request::default();
+    if input.read_line(&mut request.request_line)? == 0 {
         return Ok(None);
     }
+    let mut body_length = 0;
     loop {
         let mut line = String::new();
         input.read_line(&mut line)?;
         match line.trim_end().split_once(": ") {
-            Some((name, value)) if name.eq_ignore_ascii_case("X-Trace-Id") => id = value.to_owned(),
+            Some((name, value)) if name.eq_ignore_ascii_case("X-Trace-Id") => {
+                request.trace_id = value.to_owned();
+            }
             Some((name, value)) if name.eq_ignore_ascii_case("Content-Length") => {
-                length = value.parse().map_err(io::Error::other)?;
+                body_length = value.parse().map_err(io::Error::other)?;
             }
             Some(_) => {}
             None => break,
         }
     }
-    let mut body = vec![0; length];
+    let mut body = vec![0; body_length];
     input.read_exact(&mut body)?;
-    Ok(Some((first, id, String::from_utf8_lossy(&body).into_owned())))
+    request.body = String::from_utf8_lossy(&body).into_owned();
+    Ok(Some(request))
 }
 
+/// Writes a line as a chunk of its own.
 fn write_line(output: &mut TcpStream, line: &str) -> io::Result<()> {
     output.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes())
 }
@@ -44,17 +60,17 @@
 fn serve_jobs(stream: TcpStream) -> io::Result<()> {
     let mut output = stream.try_clone()?;
     let mut input = BufReader::new(stream);
-    while let Some((first, id, body)) = read_request(&mut input)? {
-        print!("job {id}: {first}");
-        let state = |name: &str| json!({"id": id, "from": "toy", "state": name});
-        output.write_all(CHUNKED.as_bytes())?;
+    while let Some(request) = read_request(&mut input)? {
+        print!("job {}: {}", request.trace_id, request.request_line);
+        let state = |name: &str| json!({"id": request.trace_id, "from": "toy", "state": name});
+        output.write_all(CHUNKED_HEAD.as_bytes())?;
         write_line(&mut output, &state("started").to_string())?;
-        thread::sleep(Duration::from_millis(100));
+        thread::sleep(RUN_TIME);
         let mut done = state("done");
-        done["result"] = Value::from(body.to_uppercase());
+        done["result"] = Value::from(request.body.to_uppercase());
         done["load"] = json!({"x0": 2, "x1": 2, "inflight": 1});
         write_line(&mut output, &done.to_string())?;
-        output.write_all(b"0\r\n\r\n")?;
+        output.write_all(LAST_CHUNK)?;
     }
     Ok(())
 }
@@ -63,17 +79,17 @@
 fn serve_endpoint_list(stream: TcpStream) -> io::Result<()> {
     let mut output = stream.try_clone()?;
     let mut input = BufReader::new(stream);
-    while let Some((first, ..)) = read_request(&mut input)? {
-        print!("discovery: {first}");
+    while let Some(request) = read_request(&mut input)? {
+        print!("discovery: {}", request.request_line);
         let endpoint = json!({"name": "toy", "address": WORKER, "zone": "jhb-north", "type": "small-3c",
             "group": 0, "status": "ready", "weight": 1.0, "since_ms": 0});
-        output.write_all(CHUNKED.as_bytes())?;
+        output.write_all(CHUNKED_HEAD.as_bytes())?;
         write_line(&mut output, &json!({"index": 1, "snapshot": true, "endpoints": [endpoint]}).to_string())?;
-        while first.contains("follow=1") {
-            thread::sleep(Duration::from_secs(2));
+        while request.request_line.contains("follow=1") {
+            thread::sleep(KEEP_ALIVE_INTERVAL);
             write_line(&mut output, "")?;
         }
-        output.write_all(b"0\r\n\r\n")?;
+        output.write_all(LAST_CHUNK)?;
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/discovery/examples/discovery_load/measurement.rs
@@ -0,0 +1,133 @@
+//! The load on discovery, and how long drains go unnoticed, in one run.
+
+use crate::simulated_discovery::{Fault, Millis, Node, World, endpoint};
+use brackenledge_policy::Readiness;
+
+/// What happens to the schedulers' connections while the load is measured.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Conditions {
+    Calm,
+    /// In every second a tenth of the connections breaks updates off or falls silent, and a tenth heals.
+    Faults,
+    Outage,
+}
+
+/// What was measured.
+pub struct Load {
+    /// Requests by all schedulers together.
+    pub requests_per_second: f64,
+    pub max_requests_in_one_second: u64,
+    /// For how long a drained endpoint was still taken for ready, in milliseconds of the 5 s after its drain, on average
+    /// over schedulers and drains; `None` if nothing drained.
+    pub mean_unaware: Option<Millis>,
+}
+
+const SEED: u64 = 11;
+const WARM_UP_TIME: Millis = 30_000.0;
+const SECONDS: u32 = 60;
+const MILLIS_PER_SECOND: Millis = 1_000.0;
+const ENDPOINT_COUNT: usize = 12;
+/// The endpoint that drains and becomes ready again.
+pub const CHANGING_ENDPOINT: &str = "s3";
+/// The list changes this often, every other time by a drain.
+const SECONDS_BETWEEN_CHANGES: u32 = 5;
+/// For so long after a drain the schedulers that don't know of it are counted.
+const OBSERVATION_TIME: Millis = 5_000.0;
+const OBSERVATION_STEP: Millis = 10.0;
+/// One connection in so many breaks, and one heals, in each second with faults.
+const CONNECTIONS_PER_FAULT: usize = 10;
+
+struct Drain {
+    at: Millis,
+    /// The revision of the list that first says so.
+    revision: u64,
+}
+
+/// The time that schedulers were unaware of drains.
+#[derive(Default)]
+struct DrainObservation {
+    drain_count: u32,
+    last_drain: Option<Drain>,
+    /// Summed over drains and schedulers.
+    unaware_time: Millis,
+}
+
+impl DrainObservation {
+    /// Changes the list: a drain, or the end of one.
+    fn change_list<N: Node>(&mut self, world: &mut World<N>, is_drain: bool) {
+        let readiness = if is_drain { Readiness::Draining } else { Readiness::Ready };
+        world.change(endpoint(CHANGING_ENDPOINT, readiness));
+        self.last_drain = is_drain.then_some(Drain { at: world.now, revision: world.revision });
+        self.drain_count += u32::from(is_drain);
+    }
+
+    /// Advances in small steps while the last drain is observed.
+    fn observe<N: Node>(
+        &mut self,
+        world: &mut World<N>,
+        until: Millis,
+        is_unaware: impl Fn(&N, u64) -> bool,
+    ) {
+        let Some(drain) = &self.last_drain else { return };
+        while world.now < until.min(drain.at + OBSERVATION_TIME) - OBSERVATION_STEP {
+            world.run_until(world.now + OBSERVATION_STEP);
+            let unaware_count = world.nodes.iter().filter(|node| is_unaware(node, drain.revision)).count();
+            self.unaware_time += OBSERVATION_STEP * unaware_count as f64;
+        }
+    }
+
+    fn mean_unaware(&self, scheduler_count: usize) -> Option<Millis> {
+        let observations = f64::from(self.drain_count) * scheduler_count as f64;
+        (self.drain_count > 0).then(|| self.unaware_time / observations)
+    }
+}
+
+/// Measures the load. `is_unaware` says whether a scheduler doesn't know of a drain yet, which this revision of the list
+/// was the first to say.
+pub fn measure<N: Node>(nodes: Vec<N>, conditions: Conditions, is_unaware: impl Fn(&N, u64) -> bool) -> Load {
+    let scheduler_count = nodes.len();
+    let mut world = warmed_up_world(nodes);
+    let requests_before = world.requests_opened;
+    let mut max_requests_in_one_second = 0;
+    let mut drains = DrainObservation::default();
+    if conditions == Conditions::Outage {
+        world.set_down(true);
+    }
+    for second in 0..SECONDS {
+        let requests_so_far = world.requests_opened;
+        if conditions == Conditions::Faults {
+            break_connections(&mut world);
+        }
+        if second % SECONDS_BETWEEN_CHANGES == 0 && conditions != Conditions::Outage {
+            drains.change_list(&mut world, second % (2 * SECONDS_BETWEEN_CHANGES) == 0);
+        }
+        let second_ends = WARM_UP_TIME + MILLIS_PER_SECOND * f64::from(second + 1);
+        drains.observe(&mut world, second_ends, &is_unaware);
+        world.run_until(second_ends);
+        max_requests_in_one_second = max_requests_in_one_second.max(world.requests_opened - requests_so_far);
+    }
+    Load {
+        requests_per_second: (world.requests_opened - requests_before) as f64 / f64::from(SECONDS),
+        max_requests_in_one_second,
+        mean_unaware: drains.mean_unaware(scheduler_count),
+    }
+}
+
+fn warmed_up_world<N: Node>(nodes: Vec<N>) -> World<N> {
+    let mut world = World::new(nodes, SEED);
+    (0..ENDPOINT_COUNT).for_each(|n| world.change(endpoint(&format!("s{n}"), Readiness::Ready)));
+    world.start();
+    world.run_until(WARM_UP_TIME);
+    world
+}
+
+fn break_connections<N: Node>(world: &mut World<N>) {
+    let count = world.nodes.len();
+    for _ in 0..count.div_ceil(CONNECTIONS_PER_FAULT) {
+        let (broken, healed) = (world.rng.usize(..count), world.rng.usize(..count));
+        let faults = [Fault::EndMidUpdate, Fault::StallMidUpdate, Fault::BlackHole];
+        let fault = faults[world.rng.usize(..faults.len())];
+        world.set_fault(broken, fault);
+        world.set_fault(healed, Fault::None);
+    }
+}
