Daemon: an attempt is one value on its way, admission is one question

An attempt went from the engine's command to the backend as four values that were taken apart three times, and failover kept a copy of three of them. backend::Attempt now travels whole. Whether a job is admitted is a function of its own, a request is built as one message whose last byte is withheld where that is needed (the bytes on the wire are the same), and held, closing, busy, dispatch, Wake and Report have names that say what they are.

--- a/crates/daemon/src/net/backend/connection.rs
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -166,7 +166,7 @@
         self.is_connecting = false;
         let Some(task) = self.task.take() else { return Flow::Close };
         // Much may have changed since the connection was asked for: a worker that has been told to drain meanwhile must
-        // get nothing new, a late job serves nobody, and a retry has its window. Nothing has been written: it is moot.
+        // get nothing new, a late job serves nobody, and a retry has its window.
         let is_late = matches!(&task, Task::Attempt { deadlines, .. } if cx.now >= deadlines.write_deadline);
         if is_late || !cx.endpoints.is_ready(self.worker) {
             self.task = Some(task);
--- a/crates/daemon/src/net/backend/mod.rs
+++ b/crates/daemon/src/net/backend/mod.rs
@@ -26,6 +26,18 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+/// An attempt that the engine starts.
+pub struct Attempt {
+    /// Its job and its number.
+    pub id: AttemptId,
+    /// The worker that it goes to.
+    pub worker: WorkerId,
+    /// What is sent.
+    pub request: Rc<Request>,
+    /// Its deadlines.
+    pub deadlines: AttemptDeadlines,
+}
+
 /// All connections to workers.
 pub struct Backend {
     connections: Slab<WorkerConnection>,
@@ -53,14 +65,8 @@
     }
 
     /// Starts an attempt. It ends once, whatever happens.
-    pub fn dispatch(
-        &mut self,
-        id: AttemptId,
-        worker: WorkerId,
-        request: Rc<Request>,
-        deadlines: AttemptDeadlines,
-        cx: &mut Context,
-    ) {
+    pub fn start_attempt(&mut self, attempt: Attempt, cx: &mut Context) {
+        let Attempt { id, worker, request, deadlines } = attempt;
         if !cx.endpoints.is_ready(worker) || cx.now >= deadlines.write_deadline {
             cx.engine.attempt_ended(id, Outcome::NeverSent, None);
             return;
--- a/crates/daemon/src/net/backend/request_writer.rs
+++ b/crates/daemon/src/net/backend/request_writer.rs
@@ -30,21 +30,13 @@
     }
 
     fn write_job(&mut self, request: &Request, deadlines: AttemptDeadlines, cx: &mut Context) {
-        let mut head = self.job_head(request, deadlines, cx.now);
-        let withhold = request.effect == Effect::NonIdempotent && *cx.distrust_until > cx.now;
-        let (last, rest) = match request.body.split_last() {
-            Some((&last, rest)) => (last, rest),
-            None => (b'\n', &[][..]),
-        };
-        if withhold && request.body.is_empty() {
-            head.pop();
-        }
-        self.stream.buffer.push(head.as_bytes());
-        self.stream.buffer.push(if withhold { rest } else { &request.body });
-        if withhold {
-            self.withheld_byte = Some(last);
+        let mut message = self.job_head(request, deadlines, cx.now).into_bytes();
+        message.extend_from_slice(&request.body);
+        if request.effect == Effect::NonIdempotent && *cx.distrust_until > cx.now {
+            self.withheld_byte = message.pop();
             cx.event_loop.set_alarm(cx.now + LAST_BYTE_DELAY, Alarm::LastByte(self.serial));
         }
+        self.stream.buffer.push(&message);
     }
 
     /// The worker is told how long the job is worth working on.
--- a/crates/daemon/src/net/backend/timeouts.rs
+++ b/crates/daemon/src/net/backend/timeouts.rs
@@ -33,10 +33,11 @@
 
     /// The last byte of a request has been withheld long enough.
     pub fn on_last_byte_alarm(&mut self, serial: u64, cx: &mut Context) {
-        let is_withheld = |c: &WorkerConnection| c.serial == serial && c.withheld_byte.is_some();
-        let withheld = self.connections.iter_mut().find(|(_, c)| is_withheld(c));
-        let Some((slot, connection)) = withheld else { return };
-        connection.stream.buffer.push(&connection.withheld_byte.take().map_or([b'\n'], |last| [last]));
+        let Some((slot, connection)) = self.connections.iter_mut().find(|(_, c)| c.serial == serial) else {
+            return;
+        };
+        let Some(last) = connection.withheld_byte.take() else { return };
+        connection.stream.buffer.push(&[last]);
         self.flush(slot, cx);
     }
 
--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -1,8 +1,9 @@
 //! Carries out the commands of the engine, discovery and failover.
 
+use super::backend::Attempt;
 use super::discovery;
 use super::event_loop::Alarm;
-use super::job_failover::{self, Attempt, JobFailover};
+use super::job_failover::{self, JobFailover};
 use super::scheduler::{Scheduler, context};
 use brackenledge_discovery::Command as DiscoveryCommand;
 use brackenledge_engine::{Command, JobRequest};
@@ -61,8 +62,7 @@
             }
             FailoverCommand::PermitAttempt { key, attempt } => {
                 if let Some(attempt) = job_failover.release_attempt(&key, attempt) {
-                    let Attempt { id, worker, request, deadlines } = attempt;
-                    self.backend.dispatch(id, worker, request, deadlines, cx);
+                    self.backend.start_attempt(attempt, cx);
                 }
             }
             FailoverCommand::AttemptExpired { key, attempt } => {
@@ -146,7 +146,7 @@
             }
             Command::CancelAttempt { id } => self.backend.cancel(id, Outcome::Cancelled, cx),
             Command::WithdrawAttempt { id } => self.backend.cancel_unsent(id, cx),
-            Command::SetTimer { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::Wake),
+            Command::SetTimer { after } => cx.event_loop.set_alarm(cx.now + after, Alarm::EngineTimer),
             Command::WatchEndpoints { on } => cx.endpoints.set_watching(cx.now, on),
             Command::PollEndpoints => cx.endpoints.request_poll(cx.now),
             Command::HealthCheck { worker } => self.backend.check_health(worker, cx),
@@ -166,8 +166,8 @@
             }
             None => Some(attempt),
         };
-        if let Some(Attempt { id, worker, request, deadlines }) = permitted {
-            self.backend.dispatch(id, worker, request, deadlines, cx);
+        if let Some(attempt) = permitted {
+            self.backend.start_attempt(attempt, cx);
         }
     }
 
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -33,11 +33,11 @@
     }
 }
 
-/// What a timer is for. None can be taken back: whoever gets one checks that it still means something.
+/// What a timer is for. None can be cancelled: its handler checks that it still applies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Alarm {
-    /// The policy asked to be woken.
-    Wake,
+    /// The engine's timer has expired.
+    EngineTimer,
     /// An attempt has waited for its response as long as it may.
     ResponseDeadline(AttemptId),
     /// An attempt whose request is not wholly written by now must not be sent any more.
@@ -55,10 +55,10 @@
     /// Idle connections are swept.
     Sweep,
     /// The counters are to be logged.
-    Report,
+    Counters,
     /// A step of the graceful shutdown is due.
     Shutdown,
-    /// The program is about to end: whatever is owed an answer gets it now.
+    /// The process is about to end: every pending job is answered now.
     AnswerAll,
     /// Membership or leases have a timeout.
     Cluster,
--- a/crates/daemon/src/net/events.rs
+++ b/crates/daemon/src/net/events.rs
@@ -68,7 +68,7 @@
     pub(super) fn on_alarm(&mut self, alarm: Alarm) {
         let cx = &mut context!(self);
         match alarm {
-            Alarm::Wake => cx.engine.handle_timeout(),
+            Alarm::EngineTimer => cx.engine.handle_timeout(),
             Alarm::ResponseDeadline(id) => self.backend.on_response_deadline(id, cx),
             Alarm::WriteDeadline(id) => self.backend.cancel_unsent(id, cx),
             Alarm::Connect(serial) => self.backend.on_connect_alarm(serial, cx),
@@ -76,8 +76,8 @@
             Alarm::HealthCheck(serial) => self.backend.on_health_check_alarm(serial, cx),
             Alarm::Discovery => self.discovery.on_alarm(cx),
             Alarm::Accept => self.frontend.accept(cx),
-            Alarm::Report => {
-                cx.event_loop.set_alarm(cx.now + COUNTERS_INTERVAL, Alarm::Report);
+            Alarm::Counters => {
+                cx.event_loop.set_alarm(cx.now + COUNTERS_INTERVAL, Alarm::Counters);
                 self.log_counters("counters");
             }
             Alarm::Sweep => self.sweep_connections(),
@@ -98,7 +98,7 @@
             admin.accept(cx);
         }
         cx.event_loop.set_alarm(cx.now + SWEEP_INTERVAL, Alarm::Sweep);
-        if cx.closing() || cx.drain.closes_idle_connections() {
+        if cx.is_closing_connections() || cx.drain.closes_idle_connections() {
             self.frontend.accept(cx);
             self.frontend.close_all_idle(cx);
         }
--- a/crates/daemon/src/net/frontend/connection.rs
+++ b/crates/daemon/src/net/frontend/connection.rs
@@ -92,7 +92,7 @@
         matches!(self.state, State::ReadingHead) && buffer.input().is_empty() && buffer.output().is_empty()
     }
 
-    /// Tells whoever has its open job, if there is one, that nobody waits for the answer any more.
+    /// Abandons its open job, if there is one, with the engine or with failover.
     pub(super) fn abandon_job(&self, cx: &mut Context) {
         match (&self.state, &mut *cx.job_failover) {
             (State::AwaitingJob(job), _) => cx.engine.abandon_job(*job),
--- a/crates/daemon/src/net/frontend/mod.rs
+++ b/crates/daemon/src/net/frontend/mod.rs
@@ -108,10 +108,10 @@
         }
     }
 
-    /// Whether a client still has something to get or to send. One that has got its last response and not closed its
+    /// Whether a client is owed a response or may still be sending. One that has got its last response and not closed its
     /// side yet may have more on the way: with that unread, the end of the process would reset the connection, maybe
     /// before the response was read. The linger timeout is for that.
-    pub fn busy(&self) -> bool {
+    pub fn has_unfinished_clients(&self) -> bool {
         self.clients.iter().any(|(_, client)| !client.is_idle())
     }
 
--- a/crates/daemon/src/net/frontend/request_reader.rs
+++ b/crates/daemon/src/net/frontend/request_reader.rs
@@ -118,21 +118,22 @@
         self.has_sent_job |= matches!(kind, RequestKind::Job(_));
         match kind {
             RequestKind::HealthCheck => self.respond_to_health_check(cx),
-            RequestKind::Job(job_request)
-                if cx.held() >= self.rules.max_open_jobs
-                    || !cx.drain.admits_jobs(cx.now)
-                    || cx.time_left() == 0.0 =>
-            {
-                cx.engine.rejected_at_admission(job_request.job.class);
-                self.respond(Answer::Rejected { retry_after: self.rules.retry_after }, cx);
-            }
-            RequestKind::Job(mut job_request) => {
+            RequestKind::Job(mut job_request) if self.admits_jobs(cx) => {
                 job_request.request.body = body;
                 self.submit_job(job_request, elapsed, cx);
             }
+            RequestKind::Job(job_request) => {
+                cx.engine.rejected_at_admission(job_request.job.class);
+                self.respond(Answer::Rejected { retry_after: self.rules.retry_after }, cx);
+            }
         }
     }
 
+    /// Whether a job that is complete now is admitted: not with too many open, nor late in a drain or a shutdown.
+    fn admits_jobs(&self, cx: &Context) -> bool {
+        cx.pending_jobs() < self.rules.max_open_jobs && cx.drain.admits_jobs(cx.now) && cx.time_left() != 0.0
+    }
+
     /// `elapsed`: the time since the first bytes of the request were received; the job has that much less.
     fn submit_job(&mut self, mut job_request: Box<JobRequest>, elapsed: Millis, cx: &mut Context) {
         job_request.job.time_left = (job_request.job.time_left - elapsed).max(0.0).min(cx.time_left());
--- a/crates/daemon/src/net/frontend/responses.rs
+++ b/crates/daemon/src/net/frontend/responses.rs
@@ -42,7 +42,7 @@
     /// Buffers a response. `extra_headers`: whole lines with their ends.
     fn write_response(&mut self, status: u16, extra_headers: &str, body: &[u8], cx: &Context) {
         let phrase = reason_phrase(status);
-        self.keep_alive &= !cx.closing() && cx.drain.keeps_connections();
+        self.keep_alive &= !cx.is_closing_connections() && cx.drain.keeps_connections();
         let connection = if self.keep_alive { "" } else { "Connection: close\r\n" };
         let head = format!(
             "HTTP/1.1 {status} {phrase}\r\nContent-Length: {}\r\n{connection}{extra_headers}\r\n",
--- a/crates/daemon/src/net/job_failover/attempts.rs
+++ b/crates/daemon/src/net/job_failover/attempts.rs
@@ -1,30 +1,10 @@
 //! The engine's attempts, which leave once the state machine permits it.
 
 use super::{JobFailover, micros, to_micros};
+use crate::net::backend::Attempt;
 use crate::net::event_loop::Millis;
-use brackenledge_engine::{AttemptDeadlines, AttemptId, Request};
+use brackenledge_engine::AttemptId;
 use brackenledge_failover::JobKey;
-use brackenledge_policy::WorkerId;
-use std::rc::Rc;
-
-/// An attempt of the engine's.
-pub struct Attempt {
-    /// Its job and its number.
-    pub id: AttemptId,
-    /// The worker that it goes to.
-    pub worker: WorkerId,
-    /// What is sent.
-    pub request: Rc<Request>,
-    /// Its deadlines.
-    pub deadlines: AttemptDeadlines,
-}
-
-/// An attempt that waits for acknowledgement.
-pub(super) struct HeldAttempt {
-    worker: WorkerId,
-    request: Rc<Request>,
-    deadlines: AttemptDeadlines,
-}
 
 impl JobFailover {
     /// Submits an attempt of the engine's; returned if it may leave now, otherwise it is held.
@@ -38,8 +18,7 @@
         if self.failover.request_attempt(clock, key, id.attempt as u32, worker, deadline) {
             return Some(attempt);
         }
-        self.held_attempts
-            .insert(id, HeldAttempt { worker: attempt.worker, request: attempt.request, deadlines });
+        self.held_attempts.insert(id, attempt);
         None
     }
 
@@ -50,8 +29,7 @@
     /// A held attempt may leave now.
     pub fn release_attempt(&mut self, key: &JobKey, attempt: u32) -> Option<Attempt> {
         let id = self.id_of(key, attempt)?;
-        let HeldAttempt { worker, request, deadlines } = self.held_attempts.remove(&id)?;
-        Some(Attempt { id, worker, request, deadlines })
+        self.held_attempts.remove(&id)
     }
 
     /// A held attempt will never leave; its number in the engine, if it was held.
--- a/crates/daemon/src/net/job_failover/mod.rs
+++ b/crates/daemon/src/net/job_failover/mod.rs
@@ -12,12 +12,11 @@
 mod sessions;
 
 pub use self::admin::log_event;
-pub use self::attempts::Attempt;
 pub use self::sessions::LinkError;
 
-use self::attempts::HeldAttempt;
 use self::replicated_job::{JobContext, ReplicatedJob};
 use self::sessions::PeerSessions;
+use super::backend::Attempt;
 use super::cluster::{Cluster, micros};
 use super::event_loop::Millis;
 use brackenledge_engine::{Answer, AttemptId, ClientId, JobRequest};
@@ -60,7 +59,7 @@
     jobs: HashMap<JobKey, JobId>,
     keys: HashMap<JobId, JobKey>,
     /// Attempts that wait for acknowledgement.
-    held_attempts: HashMap<AttemptId, HeldAttempt>,
+    held_attempts: HashMap<AttemptId, Attempt>,
     clients: HashMap<Waiter, ClientId>,
     last_waiter: Waiter,
     /// Frames that violated the protocol.
--- a/crates/daemon/src/net/scheduler.rs
+++ b/crates/daemon/src/net/scheduler.rs
@@ -45,12 +45,12 @@
 
 impl Context<'_> {
     /// Jobs that clients wait for here.
-    pub(super) fn held(&self) -> usize {
+    pub(super) fn pending_jobs(&self) -> usize {
         self.engine.pending_jobs() + self.job_failover.as_ref().map_or(0, JobFailover::waiting_clients)
     }
 
     /// Whether the graceful shutdown is so far that each connection closes with its answer.
-    pub(super) fn closing(&self) -> bool {
+    pub(super) fn is_closing_connections(&self) -> bool {
         self.shutdown.is_some_and(|shutdown| shutdown.is_closing_connections(self.now))
     }
 
@@ -144,7 +144,7 @@
     }
 
     fn has_pending_work(&self) -> bool {
-        self.engine.pending_jobs() > 0 || self.frontend.busy()
+        self.engine.pending_jobs() > 0 || self.frontend.has_unfinished_clients()
     }
 
     /// Whether all that other schedulers need to know of this one's jobs has been sent.
--- a/crates/daemon/src/net/startup.rs
+++ b/crates/daemon/src/net/startup.rs
@@ -86,7 +86,7 @@
         let parts = open_cluster_parts(peer_config, &config, &operations, &settings, &mut event_loop)?;
         let now = event_loop.now();
         event_loop.set_alarm(now + SWEEP_INTERVAL, Alarm::Sweep);
-        event_loop.set_alarm(now + COUNTERS_INTERVAL, Alarm::Report);
+        event_loop.set_alarm(now + COUNTERS_INTERVAL, Alarm::Counters);
         log_serving(&log, &config, &listener, admin.as_mut(), parts.peer.as_ref());
 
         let document = &config.settings;
