Backend: how far a request has come is a typed state, not a flag that lies

A connection that opened too late for its attempt was marked as counted although nothing had been written, so that the end of its task would not count it: the flag said the contrary of what was so. RequestProgress (not started, buffered, sent) holds what is the case; a request that has not been started is neither written nor reported as sent, and the late opening needs no exception. The fuzz crate's pages speak of workers and the admin endpoint.

--- a/crates/daemon/src/net/backend/connection.rs
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -24,6 +24,17 @@
     HealthCheck,
 }
 
+/// How far the request of a connection's task has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestProgress {
+    /// Nothing of it is buffered: the connection is being opened.
+    NotStarted,
+    /// It is buffered. How much of it the system has taken is read off the buffer.
+    Buffered,
+    /// Its last byte has been handed to the system, and its attempt is counted as sent.
+    Sent,
+}
+
 /// A connection to a worker. It carries one request at a time.
 pub(super) struct WorkerConnection {
     pub(super) stream: BufferedStream,
@@ -40,8 +51,7 @@
     pub(super) is_reused: bool,
     /// The last byte of its request, while that is withheld.
     pub(super) withheld_byte: Option<u8>,
-    /// Its attempt has been counted as written whole.
-    pub(super) is_counted_as_written: bool,
+    pub(super) request_progress: RequestProgress,
     /// When its job started, as far as is known.
     pub(super) job_started_at: Millis,
 }
@@ -67,7 +77,7 @@
             idle_since: now,
             is_reused: false,
             withheld_byte: None,
-            is_counted_as_written: false,
+            request_progress: RequestProgress::NotStarted,
             job_started_at: 0.0,
         }
     }
@@ -80,21 +90,27 @@
         }
     }
 
+    fn is_past_write_deadline(&self, now: Millis) -> bool {
+        matches!(&self.task, Some(Task::Attempt { deadlines, .. }) if now >= deadlines.write_deadline)
+    }
+
     /// Whether the request's last byte has been handed to the system. This must be read off the buffer: a note taken
     /// when a write is reported comes too late for a response that is read in the same turn, and a job that may have
     /// run would pass for one that never did.
     pub(super) fn is_request_written(&self) -> bool {
-        !self.is_connecting && self.withheld_byte.is_none() && self.stream.buffer.output().is_empty()
+        self.request_progress != RequestProgress::NotStarted
+            && self.withheld_byte.is_none()
+            && self.stream.buffer.output().is_empty()
     }
 
-    /// Counts its attempt as written once the request's last byte is out. A response read in the same turn may come
-    /// before the poll reports the write, so every step that ends an attempt calls this first.
-    pub(super) fn count_if_written(&mut self, cx: &mut Context) {
+    /// Tells the engine that the attempt is sent once the request's last byte is out. A response read in the same turn may
+    /// come before the poll reports the write, so every step that ends an attempt calls this first.
+    pub(super) fn report_if_sent(&mut self, cx: &mut Context) {
         if let Some(Task::Attempt { id, .. }) = &self.task
-            && !self.is_counted_as_written
+            && self.request_progress == RequestProgress::Buffered
             && self.is_request_written()
         {
-            self.is_counted_as_written = true;
+            self.request_progress = RequestProgress::Sent;
             cx.engine.attempt_sent(*id);
         }
     }
@@ -114,7 +130,7 @@
 
     /// Ends its task, if it still has one.
     pub(super) fn end_task(&mut self, outcome: Outcome, report: Option<LoadReport>, cx: &mut Context) {
-        self.count_if_written(cx);
+        self.report_if_sent(cx);
         match self.task.take() {
             Some(Task::Attempt { id, .. }) => {
                 if let Some(signal) = self.endpoint_signal(outcome, report) {
@@ -158,23 +174,19 @@
     }
 
     fn on_written(&mut self, cx: &mut Context) -> Flow {
-        self.count_if_written(cx);
+        self.report_if_sent(cx);
         Flow::Keep
     }
 
     fn on_open(&mut self, cx: &mut Context) -> Flow {
         self.is_connecting = false;
-        let Some(task) = self.task.take() else { return Flow::Close };
         // Much may have changed since the connection was asked for: a worker that has been told to drain meanwhile must
-        // get nothing new, a late job serves nobody, and a retry has its window.
-        let is_late = matches!(&task, Task::Attempt { deadlines, .. } if cx.now >= deadlines.write_deadline);
-        if is_late || !cx.endpoints.is_ready(self.worker) {
-            self.task = Some(task);
-            // Nothing was written: it must not be counted as written.
-            self.is_counted_as_written = true;
+        // get nothing new, and an attempt must not be written after its deadline.
+        if self.is_past_write_deadline(cx.now) || !cx.endpoints.is_ready(self.worker) {
             self.end_task(Outcome::NeverSent, None, cx);
             return Flow::Close;
         }
+        let Some(task) = self.task.take() else { return Flow::Close };
         self.start(task, cx);
         Flow::Keep
     }
--- a/crates/daemon/src/net/backend/request_writer.rs
+++ b/crates/daemon/src/net/backend/request_writer.rs
@@ -1,6 +1,6 @@
 //! Writes requests to a worker's connection.
 
-use super::connection::{Task, WorkerConnection};
+use super::connection::{RequestProgress, Task, WorkerConnection};
 use crate::net::Context;
 use crate::net::event_loop::{Alarm, Millis};
 use brackenledge_engine::{AttemptDeadlines, Request};
@@ -15,7 +15,7 @@
     /// Buffers a task's request.
     pub(super) fn start(&mut self, task: Task, cx: &mut Context) {
         self.response_head = None;
-        self.is_counted_as_written = false;
+        self.request_progress = RequestProgress::Buffered;
         self.job_started_at = cx.now;
         match &task {
             Task::HealthCheck => self.write_health_check(),
--- a/crates/daemon/src/net/backend/response_reader.rs
+++ b/crates/daemon/src/net/backend/response_reader.rs
@@ -12,7 +12,7 @@
 impl WorkerConnection {
     /// Reads a response as far as it has come; `Close` where the connection can't be used again.
     pub(super) fn read_response(&mut self, cx: &mut Context) -> Flow {
-        self.count_if_written(cx);
+        self.report_if_sent(cx);
         if self.task.is_none() && self.response_head.is_none() {
             // No request is open: which one later bytes would belong to can't be told.
             return Flow::Close;
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -1,4 +1,4 @@
-//! One target for each decoder of bytes that come from others: clients, backend servers, discovery, other schedulers,
+//! One target for each decoder of bytes that come from others: clients, workers, discovery, other schedulers,
 //! operators. Each takes any bytes and must neither panic nor hold more than its bounds say; what it gives goes on into
 //! the state machine that takes it, since a message that decodes well may still carry a number that overflows there.
 //!
@@ -30,7 +30,7 @@
     all
 }
 
-/// The same bytes with most numbers small, as those of one tier are, so that more of them mean something together, and
+/// The same bytes with most numbers small, as those of one cluster are, so that more of them mean something together, and
 /// the others as large as a number can be.
 fn small(bytes: &[u8]) -> Vec<u8> {
     let number = |&byte: &u8| match byte {
@@ -189,7 +189,7 @@
     }
 }
 
-/// A backend server's answers, in pieces of any size.
+/// A worker's responses, in pieces of any size.
 pub fn answers(input: &[u8]) {
     let mut buffer = Buffer::default();
     let (mut head, mut held) = (None, 0);
@@ -314,7 +314,7 @@
     }
 }
 
-/// Lines at the operators' door, and the operators' file.
+/// Lines at the admin endpoint, and the operators' file.
 pub fn operators(input: &[u8]) {
     let _ = (control::parse_line(input, false), control::parse_line(input, true));
     if let Ok(text) = std::str::from_utf8(input) {
