--- a/crates/discovery/tests/support/simulated_discovery/mod.rs
+++ b/crates/discovery/tests/support/simulated_discovery/mod.rs
@@ -114,7 +114,7 @@
     pub fn start(&mut self) {
         for node in 0..self.nodes.len() {
             self.nodes[node].start_watching(self.now);
-            self.carry_out(node);
+            self.execute_commands(node);
         }
     }
 
@@ -124,7 +124,7 @@
         self.nodes[node] = fresh;
         self.armed[node] = f64::INFINITY;
         self.nodes[node].start_watching(self.now);
-        self.carry_out(node);
+        self.execute_commands(node);
     }
 
     fn schedule(&mut self, after: Millis, event: Event) {
@@ -193,10 +193,10 @@
     /// Gives a node an input, and carries out its commands.
     pub fn with_node(&mut self, node: usize, what: impl FnOnce(&mut N, Millis)) {
         what(&mut self.nodes[node], self.now);
-        self.carry_out(node);
+        self.execute_commands(node);
     }
 
-    fn carry_out(&mut self, node: usize) {
+    fn execute_commands(&mut self, node: usize) {
         while let Some(command) = self.nodes[node].poll_command() {
             match command {
                 Command::OpenRequest { request, kind, since_revision } => {
--- a/crates/discovery/tests/support/simulated_discovery/service.rs
+++ b/crates/discovery/tests/support/simulated_discovery/service.rs
@@ -41,7 +41,7 @@
             }
             Event::Timeout(node) => self.on_timeout(node),
         };
-        self.carry_out(node);
+        self.execute_commands(node);
     }
 
     /// Whether what discovery sends does not reach this node.
--- a/crates/failover/src/job_record/tests.rs
+++ b/crates/failover/src/job_record/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 #[test]
-fn an_attempt_said_again_keeps_its_age_and_a_number_used_again_its_new_worker() {
+fn an_attempt_recorded_again_keeps_its_age_and_a_reused_number_its_new_worker() {
     let mut record = JobRecord {
         owner: ProcessId { ordinal: 0, incarnation: 1 },
         claim_id: 1,
--- a/crates/failover/tests/lost_grants.rs
+++ b/crates/failover/tests/lost_grants.rs
@@ -41,7 +41,7 @@
         let mut cluster = Cluster::new(3, Settings::default());
         cluster.deaf.insert(OWNER);
         let waiter = cluster.submit(OWNER, &name, true, true);
-        assert!(!cluster.dispatch(OWNER, &name), "the grant does not arrive");
+        assert!(!cluster.request_attempt(OWNER, &name), "the grant does not arrive");
         Some(LostGrant { cluster, name, waiter, coordinator, replica })
     }
 
@@ -69,13 +69,13 @@
 #[test]
 fn a_claim_whose_grant_was_lost_is_granted_again_rather_than_taken_over() {
     let mut lost = LostGrant::new();
-    lost.cluster.pass(1_000);
+    lost.cluster.run(1_000);
     lost.lose_coordinator();
     assert!(!lost.replica_runs_it(), "its owner has claimed it again, and knows that nothing was sent");
     assert!(lost.owner_may_send_it());
     let served = JobOutcome::Served(Arc::from(&b"sold"[..]));
     let name = lost.name.clone();
-    lost.cluster.ended(OWNER, &name, served.clone());
+    lost.cluster.finish_job(OWNER, &name, served.clone());
     assert_eq!(lost.answer(), Some(served));
 }
 
@@ -83,7 +83,7 @@
 fn a_job_rejected_before_its_coordinator_is_replaced_is_not_taken_over() {
     let mut lost = LostGrant::new();
     lost.cluster.nodes[usize::from(lost.coordinator)] = None;
-    lost.cluster.pass(4_100);
+    lost.cluster.run(4_100);
     assert!(matches!(lost.answer(), Some(JobOutcome::Rejected(Some(_)))), "{:?}", lost.answer());
     lost.lose_coordinator();
     assert!(!lost.replica_runs_it(), "its client was told that it has not run");
@@ -93,12 +93,12 @@
 #[test]
 fn a_job_rejected_while_reports_are_incomplete_is_not_taken_over() {
     let mut lost = LostGrant::new();
-    lost.cluster.pass(3_900);
+    lost.cluster.run(3_900);
     // The replica's reports do not arrive, and so it is still without those of all members itself.
     lost.cluster.nodes[usize::from(lost.coordinator)] = None;
     lost.cluster.deaf.insert(lost.replica);
     lost.cluster.apply_member_list(vec![OWNER, lost.replica]);
-    lost.cluster.pass(200);
+    lost.cluster.run(200);
     assert!(matches!(lost.answer(), Some(JobOutcome::Rejected(Some(_)))), "{:?}", lost.answer());
     lost.cluster.deaf.clear();
     lost.cluster.apply_member_list(vec![OWNER, lost.replica]);
@@ -110,14 +110,14 @@
     let mut lost = LostGrant::new();
     lost.cluster = Cluster::new(3, Settings::default());
     lost.waiter = lost.cluster.submit(OWNER, &lost.name, true, true);
-    assert!(lost.cluster.dispatch(OWNER, &lost.name));
+    assert!(lost.cluster.request_attempt(OWNER, &lost.name));
     // The attempt finds no worker, and neither that nor the discard reaches the coordinator.
     lost.cluster.nodes[usize::from(lost.coordinator)] = None;
     let now = lost.cluster.now;
     let owner = lost.cluster.nodes[usize::from(OWNER)].as_mut().expect("it lives");
     owner.attempt_never_ran(now, &key(&lost.name), 0);
     let name = lost.name.clone();
-    lost.cluster.ended(OWNER, &name, JobOutcome::Rejected(None));
+    lost.cluster.finish_job(OWNER, &name, JobOutcome::Rejected(None));
     assert!(matches!(lost.answer(), Some(JobOutcome::Rejected(_))));
     lost.lose_coordinator();
     assert!(!lost.replica_runs_it(), "its client was told that it has not run");
@@ -127,15 +127,15 @@
 fn a_client_that_submits_a_rejected_job_again_has_a_new_job() {
     let mut lost = LostGrant::new();
     lost.cluster.nodes[usize::from(lost.coordinator)] = None;
-    lost.cluster.pass(4_100);
+    lost.cluster.run(4_100);
     let name = lost.name.clone();
     lost.lose_coordinator();
     let again = lost.cluster.submit(OWNER, &name, true, true);
-    assert!(lost.cluster.dispatch(OWNER, &name));
+    assert!(lost.cluster.request_attempt(OWNER, &name));
     // The next list comes while the discard of the first claim is still repeated.
     lost.cluster.apply_member_list(vec![OWNER, lost.replica]);
     assert!(!lost.replica_runs_it());
     let served = JobOutcome::Served(Arc::from(&b"sold"[..]));
-    lost.cluster.ended(OWNER, &name, served.clone());
+    lost.cluster.finish_job(OWNER, &name, served.clone());
     assert_eq!(lost.cluster.answer(OWNER, again), Some(served));
 }
--- a/crates/failover/tests/virtual_cluster/mod.rs
+++ b/crates/failover/tests/virtual_cluster/mod.rs
@@ -25,6 +25,14 @@
     pub incarnations: BTreeMap<u16, u64>,
 }
 
+/// How a job was started.
+#[derive(Debug, PartialEq)]
+pub struct StartedJob {
+    /// The greatest age of an attempt of an earlier owner that may have run.
+    pub prior_execution_age: Option<u64>,
+    pub taken_over: bool,
+}
+
 pub fn process(node: u16) -> ProcessId {
     ProcessId { ordinal: node, incarnation: 1 }
 }
@@ -68,10 +76,10 @@
             one.set_member_lease(self.now, u64::MAX);
             one.apply_member_list(self.now, term, &all);
         }
-        self.carry_out();
+        self.execute_commands();
     }
 
-    pub fn carry_out(&mut self) {
+    pub fn execute_commands(&mut self) {
         loop {
             let mut quiet = true;
             for node in 0..self.nodes.len() {
@@ -113,36 +121,38 @@
         };
         let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
         one.submit(self.now, self.waiter, key(name), submission);
-        self.carry_out();
+        self.execute_commands();
         self.waiter
     }
 
-    pub fn pass(&mut self, ms: u64) {
+    pub fn run(&mut self, ms: u64) {
         for _ in 0..ms / 20 {
             self.now += 20 * MS;
             for one in self.nodes.iter_mut().flatten() {
                 one.handle_timeout(self.now);
             }
-            self.carry_out();
+            self.execute_commands();
         }
     }
 
-    pub fn dispatch(&mut self, node: u16, name: &str) -> bool {
+    /// Requests the first attempt of a job; whether it is permitted, at once or by an acknowledgement.
+    pub fn request_attempt(&mut self, node: u16, name: &str) -> bool {
         let deadline = self.now + 5_000 * MS;
         let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
         let at_once = one.request_attempt(self.now, &key(name), 0, "w1", deadline);
-        self.carry_out();
+        self.execute_commands();
         at_once
             || self.commands[usize::from(node)]
                 .contains(&Command::PermitAttempt { key: key(name), attempt: 0 })
     }
 
-    pub fn ended(&mut self, node: u16, name: &str, outcome: JobOutcome) {
+    pub fn finish_job(&mut self, node: u16, name: &str, outcome: JobOutcome) {
         let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
         one.job_finished(self.now, &key(name), outcome);
-        self.carry_out();
+        self.execute_commands();
     }
 
+    /// What this waiter has been answered.
     pub fn answer(&self, node: u16, waiter: u64) -> Option<JobOutcome> {
         self.commands[usize::from(node)].iter().find_map(|command| match command {
             Command::Answer { waiters, outcome } if waiters.contains(&waiter) => Some(outcome.clone()),
@@ -150,31 +160,35 @@
         })
     }
 
-    pub fn started(&self, node: u16, name: &str) -> Option<(Option<u64>, bool)> {
+    /// How a node has started this job last.
+    pub fn started(&self, node: u16, name: &str) -> Option<StartedJob> {
         self.commands[usize::from(node)].iter().rev().find_map(|command| match command {
             Command::StartJob { key: of, prior_execution, taken_over, .. } if *of == key(name) => {
-                Some((prior_execution.as_ref().map(|prior| prior.max_age), *taken_over))
+                Some(StartedJob {
+                    prior_execution_age: prior_execution.as_ref().map(|prior| prior.max_age),
+                    taken_over: *taken_over,
+                })
             }
             _ => None,
         })
     }
 
-    /// The coordinator of a key, by where the claim goes.
-    pub fn coordinator(&mut self, name: &str, asker: u16) -> u16 {
+    /// The coordinator of a key, by where the claim of this process goes.
+    pub fn coordinator(&mut self, name: &str, claimant: u16) -> u16 {
         let found = self.sent.iter().find_map(|(from, to, message)| match message {
-            Message::ClaimRequest { record, .. } if record.key == key(name) && *from == asker => Some(*to),
+            Message::ClaimRequest { record, .. } if record.key == key(name) && *from == claimant => Some(*to),
             _ => None,
         });
-        found.unwrap_or(asker)
+        found.unwrap_or(claimant)
     }
 
     /// A name whose coordinator is none of these.
     pub fn name_away_from(&mut self, number: u16, others: &[u16]) -> String {
         for at in 0..1_000 {
             let name = format!("probe-{at}");
-            let mut trial = Cluster::new(number, Settings::default());
-            trial.submit(others[0], &name, true, true);
-            if !others.contains(&trial.coordinator(&name, others[0])) {
+            let mut probe = Cluster::new(number, Settings::default());
+            probe.submit(others[0], &name, true, true);
+            if !others.contains(&probe.coordinator(&name, others[0])) {
                 return name;
             }
         }
--- a/crates/leases/tests/cluster.rs
+++ b/crates/leases/tests/cluster.rs
@@ -135,7 +135,7 @@
         if let Some(node) = &mut cluster.nodes[old] {
             node.leave(now);
         }
-        cluster.carry_out(old);
+        cluster.execute_commands(old);
         while cluster.holder(0).is_none() {
             cluster.run(10);
             assert!(
--- a/crates/leases/tests/model/cluster.rs
+++ b/crates/leases/tests/model/cluster.rs
@@ -96,7 +96,7 @@
     }
 
     /// Puts the messages of a node in flight.
-    fn carry_out(&self, state: &mut State, node: u16) {
+    fn execute_commands(&self, state: &mut State, node: u16) {
         while let Some(command) = state.nodes[usize::from(node)].poll_command() {
             let (receivers, message) = match command {
                 Command::Send { to, message } => (vec![to], message),
@@ -129,13 +129,13 @@
         }
         let now = state.now;
         state.nodes[usize::from(to)].handle_message(now, from, message);
-        self.carry_out(state, to);
+        self.execute_commands(state, to);
     }
 
     fn handle_timeout(&self, state: &mut State, node: u16) {
         let now = state.now;
         state.nodes[usize::from(node)].handle_timeout(now);
-        self.carry_out(state, node);
+        self.execute_commands(state, node);
     }
 
     fn tick(&self, state: &mut State, delayed: Option<(u16, u16)>) {
--- a/crates/leases/tests/virtual_cluster/mod.rs
+++ b/crates/leases/tests/virtual_cluster/mod.rs
@@ -90,7 +90,7 @@
         self.membership_changes.push((self.now + 5_000 * MS, at, incarnation, false));
     }
 
-    pub fn carry_out(&mut self, at: usize) {
+    pub fn execute_commands(&mut self, at: usize) {
         while let Some(command) = self.nodes[at].as_mut().and_then(LeaseManager::poll_command) {
             match command {
                 Command::Send { to, message } => self.send(at, vec![usize::from(to)], message),
@@ -173,7 +173,7 @@
         let clock = self.clock(to);
         if let Some(node) = &mut self.nodes[to] {
             node.handle_message(clock, from as u16, message);
-            self.carry_out(to);
+            self.execute_commands(to);
         }
     }
 
@@ -205,7 +205,7 @@
         if let Some(node) = &mut self.nodes[at] {
             node.set_alive_members(alive);
             node.handle_timeout(clock);
-            self.carry_out(at);
+            self.execute_commands(at);
         }
     }
 
--- a/crates/membership/tests/cluster.rs
+++ b/crates/membership/tests/cluster.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
 
-/// A message on its way.
+/// A message in flight.
 struct Packet {
     arrives_at: Millis,
     to: usize,
@@ -58,7 +58,7 @@
         self.members[at] = Some(Membership::new(self.now, process(at, incarnation), seeds, &config, 7));
     }
 
-    fn run_commands(&mut self, at: usize) {
+    fn execute_commands(&mut self, at: usize) {
         while let Some(command) = self.members[at].as_mut().and_then(Membership::poll_command) {
             match command {
                 Command::Send { to, bytes } => {
@@ -76,7 +76,7 @@
         }
     }
 
-    fn run(&mut self, until: Millis) {
+    fn run_until(&mut self, until: Millis) {
         loop {
             let timers = self.members.iter().flatten().map(Membership::next_timeout);
             let messages = self.in_flight.iter().map(|packet| packet.arrives_at);
@@ -93,13 +93,13 @@
             for Packet { to, bytes, .. } in due {
                 if let Some(member) = &mut self.members[to] {
                     assert!(member.handle_message(self.now, &bytes));
-                    self.run_commands(to);
+                    self.execute_commands(to);
                 }
             }
             for at in 0..self.members.len() {
                 if let Some(member) = &mut self.members[at] {
                     member.handle_timeout(self.now);
-                    self.run_commands(at);
+                    self.execute_commands(at);
                 }
             }
         }
@@ -114,12 +114,12 @@
 fn a_cluster_forms_and_detects_a_failure_at_every_loss() {
     for (number, loss) in [(4, 0.0), (4, 0.3), (8, 0.1), (8, 0.3), (40, 0.1)] {
         let mut cluster = Cluster::new(number, loss, 1);
-        cluster.run(15_000.0);
+        cluster.run_until(15_000.0);
         let all: BTreeSet<u16> = (0..number as u16).collect();
         (0..number).for_each(|at| assert_eq!(cluster.alive(at), all, "{number} at {loss}"));
         cluster.members[2] = None;
         cluster.downs.clear();
-        cluster.run(40_000.0);
+        cluster.run_until(40_000.0);
         let left: BTreeSet<u16> = all.iter().copied().filter(|&one| one != 2).collect();
         for at in (0..number).filter(|&at| at != 2) {
             assert_eq!(cluster.alive(at), left, "{number} at {loss}, seen by {at}");
@@ -132,10 +132,10 @@
 #[test]
 fn a_restart_is_another_process_and_a_leave_is_known_at_once() {
     let mut cluster = Cluster::new(5, 0.1, 3);
-    cluster.run(5_000.0);
+    cluster.run_until(5_000.0);
     cluster.members[1] = None;
     cluster.start(1, 6_000);
-    cluster.run(10_000.0);
+    cluster.run_until(10_000.0);
     for at in [0, 2, 3, 4] {
         let seen: Vec<ProcessId> = cluster.members[at].iter().flat_map(Membership::active_members).collect();
         assert!(seen.contains(&process(1, 6_000)) && !seen.contains(&process(1, 1_000)), "{at}: {seen:?}");
@@ -148,42 +148,42 @@
     let now = cluster.now;
     cluster.downs.clear();
     cluster.members[3].as_mut().expect("it runs").leave(now);
-    cluster.run_commands(3);
-    cluster.run(now + 1_500.0);
+    cluster.execute_commands(3);
+    cluster.run_until(now + 1_500.0);
     for at in [0, 1, 2, 4] {
-        assert!(!cluster.alive(at).contains(&3), "{at} has heard that 3 left");
+        assert!(!cluster.alive(at).contains(&3), "{at} knows that 3 left");
     }
 }
 
 #[test]
 fn a_partitioned_member_rejoins_and_of_two_under_one_ordinal_the_newer_stays() {
     let mut cluster = Cluster::new(6, 0.0, 4);
-    cluster.run(5_000.0);
+    cluster.run_until(5_000.0);
     for other in 0..6 {
         cluster.cut.extend([(2, other), (other, 2)]);
     }
-    cluster.run(15_000.0);
+    cluster.run_until(15_000.0);
     assert!(!cluster.alive(0).contains(&2));
     cluster.cut.clear();
-    cluster.run(25_000.0);
+    cluster.run_until(25_000.0);
     assert!((0..6).all(|at| cluster.alive(at).len() == 6), "{:?}", cluster.alive(2));
-    // A one-way partition: 4 hears nobody, yet others hear it through.
+    // A one-way partition: nothing reaches 4, yet others receive its messages.
     for other in 0..6 {
         cluster.cut.insert((other, 4));
     }
-    cluster.run(40_000.0);
+    cluster.run_until(40_000.0);
     cluster.cut.clear();
-    cluster.run(55_000.0);
+    cluster.run_until(55_000.0);
     assert!((0..6).all(|at| cluster.alive(at).len() == 6));
-    // A second process under number 5: the first is told that it has been superseded.
+    // A second process under number 5: the first learns that it has been superseded.
     let old = cluster.members[5].take();
     cluster.start(5, 99_000);
-    cluster.run(60_000.0);
+    cluster.run_until(60_000.0);
     let newer = std::mem::replace(&mut cluster.members[5], old);
-    cluster.run(70_000.0);
-    assert!(cluster.superseded.contains(&5), "the older one is told");
+    cluster.run_until(70_000.0);
+    assert!(cluster.superseded.contains(&5), "the older one is superseded");
     cluster.members[5] = newer;
-    cluster.run(80_000.0);
+    cluster.run_until(80_000.0);
     let seen: Vec<ProcessId> = cluster.members[0].iter().flat_map(Membership::active_members).collect();
     assert!(seen.contains(&process(5, 99_000)) && !seen.contains(&process(5, 1_000)), "{seen:?}");
 }
@@ -191,11 +191,11 @@
 #[test]
 fn a_member_is_suspect_before_it_is_down() {
     let mut cluster = Cluster::new(4, 0.0, 5);
-    cluster.run(5_000.0);
+    cluster.run_until(5_000.0);
     cluster.members[1] = None;
     let mut seen = Vec::new();
     for step in 0..250 {
-        cluster.run(5_000.0 + 50.0 * f64::from(step));
+        cluster.run_until(5_000.0 + 50.0 * f64::from(step));
         seen.extend(
             cluster.members[0].iter().flat_map(Membership::peers).filter(|o| o.0.ordinal == 1).map(|o| o.1),
         );
@@ -212,13 +212,13 @@
         flips in proptest::collection::vec((any::<usize>(), any::<u8>()), 0..8),
     ) {
         let mut cluster = Cluster::new(3, 0.0, 9);
-        cluster.run(500.0);
+        cluster.run_until(500.0);
         let mut member = cluster.members[0].take().expect("a member");
         for text in texts {
             member.handle_message(600.0, &text);
         }
         // Real messages with some bits turned over.
-        cluster.run(1_200.0);
+        cluster.run_until(1_200.0);
         let in_flight = std::mem::take(&mut cluster.in_flight);
         for Packet { mut bytes, .. } in in_flight {
             for &(at, bits) in &flips {
