Fuzz targets and the last test comments in standard terms, one slow client

Cause: targets were called answers, texts, chunks, lists and operators, some tests still spoke of rooms, doors and what somebody was told, and the client with a small receive buffer was set up twice. Change: the targets are responses, peer_messages, chunked_bodies, endpoint_lists and operator_input; comments in the glossary's terms; the client is made in the support module; the_latest_epoch_is_there_again_whoever_wrote_it is the_latest_epoch_is_read_again_whichever_process_stored_it.

--- a/crates/daemon/src/net/cluster/tests.rs
+++ b/crates/daemon/src/net/cluster/tests.rs
@@ -15,7 +15,7 @@
     assert_eq!((roles::AGGREGATOR, roles::ZONE_PLANNER), (0, 1));
 }
 
-/// A cluster of three in which nobody has been heard of yet.
+/// A cluster of three in which no other process is known yet.
 fn started() -> Cluster {
     let operations = Operations::default();
     Cluster::new(2, 3, &operations, 1).expect("no state directory is asked for")
--- a/crates/daemon/src/net/epoch_store/tests.rs
+++ b/crates/daemon/src/net/epoch_store/tests.rs
@@ -7,7 +7,7 @@
 }
 
 #[test]
-fn the_latest_epoch_is_there_again_whoever_wrote_it() {
+fn the_latest_epoch_is_read_again_whichever_process_stored_it() {
     let directory = tempfile::tempdir().expect("a directory");
     let at = directory.path().join("new");
     let mut one = EpochStore::open(&at, 3).expect("it is made");
--- a/crates/daemon/tests/graceful_shutdown.rs
+++ b/crates/daemon/tests/graceful_shutdown.rs
@@ -3,17 +3,16 @@
 
 mod support;
 
-use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::Instant;
 use support::{
-    Scheduler, TEST_TIMEOUT, accept, address_of, bind_loopback, check_health, closing_job, count_attempts,
-    count_responses, endpoint, endpoint_list, is_closed, job_request, job_with_time_left, ms, read_message,
-    read_response_by, read_to_close, received_within, scheduler_with_one_worker, send, served_response,
-    set_in_each_class, settings_with_deadline, settings_without_cancelling, sigkill_time, sleep_until,
-    spawn_worker, start_scheduler, start_scheduler_at, wait_for_reuse, with_time_left,
-    worker_with_full_backlog,
+    Scheduler, TEST_TIMEOUT, accept, address_of, bind_loopback, check_health, closing_job,
+    connect_with_small_buffer, count_attempts, count_responses, endpoint, endpoint_list, is_closed,
+    job_request, job_with_time_left, ms, read_message, read_response_by, read_to_close, received_within,
+    scheduler_with_one_worker, send, served_response, set_in_each_class, settings_with_deadline,
+    settings_without_cancelling, sigkill_time, sleep_until, spawn_worker, start_scheduler,
+    start_scheduler_at, wait_for_reuse, with_time_left, worker_with_full_backlog,
 };
 
 #[test]
@@ -192,12 +191,7 @@
     let settings = settings_with_deadline(800.0);
     let mut scheduler = start_scheduler(settings, &worker);
     scheduler.wait_until_ready();
-    // A client with a small receive buffer that reads late.
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(4 * 1024).expect("a size");
-    socket.connect(&scheduler.address.into()).expect("the scheduler accepts");
-    let mut client = TcpStream::from(socket);
-    client.set_read_timeout(Some(TEST_TIMEOUT)).expect("set_read_timeout");
+    let mut client = connect_with_small_buffer(&scheduler);
     send(&mut client, &job_with_time_left("view", "z1", 800));
     let mut attempt = accept(&worker);
     read_message(&mut attempt);
--- a/crates/daemon/tests/shutdown_races.rs
+++ b/crates/daemon/tests/shutdown_races.rs
@@ -5,12 +5,11 @@
 
 mod support;
 
-use socket2::{Domain, Socket, Type};
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::Instant;
 use support::{
-    TEST_TIMEOUT, accept, assert_served_on, bind_loopback, chunk, closing_job, count_attempts,
+    accept, assert_served_on, bind_loopback, chunk, closing_job, connect_with_small_buffer, count_attempts,
     count_responses, is_closed, job_with_time_left, ms, read_message, read_to_close, received_within,
     reset_connection, send, served_response, settings_with_deadline, sigkill_time, sleep_until, spawn_worker,
     start_scheduler, start_scheduler_at, trace_id,
@@ -111,12 +110,7 @@
     let worker = bind_loopback();
     let mut scheduler = start_scheduler(settings_with_deadline(1_500.0), &worker);
     scheduler.wait_until_ready();
-    // A client with a small receive buffer.
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(4 * 1024).expect("a size");
-    socket.connect(&scheduler.address.into()).expect("the scheduler accepts");
-    let mut client = TcpStream::from(socket);
-    client.set_read_timeout(Some(TEST_TIMEOUT)).expect("set_read_timeout");
+    let mut client = connect_with_small_buffer(&scheduler);
     send(&mut client, &job_with_time_left("sale", "u1", 1_500));
     let mut attempt = accept(&worker);
     read_message(&mut attempt);
--- a/crates/daemon/tests/support/client.rs
+++ b/crates/daemon/tests/support/client.rs
@@ -1,6 +1,7 @@
 //! Requests of scripted clients.
 
-use super::{Scheduler, read_message, send};
+use super::{Scheduler, TEST_TIMEOUT, read_message, send};
+use socket2::{Domain, Socket, Type};
 use std::net::TcpStream;
 
 /// The question whether the scheduler can serve.
@@ -25,7 +26,7 @@
     request.replace("X-Expires-In-Ms: 4000", &format!("X-Expires-In-Ms: {time_left}"))
 }
 
-/// A job whose client wants the connection closed behind the response.
+/// A job whose client wants the connection closed after the response.
 pub fn closing_job(class: &str, id: &str, time_left: u64) -> String {
     job_with_time_left(class, id, time_left).replace("Host: x", "Host: x\r\nConnection: close")
 }
@@ -37,6 +38,16 @@
     assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
 }
 
+/// A client that takes little at a time, by a receive buffer of 4 KiB.
+pub fn connect_with_small_buffer(scheduler: &Scheduler) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4 * 1024).expect("a size");
+    socket.connect(&scheduler.address.into()).expect("the scheduler accepts");
+    let client = TcpStream::from(socket);
+    client.set_read_timeout(Some(TEST_TIMEOUT)).expect("set_read_timeout");
+    client
+}
+
 /// The scheduler's answer to a health check.
 pub fn check_health(scheduler: &Scheduler) -> String {
     read_message(&mut scheduler.send_request(HEALTH_REQUEST))
--- a/crates/daemon/tests/support/http.rs
+++ b/crates/daemon/tests/support/http.rs
@@ -77,7 +77,7 @@
     )
 }
 
-/// The same behind which the worker closes its connection.
+/// The same, after which the worker closes its connection.
 pub fn closing_response(id: &str, result: &str) -> String {
     served_response(id, result).replace("HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n")
 }
--- a/crates/discovery/tests/endpoint_status.rs
+++ b/crates/discovery/tests/endpoint_status.rs
@@ -45,7 +45,7 @@
     assert!(is_ready(&node, "a") && is_ready(&node, "c"));
 }
 
-/// Seen on `zone+mass`, each time: peers told a restarted scheduler that an endpoint was gone and then that it was back;
+/// Seen on `zone+mass`, each time: peers sent a restarted scheduler that an endpoint was gone and then that it was back;
 /// the second message uncovered the cached list, and a job was sent by it 1.6 s after the start.
 #[test]
 fn an_endpoint_that_peers_withdrew_is_ready_again_only_by_the_own_list() {
--- a/crates/failover/tests/lost_grants.rs
+++ b/crates/failover/tests/lost_grants.rs
@@ -86,7 +86,7 @@
     lost.cluster.run(4_100);
     assert!(matches!(lost.answer(), Some(JobOutcome::Rejected(Some(_)))), "{:?}", lost.answer());
     lost.lose_coordinator();
-    assert!(!lost.replica_runs_it(), "its client was told that it has not run");
+    assert!(!lost.replica_runs_it(), "its client was answered that it has not run");
     assert!(!lost.owner_may_send_it());
 }
 
@@ -102,7 +102,7 @@
     assert!(matches!(lost.answer(), Some(JobOutcome::Rejected(Some(_)))), "{:?}", lost.answer());
     lost.cluster.deaf.clear();
     lost.cluster.apply_member_list(vec![OWNER, lost.replica]);
-    assert!(!lost.replica_runs_it(), "its client was told that it has not run");
+    assert!(!lost.replica_runs_it(), "its client was answered that it has not run");
 }
 
 #[test]
@@ -120,7 +120,7 @@
     lost.cluster.finish_job(OWNER, &name, JobOutcome::Rejected(None));
     assert!(matches!(lost.answer(), Some(JobOutcome::Rejected(_))));
     lost.lose_coordinator();
-    assert!(!lost.replica_runs_it(), "its client was told that it has not run");
+    assert!(!lost.replica_runs_it(), "its client was answered that it has not run");
 }
 
 #[test]
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -1,8 +1,8 @@
 //! One target for each decoder of bytes that come from others: clients, workers, discovery, other schedulers,
-//! operators. Each takes any bytes and must neither panic nor hold more than its bounds say; what it gives goes on into
+//! operators. Each takes any bytes and must neither panic nor buffer more than its bounds say; what it decodes goes on into
 //! the state machine that takes it, since a message that decodes well may still carry a number that overflows there.
 //!
-//! `tests/decoders.rs` plays them at random in the ordinary tests; `cargo bolero test -p brackenledge-fuzz --test decoders
+//! `tests/decoders.rs` runs them at random in the ordinary tests; `cargo bolero test -p brackenledge-fuzz --test decoders
 //! leases` lets libFuzzer look for as long as one likes. An input that failed goes into the unit tests of the crate at
 //! fault.
 
@@ -30,9 +30,9 @@
     all
 }
 
-/// The same bytes with most numbers small, as those of one cluster are, so that more of them mean something together, and
-/// the others as large as a number can be.
-fn small(bytes: &[u8]) -> Vec<u8> {
+/// The same bytes with most numbers small, as those of one cluster are, so that more of them mean something together,
+/// and the others as large as a number can be.
+fn with_small_numbers(bytes: &[u8]) -> Vec<u8> {
     let number = |&byte: &u8| match byte {
         0xf8..=0xff => vec![0xff, 0xff, 0xff, 0xff, 0x0f],
         0xf0..=0xf7 => [vec![0xff; 9], vec![0x01]].concat(),
@@ -51,8 +51,8 @@
     for (at, bytes) in messages(input).into_iter().enumerate() {
         member.handle_message(at as f64, bytes);
         member.handle_timeout(at as f64);
-        while let Some(order) = member.poll_command() {
-            if let brackenledge_membership::Command::Send { bytes, .. } = order {
+        while let Some(command) = member.poll_command() {
+            if let brackenledge_membership::Command::Send { bytes, .. } = command {
                 assert!(bytes.len() <= brackenledge_membership::MAX_MESSAGE_BYTES);
             }
         }
@@ -60,7 +60,7 @@
 }
 
 /// Kinds of messages of the leases.
-const KINDS: u8 = 17;
+const MESSAGE_KINDS: u8 = 17;
 
 /// Datagrams of the leases, at a voter of three and at one that has just started: each message as if its sender had sent it.
 pub fn leases(input: &[u8]) {
@@ -76,13 +76,14 @@
         let mut now = 1_000_000;
         for bytes in messages(input) {
             now += 100_000;
-            // As they are, and each front of them under each kind, with small numbers: what decodes is heard.
-            let mut texts = vec![bytes.to_vec()];
+            // As they are, and each prefix of them under each kind, with small numbers: what decodes is handled.
+            let mut inputs = vec![bytes.to_vec()];
             if let Some((&kind, rest)) = bytes.split_first() {
-                let text: Vec<u8> = std::iter::once(kind % KINDS).chain(small(rest)).collect();
-                texts.extend((1..=text.len()).map(|end| text[..end].to_vec()));
+                let input: Vec<u8> =
+                    std::iter::once(kind % MESSAGE_KINDS).chain(with_small_numbers(rest)).collect();
+                inputs.extend((1..=input.len()).map(|end| input[..end].to_vec()));
             }
-            for message in texts.iter().filter_map(|text| Message::decode(text).ok()) {
+            for message in inputs.iter().filter_map(|input| Message::decode(input).ok()) {
                 manager.handle_message(now, message.from().ordinal, message);
             }
             manager.handle_timeout(now);
@@ -126,7 +127,7 @@
             failover.handle_message(now, process(1), message);
         }
         // What a frame carries, without the frame: random bytes are seldom one.
-        for text in [bytes.to_vec(), small(bytes)] {
+        for text in [bytes.to_vec(), with_small_numbers(bytes)] {
             if let Ok((message, _)) = postcard::take_from_bytes(&text) {
                 failover.handle_message(now, process(1), message);
             }
@@ -141,8 +142,8 @@
     }
 }
 
-/// Texts between schedulers: gossip on endpoints, and the policy module's loads and sums.
-pub fn texts(input: &[u8]) {
+/// Texts between schedulers: gossip on endpoints, and the policy module's loads and aggregated loads.
+pub fn peer_messages(input: &[u8]) {
     let settings = DiscoverySettings {
         ordinal: 0,
         schedulers: 12,
@@ -152,7 +153,7 @@
         seed: 1,
     };
     let mut directory = EndpointDirectory::new(0.0, settings);
-    let listed = |name: &str| EndpointRecord {
+    let record = |name: &str| EndpointRecord {
         name: name.to_owned(),
         address: None,
         zone: 0,
@@ -162,7 +163,7 @@
         weight: 1.0,
         started_at: None,
     };
-    directory.load_cached(0.0, 1, vec![listed("s-a"), listed("s-b")]);
+    directory.load_cached(0.0, 1, vec![record("s-a"), record("s-b")]);
     let settings = Settings { schedulers: 12, peer_messages: true, ..Settings::default() };
     let mut dispatcher = Dispatcher::new(0.0, settings, 1);
     let entry = |id: usize| WorkerEntry {
@@ -190,9 +191,9 @@
 }
 
 /// A worker's responses, in pieces of any size.
-pub fn answers(input: &[u8]) {
+pub fn responses(input: &[u8]) {
     let mut buffer = Buffer::default();
-    let (mut head, mut held) = (None, 0);
+    let (mut head, mut buffered) = (None, 0);
     for piece in messages(input) {
         let mut source = piece;
         while let Ok(1..) = buffer.read_from(&mut source) {}
@@ -207,14 +208,14 @@
         while let Some(line) = head.body.take_line(&mut buffer) {
             let _ = (worker::decode_line(&line), worker::decode_load(&line));
         }
-        held = held.max(head.body.ready());
+        buffered = buffered.max(head.body.ready());
         if ended {
             head.load.as_deref().map(worker::decode_load_header);
             head.body.take_all(&mut buffer);
             return;
         }
     }
-    assert!(held <= MAX_BODY_BYTES, "{held} bytes are held");
+    assert!(buffered <= MAX_BODY_BYTES, "{buffered} bytes are buffered");
 }
 
 /// Headers that a request's head may hold.
@@ -264,7 +265,7 @@
 }
 
 /// A body behind a head that announced chunks: its content comes out the same however it is cut.
-pub fn chunks(input: &[u8]) {
+pub fn chunked_bodies(input: &[u8]) {
     let head = RequestHead::decode(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
     let head = head.ok().flatten().expect("the head is complete");
     let read = |pieces: &[&[u8]]| {
@@ -289,7 +290,7 @@
 }
 
 /// Discovery's lists, in pieces of any size: the same is read from them however they are cut.
-pub fn lists(input: &[u8]) {
+pub fn endpoint_lists(input: &[u8]) {
     let read = |pieces: &mut dyn Iterator<Item = &[u8]>, lines: bool| {
         let mut reader = ListReader::new(lines);
         let mut seen = Vec::new();
@@ -298,7 +299,7 @@
                 seen.push(match piece {
                     ListItem::Entry(entry) => format!("{} {:?}", entry.name, entry.status),
                     ListItem::List { index, snapshot } => format!("{index} {snapshot}"),
-                    ListItem::KeepAlive => "beat".into(),
+                    ListItem::KeepAlive => "keep-alive".into(),
                 });
             });
             if fed.is_err() {
@@ -314,8 +315,8 @@
     }
 }
 
-/// Lines at the admin endpoint, and the operators' file.
-pub fn operators(input: &[u8]) {
+/// Calls at the admin endpoint, and the operators' file.
+pub fn operator_input(input: &[u8]) {
     let _ = (control::parse_line(input, false), control::parse_line(input, true));
     if let Ok(text) = std::str::from_utf8(input) {
         let _ = Operations::parse(Path::new("operations.toml"), text);
--- a/crates/fuzz/tests/decoders.rs
+++ b/crates/fuzz/tests/decoders.rs
@@ -10,4 +10,4 @@
     };
 }
 
-targets! { membership leases fenced_messages failover texts answers request_heads chunks lists operators }
+targets! { membership leases fenced_messages failover peer_messages responses request_heads chunked_bodies endpoint_lists operator_input }
--- a/crates/zone-routing/src/route_cost/tests.rs
+++ b/crates/zone-routing/src/route_cost/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Each job goes to the cheapest zone; all of them have room.
+/// Each job goes to the cheapest zone; all of them have capacity.
 fn split(shares: &[f64], jobs: usize) -> Vec<f64> {
     let mut cost_model = RouteCostModel::new(0, shares.len());
     let mut sent = vec![0.0; shares.len()];
--- a/crates/zone-routing/tests/plans.rs
+++ b/crates/zone-routing/tests/plans.rs
@@ -243,9 +243,9 @@
         for j in 0..demand.len() {
             let load: f64 = (0..demand.len()).map(|i| demand[i] * plan[i][j]).sum();
             let explored = if failing.contains(&(j, j)) { 0.02 * demand[j] } else { 0.0 };
-            // Offered work is told in hundredths of a slot.
+            // Offered work is reported in hundredths of a slot.
             let rounding = 0.01 * demand.len() as f64;
-            // Nobody is filled beyond what is planned, and beyond the goal only where work would be refused.
+            // No zone is filled beyond what is planned, and beyond the target only where work would be rejected.
             prop_assert!(load <= 0.97 * slots[j] + explored + rounding, "{load} in {}", slots[j]);
         }
     }
