Daemon's tests: two long tests in named steps

Cause: the tests of a withheld last byte and of a stalled line of the watch were 44 and 45 lines, half of them set-up and a loop around two listeners. Change: the set-up that makes last bytes withheld, reading up to a mark, and waiting until a worker is used again are functions; order, bounds and assertions are the same.

--- a/crates/daemon/tests/client_disconnects.rs
+++ b/crates/daemon/tests/client_disconnects.rs
@@ -7,7 +7,7 @@
 
 use serde_json::json;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use support::{
     SYN_RETRANSMISSION_TIMEOUT, Scheduler, TEST_TIMEOUT, accept, address_of, bind_loopback, endpoint,
@@ -90,32 +90,37 @@
     }
 }
 
+/// Resets a reused connection before it sends a byte back: from here on last bytes are withheld for a while.
+fn withhold_last_bytes(scheduler: &Scheduler, worker: &TcpListener, mut idle: TcpStream) {
+    let mut client = scheduler.send_request(&job_with_time_left("view", "b1", 60_000));
+    read_message(&mut idle);
+    reset_connection(idle);
+    let mut attempt = accept(worker);
+    read_message(&mut attempt);
+    send(&mut attempt, &served_response("b1", "again"));
+    read_message(&mut client);
+}
+
+fn read_up_to(stream: &mut TcpStream, end: &[u8]) {
+    let (mut read, mut byte) = (Vec::new(), [0; 1]);
+    while !read.ends_with(end) {
+        stream.read_exact(&mut byte).expect("all but the last byte");
+        read.push(byte[0]);
+    }
+}
+
 #[test]
 fn a_job_whose_client_disconnects_before_its_last_byte_is_sent_is_never_complete() {
     let worker = bind_loopback();
     let scheduler = start_scheduler(settings_without_cancelling(), &worker);
-    let mut idle = Some(scheduler.assert_serves(&worker, "b0"));
+    let idle = scheduler.assert_serves(&worker, "b0");
+    withhold_last_bytes(&scheduler, &worker, idle);
     let mut hits = 0;
     for n in 0..200 {
-        // A reused connection that is reset before it sent a byte back: from here on last bytes are held back.
-        if let Some(mut idle) = idle.take() {
-            let mut client = scheduler.send_request(&job_with_time_left("view", "b1", 60_000));
-            read_message(&mut idle);
-            reset_connection(idle);
-            let mut attempt = accept(&worker);
-            read_message(&mut attempt);
-            send(&mut attempt, &served_response("b1", "again"));
-            read_message(&mut client);
-        }
         let client =
             scheduler.send_request(&with_time_left(&job_request("sale", &format!("b2-{n}"), "1234"), 60_000));
         let mut attempt = accept(&worker);
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n123") {
-            let mut byte = [0; 1];
-            attempt.read_exact(&mut byte).expect("all but the last byte");
-            head.push(byte[0]);
-        }
+        read_up_to(&mut attempt, b"\r\n\r\n123");
         // Paused, it can't send that one; its client disconnects meanwhile. Now and then the pause comes too late, or
         // falls between the end of the poll and the write that it has led to.
         scheduler.pause();
--- a/crates/daemon/tests/silent_watches.rs
+++ b/crates/daemon/tests/silent_watches.rs
@@ -3,11 +3,12 @@
 
 mod support;
 
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 use support::{
     RESPONSE_HEAD, Scheduler, TEST_TIMEOUT, TwoWorkers, accept, assert_all_jobs_go_to, bind_loopback, chunk,
     closing_response, endpoint_list, entry, job_request, line_chunk, ms, read_message, reset_connection,
-    send, two_workers, two_workers_with_max_poll_interval, wait_until_not_used,
+    send, trace_id, two_workers, two_workers_with_max_poll_interval, wait_until_not_used,
 };
 
 /// A watch that falls silent behind these bytes, and a drain on the next one: no job goes to the draining worker once
@@ -107,29 +108,31 @@
         &mut second,
         &format!("{RESPONSE_HEAD}{}", line_chunk(endpoint_list(4, false, &[entry("s-a", &a, "ready")]))),
     );
-    a.set_nonblocking(false).expect("set_nonblocking");
-    let mut client = scheduler.send_request(&job_request("view", "z1", "x"));
+    wait_until_used(&scheduler, &a, &b);
+}
+
+/// Sends one job after another until this worker serves one; the other worker may serve some before.
+fn wait_until_used(scheduler: &Scheduler, worker: &TcpListener, other: &TcpListener) {
+    worker.set_nonblocking(true).expect("set_nonblocking");
+    other.set_nonblocking(true).expect("set_nonblocking");
     let since = Instant::now();
-    let mut n = 0;
-    // Either may be chosen; both are, soon.
-    while since.elapsed() < TEST_TIMEOUT {
-        n += 1;
-        a.set_nonblocking(true).expect("set_nonblocking");
-        b.set_nonblocking(true).expect("set_nonblocking");
-        std::thread::sleep(ms(20));
-        let (at_a, at_b) = (a.accept(), b.accept());
-        let to_a = at_a.is_ok();
-        let Ok((mut attempt, _)) = at_a.or(at_b) else { continue };
+    for n in 0.. {
+        let mut client = scheduler.send_request(&job_request("view", &format!("z{n}"), "x"));
+        let (mut attempt, by_worker) = loop {
+            assert!(since.elapsed() < TEST_TIMEOUT, "the worker is never used again");
+            std::thread::sleep(ms(20));
+            let (accepted, by_other) = (worker.accept(), other.accept());
+            let by_worker = accepted.is_ok();
+            if let Ok((attempt, _)) = accepted.or(by_other) {
+                break (attempt, by_worker);
+            }
+        };
         attempt.set_nonblocking(false).expect("set_nonblocking");
         let request = read_message(&mut attempt);
-        let id = request.split("X-Trace-Id: ").nth(1).and_then(|t| t.split("\r\n").next()).expect("an id");
-        let close = closing_response(id, "yes");
-        send(&mut attempt, &close);
+        send(&mut attempt, &closing_response(trace_id(&request).expect("an id"), "yes"));
         read_message(&mut client);
-        if to_a {
+        if by_worker {
             return;
         }
-        client = scheduler.send_request(&job_request("view", &format!("z{}", n + 1), "x"));
     }
-    panic!("the worker is never used again");
 }
