Virtual clusters of leases and failover: packets and messages are structs

Cause: messages in flight, changes of membership and sent messages were tuples of up to four numbers, read by position, where membership's cluster has a Packet; a list of role changes was written and never read. Change: Packet, MembershipChange and SentMessage with named fields; the list is gone, nothing checked it. Delays, losses and the order of random numbers are unchanged.

--- a/crates/failover/tests/cluster.rs
+++ b/crates/failover/tests/cluster.rs
@@ -6,7 +6,7 @@
 use brackenledge_failover::{Command, Failover, JobOutcome, JobSubmission, Message, ProcessId, Settings};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use virtual_cluster::{Cluster, MS, StartedJob, key};
+use virtual_cluster::{Cluster, MS, SentMessage, StartedJob, key};
 
 #[test]
 fn an_attempt_is_permitted_once_coordinator_and_replica_have_acknowledged_it() {
@@ -37,7 +37,7 @@
     }
     let zone = |node: u16| node % 2;
     let mut seen = 0;
-    for (coordinator, replica, message) in &cluster.sent {
+    for SentMessage { from: coordinator, to: replica, message } in &cluster.sent {
         let Message::Replicate { record, .. } = message else { continue };
         let owner = record.owner.ordinal;
         if zone(*coordinator) == zone(owner) && *coordinator != owner {
--- a/crates/failover/tests/virtual_cluster/mod.rs
+++ b/crates/failover/tests/virtual_cluster/mod.rs
@@ -19,12 +19,20 @@
     pub list_number: u32,
     /// The commands of each node beside messages, in order.
     pub commands: Vec<Vec<Command>>,
-    pub sent: Vec<(u16, u16, Message)>,
+    pub sent: Vec<SentMessage>,
     pub waiter: u64,
     /// Incarnations of nodes that continue under another than the first.
     pub incarnations: BTreeMap<u16, u64>,
 }
 
+/// A message that a node has sent, whether it arrived or not.
+#[derive(Debug)]
+pub struct SentMessage {
+    pub from: u16,
+    pub to: u16,
+    pub message: Message,
+}
+
 /// How a job was started.
 #[derive(Debug, PartialEq)]
 pub struct StartedJob {
@@ -90,7 +98,7 @@
                         continue;
                     };
                     let from = node as u16;
-                    self.sent.push((from, to.ordinal, message.clone()));
+                    self.sent.push(SentMessage { from, to: to.ordinal, message: message.clone() });
                     let (sender, meant) = (
                         ProcessId { ordinal: from, incarnation: self.incarnation(from) },
                         self.incarnation(to.ordinal) == to.incarnation,
@@ -175,7 +183,7 @@
 
     /// The coordinator of a key, by where the claim of this process goes.
     pub fn coordinator(&mut self, name: &str, claimant: u16) -> u16 {
-        let found = self.sent.iter().find_map(|(from, to, message)| match message {
+        let found = self.sent.iter().find_map(|SentMessage { from, to, message }| match message {
             Message::ClaimRequest { record, .. } if record.key == key(name) && *from == claimant => Some(*to),
             _ => None,
         });
--- a/crates/leases/tests/cluster.rs
+++ b/crates/leases/tests/cluster.rs
@@ -8,7 +8,7 @@
     Command, FencingGuard, FencingToken, LeaseManager, MAX_MESSAGE_LENGTH, Message, ProcessId, Settings, Term,
 };
 use proptest::prelude::*;
-use virtual_cluster::{Cluster, MS, ROLES};
+use virtual_cluster::{Cluster, MS, Packet, ROLES};
 
 #[test]
 fn a_cluster_bootstraps_and_a_dead_holder_or_leader_is_replaced_in_three_seconds() {
@@ -193,8 +193,8 @@
         let mut cluster = Cluster::new(3, 0, 1);
         cluster.run(6_000);
         let mut datagrams = std::mem::take(&mut cluster.in_flight);
-        datagrams.extend(texts.into_iter().map(|text| (0, 1, 0, text)));
-        for (_, from, _, mut bytes) in datagrams {
+        datagrams.extend(texts.into_iter().map(|bytes| Packet { arrives_at: 0, from: 1, to: 0, bytes }));
+        for Packet { from, mut bytes, .. } in datagrams {
             for &(at, bits) in &flips {
                 let length = bytes.len().max(1);
                 if let Some(byte) = bytes.get_mut(at % length) {
--- a/crates/leases/tests/virtual_cluster/mod.rs
+++ b/crates/leases/tests/virtual_cluster/mod.rs
@@ -23,6 +23,22 @@
     }
 }
 
+/// A message in flight.
+pub struct Packet {
+    pub arrives_at: Micros,
+    pub from: usize,
+    pub to: usize,
+    pub bytes: Vec<u8>,
+}
+
+/// A node that has started or been killed, and when membership notices that.
+struct MembershipChange {
+    noticed_at: Micros,
+    node: usize,
+    incarnation: u64,
+    alive: bool,
+}
+
 pub struct Cluster {
     pub now: Micros,
     pub nodes: Vec<Option<LeaseManager>>,
@@ -31,17 +47,15 @@
     loss: u64,
     /// Least time that a message travels.
     pub delay: Micros,
-    pub in_flight: Vec<(Micros, usize, usize, Vec<u8>)>,
+    pub in_flight: Vec<Packet>,
     rng: Rng,
     guards: Vec<FencingGuard>,
     holders: BTreeMap<(u8, Term), ProcessId>,
     /// Clocks run faster or slower by so many parts in 10,000.
     pub drift: Vec<i64>,
     /// Membership notices a change so late.
-    membership_changes: Vec<(Micros, usize, u64, bool)>,
+    membership_changes: Vec<MembershipChange>,
     alive: BTreeMap<u16, u64>,
-    /// Each time that a role had another holder: when, which, who.
-    changes: Vec<(Micros, u8, usize)>,
     /// How often a process held a member lease, or the check of them shows nothing.
     pub member_leases_seen: usize,
 }
@@ -62,7 +76,6 @@
             drift: vec![0; number],
             membership_changes: Vec::new(),
             alive: BTreeMap::new(),
-            changes: Vec::new(),
             member_leases_seen: 0,
         };
         (0..number).for_each(|at| cluster.start(at));
@@ -81,13 +94,15 @@
         let me = ProcessId { ordinal: at as u16, incarnation };
         self.nodes[at] = Some(LeaseManager::new(self.clock(at), me, (self.now / 1_000_000) as u32, settings));
         self.guards[at] = FencingGuard::default();
-        self.membership_changes.push((self.now + 500 * MS, at, incarnation, true));
+        let noticed_at = self.now + 500 * MS;
+        self.membership_changes.push(MembershipChange { noticed_at, node: at, incarnation, alive: true });
     }
 
     pub fn kill(&mut self, at: usize) {
         let killed = self.nodes[at].take();
         let incarnation = killed.map_or(0, |node| node.me().incarnation);
-        self.membership_changes.push((self.now + 5_000 * MS, at, incarnation, false));
+        let noticed_at = self.now + 5_000 * MS;
+        self.membership_changes.push(MembershipChange { noticed_at, node: at, incarnation, alive: false });
     }
 
     pub fn execute_commands(&mut self, at: usize) {
@@ -95,7 +110,6 @@
             match command {
                 Command::Send { to, message } => self.send(at, vec![usize::from(to)], message),
                 Command::Broadcast(message) => self.send(at, (0..self.nodes.len()).collect(), message),
-                Command::RoleLeaseChanged { role, term: Some(_) } => self.changes.push((self.now, role, at)),
                 Command::RoleLeaseChanged { .. } | Command::Event(_) => {}
             }
         }
@@ -106,8 +120,8 @@
         assert!(bytes.len() <= MAX_MESSAGE_LENGTH, "{} bytes: {message:?}", bytes.len());
         for to in receivers {
             if to != at && !self.cut.contains(&(at, to)) && self.rng.below(100) >= self.loss {
-                let due = self.now + self.delay + self.rng.below(20_000);
-                self.in_flight.push((due, at, to, bytes.clone()));
+                let arrives_at = self.now + self.delay + self.rng.below(20_000);
+                self.in_flight.push(Packet { arrives_at, from: at, to, bytes: bytes.clone() });
             }
         }
     }
@@ -152,13 +166,13 @@
 
     fn deliver_due(&mut self) {
         let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.in_flight).into_iter().partition(|message| message.0 <= self.now);
+            std::mem::take(&mut self.in_flight).into_iter().partition(|packet| packet.arrives_at <= self.now);
         self.in_flight = later;
-        for (_, from, to, bytes) in due {
-            if self.paused.contains(&to) {
-                self.in_flight.push((self.now, from, to, bytes));
+        for packet in due {
+            if self.paused.contains(&packet.to) {
+                self.in_flight.push(Packet { arrives_at: self.now, ..packet });
             } else {
-                self.deliver(from, to, &bytes);
+                self.deliver(packet.from, packet.to, &packet.bytes);
             }
         }
     }
@@ -179,11 +193,12 @@
 
     /// Membership finds out what has changed long enough ago.
     fn update_membership(&mut self) {
-        let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.membership_changes).into_iter().partition(|change| change.0 <= self.now);
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.membership_changes)
+            .into_iter()
+            .partition(|change| change.noticed_at <= self.now);
         self.membership_changes = later;
-        for (_, at, incarnation, alive) in due {
-            let ordinal = at as u16;
+        for MembershipChange { node, incarnation, alive, .. } in due {
+            let ordinal = node as u16;
             if alive {
                 self.alive.insert(ordinal, incarnation);
             } else if self.alive.get(&ordinal) == Some(&incarnation) {
