--- a/crates/daemon/tests/tier.rs
+++ b/crates/daemon/tests/cluster.rs
@@ -2,8 +2,8 @@
 //! must come to what it expects. What several runs of it show stands in `docs/measurements/tier.md`.
 #![allow(missing_docs)]
 
-use brackenledge_test_cluster::ledger::audit;
-use brackenledge_test_cluster::tier::Options;
+use brackenledge_test_cluster::checker::audit;
+use brackenledge_test_cluster::cluster::Options;
 use brackenledge_test_cluster::{Scenario, report, run};
 use std::path::{Path, PathBuf};
 
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -3,7 +3,7 @@
 
 mod emulate;
 mod members;
-mod tier;
+mod scenario;
 mod zone_plot;
 mod zone_sweep;
 
@@ -34,7 +34,7 @@
     Emulate(emulate::Options),
     /// Runs scenarios on real processes of the scheduler, with faults on every link, and checks their history.
     /// Exits with 2 if a scenario did not meet its file's expectations. docs/test-cluster.md has every key.
-    Tier(tier::Options),
+    Tier(scenario::Options),
     /// Simulates membership in clusters of several sizes under message loss: how soon a crash is noticed, how often a
     /// running process is declared down, and what it costs.
     Members(members::Options),
@@ -52,7 +52,7 @@
 fn execute(command: Command) -> Result<bool, Box<dyn Error>> {
     match command {
         Command::Emulate(options) => return Ok(emulate::emulate(&options)?),
-        Command::Tier(options) => return Ok(tier::play(&options)?),
+        Command::Tier(options) => return Ok(scenario::play(&options)?),
         Command::Members(options) => members::run(&options)?,
         Command::Zones(options) => zone_sweep::run(&options)?,
         Command::Check { file } => {
--- a/crates/simulator/src/tier.rs
+++ b/crates/simulator/src/scenario.rs
@@ -1,8 +1,8 @@
 //! `brackenledge-simulator tier`: scenarios of the rig by hand, and many of them drawn from seeds.
 
-use brackenledge_test_cluster::ledger::audit;
-use brackenledge_test_cluster::tier::{self, program_beside};
-use brackenledge_test_cluster::{Scenario, report, run, soak};
+use brackenledge_test_cluster::checker::audit;
+use brackenledge_test_cluster::cluster::{self, program_beside};
+use brackenledge_test_cluster::{Scenario, random_scenarios, report, run};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -40,7 +40,7 @@
 }
 
 /// Plays one; whether it passed.
-fn one(scenario: &Scenario, options: &Options, how: &tier::Options) -> Result<bool, String> {
+fn one(scenario: &Scenario, options: &Options, how: &cluster::Options) -> Result<bool, String> {
     let outcome = run(scenario, how).map_err(|error| format!("{}: {error}", scenario.name))?;
     let audit = audit(&outcome.history, scenario);
     let mut verdict = audit.verdict(scenario);
@@ -64,7 +64,7 @@
             outcome.cpu / jobs.max(1) as f64,
             outcome.link_bytes as f64 / jobs.max(1) as f64
         );
-        println!("the rig was late {} times by over {} ms", outcome.rig_late, tier::RIG_LATE);
+        println!("the rig was late {} times by over {} ms", outcome.rig_late, cluster::RIG_LATE);
     }
     if let Some(folder) = &options.out {
         let write = |end: &str, text: String| {
@@ -89,13 +89,14 @@
     let own = std::env::current_exe().map_err(|error| error.to_string())?;
     let program = options.program.clone().or_else(|| program_beside(&own));
     let program = program.ok_or("no `brackenledge` beside this program: build it, or give --program FILE")?;
-    let how = tier::Options { program, stop: Some(stop) };
+    let how = cluster::Options { program, stop: Some(stop) };
     let mut scenarios = Vec::new();
     for file in &options.files {
         scenarios.push((Scenario::load(file)?, None));
     }
     for seed in (options.from..).take(options.soak.unwrap_or(0) as usize) {
-        let text = if options.covered { soak::draw_covered(seed) } else { soak::draw(seed) };
+        let text =
+            if options.covered { random_scenarios::draw_covered(seed) } else { random_scenarios::draw(seed) };
         scenarios.push((Scenario::parse(Path::new(&format!("soak-{seed}.toml")), &text)?, Some(text)));
     }
     if options.table {
--- a/crates/test-cluster/src/tier.rs
+++ b/crates/test-cluster/src/cluster/event_loop.rs
@@ -6,13 +6,13 @@
 //! the receiver as the sender's.
 
 use crate::Millis;
-use crate::discovery::{Directory, Status};
-use crate::ledger::{Event, How, KILL_SEEN, Turn};
+use crate::checker::{Event, How, KILL_SEEN, Turn};
+use crate::network_conditions::{Parcel, Pipe, Weather};
 use crate::process::Process;
 use crate::scenario::{CLASSES, Deed, KEYED_WINDOW, Node, Scenario};
-use crate::traffic::{Crowd, Front, Next, TENANTS};
-use crate::weather::{Parcel, Pipe, Weather};
-use crate::worker::{Attempt, Fleet, Said};
+use crate::stand_ins::clients::{Crowd, Front, Next, TENANTS};
+use crate::stand_ins::discovery::{Directory, Status};
+use crate::stand_ins::workers::{Attempt, Fleet, Said};
 use brackenledge_leases::Message;
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
@@ -46,7 +46,7 @@
 const OWNERSHIP: u8 = 0xf2;
 const DEED: u8 = 0xf3;
 /// Clients may still wait after the last job has come: their deadline, and what an answer may be late.
-const TAIL: Millis = crate::ledger::LATE + 200.0;
+const TAIL: Millis = crate::checker::LATE + 200.0;
 /// Connections that wait to be taken from a door.
 const BACKLOG: i32 = 1_024;
 /// Descriptors left for the poll, files and pipes.
@@ -978,7 +978,7 @@
             (Deed::Stop(_), false) => {
                 self.signal(number, Signal::CONT);
                 // It has to catch up on what came meanwhile.
-                let at = at + crate::ledger::LATE;
+                let at = at + crate::checker::LATE;
                 self.note(Event::Process { at, scheduler: number, turn: Turn::Continued });
             }
             (Deed::Twin(_), true) => {
@@ -1011,7 +1011,7 @@
         hit.sort_unstable();
         hit.dedup();
         for scheduler in hit {
-            self.note(Event::Unheard { at, until: until + crate::ledger::LATE, scheduler });
+            self.note(Event::Unheard { at, until: until + crate::checker::LATE, scheduler });
         }
     }
 
--- a/crates/test-cluster/src/lib.rs
+++ b/crates/test-cluster/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - **Every byte passes through the rig.** A scheduler knows only addresses that the rig listens on, so each
 //!   direction of each link can be delayed, held, cut or (datagrams) lost by itself.
-//! - **The verdict is the rig's own.** The [`ledger`] judges by what clients, workers and discovery saw, never by
+//! - **The verdict is the rig's own.** The [`checker`] judges by what clients, workers and discovery saw, never by
 //!   what a scheduler says of itself; each of its rules has a history that breaks it.
 //! - **Nothing is left behind.** Processes end with the rig, by [`process`], even if the rig itself is killed; ports
 //!   and files go with it.
@@ -14,24 +14,22 @@
 //! shows as delay, as the kernel makes it. A link that is silent holds what was sent and delivers it late on its
 //! return, as retransmission does.
 //!
-//! One thread, one poll: [`tier`] drives it; [`weather`], [`worker`], [`traffic`] and [`ledger`] do no I/O and
+//! One thread, one poll: [`cluster`] drives it; [`network_conditions`], [`stand_ins`] and [`checker`] do no I/O and
 //! read no clock.
 
-pub mod discovery;
-pub mod ledger;
+pub mod checker;
+pub mod cluster;
+pub mod network_conditions;
 pub mod process;
+pub mod random_scenarios;
 pub mod report;
 pub mod rules;
 pub mod scenario;
-pub mod soak;
-pub mod tier;
-pub mod traffic;
-pub mod weather;
-pub mod worker;
+pub mod stand_ins;
 
-pub use ledger::{Audit, Verdict};
+pub use checker::{Audit, Verdict};
+pub use cluster::{Outcome, run};
 pub use scenario::Scenario;
-pub use tier::{Outcome, run};
 
 /// Milliseconds since the run's traffic began, by the machine's monotonic clock; before it, negative.
 pub type Millis = f64;
--- a/crates/test-cluster/src/report.rs
+++ b/crates/test-cluster/src/report.rs
@@ -1,6 +1,6 @@
 //! What a run shows a person: a few lines, JSON Lines of all that was seen, and one HTML page with plots.
 
-use crate::ledger::{Audit, BIN, Event, Verdict};
+use crate::checker::{Audit, BIN, Event, Verdict};
 use crate::scenario::{CLASSES, Scenario};
 use plotters::prelude::*;
 use std::collections::BTreeMap;
--- a/crates/test-cluster/src/scenario.rs
+++ b/crates/test-cluster/src/scenario/mod.rs
@@ -2,8 +2,8 @@
 //! file, the line, the key and what would be right.
 
 use crate::Millis;
+use crate::network_conditions::Weather;
 use crate::rules::RULES;
-use crate::weather::Weather;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::path::Path;
--- a/crates/test-cluster/src/traffic.rs
+++ b/crates/test-cluster/src/stand_ins/clients.rs
@@ -2,7 +2,7 @@
 //! connections over the schedulers it believes in and notices a death late. No I/O, no clock.
 
 use crate::Millis;
-use crate::ledger::How;
+use crate::checker::How;
 use crate::scenario::{CLASSES, Scenario};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
--- a/crates/test-cluster/src/worker.rs
+++ b/crates/test-cluster/src/stand_ins/workers.rs
@@ -2,7 +2,7 @@
 //! failures; repeats of a keyed job are dropped by all workers of a zone within its window. No I/O, no clock.
 
 use crate::Millis;
-use crate::ledger::Event;
+use crate::checker::Event;
 use crate::scenario::{KEYED_WINDOW, Scenario};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
--- a/crates/test-cluster/tests/ledger.rs
+++ b/crates/test-cluster/tests/checker.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs)]
 
 use brackenledge_test_cluster::Scenario;
-use brackenledge_test_cluster::ledger::{Audit, Event, How, LATE, Turn, audit};
+use brackenledge_test_cluster::checker::{Audit, Event, How, LATE, Turn, audit};
 use brackenledge_test_cluster::rules::RULES;
 use std::path::Path;
 
--- a/crates/test-cluster/tests/children.rs
+++ b/crates/test-cluster/tests/children.rs
@@ -1,7 +1,7 @@
 //! A rig that is killed itself, with no time to clean up, leaves no process behind.
 #![allow(missing_docs)]
 
-use brackenledge_test_cluster::tier::Options;
+use brackenledge_test_cluster::cluster::Options;
 use brackenledge_test_cluster::{Scenario, run};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
