--- a/crates/daemon/tests/cluster.rs
+++ b/crates/daemon/tests/cluster.rs
@@ -1,12 +1,18 @@
-//! Several processes of the program on the rig, faults between them: each file in `scenarios/` is played once, and
-//! must come to what it expects. What several runs of it show stands in `docs/measurements/tier.md`.
+//! Several processes of the program in a test cluster, with faults between them: each file in `scenarios/` is played once
+//! and must come to what it expects. `docs/measurements/test-cluster.md` has what several runs of each show.
 #![allow(missing_docs)]
 
-use brackenledge_test_cluster::checker::audit;
-use brackenledge_test_cluster::cluster::Options;
-use brackenledge_test_cluster::{Scenario, report, run};
+use brackenledge_test_cluster::cluster::AdminReply;
+use brackenledge_test_cluster::{Options, Outcome, Report, Scenario, check, report, run};
 use std::path::{Path, PathBuf};
 
+/// Jobs of each class that must have been served, or a run without violations shows nothing.
+const MIN_SERVED: usize = 10;
+/// The same for datagrams between schedulers.
+const MIN_MESSAGES: usize = 10;
+/// Late fenced messages that the scenario which delays them must have.
+const MIN_LATE_FENCED_MESSAGES: usize = 10;
+
 fn folder() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios")
 }
@@ -16,57 +22,72 @@
 }
 
 /// Whether a process of this id is one of the program's.
-fn runs(id: &u32) -> bool {
+fn is_running(id: &u32) -> bool {
     std::fs::read_to_string(format!("/proc/{id}/cmdline")).is_ok_and(|line| line.contains("brackenledge"))
 }
 
-/// A figure in the reply of a door.
-fn figure(reply: &str, name: &str) -> usize {
-    let word = reply.split_whitespace().find_map(|word| word.strip_prefix(name));
-    word.and_then(|figure| figure.parse().ok()).unwrap_or(0)
+/// A figure in the reply of an admin endpoint.
+fn figure(reply: &AdminReply, prefix: &str) -> usize {
+    let value = reply.text.split_whitespace().find_map(|field| field.strip_prefix(prefix));
+    value.and_then(|figure| figure.parse().ok()).unwrap_or(0)
 }
 
+/// Plays a scenario's file and requires what it expects.
 fn plays(name: &str) {
     let scenario = Scenario::load(&folder().join(format!("{name}.toml"))).expect("a scenario");
-    let outcome = run(&scenario, &options()).expect("the tier runs");
-    let audit = audit(&outcome.history, &scenario);
-    let verdict = audit.verdict(&scenario);
-    let shown = report::summary(&scenario, &audit, &verdict);
-    assert!(verdict.short.is_empty(), "{shown}\nthe rig was late {} times", outcome.rig_late);
-    assert_eq!(outcome.crashed, [""; 0], "{shown}");
-    // The ledger must have seen the tier at work, or its silence says nothing.
-    assert!(audit.served.iter().all(|&served| served > 10), "{shown}");
-    assert!(audit.messages > 10, "schedulers told one another nothing: {shown}");
-    assert!(outcome.processes.len() >= scenario.schedulers);
+    let outcome = run(&scenario, &options()).expect("the cluster runs");
+    let checked = check(&outcome.history, &scenario);
+    let verdict = checked.verdict(&scenario);
+    let summary = report::summary(&scenario, &checked, &verdict);
+    assert!(verdict.passed(), "{summary}\n{} turns of the test cluster were late", outcome.late_turns);
+    assert_eq!(outcome.crashed, [""; 0], "{summary}");
+    // The checker must have observed the cluster at work, or its silence says nothing.
+    assert!(checked.served.iter().all(|&served| served > MIN_SERVED), "{summary}");
+    assert!(checked.messages > MIN_MESSAGES, "schedulers sent one another nothing: {summary}");
+    assert!(outcome.process_ids.len() >= scenario.schedulers);
     if scenario.operations.is_some() {
-        assert!(!audit.owners.is_empty(), "nobody was ever named an owner: {shown}");
-        assert!(
-            outcome.doors.iter().all(|door| door.1.starts_with("done\nduty=relay owner=")),
-            "{:?}",
-            outcome.doors
-        );
+        requires_leases(&checked, &outcome, &summary);
     }
-    if scenario.handover.is_some() {
-        let sums = report::figures(&outcome.figures, "handover.");
-        let sum = |name: &str| sums.get(&format!("handover.{name}")).copied().unwrap_or(0);
-        assert_eq!(sum("nonsense"), 0, "{sums:?}\n{shown}");
-        // The one that was replaced must be back by then.
-        let all = name != "handover-twin" || sum("settled") == scenario.schedulers as u64;
-        assert!(all && sum("settled") > 0, "{sums:?}\n{shown}");
-        assert!(sum("kept_ended.market-sale") + sum("refused") > 0, "no order was covered: {sums:?}");
-        // What the ledger saw taken over, the processes that still run have counted, and more: what was not sent again.
-        let adopted = audit.adopted.iter().sum::<usize>() as u64;
-        assert!(
-            outcome.figures.len() < scenario.schedulers || sum("adopted") >= adopted,
-            "{sums:?}\n{shown}"
-        );
+    if scenario.failover.is_some() {
+        requires_failover(&scenario, &checked, &outcome, &summary);
     }
-    // Where messages are held back for it, some must have come late, or the next check shows nothing.
-    assert!(name != "late-deeds" || audit.late_deeds > 10, "{shown}");
-    // Whatever came after a newer term was refused by whoever got it.
-    let refused: usize = outcome.doors.iter().map(|door| figure(&door.1, "deeds_refused=")).sum();
-    assert!(refused >= audit.late_deeds, "{refused} refused of {} late deeds: {shown}", audit.late_deeds);
-    assert_eq!(outcome.processes.iter().filter(|id| runs(id)).count(), 0, "processes were left behind");
+    requires_fencing(name, &checked, &outcome, &summary);
+    assert_eq!(
+        outcome.process_ids.iter().filter(|id| is_running(id)).count(),
+        0,
+        "processes were left behind"
+    );
+}
+
+/// Lease holders were named, and each process that still runs knows one of the first role.
+fn requires_leases(checked: &Report, outcome: &Outcome, summary: &str) {
+    assert!(!checked.role_holders.is_empty(), "no lease holder was ever named: {summary}");
+    let known = |reply: &AdminReply| reply.text.starts_with("done\nduty=relay owner=");
+    assert!(outcome.role_replies.iter().all(known), "{:?}", outcome.role_replies);
+}
+
+/// Jobs were replicated, and takeovers are counted by the processes too.
+fn requires_failover(scenario: &Scenario, checked: &Report, outcome: &Outcome, summary: &str) {
+    let sums = report::sum_figures(&outcome.info_replies, "handover.");
+    let sum = |name: &str| sums.get(&format!("handover.{name}")).copied().unwrap_or(0);
+    assert_eq!(sum("nonsense"), 0, "{sums:?}\n{summary}");
+    // The process whose duplicate replaced it must be back by then.
+    let all_are_back = scenario.name != "handover-twin" || sum("settled") == scenario.schedulers as u64;
+    assert!(all_are_back && sum("settled") > 0, "{sums:?}\n{summary}");
+    assert!(sum("kept_ended.market-sale") + sum("refused") > 0, "no job was replicated: {sums:?}");
+    // The processes that still run have counted the takeovers observed, and more: jobs that were not sent again.
+    let takeovers = checked.takeovers.iter().sum::<usize>() as u64;
+    let some_are_gone = outcome.info_replies.len() < scenario.schedulers;
+    assert!(some_are_gone || sum("adopted") >= takeovers, "{sums:?}\n{summary}");
+}
+
+/// Fenced messages that arrived after one of a newer term were rejected by their receivers.
+fn requires_fencing(name: &str, checked: &Report, outcome: &Outcome, summary: &str) {
+    let late = checked.late_fenced_messages;
+    // Where messages are delayed for it, some must have come late, or the next check shows nothing.
+    assert!(name != "late-deeds" || late > MIN_LATE_FENCED_MESSAGES, "{summary}");
+    let rejected: usize = outcome.role_replies.iter().map(|reply| figure(reply, "deeds_refused=")).sum();
+    assert!(rejected >= late, "{rejected} rejected of {late} late fenced messages: {summary}");
 }
 
 macro_rules! scenarios {
@@ -148,73 +169,77 @@
     zones_workers_gone "zones-workers-gone"
 }
 
-/// What each process that is left says at its door of how many schedulers it reckons with.
-fn reckoned(text: &str) -> Vec<String> {
-    let scenario = Scenario::parse(Path::new("living.toml"), text).expect("a scenario");
-    let outcome = run(&scenario, &options()).expect("the tier runs");
-    let living = |reply: &String| {
-        let word = reply.split_whitespace().find_map(|word| word.strip_prefix("living="));
-        word.unwrap_or_else(|| panic!("no count in {reply}")).to_owned()
+/// The number of active schedulers that each process still running at the end reports.
+fn reported_active_members(text: &str) -> Vec<String> {
+    let scenario = Scenario::parse(Path::new("active.toml"), text).expect("a scenario");
+    let outcome = run(&scenario, &options()).expect("the cluster runs");
+    let active = |reply: &AdminReply| {
+        let mut fields = reply.text.split_whitespace();
+        let value = fields.find_map(|field| field.strip_prefix("living="));
+        value.unwrap_or_else(|| panic!("no count in {}", reply.text)).to_owned()
     };
-    outcome.members.iter().map(|(_, reply)| living(reply)).collect()
+    outcome.member_replies.iter().map(active).collect()
 }
 
-const FIVE: &str = "name = \"living\"\nwhy = \"x\"\n[tier]\nschedulers = 5\noperations = \"[tier]\\non = true\\n\"\n\
+const FIVE: &str = "name = \"active\"\nwhy = \"x\"\n[cluster]\nschedulers = 5\noperations = \"[tier]\\non = true\\n\"\n\
                     [traffic]\nseconds = 24\n";
 
 #[test]
-fn those_who_are_left_reckon_with_the_living() {
-    let kill = "[[fault]]\nkind = \"kill\"\nat = 5.0\nwho = [\"scheduler 1\", \"scheduler 4\"]\n";
-    assert_eq!(reckoned(&format!("{FIVE}{kill}")), ["3", "3", "3"]);
+fn remaining_members_report_the_active_ones() {
+    let kill = "[[fault]]\nkind = \"kill\"\nat = 5.0\ntargets = [\"scheduler 1\", \"scheduler 4\"]\n";
+    assert_eq!(reported_active_members(&format!("{FIVE}{kill}")), ["3", "3", "3"]);
 }
 
 #[test]
-fn a_side_without_a_majority_reckons_with_every_seat() {
-    let kill =
-        "[[fault]]\nkind = \"kill\"\nat = 5.0\nwho = [\"scheduler 0\", \"scheduler 1\", \"scheduler 4\"]\n";
-    assert_eq!(reckoned(&format!("{FIVE}{kill}")), ["5", "5"]);
+fn a_side_without_a_majority_reports_every_member() {
+    let kill = "[[fault]]\nkind = \"kill\"\nat = 5.0\ntargets = [\"scheduler 0\", \"scheduler 1\", \"scheduler 4\"]\n";
+    assert_eq!(reported_active_members(&format!("{FIVE}{kill}")), ["5", "5"]);
 }
 
-/// The rig's own hard cases: what goes wrong before or beside a run is said, and leaves nothing.
-mod rig_itself {
+/// What goes wrong before or beside a run is reported, and leaves nothing behind.
+mod errors {
     use super::*;
     use std::sync::Arc;
     use std::sync::atomic::AtomicBool;
 
     fn short() -> Scenario {
-        let text = "name = \"short\"\nwhy = \"x\"\n[tier]\nschedulers = 2\n[traffic]\nseconds = 1\n";
+        let text = "name = \"short\"\nwhy = \"x\"\n[cluster]\nschedulers = 2\n[traffic]\nseconds = 1\n";
         Scenario::parse(Path::new("short.toml"), text).expect("a scenario")
     }
 
+    fn error(scenario: &Scenario, options: &Options) -> String {
+        run(scenario, options).expect_err("no run").to_string()
+    }
+
     #[test]
     fn a_program_that_is_missing_is_named_with_the_remedy() {
         let options = Options { program: "/nowhere/brackenledge".into(), stop: None };
-        let error = run(&short(), &options).expect_err("no program");
+        let error = error(&short(), &options);
         assert!(error.contains("/nowhere/brackenledge"), "{error}");
     }
 
     #[test]
-    fn a_process_that_dies_before_it_is_ready_ends_the_run_with_its_last_words() {
+    fn a_process_that_dies_before_it_is_ready_ends_the_run_with_the_end_of_its_log() {
         let mut scenario = short();
         scenario.operations = Some("[doors]\n".into());
-        let error = run(&scenario, &options()).expect_err("no tier");
+        let error = error(&scenario, &options());
         assert!(error.contains("before it was ready") && error.contains("unknown table [doors]"), "{error}");
     }
 
     #[test]
     fn a_run_that_is_interrupted_ends_its_processes() {
         let stop = Arc::new(AtomicBool::new(true));
-        let error = run(&short(), &Options { stop: Some(stop), ..options() }).expect_err("interrupted");
+        let error = error(&short(), &Options { stop: Some(stop), ..options() });
         assert!(error.contains("interrupted"), "{error}");
     }
 
     #[test]
-    fn too_few_descriptors_are_said_before_anything_starts() {
+    fn too_few_descriptors_are_reported_before_anything_starts() {
         let mut scenario = short();
         (scenario.schedulers, scenario.workers) = (32, 200);
         scenario.slots = 64;
         scenario.per_second = 2_000.0;
-        let error = run(&scenario, &options()).expect_err("too many");
+        let error = error(&scenario, &options());
         assert!(error.contains("raise `ulimit -n`"), "{error}");
     }
 }
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -34,7 +34,8 @@
     Emulate(emulate::Options),
     /// Runs scenarios on real processes of the scheduler, with faults on every link, and checks their history.
     /// Exits with 2 if a scenario did not meet its file's expectations. docs/test-cluster.md has every key.
-    Tier(scenario::Options),
+    #[command(alias = "tier")]
+    Scenario(scenario::Options),
     /// Simulates membership in clusters of several sizes under message loss: how soon a crash is noticed, how often a
     /// running process is declared down, and what it costs.
     Members(members::Options),
@@ -52,7 +53,7 @@
 fn execute(command: Command) -> Result<bool, Box<dyn Error>> {
     match command {
         Command::Emulate(options) => return Ok(emulate::emulate(&options)?),
-        Command::Tier(options) => return Ok(scenario::play(&options)?),
+        Command::Scenario(options) => return Ok(scenario::play(&options)?),
         Command::Members(options) => members::run(&options)?,
         Command::Zones(options) => zone_sweep::run(&options)?,
         Command::Check { file } => {
--- /dev/null
+++ b/crates/test-cluster/src/cluster/fault_injector.rs
@@ -0,0 +1,255 @@
+//! Faults: what a scenario's file asks for, done to processes, links, workers, discovery and clients.
+
+use super::connection::Connection;
+use super::context::Context;
+use super::event_loop::Cluster;
+use super::sources::{ProcessKind, ProcessSlot};
+use crate::Millis;
+use crate::checker::ANSWER_TOLERANCE;
+use crate::history::{HistoryEvent, ProcessEvent};
+use crate::network_conditions::NetworkConditions;
+use crate::scenario::{FaultAction, Link, Node};
+use rustix::process::Signal;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Clients of a scheduler whose connections were broken may miss answers for this long.
+const BROKEN_CONNECTIONS_EFFECT: Millis = 500.0;
+
+/// Whether a fault begins or ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Begin,
+    End,
+}
+
+impl Phase {
+    /// A value for the time of the fault, and the normal one after it.
+    pub fn select<T>(self, during: T, normal: T) -> T {
+        match self {
+            Phase::Begin => during,
+            Phase::End => normal,
+        }
+    }
+}
+
+/// The faults that have begun.
+#[derive(Debug, Default)]
+pub struct FaultInjector {
+    /// By number, with the lease holder and the leader of the time when they began.
+    begun: HashMap<usize, FaultAction>,
+    /// Faults that have begun and will end.
+    unfinished: BTreeSet<usize>,
+    /// Conditions of links that faults ask for now.
+    network: BTreeMap<usize, (Vec<Link>, NetworkConditions)>,
+}
+
+impl FaultInjector {
+    /// Whether a fault has begun that will end.
+    pub fn has_unfinished(&self) -> bool {
+        !self.unfinished.is_empty()
+    }
+
+    /// The conditions of all links; several faults on one link are combined.
+    fn conditions(&self) -> HashMap<Link, NetworkConditions> {
+        let mut all: HashMap<Link, NetworkConditions> = HashMap::new();
+        for (links, conditions) in self.network.values() {
+            for link in links {
+                let combined = match all.get(link) {
+                    Some(others) => others.combined_with(conditions),
+                    None => conditions.clone(),
+                };
+                all.insert(*link, combined);
+            }
+        }
+        all
+    }
+}
+
+impl Cluster<'_> {
+    /// Begins a fault of the scenario.
+    pub fn begin_fault(&mut self, number: usize) {
+        let fault = &self.context.scenario.faults[number];
+        let roles = &self.context.roles;
+        let action = fault.action.resolved(roles.lease_holder, roles.leader);
+        self.faults.begun.insert(number, action.clone());
+        if fault.until.is_some() {
+            self.faults.unfinished.insert(number);
+        }
+        self.apply(number, &action, Phase::Begin);
+    }
+
+    /// Ends a fault of the scenario.
+    pub fn end_fault(&mut self, number: usize) {
+        self.faults.unfinished.remove(&number);
+        if let Some(action) = self.faults.begun.remove(&number) {
+            self.apply(number, &action, Phase::End);
+        }
+    }
+
+    fn apply(&mut self, number: usize, action: &FaultAction, phase: Phase) {
+        match action {
+            FaultAction::Network(links, conditions) => {
+                self.apply_network(number, links, conditions, phase);
+            }
+            FaultAction::Reset(links) if phase == Phase::Begin => self.reset_connections(links),
+            FaultAction::HalfClose(links) if phase == Phase::Begin => self.half_close_connections(links),
+            FaultAction::Reset(_) | FaultAction::HalfClose(_) => {}
+            FaultAction::Kill(nodes)
+            | FaultAction::Terminate(nodes)
+            | FaultAction::Pause(nodes)
+            | FaultAction::DuplicateProcess(nodes) => {
+                nodes.iter().for_each(|&node| self.apply_to_node(action, node, phase));
+            }
+            FaultAction::Drain(nodes)
+            | FaultAction::Restart(nodes)
+            | FaultAction::Slow(nodes, _)
+            | FaultAction::Failing(nodes, _) => self.apply_to_workers(action, nodes, phase),
+            FaultAction::DiscoveryOutage => self.apply_discovery_outage(phase),
+            FaultAction::DiscoveryDelay(delay) => self.discovery.list.delay = phase.select(*delay, 0.0),
+            FaultAction::StaleEndpointList => {
+                self.discovery.list.set_stale(phase == Phase::Begin);
+                if phase == Phase::End {
+                    self.discovery.send_updates(&mut self.context);
+                }
+            }
+            FaultAction::ClockSkew(offset) => self.discovery.list.clock_skew = phase.select(*offset, 0.0),
+            FaultAction::Burst(factor) => self.context.clients.rate_factor = phase.select(*factor, 1.0),
+        }
+    }
+
+    // Links.
+
+    fn apply_network(&mut self, number: usize, links: &[Link], conditions: &NetworkConditions, phase: Phase) {
+        match phase {
+            Phase::Begin => {
+                self.faults.network.insert(number, (links.to_vec(), conditions.clone()));
+            }
+            Phase::End => {
+                self.faults.network.remove(&number);
+            }
+        }
+        let conditions = self.faults.conditions();
+        self.context.network.set_conditions(&mut self.context.runtime, conditions);
+        self.update_listeners();
+        if phase == Phase::Begin {
+            let until = self.context.scenario.faults[number].until.unwrap_or(f64::INFINITY);
+            self.record_cut_off_clients(links, until);
+        }
+    }
+
+    fn reset_connections(&mut self, links: &[Link]) {
+        self.record_broken_connections(links);
+        for id in self.context.network.ids(|connection| is_on(connection, links)) {
+            self.context.network.reset(id);
+        }
+    }
+
+    /// The sending side of each link ends; the other direction goes on.
+    fn half_close_connections(&mut self, links: &[Link]) {
+        self.record_broken_connections(links);
+        let context = &mut self.context;
+        for id in context.network.ids(|connection| is_on(connection, links)) {
+            let ends_from_scheduler = (context.network.get(id))
+                .is_some_and(|connection| links.contains(&connection.link_from_scheduler()));
+            if ends_from_scheduler {
+                context.network.end_from_scheduler(&mut context.runtime, id);
+            } else {
+                context.network.end_to_scheduler(id);
+            }
+        }
+    }
+
+    fn record_broken_connections(&mut self, links: &[Link]) {
+        let until = self.context.runtime.clock.since_start() + BROKEN_CONNECTIONS_EFFECT;
+        self.record_cut_off_clients(links, until);
+    }
+
+    /// What clients of these links can't receive is not held against their schedulers.
+    fn record_cut_off_clients(&mut self, links: &[Link], until: Millis) {
+        let scheduler = |link: &Link| match (link.from, link.to) {
+            (Node::Clients(_), Node::Scheduler(number)) | (Node::Scheduler(number), Node::Clients(_)) => {
+                Some(number)
+            }
+            _ => None,
+        };
+        let schedulers: BTreeSet<usize> = links.iter().filter_map(scheduler).collect();
+        let at = self.context.runtime.clock.since_start();
+        let until = until + ANSWER_TOLERANCE;
+        for scheduler in schedulers {
+            self.context.runtime.record(HistoryEvent::ClientsCutOff { at, until, scheduler });
+        }
+    }
+
+    // Processes.
+
+    fn apply_to_node(&mut self, action: &FaultAction, node: Node, phase: Phase) {
+        match node {
+            Node::Scheduler(number) => self.apply_to_scheduler(action, number, phase),
+            // The action can only be a kill.
+            Node::Worker(number) if phase == Phase::Begin => self.kill_worker(number),
+            Node::Worker(number) => self.start_worker(number),
+            _ => {}
+        }
+    }
+
+    fn apply_to_scheduler(&mut self, action: &FaultAction, scheduler: usize, phase: Phase) {
+        let primary = ProcessSlot { scheduler, kind: ProcessKind::Primary };
+        let duplicate = ProcessSlot { scheduler, kind: ProcessKind::Duplicate };
+        let Context { runtime, supervisor, .. } = &mut self.context;
+        match (action, phase) {
+            (FaultAction::Kill(_), Phase::Begin) => supervisor.kill(runtime, primary),
+            (FaultAction::Terminate(_), Phase::Begin) => supervisor.terminate(runtime, scheduler),
+            (FaultAction::Kill(_) | FaultAction::Terminate(_), Phase::End) => {
+                // One that still runs after SIGTERM gets SIGKILL, as on a planned restart.
+                if supervisor.is_running(scheduler) {
+                    supervisor.kill(runtime, primary);
+                }
+                self.start_process(primary);
+            }
+            (FaultAction::Pause(_), Phase::Begin) => {
+                let at = runtime.clock.since_start();
+                runtime.record(HistoryEvent::Process { at, scheduler, change: ProcessEvent::Paused });
+                supervisor.signal(scheduler, Signal::STOP);
+            }
+            (FaultAction::Pause(_), Phase::End) => {
+                supervisor.signal(scheduler, Signal::CONT);
+                // It has to catch up on what arrived meanwhile.
+                let at = runtime.clock.since_start() + ANSWER_TOLERANCE;
+                runtime.record(HistoryEvent::Process { at, scheduler, change: ProcessEvent::Resumed });
+            }
+            (FaultAction::DuplicateProcess(_), Phase::Begin) => self.start_process(duplicate),
+            (FaultAction::DuplicateProcess(_), Phase::End) => supervisor.kill(runtime, duplicate),
+            _ => {}
+        }
+    }
+
+    fn start_process(&mut self, slot: ProcessSlot) {
+        let context = &mut self.context;
+        if let Err(error) = context.supervisor.start(&mut context.runtime, slot) {
+            context.runtime.fail(error);
+        }
+    }
+
+    // Discovery.
+
+    /// Discovery refuses connections and resets those that it has.
+    fn apply_discovery_outage(&mut self, phase: Phase) {
+        self.discovery.is_down = phase == Phase::Begin;
+        self.update_listeners();
+        if phase == Phase::Begin {
+            self.reset_connections_of(Node::Discovery);
+        }
+    }
+
+    /// Resets all connections whose far end is a node.
+    pub fn reset_connections_of(&mut self, node: Node) {
+        for id in self.context.network.ids(|connection| connection.far == node) {
+            self.context.network.reset(id);
+        }
+    }
+}
+
+/// Whether a connection travels on one of these links, in either direction.
+fn is_on(connection: &Connection, links: &[Link]) -> bool {
+    links.contains(&connection.link_from_scheduler()) || links.contains(&connection.link_to_scheduler())
+}
--- a/crates/test-cluster/src/process.rs
+++ b/crates/test-cluster/src/process.rs
@@ -1,19 +1,20 @@
-//! A scheduler's process: started, signalled, waited for, and ended with the rig whatever ends that.
+//! A scheduler's process: started, signalled, waited for, and ended with the test cluster, whatever ends that.
 
+use crate::Error;
 use mio::unix::pipe::Receiver;
 use rustix::process::{Pid, Signal, kill_process};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-/// Lines of the log that are kept for who has to find out why a process died.
-const LOG_KEPT: usize = 40;
-/// Room for one line that never ends.
-const LINE_MOST: usize = 64 * 1024;
+/// Lines of the log that are shown when a process ends by itself.
+const LOG_TAIL_LINES: usize = 5;
+/// The longest part of a line that is buffered while it has no end.
+const MAX_PARTIAL_LINE: usize = 64 * 1024;
 /// A killed process is gone after a few milliseconds; longer means that it can't be killed.
-const PATIENCE: Duration = Duration::from_secs(10);
+const KILL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A running process. Its end is waited for on drop, so none is left behind.
 #[derive(Debug)]
@@ -21,52 +22,53 @@
     child: Child,
     log: Receiver,
     partial: Vec<u8>,
-    kept: VecDeque<String>,
-    /// Whether anybody has told it to end.
-    pub told_to_end: bool,
+    /// The last lines of its log.
+    tail: VecDeque<String>,
+    /// Whether somebody has asked it to end.
+    pub is_ending: bool,
 }
 
-/// The environment that would speak over the configuration file.
-const VARIABLES: [&str; 6] =
+/// Environment variables that would override the configuration file.
+const CONFIG_VARIABLES: [&str; 6] =
     ["PROXY_CONFIG", "PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONTROL", "PROXY_OPERATIONS"];
 
 impl Process {
-    /// Starts `program serve` on these files. The kernel kills it if the rig's thread ends first (`setpriv`, of
-    /// util-linux; where that is missing, only the rig's own clean-up does), with this limit on its descriptors.
+    /// Starts `program serve` on these files, with this limit on its descriptors. The kernel kills it if the
+    /// thread that started it ends first (`setpriv`, of util-linux; where that is missing, only the test cluster's own
+    /// clean-up does).
     pub fn start(
         program: &Path,
         config: &Path,
         operations: Option<&Path>,
         descriptors: Option<usize>,
-    ) -> Result<Process, String> {
-        let mut words: Vec<std::ffi::OsString> = Vec::new();
-        if let Some(most) = descriptors {
-            words.extend(["prlimit".into(), format!("--nofile={most}").into()]);
+    ) -> Result<Process, Error> {
+        let mut arguments: Vec<std::ffi::OsString> = Vec::new();
+        if let Some(limit) = descriptors {
+            arguments.extend(["prlimit".into(), format!("--nofile={limit}").into()]);
         }
-        if has("setpriv") {
-            words.extend(["setpriv", "--pdeathsig", "KILL"].map(Into::into));
+        if is_installed("setpriv") {
+            arguments.extend(["setpriv", "--pdeathsig", "KILL"].map(Into::into));
         }
-        words.push(program.into());
-        let mut command = Command::new(&words[0]);
-        command.args(&words[1..]).arg("serve").arg("--config").arg(config);
+        arguments.push(program.into());
+        let mut command = Command::new(&arguments[0]);
+        command.args(&arguments[1..]).arg("serve").arg("--config").arg(config);
         if let Some(file) = operations {
             command.arg("--operations").arg(file);
         }
-        for name in VARIABLES {
+        for name in CONFIG_VARIABLES {
             command.env_remove(name);
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        let mut child = command.spawn().map_err(|error| {
-            format!("{}: {error}; build it with `cargo build` or name it with --program", program.display())
-        })?;
-        let Some(log) = child.stderr.take() else { return Err("no pipe for the log".into()) };
-        let log = Receiver::from(log);
-        log.set_nonblocking(true).map_err(|error| format!("the log's pipe: {error}"))?;
-        Ok(Process { child, log, partial: Vec::new(), kept: VecDeque::new(), told_to_end: false })
+        let mut child =
+            command.spawn().map_err(|source| Error::StartProgram { program: program.to_owned(), source })?;
+        let pipe = child.stderr.take().ok_or_else(|| std::io::Error::other("the child has none"));
+        let log = Receiver::from(pipe.map_err(Error::io("the log's pipe"))?);
+        log.set_nonblocking(true).map_err(Error::io("the log's pipe"))?;
+        Ok(Process { child, log, partial: Vec::new(), tail: VecDeque::new(), is_ending: false })
     }
 
     /// Processor time that it has taken so far, in milliseconds, by the kernel's count; `None`: that can't be read.
-    pub fn cpu(&self) -> Option<f64> {
+    pub fn cpu_ms(&self) -> Option<f64> {
         let text = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).ok()?;
         // Behind the name, which may hold anything: user and system time are the 12th and 13th, in ticks.
         let mut fields = text.rsplit_once(')')?.1.split_whitespace().skip(11);
@@ -95,17 +97,17 @@
             let line: Vec<u8> = self.partial.drain(..=end).collect();
             lines.push(String::from_utf8_lossy(&line).trim_end().to_owned());
         }
-        self.partial.truncate(LINE_MOST);
-        self.kept.extend(lines.iter().cloned());
-        while self.kept.len() > LOG_KEPT {
-            self.kept.pop_front();
+        self.partial.truncate(MAX_PARTIAL_LINE);
+        self.tail.extend(lines.iter().cloned());
+        while self.tail.len() > LOG_TAIL_LINES {
+            self.tail.pop_front();
         }
         (lines, ended)
     }
 
-    /// The last lines of its log.
-    pub fn last_words(&self) -> String {
-        self.kept.iter().rev().take(5).rev().cloned().collect::<Vec<_>>().join(" | ")
+    /// The last lines of its log, in one line.
+    pub fn log_tail(&self) -> String {
+        self.tail.iter().cloned().collect::<Vec<_>>().join(" | ")
     }
 
     /// Its id, for reports.
@@ -115,23 +117,23 @@
 
     /// Sends a signal; a process that has ended already takes none.
     pub fn signal(&mut self, signal: Signal) {
-        if self.ended().is_none() {
+        if self.exit_status().is_none() {
             // Not waited for yet, so the id is still its own.
             let _ = kill_process(Pid::from_child(&self.child), signal);
         }
     }
 
     /// Its status, once it has ended.
-    pub fn ended(&mut self) -> Option<ExitStatus> {
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
     }
 
     /// Kills it and waits until it is gone, with its connections and ports.
     pub fn kill(&mut self) {
-        self.told_to_end = true;
+        self.is_ending = true;
         let _ = self.child.kill();
         let since = Instant::now();
-        while self.ended().is_none() && since.elapsed() < PATIENCE {
+        while self.exit_status().is_none() && since.elapsed() < KILL_TIMEOUT {
             std::thread::sleep(Duration::from_micros(200));
         }
     }
@@ -143,7 +145,13 @@
     }
 }
 
-fn has(program: &str) -> bool {
+fn is_installed(program: &str) -> bool {
     let paths = std::env::var_os("PATH").unwrap_or_default();
     std::env::split_paths(&paths).any(|folder| folder.join(program).is_file())
 }
+
+/// The program that stands beside a test's or a tool's own: `target/PROFILE/brackenledge`.
+pub fn program_beside(own: &Path) -> Option<PathBuf> {
+    let folders = own.ancestors().skip(1).take(2);
+    folders.map(|folder| folder.join("brackenledge")).find(|path| path.is_file())
+}
--- a/crates/test-cluster/src/rules.rs
+++ b/crates/test-cluster/src/rules.rs
@@ -1,6 +1,26 @@
-//! The rules that a history is judged by, and that a scenario may expect to be broken.
+//! The names of the rules that a history is checked against, and that a scenario may expect to be violated.
 
-/// The rules by name: one answer to each attempt in time (`answers`), no retry beyond the class (`repeats`), nothing new
-/// to a worker that drains (`drains`), no worker overloaded while it warms up (`cold`), no datagram over 256 bytes
-/// (`messages`), no claim held by two (`claims`).
-pub const RULES: [&str; 6] = ["answers", "repeats", "drains", "cold", "messages", "claims"];
+/// One answer to each request, in time, with a result that a worker made for it.
+pub const ANSWERS: &str = "answers";
+/// No retry that the job's class forbids.
+pub const RETRIES: &str = "retries";
+/// No new attempt on a worker that is known to drain.
+pub const DRAINS: &str = "drains";
+/// No worker overloaded while it warms up.
+pub const SLOW_START: &str = "slow-start";
+/// No datagram longer than the limit.
+pub const MESSAGES: &str = "messages";
+/// Nothing that needs a lease done by two processes under one term, and no term that decreases.
+pub const FENCING: &str = "fencing";
+
+/// All rules, in the order in which they are checked.
+pub const RULES: [&str; 6] = [ANSWERS, RETRIES, DRAINS, SLOW_START, MESSAGES, FENCING];
+
+/// Names that scenario files up to 365a0cf use, and the names of today.
+const FORMER_NAMES: [(&str, &str); 3] = [("repeats", RETRIES), ("cold", SLOW_START), ("claims", FENCING)];
+
+/// The rule of this name or former name.
+pub fn find(name: &str) -> Option<&'static str> {
+    let former = FORMER_NAMES.iter().find(|(former, _)| *former == name).map(|names| names.1);
+    former.or_else(|| RULES.into_iter().find(|rule| *rule == name))
+}
--- a/crates/test-cluster/src/stand_ins/discovery.rs
+++ b/crates/test-cluster/src/stand_ins/discovery.rs
@@ -1,168 +1,159 @@
-//! Stand-in discovery, from the protocol page: a list with versions, changes told after a lag, a list that may be
-//! stale. No I/O, no clock; its calls and watches are the tier's.
+//! Stand-in for discovery, by the protocol's page: an endpoint list with revisions, changes that are announced after a
+//! delay, and a list that may be stale.
 
 use crate::Millis;
 use serde_json::{Value, json};
-use std::collections::VecDeque;
 
-/// What is said of a worker.
+#[cfg(test)]
+mod tests;
+
+/// What the list says of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Status {
-    /// It takes work.
+pub enum EndpointStatus {
+    /// It accepts work.
     Ready,
-    /// It takes nothing new.
+    /// It accepts nothing new.
     Draining,
-    /// It is no more.
+    /// It does not exist any more.
     Gone,
 }
 
+impl EndpointStatus {
+    fn name(self) -> &'static str {
+        match self {
+            EndpointStatus::Ready => "ready",
+            EndpointStatus::Draining => "draining",
+            EndpointStatus::Gone => "gone",
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
-    status: Status,
+    status: EndpointStatus,
     since_ms: f64,
-    /// The version that last changed it.
-    changed: u64,
+    /// The revision that changed it last.
+    revision: u64,
 }
 
-/// The list.
+/// A change that is not announced yet.
+#[derive(Clone, Copy, Debug)]
+struct PendingChange {
+    due: Millis,
+    worker: usize,
+    status: EndpointStatus,
+    since_ms: f64,
+}
+
+/// The list of a revision.
 #[derive(Clone, Debug)]
-pub struct Directory {
-    index: u64,
+struct Listing {
+    revision: u64,
     entries: Vec<Entry>,
-    /// Changes that are not told yet.
-    coming: VecDeque<(Millis, usize, Status, f64)>,
-    /// The list as it was, while that is what is given.
-    stale: Option<(u64, Vec<Entry>)>,
-    /// Changes are told so much later.
-    pub lag: Millis,
-    /// The clock that `since_ms` is written by is off by this.
-    pub clock_step: Millis,
 }
 
-impl Directory {
-    /// So many workers, ready since long.
-    pub fn new(workers: usize) -> Directory {
-        let entry = Entry { status: Status::Ready, since_ms: 0.0, changed: 1 };
-        Directory {
-            index: 1,
-            entries: vec![entry; workers],
-            coming: VecDeque::new(),
+/// What a watch or a poll is answered with.
+#[derive(Clone, Debug)]
+pub struct ListUpdate {
+    /// The document.
+    pub document: Value,
+    /// Workers in it that accept nothing new.
+    pub closed_workers: Vec<usize>,
+}
+
+/// The endpoint list, and the changes that come to it.
+#[derive(Clone, Debug)]
+pub struct EndpointList {
+    current: Listing,
+    pending: Vec<PendingChange>,
+    /// The list as it was, while that is what is served.
+    stale: Option<Listing>,
+    /// Changes are announced this much later.
+    pub delay: Millis,
+    /// The clock by which `since_ms` is written is off by this.
+    pub clock_skew: Millis,
+}
+
+impl EndpointList {
+    /// A list of this many workers that have been ready for long.
+    pub fn new(workers: usize) -> EndpointList {
+        let entry = Entry { status: EndpointStatus::Ready, since_ms: 0.0, revision: 1 };
+        EndpointList {
+            current: Listing { revision: 1, entries: vec![entry; workers] },
+            pending: Vec::new(),
             stale: None,
-            lag: 0.0,
-            clock_step: 0.0,
+            delay: 0.0,
+            clock_skew: 0.0,
         }
     }
 
-    /// A worker has changed: it will be told after the lag. `unix` is Unix time where it has started now.
-    pub fn change(&mut self, now: Millis, worker: usize, status: Status, unix: Option<Millis>) {
-        let since = match unix {
-            Some(unix) => unix + self.clock_step,
-            None => self.entries[worker].since_ms,
+    /// A worker has changed; this is announced after the delay. `started_at` is Unix time where it has just started.
+    pub fn change(&mut self, now: Millis, worker: usize, status: EndpointStatus, started_at: Option<Millis>) {
+        let since_ms = match started_at {
+            Some(unix) => unix + self.clock_skew,
+            None => self.current.entries[worker].since_ms,
         };
-        self.coming.push_back((now + self.lag, worker, status, since));
+        self.pending.push(PendingChange { due: now + self.delay, worker, status, since_ms });
     }
 
-    /// When the next change is to be told.
-    pub fn next(&self) -> Option<Millis> {
-        self.coming.iter().map(|change| change.0).min_by(f64::total_cmp)
+    /// When the next change is announced.
+    pub fn next_change(&self) -> Option<Millis> {
+        self.pending.iter().map(|change| change.due).min_by(f64::total_cmp)
     }
 
-    /// Takes in the changes that are due; whether there were any.
-    pub fn advance(&mut self, now: Millis) -> bool {
-        let (due, later): (VecDeque<_>, VecDeque<_>) =
-            std::mem::take(&mut self.coming).into_iter().partition(|change| change.0 <= now);
-        self.coming = later;
-        for &(_, worker, status, since_ms) in &due {
-            self.index += 1;
-            self.entries[worker] = Entry { status, since_ms, changed: self.index };
+    /// Applies the changes that are due; whether there were any.
+    pub fn apply_due(&mut self, now: Millis) -> bool {
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.pending).into_iter().partition(|change| change.due <= now);
+        self.pending = later;
+        for change in &due {
+            self.current.revision += 1;
+            let PendingChange { worker, status, since_ms, .. } = *change;
+            self.current.entries[worker] = Entry { status, since_ms, revision: self.current.revision };
         }
         !due.is_empty()
     }
 
-    /// From now on the list is given as it is now, whatever changes; or as it is again.
+    /// From now on the list is served as it is now, whatever changes; or as it is again.
     pub fn set_stale(&mut self, stale: bool) {
-        self.stale = stale.then(|| (self.index, self.entries.clone()));
+        self.stale = stale.then(|| self.current.clone());
     }
 
-    fn given(&self) -> (u64, &[Entry]) {
-        match &self.stale {
-            Some((index, entries)) => (*index, entries),
-            None => (self.index, &self.entries),
-        }
+    fn served(&self) -> &Listing {
+        self.stale.as_ref().unwrap_or(&self.current)
     }
 
-    /// The version given now.
-    pub fn index(&self) -> u64 {
-        self.given().0
+    /// The revision that is served now.
+    pub fn revision(&self) -> u64 {
+        self.served().revision
     }
 
-    /// The changes after a version, or the whole list for 0 and for what is no earlier version; and the workers that
-    /// take nothing new by it.
+    /// The changes after a revision, or the complete list for 0 and for a revision that is not known.
     pub fn since(
         &self,
-        index: u64,
+        revision: u64,
         address: impl Fn(usize) -> String,
         zone: impl Fn(usize) -> String,
-    ) -> (Value, Vec<usize>) {
-        let (now, entries) = self.given();
-        let whole = index == 0 || index > now;
-        let changed = entries.iter().enumerate().filter(|(_, entry)| whole || entry.changed > index);
+    ) -> ListUpdate {
+        let Listing { revision: current, entries } = self.served();
+        let is_snapshot = revision == 0 || revision > *current;
+        let is_shown = |entry: &Entry| match is_snapshot {
+            true => entry.status != EndpointStatus::Gone,
+            false => entry.revision > revision,
+        };
         let shown: Vec<(usize, &Entry)> =
-            changed.filter(|(_, entry)| !whole || entry.status != Status::Gone).collect();
+            entries.iter().enumerate().filter(|(_, entry)| is_shown(entry)).collect();
         let endpoints: Vec<Value> = (shown.iter())
             .map(|&(worker, entry)| {
-                let status = match entry.status {
-                    Status::Ready => "ready",
-                    Status::Draining => "draining",
-                    Status::Gone => "gone",
-                };
                 json!({"name": format!("w{worker}"), "address": address(worker), "zone": zone(worker),
-                    "type": "box", "group": 0, "status": status, "weight": 1.0, "since_ms": entry.since_ms})
+                    "type": "box", "group": 0, "status": entry.status.name(), "weight": 1.0,
+                    "since_ms": entry.since_ms})
             })
             .collect();
-        let closed = shown.iter().filter(|(_, entry)| entry.status != Status::Ready).map(|shown| shown.0);
-        (json!({"index": now, "snapshot": whole, "endpoints": endpoints}), closed.collect())
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn names(list: &Value) -> Vec<String> {
-        let endpoints = list["endpoints"].as_array().expect("a list");
-        endpoints
-            .iter()
-            .map(|e| format!("{} {}", e["name"].as_str().unwrap(), e["status"].as_str().unwrap()))
-            .collect()
-    }
-
-    fn since(directory: &Directory, index: u64) -> Value {
-        directory.since(index, |w| format!("127.0.0.1:{w}"), |_| "north".into()).0
-    }
-
-    #[test]
-    fn changes_are_told_after_the_lag_in_order_and_a_stale_list_stays_as_it_was() {
-        let mut directory = Directory::new(3);
-        directory.lag = 100.0;
-        directory.change(0.0, 1, Status::Draining, None);
-        assert!(!directory.advance(99.0));
-        assert!(directory.advance(100.0));
-        assert_eq!((directory.index(), names(&since(&directory, 1))), (2, vec!["w1 draining".into()]));
-        directory.set_stale(true);
-        directory.lag = 0.0;
-        directory.change(101.0, 1, Status::Gone, None);
-        directory.change(101.0, 2, Status::Ready, Some(5_000.0));
-        assert!(directory.advance(101.0));
-        assert_eq!(names(&since(&directory, 0)), ["w0 ready", "w1 draining", "w2 ready"]);
-        directory.set_stale(false);
-        assert_eq!(names(&since(&directory, 2)), ["w1 gone", "w2 ready"]);
-        assert_eq!(
-            names(&since(&directory, 0)),
-            ["w0 ready", "w2 ready"],
-            "the whole list names no gone ones"
-        );
-        assert_eq!(since(&directory, 2)["endpoints"][1]["since_ms"], 5_000.0);
-        assert_eq!(since(&directory, 9)["snapshot"], true, "a version that is not known");
+        let is_closed = |(_, entry): &&(usize, &Entry)| entry.status != EndpointStatus::Ready;
+        ListUpdate {
+            document: json!({"index": current, "snapshot": is_snapshot, "endpoints": endpoints}),
+            closed_workers: shown.iter().filter(is_closed).map(|shown| shown.0).collect(),
+        }
     }
 }
--- a/crates/test-cluster/src/stand_ins/workers.rs
+++ b/crates/test-cluster/src/stand_ins/workers.rs
@@ -1,293 +1,306 @@
-//! Stand-in workers, from the protocol page: slots and a waiting room, a cold start, drains, restarts, slowness and
-//! failures; repeats of a keyed job are dropped by all workers of a zone within its window. No I/O, no clock.
+//! Stand-in for workers, by the protocol's page: slots and a queue, a warm-up, drains, restarts, slowness and failures.
+//! Attempts under an idempotency key that a zone's workers have executed are dropped by all of them for a while.
 
-use crate::Millis;
-use crate::checker::Event;
-use crate::scenario::{KEYED_WINDOW, Scenario};
+use crate::history::HistoryEvent;
+use crate::scenario::{DEDUPLICATION_WINDOW, Scenario};
+use crate::{ConnectionId, Millis};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use std::collections::{HashMap, VecDeque};
 
-/// A request as it reached a worker.
+#[cfg(test)]
+mod tests;
+
+/// Time until a failing worker reports the failure.
+const TIME_TO_FAILURE: Millis = 3.0;
+
+/// An attempt as it reached a worker.
 #[derive(Clone, Debug)]
 pub struct Attempt {
-    /// Where its answer goes.
-    pub connection: usize,
+    /// Where its response goes.
+    pub connection: ConnectionId,
     /// `X-Trace-Id`.
     pub id: String,
     /// `Idempotency-Key`.
-    pub key: Option<String>,
-    /// Whether its class is keyed.
-    pub keyed: bool,
-    /// Its running time on a warm worker.
-    pub work: Millis,
+    pub idempotency_key: Option<String>,
+    /// Whether its class is deduplicated by that key.
+    pub is_deduplicated: bool,
+    /// Its run time on a warm worker.
+    pub run_time: Millis,
 }
 
-/// What a worker says on a connection.
+/// A part of a worker's response.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Said {
-    /// A line of the answer; the first one brings the answer's head.
+pub enum Reply {
+    /// A line of the response; the head goes before the first one.
     Line(Value),
     /// The last line.
-    Last(Value),
+    LastLine(Value),
     /// 503 with `X-Never-Ran`.
     Returned,
-    /// 500.
+    /// A failure.
     Failed,
-    /// The connection is gone.
+    /// The connection is reset.
     Reset,
 }
 
+/// What workers did since the last call.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Replies, each with its connection.
+    pub replies: Vec<(ConnectionId, Reply)>,
+    /// For the history.
+    pub events: Vec<HistoryEvent>,
+}
+
 #[derive(Debug)]
-struct Running {
+struct Execution {
     attempt: Attempt,
-    until: Millis,
+    ends_at: Millis,
     fails: bool,
-    /// A repeat that waits for the first one's result; it holds no slot.
-    repeat: bool,
+    /// A duplicate that waits for the first one's result; it holds no slot.
+    is_duplicate: bool,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Worker {
-    running: Vec<Running>,
-    waiting: VecDeque<Attempt>,
-    cold_since: Option<Millis>,
-    slow: f64,
+    executions: Vec<Execution>,
+    queue: VecDeque<Attempt>,
+    started_at: Option<Millis>,
+    slowness: f64,
     failing: f64,
-    draining: bool,
-    dead: bool,
+    is_draining: bool,
+    is_dead: bool,
+}
+
+impl Worker {
+    /// Warm and idle.
+    fn new() -> Worker {
+        Worker {
+            executions: Vec::new(),
+            queue: VecDeque::new(),
+            started_at: None,
+            slowness: 1.0,
+            failing: 0.0,
+            is_draining: false,
+            is_dead: false,
+        }
+    }
+
+    fn used_slots(&self) -> usize {
+        self.executions.iter().filter(|execution| !execution.is_duplicate).count()
+    }
+}
+
+/// The first execution under an idempotency key.
+#[derive(Clone, Copy, Debug)]
+struct FirstExecution {
+    started_at: Millis,
+    ends_at: Millis,
 }
 
-/// All of them.
+/// An idempotency key in its zone.
+type ZoneKey = (usize, String);
+
+/// All workers.
 #[derive(Debug)]
-pub struct Fleet {
+pub struct WorkerPool {
     workers: Vec<Worker>,
-    /// First runs by zone and key: when, and until when.
-    keys: HashMap<(usize, String), (Millis, Millis)>,
+    executed_keys: HashMap<ZoneKey, FirstExecution>,
     zones: usize,
     slots: usize,
-    room: usize,
-    cold: Millis,
-    cold_share: f64,
-    said: Vec<(usize, Said)>,
-    events: Vec<Event>,
+    queue_length: usize,
+    warm_up: Millis,
+    initial_capacity: f64,
+    progress: Progress,
 }
 
-impl Fleet {
+impl WorkerPool {
     /// Warm, idle workers.
-    pub fn new(scenario: &Scenario) -> Fleet {
-        let worker = || Worker { slow: 1.0, ..Worker::default() };
-        Fleet {
-            workers: (0..scenario.workers).map(|_| worker()).collect(),
-            keys: HashMap::new(),
+    pub fn new(scenario: &Scenario) -> WorkerPool {
+        WorkerPool {
+            workers: (0..scenario.workers).map(|_| Worker::new()).collect(),
+            executed_keys: HashMap::new(),
             zones: scenario.zones.len(),
             slots: scenario.slots,
-            room: scenario.room,
-            cold: scenario.cold,
-            cold_share: scenario.cold_share,
-            said: Vec::new(),
-            events: Vec::new(),
+            queue_length: scenario.queue,
+            warm_up: scenario.warm_up,
+            initial_capacity: scenario.initial_capacity,
+            progress: Progress::default(),
         }
     }
 
-    /// What was said and seen since the last call.
-    pub fn drain(&mut self) -> (Vec<(usize, Said)>, Vec<Event>) {
-        (std::mem::take(&mut self.said), std::mem::take(&mut self.events))
+    /// What workers did since the last call.
+    pub fn take_progress(&mut self) -> Progress {
+        std::mem::take(&mut self.progress)
     }
 
     /// When something happens next by itself.
-    pub fn next(&self) -> Option<Millis> {
-        let ends = self.workers.iter().flat_map(|w| w.running.iter().map(|running| running.until));
-        ends.min_by(f64::total_cmp)
+    pub fn next_timeout(&self) -> Option<Millis> {
+        let executions = self.workers.iter().flat_map(|worker| &worker.executions);
+        executions.map(|execution| execution.ends_at).min_by(f64::total_cmp)
     }
 
-    /// Whether it lives.
-    pub fn alive(&self, worker: usize) -> bool {
-        !self.workers[worker].dead
+    /// Whether a worker is alive.
+    pub fn is_alive(&self, worker: usize) -> bool {
+        !self.workers[worker].is_dead
     }
 
-    /// A request has arrived whole.
-    pub fn arrive(&mut self, now: Millis, worker: usize, attempt: Attempt, rng: &mut ChaCha8Rng) {
-        let one = &mut self.workers[worker];
-        let free = one.running.iter().filter(|running| !running.repeat).count() < self.slots;
-        if one.dead {
-            self.said.push((attempt.connection, Said::Reset));
-        } else if one.draining || (!free && one.waiting.len() >= self.room) {
-            self.events.push(Event::Returned { at: now, id: attempt.id.clone(), worker });
-            self.said.push((attempt.connection, Said::Returned));
+    /// An attempt has arrived completely.
+    pub fn handle_attempt(&mut self, now: Millis, number: usize, attempt: Attempt, rng: &mut ChaCha8Rng) {
+        let worker = &mut self.workers[number];
+        let has_slot = worker.used_slots() < self.slots;
+        if worker.is_dead {
+            self.progress.replies.push((attempt.connection, Reply::Reset));
+        } else if worker.is_draining || (!has_slot && worker.queue.len() >= self.queue_length) {
+            let request = attempt.id.clone();
+            self.progress.events.push(HistoryEvent::AttemptReturned { at: now, request, worker: number });
+            self.progress.replies.push((attempt.connection, Reply::Returned));
         } else {
-            one.waiting.push_back(attempt);
-            self.begin(now, worker, rng);
-        }
-    }
-
-    fn begin(&mut self, now: Millis, worker: usize, rng: &mut ChaCha8Rng) {
-        let zone = worker % self.zones;
-        loop {
-            let one = &mut self.workers[worker];
-            let busy = one.running.iter().filter(|running| !running.repeat).count();
-            if busy >= self.slots {
-                return;
-            }
-            let Some(attempt) = one.waiting.pop_front() else { return };
-            let place = attempt.key.clone().filter(|_| attempt.keyed).map(|key| (zone, key));
-            let first = place.as_ref().and_then(|place| self.keys.get(place).copied());
-            if let Some((_, until)) = first.filter(|(since, _)| now < since + KEYED_WINDOW) {
-                self.events.push(Event::Dropped { at: now, id: attempt.id.clone(), worker });
-                one.running.push(Running { attempt, until: until.max(now), fails: false, repeat: true });
-                continue;
-            }
-            let share = match one.cold_since {
-                Some(since) if now < since + self.cold => {
-                    self.cold_share + (1.0 - self.cold_share) * (now - since) / self.cold
-                }
-                _ => 1.0,
-            };
-            let fails = rng.random::<f64>() < one.failing;
-            let until = now + if fails { 3.0 } else { attempt.work * one.slow / share };
-            if !fails {
-                self.events.push(Event::Ran { at: now, id: attempt.id.clone(), worker });
-                self.keys.extend(place.map(|place| (place, (now, until))));
-            }
-            let started = json!({"id": attempt.id, "from": format!("w{worker}"), "state": "started"});
-            self.said.push((attempt.connection, Said::Line(started)));
-            one.running.push(Running { attempt, until, fails, repeat: false });
+            worker.queue.push_back(attempt);
+            self.start_queued(now, number, rng);
         }
     }
 
-    /// Plays what is due.
-    pub fn advance(&mut self, now: Millis, rng: &mut ChaCha8Rng) {
-        for worker in 0..self.workers.len() {
-            let one = &mut self.workers[worker];
-            let (over, going): (Vec<Running>, Vec<Running>) =
-                std::mem::take(&mut one.running).into_iter().partition(|running| running.until <= now);
-            one.running = going;
-            if over.is_empty() {
-                continue;
+    /// Starts attempts from the queue while there are slots.
+    fn start_queued(&mut self, now: Millis, number: usize, rng: &mut ChaCha8Rng) {
+        while self.workers[number].used_slots() < self.slots {
+            let Some(attempt) = self.workers[number].queue.pop_front() else { return };
+            let key = self.zone_key(number, &attempt);
+            let first = key.as_ref().and_then(|key| self.executed_keys.get(key).copied());
+            match first.filter(|first| now < first.started_at + DEDUPLICATION_WINDOW) {
+                Some(first) => self.drop_duplicate(now, number, attempt, first),
+                None => self.execute(now, number, attempt, key, rng),
             }
-            let (busy, waiting) = (one.running.len(), one.waiting.len());
-            for Running { attempt, fails, .. } in over {
-                if fails {
-                    self.said.push((attempt.connection, Said::Failed));
-                    continue;
-                }
-                let result = format!("made-for-{}-by-{worker}", attempt.id);
-                let (id, free) = (&attempt.id, self.slots.saturating_sub(busy + waiting));
-                let last = json!({"id": id, "from": format!("w{worker}"), "state": "done", "result": result,
-                    "load": {"x0": free, "x1": free, "concurrent": busy + waiting}});
-                self.events.push(Event::Finished { at: now, id: id.clone(), worker, result });
-                self.said.push((attempt.connection, Said::Last(last)));
-            }
-            self.begin(now, worker, rng);
         }
     }
 
-    /// A connection has ended: what waits for it never runs, what runs is wasted.
-    pub fn gone(&mut self, now: Millis, worker: usize, connection: usize, rng: &mut ChaCha8Rng) {
-        let one = &mut self.workers[worker];
-        one.waiting.retain(|attempt| attempt.connection != connection);
-        one.running.retain(|running| running.attempt.connection != connection);
-        self.begin(now, worker, rng);
+    /// The key by which an attempt is deduplicated, if it is.
+    fn zone_key(&self, number: usize, attempt: &Attempt) -> Option<ZoneKey> {
+        let key = attempt.idempotency_key.clone().filter(|_| attempt.is_deduplicated)?;
+        Some((number % self.zones, key))
     }
 
-    /// It takes nothing new, or takes again.
-    pub fn set_draining(&mut self, worker: usize, draining: bool) {
-        self.workers[worker].draining = draining;
+    fn drop_duplicate(&mut self, now: Millis, number: usize, attempt: Attempt, first: FirstExecution) {
+        let request = attempt.id.clone();
+        self.progress.events.push(HistoryEvent::AttemptDeduplicated { at: now, request, worker: number });
+        let ends_at = first.ends_at.max(now);
+        let duplicate = Execution { attempt, ends_at, fails: false, is_duplicate: true };
+        self.workers[number].executions.push(duplicate);
     }
 
-    /// It takes so many times as long, from the next job on.
-    pub fn set_slow(&mut self, worker: usize, times: f64) {
-        self.workers[worker].slow = times;
+    fn execute(
+        &mut self,
+        now: Millis,
+        number: usize,
+        attempt: Attempt,
+        key: Option<ZoneKey>,
+        rng: &mut ChaCha8Rng,
+    ) {
+        let capacity = self.capacity(now, number);
+        let worker = &mut self.workers[number];
+        let fails = rng.random::<f64>() < worker.failing;
+        let run_time = if fails { TIME_TO_FAILURE } else { attempt.run_time * worker.slowness / capacity };
+        let ends_at = now + run_time;
+        if !fails {
+            let request = attempt.id.clone();
+            self.progress.events.push(HistoryEvent::AttemptStarted { at: now, request, worker: number });
+            let first = FirstExecution { started_at: now, ends_at };
+            self.executed_keys.extend(key.map(|key| (key, first)));
+        }
+        let started = json!({"id": attempt.id, "from": format!("w{number}"), "state": "started"});
+        self.progress.replies.push((attempt.connection, Reply::Line(started)));
+        worker.executions.push(Execution { attempt, ends_at, fails, is_duplicate: false });
     }
 
-    /// It fails that part.
-    pub fn set_failing(&mut self, worker: usize, part: f64) {
-        self.workers[worker].failing = part;
+    /// Fraction of its capacity that a worker has.
+    fn capacity(&self, now: Millis, number: usize) -> f64 {
+        match self.workers[number].started_at {
+            Some(since) if now < since + self.warm_up => {
+                self.initial_capacity + (1.0 - self.initial_capacity) * (now - since) / self.warm_up
+            }
+            _ => 1.0,
+        }
     }
 
-    /// It dies, and what it held with it.
-    pub fn kill(&mut self, worker: usize) {
-        let one = &mut self.workers[worker];
-        (one.dead, one.draining) = (true, false);
-        one.running.clear();
-        one.waiting.clear();
+    /// Ends the executions that are due.
+    pub fn handle_timeout(&mut self, now: Millis, rng: &mut ChaCha8Rng) {
+        for number in 0..self.workers.len() {
+            let executions = std::mem::take(&mut self.workers[number].executions);
+            let (ended, running): (Vec<Execution>, Vec<Execution>) =
+                executions.into_iter().partition(|execution| execution.ends_at <= now);
+            self.workers[number].executions = running;
+            if ended.is_empty() {
+                continue;
+            }
+            for execution in ended {
+                self.finish(now, number, execution);
+            }
+            self.start_queued(now, number, rng);
+        }
     }
 
-    /// It starts, cold.
-    pub fn start(&mut self, now: Millis, worker: usize) {
-        self.kill(worker);
-        let one = &mut self.workers[worker];
-        (one.dead, one.cold_since) = (false, Some(now));
-        self.events.push(Event::Started { at: now, worker });
+    /// Reports the end of an execution, with the worker's load.
+    fn finish(&mut self, now: Millis, number: usize, execution: Execution) {
+        let Execution { attempt, fails, .. } = execution;
+        if fails {
+            self.progress.replies.push((attempt.connection, Reply::Failed));
+            return;
+        }
+        let worker = &self.workers[number];
+        let concurrent = worker.executions.len() + worker.queue.len();
+        let free = self.slots.saturating_sub(concurrent);
+        let result = format!("made-for-{}-by-{number}", attempt.id);
+        let line = json!({"id": attempt.id, "from": format!("w{number}"), "state": "done", "result": result,
+            "load": {"x0": free, "x1": free, "concurrent": concurrent}});
+        let finished = HistoryEvent::AttemptFinished { at: now, request: attempt.id, worker: number, result };
+        self.progress.events.push(finished);
+        self.progress.replies.push((attempt.connection, Reply::LastLine(line)));
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use rand::SeedableRng;
-    use std::path::Path;
 
-    fn fleet(workers: &str) -> (Fleet, ChaCha8Rng) {
-        let text = format!(
-            "name = \"a\"\nwhy = \"b\"\n[tier]\nschedulers = 1\nzones = [\"n\", \"s\"]\n[workers]\n{workers}\n"
-        );
-        let scenario = Scenario::parse(Path::new("a.toml"), &text).expect("a scenario");
-        (Fleet::new(&scenario), ChaCha8Rng::seed_from_u64(1))
+    /// A connection has ended: what is queued for it never runs, what runs is wasted.
+    pub fn handle_connection_end(
+        &mut self,
+        now: Millis,
+        number: usize,
+        connection: ConnectionId,
+        rng: &mut ChaCha8Rng,
+    ) {
+        let worker = &mut self.workers[number];
+        worker.queue.retain(|attempt| attempt.connection != connection);
+        worker.executions.retain(|execution| execution.attempt.connection != connection);
+        self.start_queued(now, number, rng);
     }
 
-    fn attempt(connection: usize, id: &str, key: Option<&str>) -> Attempt {
-        let (id, key) = (id.to_owned(), key.map(str::to_owned));
-        Attempt { connection, id, keyed: key.is_some(), key, work: 100.0 }
+    /// It accepts nothing new, or accepts work again.
+    pub fn set_draining(&mut self, number: usize, draining: bool) {
+        self.workers[number].is_draining = draining;
     }
 
-    fn ran(events: &[Event]) -> usize {
-        events.iter().filter(|event| matches!(event, Event::Ran { .. })).count()
+    /// It takes this many times as long, from the next job on.
+    pub fn set_slowness(&mut self, number: usize, factor: f64) {
+        self.workers[number].slowness = factor;
     }
 
-    #[test]
-    fn slots_run_the_room_waits_and_the_rest_is_handed_back_unstarted() {
-        let (mut fleet, mut rng) = fleet("slots = 2\nroom = 1");
-        (0..4).for_each(|n| fleet.arrive(0.0, 0, attempt(n, &n.to_string(), None), &mut rng));
-        let (said, events) = fleet.drain();
-        assert_eq!(ran(&events), 2);
-        assert_eq!(said.last(), Some(&(3, Said::Returned)));
-        assert_eq!(fleet.next(), Some(100.0));
-        fleet.advance(100.0, &mut rng);
-        let (said, events) = fleet.drain();
-        assert_eq!(ran(&events), 1, "the one that waited");
-        assert_eq!(said.iter().filter(|s| matches!(s.1, Said::Last(_))).count(), 2);
+    /// It fails this fraction of what it gets.
+    pub fn set_failing(&mut self, number: usize, fraction: f64) {
+        self.workers[number].failing = fraction;
     }
 
-    #[test]
-    fn a_keyed_repeat_is_dropped_in_its_zone_and_window_and_runs_elsewhere_or_later() {
-        let (mut fleet, mut rng) = fleet("slots = 3");
-        let table = [(0, 0.0, 1), (2, 50.0, 0), (1, 60.0, 1), (0, 7_000.0, 0), (0, 7_600.0, 1)];
-        for (number, (worker, at, runs)) in table.into_iter().enumerate() {
-            fleet.advance(at, &mut rng);
-            fleet.drain();
-            fleet.arrive(at, worker, attempt(number, &number.to_string(), Some("k")), &mut rng);
-            let (_, events) = fleet.drain();
-            assert_eq!(ran(&events), runs, "worker {worker} at {at}");
-        }
+    /// It dies, and what it held with it.
+    pub fn kill(&mut self, number: usize) {
+        let worker = &mut self.workers[number];
+        (worker.is_dead, worker.is_draining) = (true, false);
+        worker.executions.clear();
+        worker.queue.clear();
     }
 
-    #[test]
-    fn a_cold_worker_is_slow_a_dead_one_resets_and_a_failing_one_fails() {
-        let (mut fleet, mut rng) = fleet("cold-ms = 1000\ncold-share = 0.5");
-        fleet.start(0.0, 0);
-        fleet.arrive(0.0, 0, attempt(0, "a", None), &mut rng);
-        assert_eq!(fleet.next(), Some(200.0));
-        fleet.kill(1);
-        fleet.arrive(0.0, 1, attempt(1, "b", None), &mut rng);
-        fleet.set_failing(2, 1.0);
-        fleet.arrive(0.0, 2, attempt(2, "c", None), &mut rng);
-        fleet.advance(3.0, &mut rng);
-        let (said, events) = fleet.drain();
-        assert!(said.contains(&(1, Said::Reset)) && said.contains(&(2, Said::Failed)), "{said:?}");
-        assert_eq!(ran(&events), 1);
-        fleet.gone(10.0, 0, 0, &mut rng);
-        assert_eq!(fleet.next(), None, "its client left");
+    /// It starts, and warms up.
+    pub fn start(&mut self, now: Millis, number: usize) {
+        self.kill(number);
+        let worker = &mut self.workers[number];
+        (worker.is_dead, worker.started_at) = (false, Some(now));
+        self.progress.events.push(HistoryEvent::WorkerStarted { at: now, worker: number });
     }
 }
