--- a/crates/daemon/tests/cluster.rs
+++ b/crates/daemon/tests/cluster.rs
@@ -3,6 +3,7 @@
 #![allow(missing_docs)]
 
 use brackenledge_test_cluster::cluster::AdminReply;
+use brackenledge_test_cluster::history::HistoryEvent;
 use brackenledge_test_cluster::{Options, Outcome, Report, Scenario, check, report, run};
 use std::path::{Path, PathBuf};
 
@@ -196,6 +197,19 @@
     assert_eq!(reported_active_members(&format!("{FIVE}{kill}")), ["5", "5"]);
 }
 
+/// What a scheduler was told is a worker's address must be that again once the worker is back.
+#[test]
+fn a_worker_that_comes_back_is_sent_work_again() {
+    const BACK_AT: f64 = 2_000.0;
+    let text = "name = \"back\"\nwhy = \"x\"\n[cluster]\nschedulers = 2\n[workers]\ncount = 2\n[traffic]\nseconds = 8\n\
+                per-second = 20\n[[fault]]\nkind = \"kill\"\nat = 1.0\nuntil = 2.0\ntargets = [\"worker 0\"]\n";
+    let scenario = Scenario::parse(Path::new("back.toml"), text).expect("a scenario");
+    let outcome = run(&scenario, &options()).expect("the cluster runs");
+    let is_sent = |event: &&HistoryEvent| matches!(event, HistoryEvent::AttemptReceived { at, worker: 0, .. } if *at > BACK_AT);
+    let attempts = outcome.history.iter().filter(is_sent).count();
+    assert!(attempts > 10, "{attempts} attempts in 6 s");
+}
+
 /// What goes wrong before or beside a run is reported, and leaves nothing behind.
 mod errors {
     use super::*;
--- a/crates/test-cluster/src/cluster/listener.rs
+++ b/crates/test-cluster/src/cluster/listener.rs
@@ -5,6 +5,9 @@
 use std::io;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr};
 
+#[cfg(test)]
+mod tests;
+
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
 /// Connections that fill the queue of a listener that is unreachable: one more than its length of zero admits.
@@ -65,14 +68,18 @@
 }
 
 impl Listener {
-    /// An open listener on a port that the system chooses.
+    /// An open listener on a port of its own. It is bound by the port's number: a listener that is bound to whichever port
+    /// the system chooses loses that port when it is shut down, and serves on another one afterwards.
     pub fn new() -> io::Result<Listener> {
+        let reserved = ReservedPort::new(Type::STREAM)?;
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
         socket.set_nonblocking(true)?;
-        socket.bind(&any_loopback_port().into())?;
+        socket.set_reuse_address(true)?;
+        socket.set_reuse_port(true)?;
+        socket.bind(&reserved.address.into())?;
         socket.listen(BACKLOG)?;
-        let address = local_address(&socket)?;
         let listener = TcpListener::from_std(socket.into());
+        let address = reserved.address;
         Ok(Listener { listener, state: ListenerState::Open, fillers: Vec::new(), address })
     }
 
