--- a/crates/discovery/src/endpoint.rs
+++ b/crates/discovery/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use crate::rollout::PlacementGroup;
 use crate::signals::{CLEAR_THRESHOLD, DrainEvidence, SUSPECT_THRESHOLD};
-use brackenledge_policy::measure::hash;
+use brackenledge_policy::hashing::hash;
 use brackenledge_policy::{Millis, Readiness};
 use std::fmt;
 use std::net::SocketAddr;
--- a/crates/discovery/src/gossip/message.rs
+++ b/crates/discovery/src/gossip/message.rs
@@ -12,7 +12,7 @@
 //! A symbol carries six bits (`policy::symbols`). A message that does not decode is ignored as a whole.
 
 use brackenledge_policy::Readiness;
-use brackenledge_policy::measure::hash;
+use brackenledge_policy::hashing::hash;
 use brackenledge_policy::symbols::{InvalidSymbol, decode, encode};
 use thiserror::Error;
 
--- a/crates/discovery/src/signals.rs
+++ b/crates/discovery/src/signals.rs
@@ -54,7 +54,7 @@
 impl DrainEvidence {
     pub(crate) fn add(&mut self, now: Millis, signal: EndpointSignal) {
         match signal {
-            EndpointSignal::JobServed => self.0.sum *= SERVED_FACTOR,
+            EndpointSignal::JobServed => self.0.value *= SERVED_FACTOR,
             _ => self.0.add(now, EVIDENCE_DECAY_TIME, signal.weight()),
         }
     }
--- a/crates/policy/src/dispatcher/answers.rs
+++ b/crates/policy/src/dispatcher/answers.rs
@@ -1,123 +1,101 @@
-//! Final answers and timers.
+//! Final answers of jobs that are not served, and attempts that take too long. A job is rejected only if a
+//! retry by its client can do no harm.
 use super::*;
 
+const OVERTAKEN_MARGIN: Millis = 300.0; // by which a job that started was sent later than one that did not
+const OVERDUE_RATIO: f64 = 3.0; // typical running times after which an attempt counts against its worker
+
 impl Dispatcher {
-    /// Ends a job that was not served.
-    pub(super) fn finish(&mut self, id: JobId, out: &mut Vec<Action>) {
+    /// Answers a job that was not served.
+    pub(super) fn reject_or_fail(&mut self, id: JobId, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.answered) else { return };
-        if self.may_refuse(job) {
-            let aims = 0.5 + self.rng.f64();
-            let wait = if job.lane == 0 {
-                self.settings.classes[job.class].latency_objective
-            } else {
-                f64::INFINITY
-            };
-            let wait = (aims * wait).min(self.settings.max_retry_after);
-            let retry_after = (self.settings.retry_after && wait > 0.0).then_some(wait);
-            out.push(Action::Reject { job: id, retry_after });
+        if self.may_reject(job) {
+            let spread = 0.5 + self.rng.f64();
+            let objective = self.settings.classes[job.class].latency_objective;
+            let pause = if job.lane == WITHIN_QUOTA { objective } else { f64::INFINITY };
+            let pause = (spread * pause).min(self.settings.max_retry_after);
+            let retry_after = (self.settings.retry_after && pause > 0.0).then_some(pause);
+            actions.push(Action::Reject { job: id, retry_after });
         } else {
-            out.push(Action::Fail { job: id });
+            actions.push(Action::Fail { job: id });
+        }
+        self.close_job(id);
+    }
+
+    /// Whether it is true that a retry by the client does no harm.
+    fn may_reject(&self, job: &Job) -> bool {
+        let class = &self.settings.classes[job.class];
+        match (class.effect, class.deduplication_scope) {
+            (Effect::Repeatable, _) | (Effect::Idempotent, DeduplicationScope::All) => true,
+            _ => job.first_possible_run().is_none(),
         }
-        self.close(id);
     }
 
-    /// Nobody waits any more: what is still out is called off, so that its slots serve others.
-    pub(super) fn client_gone(&mut self, id: JobId, out: &mut Vec<Action>) {
+    /// No client waits any more: attempts in flight are cancelled, so that their slots serve others.
+    pub(super) fn on_client_disconnected(&mut self, id: JobId, actions: &mut Vec<Action>) {
         if let Some(job) = self.jobs.get(&id).filter(|_| self.settings.cancellation) {
-            out.extend(job.in_flight().map(|(attempt, _)| Action::CancelAttempt { job: id, attempt }));
+            let in_flight = job.in_flight();
+            actions.extend(in_flight.map(|(attempt, _)| Action::CancelAttempt { job: id, attempt }));
         }
-        self.close(id);
+        self.close_job(id);
     }
 
-    /// Forgets an ended job once nothing of it is out.
-    pub(super) fn close(&mut self, id: JobId) {
-        self.unqueue(id);
+    /// Ends a job; it is forgotten once none of its attempts is in flight.
+    pub(super) fn close_job(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
+        if std::mem::take(&mut job.queued) {
+            self.tenant_queues[job.tenant].lanes[job.lane].jobs.retain(|&queued| queued != id);
+        }
         job.answered = true;
         if !job.has_attempt_in_flight() {
             self.jobs.remove(&id);
         }
     }
 
-    pub(super) fn sweep(&mut self, now: Millis, out: &mut Vec<Action>) {
-        while let Some(id) = self.due.pop(now) {
-            self.come_due(now, id, out);
-        }
-        if now >= self.budget.tick_at {
-            self.budget.tick_at = now + TICK * (0.9 + 0.2 * self.rng.f64());
-            self.tick(now);
-        }
-        if now >= self.sweep_at {
-            self.sweep_at = now + SWEEP;
-            self.note_overdue(now);
-            self.call_back_overtaken(out);
-            self.peers.forget_silent(now - HEARD_LIFE);
-            if !self.peers.direct() {
-                let load = |worker: &Worker, id| (self.peers.load(id) + worker.own, self.slots(worker));
-                let loads = self.ready.ids.iter().map(|&id| load(&self.workers[id], id)).collect();
-                self.peers.pour(loads, STALE / self.mean_run());
-            }
-            if self.settings.peer_messages && self.peers.direct() {
-                self.tell_loads(out);
-            }
-        }
-        if now >= self.ask_at {
-            self.ask_at = f64::INFINITY;
-            out.push(Action::WatchEndpoints { on: true });
-        }
-    }
-
-    pub(super) fn come_due(&mut self, now: Millis, id: JobId, out: &mut Vec<Action>) {
+    /// A job has waited for an attempt as long as it may, or its client's deadline has passed.
+    pub(super) fn on_job_timer(&mut self, now: Millis, id: JobId, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.answered && !job.streaming) else { return };
-        let ungranted = job.queued && now + CLOCK_STEP >= job.queue_deadline;
-        if ungranted || now + CLOCK_STEP >= job.deadline + self.settings.answer_slack / 2.0 {
-            self.finish(id, out);
+        let now = now + CLOCK_RESOLUTION;
+        let answer_deadline = job.deadline + self.settings.answer_slack / 2.0;
+        if job.queued && now >= job.queue_deadline || now >= answer_deadline {
+            self.reject_or_fail(id, actions);
         }
     }
 
-    /// Where workers start jobs in the order of their coming, one not started long after a later one was is
-    /// on no queue: its request or notes were lost on the way. It is called back where it may be sent again.
-    pub(super) fn call_back_overtaken(&self, out: &mut Vec<Action>) {
+    /// Where workers start jobs in order of arrival, one not started long after a later one is on no queue:
+    /// its request or the report of its start was lost. It is cancelled if it can be retried.
+    pub(super) fn cancel_overtaken_attempts(&self, actions: &mut Vec<Action>) {
         if !self.settings.cancellation || !self.settings.starts_in_order {
             return;
         }
         for (&id, job) in self.jobs.iter().filter(|(_, job)| !job.answered) {
-            let effect = self.settings.classes[job.class].effect;
-            for (attempt, sent) in job.in_flight().filter(|(_, attempt)| attempt.started_at.is_none()) {
-                let overtaken = self.workers[sent.worker].start_sent > sent.sent_at + OVERTAKEN;
-                if overtaken
-                    && effect != Effect::NonIdempotent
-                    && job.attempts.len() < self.settings.max_attempts
-                {
-                    out.push(Action::CancelAttempt { job: id, attempt });
+            let is_repeatable = self.settings.classes[job.class].effect != Effect::NonIdempotent;
+            let may_retry = is_repeatable && job.attempts.len() < self.settings.max_attempts;
+            let unstarted = job.in_flight().filter(|(_, attempt)| attempt.started_at.is_none());
+            for (number, attempt) in unstarted {
+                let last_started_sent_at = self.workers[attempt.worker].last_started_sent_at;
+                if may_retry && last_started_sent_at > attempt.sent_at + OVERTAKEN_MARGIN {
+                    actions.push(Action::CancelAttempt { job: id, attempt: number });
                 }
             }
         }
     }
 
-    /// Attempts that take far longer than usual tell against their workers before they end, but only once.
-    pub(super) fn note_overdue(&mut self, now: Millis) {
+    /// Attempts that take far longer than usual count against their workers before they end, but only once.
+    pub(super) fn record_overdue_attempts(&mut self, now: Millis) {
         for job in self.jobs.values_mut() {
-            let usual = self.runs[job.class].usual;
-            for attempt in job.attempts.iter_mut().filter(|attempt| attempt.in_flight && !attempt.is_overdue)
-            {
-                let ratio = (now - attempt.started_at.unwrap_or(attempt.sent_at)) / usual;
-                let worker = &mut self.workers[attempt.worker];
-                if ratio > OVERDUE * (1.0 + worker.slowness.value_at(now, SLOW_LIFE)).max(1.0) {
+            let typical = self.run_times[job.class].typical;
+            let in_flight = job.attempts.iter_mut().filter(|attempt| attempt.in_flight);
+            for attempt in in_flight.filter(|attempt| !attempt.is_overdue) {
+                let ratio = (now - attempt.started_at.unwrap_or(attempt.sent_at)) / typical;
+                let slowness = &mut self.workers[attempt.worker].slowness;
+                let expected = (1.0 + slowness.value_at(now, SLOWNESS_DECAY_TIME)).max(1.0);
+                if ratio > OVERDUE_RATIO * expected {
                     attempt.is_overdue = true;
-                    worker.slowness.note(now, SLOW_LIFE, LEARN, ratio.min(SLOW_MOST));
+                    let ratio = ratio.min(MAX_RUN_TIME_RATIO);
+                    slowness.observe(now, SLOWNESS_DECAY_TIME, OBSERVATION_WEIGHT, ratio);
                 }
             }
         }
     }
-
-    /// Keeps one timer set for whatever comes due next.
-    pub(super) fn arm(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let stuck = if self.stuck_until > now { self.stuck_until } else { f64::INFINITY };
-        let next = self.due.next().min(self.budget.tick_at).min(self.sweep_at).min(self.ask_at).min(stuck);
-        if next < self.armed {
-            self.armed = next;
-            out.push(Action::SetTimer { after: (next - now).max(0.0) });
-        }
-    }
 }
--- a/crates/policy/src/dispatcher/attempts.rs
+++ b/crates/policy/src/dispatcher/attempts.rs
@@ -1,202 +1,187 @@
-//! Attempts and their outcomes.
+//! Attempts, what their outcomes say, and retries. An attempt that may have run binds a job's retries to the
+//! workers that would recognise it; for a job that must never run twice it is the last one.
 use super::*;
 
+const MAX_CACHED_KEYS: usize = 4; // of the jobs last sent to a worker: it is assumed to have their data
+const MESSAGES_PER_ATTEMPT: f64 = 1.0; // load messages, counted by receiver, that an attempt pays for
+const SHORTEST_RUN_TIME_RISE: f64 = 1.0005; // a factor for each result
+const RUN_TIME_WEIGHT: f64 = OBSERVATION_WEIGHT / 5.0; // of one more running time of a class
+const FULL_DELAY: f64 = 2.0; // latency objectives that a full worker counts for as a delay
+const FULL_BACKOFF: f64 = 0.25; // running times, before the first doubling
+const MAX_FULL_DOUBLINGS: u32 = 4;
+const ZONE_FAULT_WEIGHT: f64 = 0.05; // added to the failure rate of a zone's workers by a failed connection
+const MIN_RETRY_TIME: f64 = 0.5; // latency objectives that a retry may wait, however long the job has waited
+
 impl Dispatcher {
-    pub(super) fn send(&mut self, now: Millis, id: JobId, to: WorkerId, out: &mut Vec<Action>) {
+    pub(super) fn start_attempt(&mut self, now: Millis, id: JobId, to: WorkerId, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.attempts.push(Attempt { worker: to, sent_at: now, in_flight: true, ..Attempt::default() });
+        job.attempts.push(Attempt::start(now, to));
         job.queued = false;
-        let (slots, work, key) = (job.slots, self.runs[job.class].usual * job.slots, job.key);
         let worker = &mut self.workers[to];
-        if let Some(key) = key {
-            worker.keys.retain(|&kept| kept != key);
-            worker.keys.push_front(key);
-            worker.keys.truncate(KEPT);
+        if let Some(key) = job.key {
+            worker.remember_key(key, MAX_CACHED_KEYS);
         }
-        self.message_credit += MESSAGES;
-        worker.own += slots;
-        worker.unstarted += slots;
+        worker.occupy(job.slots);
         worker.freed_at = 0.0;
-        worker.allowance -= work;
-        self.budget.used += slots;
-        self.changed = true;
-        self.due.push(job.deadline + self.settings.answer_slack / 2.0, id);
-        out.push(Action::StartAttempt { job: id, worker: to, timeout: None });
+        worker.allowance -= self.run_times[job.class].typical * job.slots;
+        self.message_credit += MESSAGES_PER_ATTEMPT;
+        self.budget.used_slots += job.slots;
+        self.slots_changed = true;
+        self.job_timers.push(job.deadline + self.settings.answer_slack / 2.0, id);
+        actions.push(Action::StartAttempt { job: id, worker: to, timeout: None });
     }
 
-    pub(super) fn started(&mut self, now: Millis, id: JobId, number: usize) {
+    pub(super) fn on_job_started(&mut self, now: Millis, id: JobId, number: usize) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let Some(attempt) = job.attempts.get_mut(number).filter(|a| a.in_flight && a.started_at.is_none())
-        else {
-            return;
-        };
+        let attempt = job.in_flight_mut(number).filter(|attempt| attempt.started_at.is_none());
+        let Some(attempt) = attempt else { return };
         attempt.started_at = Some(now);
-        let (slots, lane, class, sent) = (job.slots, job.lane, job.class, attempt.sent_at);
+        let attempt = *attempt;
         let worker = &mut self.workers[attempt.worker];
-        worker.start_sent = worker.start_sent.max(sent);
-        worker.fulls = worker.fulls.saturating_sub(1);
-        worker.unstarted = (worker.unstarted - slots).max(0.0);
+        worker.last_started_sent_at = worker.last_started_sent_at.max(attempt.sent_at);
+        worker.recent_fulls = worker.recent_fulls.saturating_sub(1);
+        worker.mark_started(job.slots);
         let zone = self.zones.entry(worker.zone).or_default();
-        let trip = zone.trip.map_or(now - sent, |trip| trip.min(now - sent));
-        zone.trip = Some(trip);
-        let delay = now - sent - trip;
-        worker.wait = DecayingSum { sum: delay, at: now };
-        self.note_delay(now, lane, delay / self.slack(class));
+        let delay = now - attempt.sent_at - zone.record_start_latency(now - attempt.sent_at);
+        worker.start_wait = DecayingSum::new(now, delay);
+        let (lane, class) = (job.lane, job.class);
+        self.record_start_delay(now, lane, delay / self.slack(class));
     }
 
-    pub(super) fn response(&mut self, now: Millis, end: AttemptResult, out: &mut Vec<Action>) {
+    pub(super) fn on_attempt_ended(&mut self, now: Millis, end: AttemptResult, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&end.job) else { return };
-        let Some(attempt) = job.attempts.get_mut(end.attempt).filter(|attempt| attempt.in_flight) else {
-            return;
-        };
-        attempt.in_flight = false;
-        attempt.may_have_run = !end.outcome.never_ran();
+        let Some(attempt) = job.in_flight_mut(end.attempt) else { return };
+        attempt.end(end.outcome);
+        let attempt = *attempt;
         job.answered |= end.job_answered;
-        let worker = &mut self.workers[attempt.worker];
-        worker.own = (worker.own - job.slots).max(0.0);
-        if attempt.started_at.is_none() {
-            worker.unstarted = (worker.unstarted - job.slots).max(0.0);
-        }
-        self.budget.used = (self.budget.used - job.slots).max(0.0);
-        self.changed = true;
-        let (to, answered) = (attempt.worker, job.answered);
-        if let Some(report) = end.report {
-            self.note_report(now, to, report);
-        }
-        self.learn_outcome(now, &end);
-        if answered {
-            self.close(end.job);
+        self.workers[attempt.worker].release(job.slots, attempt.started_at.is_some());
+        self.budget.used_slots = (self.budget.used_slots - job.slots).max(0.0);
+        self.slots_changed = true;
+        self.on_load_report(now, attempt.worker, end.report);
+        self.learn_from_outcome(now, end.job, attempt, end.outcome);
+        let job = &self.jobs[&end.job];
+        if job.answered {
+            self.close_job(end.job);
         } else if end.outcome == Outcome::BadRequest {
-            // No refusal either: what can't be used now won't be later.
-            out.push(Action::Fail { job: end.job });
-            self.close(end.job);
-        } else if !self.jobs[&end.job].has_attempt_in_flight() {
-            self.next_step(now, end.job, out);
+            // It fails, and is not rejected: a retry by the client would not help either.
+            actions.push(Action::Fail { job: end.job });
+            self.close_job(end.job);
+        } else if !job.has_attempt_in_flight() {
+            self.retry_or_answer(now, end.job, actions);
         }
     }
 
-    /// What an outcome tells of the worker, the class and the budget.
-    pub(super) fn learn_outcome(&mut self, now: Millis, end: &AttemptResult) {
-        let job = &self.jobs[&end.job];
-        let Attempt { worker: to, sent_at, started_at, .. } = job.attempts[end.attempt];
-        let (lane, index) = (job.lane, job.class);
-        let (run, aim) = (self.runs[index].usual, self.settings.classes[index].latency_objective.max(1.0));
-        let worker = &mut self.workers[to];
-        match end.outcome {
+    /// What an outcome says about the worker, the class and the budget.
+    fn learn_from_outcome(&mut self, now: Millis, id: JobId, attempt: Attempt, outcome: Outcome) {
+        let job = &self.jobs[&id];
+        let (lane, class, slots) = (job.lane, job.class, job.slots);
+        let worker = &mut self.workers[attempt.worker];
+        match outcome {
             Outcome::Served => {
-                let took = now - started_at.unwrap_or(sent_at);
-                worker.slowness.note(now, SLOW_LIFE, LEARN, (took / run).min(SLOW_MOST));
-                worker.trouble.note(now, false);
+                worker.faults.record(now, false);
                 worker.freed_at = now;
-                worker.fulls = worker.fulls.saturating_sub(1);
-                // Only work that was served counts: bounced attempts would swell what cold workers are sent.
-                self.work_done.add(now, RATE_TIME, run * job.slots);
-                self.runs[index].learn(took, LEARN / 5.0, BASE_RISE);
-                if started_at.is_none() {
-                    let delay = self.stand_in(now, to, index, sent_at);
-                    self.note_delay(now, lane, delay);
+                worker.recent_fulls = worker.recent_fulls.saturating_sub(1);
+                self.learn_run_time(now, class, slots, attempt);
+                if attempt.started_at.is_none() {
+                    let delay = self.estimated_start_delay(now, class, attempt);
+                    self.record_start_delay(now, lane, delay);
                 }
             }
             Outcome::Full => {
-                // Storms of retries against a full fleet help nobody: each refusal in a row doubles the wait.
-                worker.fulls = (worker.fulls + 1).min(FULL_DOUBLINGS);
-                let wait = run * OWN_STEP * f64::from(1 << worker.fulls) * (0.5 + self.rng.f64());
-                worker.full_until = now + wait;
-                worker.wait = DecayingSum { sum: aim, at: now };
-                self.note_delay(now, lane, FULL_DELAY);
+                // Retries against full workers help nobody: each rejection in a row doubles the pause.
+                worker.recent_fulls = (worker.recent_fulls + 1).min(MAX_FULL_DOUBLINGS);
+                let first_pause = self.run_times[class].typical * FULL_BACKOFF;
+                let pause = first_pause * f64::from(1 << worker.recent_fulls) * (0.5 + self.rng.f64());
+                worker.backoff_until = now + pause;
+                let objective = self.settings.classes[class].latency_objective.max(1.0);
+                worker.start_wait = DecayingSum::new(now, objective);
+                self.record_start_delay(now, lane, FULL_DELAY);
             }
             Outcome::WorkerError | Outcome::ConnectFailed | Outcome::Reset => {
                 // One failure among many is the network's or the job's, not the worker's.
-                worker.trouble.note(now, true);
-                if end.outcome == Outcome::ConnectFailed {
+                worker.faults.record(now, true);
+                if outcome == Outcome::ConnectFailed {
                     let zone = self.zones.entry(worker.zone).or_default();
-                    zone.trouble.add(now, Trouble::LIFE, ZONE_STEP);
+                    zone.faults.add(now, FaultScore::DECAY_TIME, ZONE_FAULT_WEIGHT);
                 }
             }
             Outcome::Timeout | Outcome::Cancelled | Outcome::NeverSent | Outcome::BadRequest => {}
         }
     }
 
-    /// How long a usual job of a class can wait and still be in time: the aim grows with a job's own work.
-    pub(super) fn slack(&self, class: usize) -> Millis {
-        let Class { latency_objective: aim, stretch, .. } = self.settings.classes[class];
-        (aim + (stretch - 1.0).max(0.0) * self.runs[class].usual).max(1.0)
+    fn learn_run_time(&mut self, now: Millis, class: usize, slots: f64, attempt: Attempt) {
+        let typical = self.run_times[class].typical;
+        let run_time = now - attempt.started_at.unwrap_or(attempt.sent_at);
+        let ratio = (run_time / typical).min(MAX_RUN_TIME_RATIO);
+        let slowness = &mut self.workers[attempt.worker].slowness;
+        slowness.observe(now, SLOWNESS_DECAY_TIME, OBSERVATION_WEIGHT, ratio);
+        // Served work alone counts: rejected attempts would raise what workers are sent in slow start.
+        self.served_work.add(now, RATE_DECAY_TIME, typical * slots);
+        self.run_times[class].observe(run_time, RUN_TIME_WEIGHT, SHORTEST_RUN_TIME_RISE);
     }
 
-    pub(super) fn mean_run(&self) -> Millis {
-        self.runs.iter().map(|run| run.usual).sum::<f64>() / self.runs.len().max(1) as f64
-    }
-
-    /// Where workers don't tell of starts: the wait that a report implies, else completion over deadline.
-    pub(super) fn stand_in(&self, now: Millis, to: WorkerId, class: usize, sent: Millis) -> f64 {
-        let worker = &self.workers[to];
-        let aim = self.settings.classes[class].latency_objective.max(1.0);
-        match self.free_slots(now, to, worker) {
-            Some(free) => (-free).max(0.0) / worker.slots.max(1.0) * self.mean_run() / aim,
-            None => (now - sent) / self.settings.classes[class].deadline.max(1.0),
+    /// Where workers do not report starts: the wait that a load report implies, in latency objectives, or
+    /// else the time that the attempt took, as a fraction of the deadline.
+    fn estimated_start_delay(&self, now: Millis, class: usize, attempt: Attempt) -> f64 {
+        let worker = &self.workers[attempt.worker];
+        let Class { latency_objective, deadline, .. } = self.settings.classes[class];
+        let slots = worker.reported_slots.0.max(1.0);
+        match self.free_slots(now, attempt.worker, worker) {
+            Some(free) => (-free).max(0.0) / slots * self.mean_run_time() / latency_objective.max(1.0),
+            None => (now - attempt.sent_at) / deadline.max(1.0),
         }
     }
 
     /// Where a job may be sent, given what became of its earlier attempts.
-    pub(super) fn resend(&self, now: Millis, job: &Job) -> Resend {
-        let class = &self.settings.classes[job.class];
-        let Some(risky) = job.first_possible_run() else { return Resend::Anywhere };
-        match class.effect {
-            Effect::Repeatable => Resend::Anywhere,
-            Effect::NonIdempotent => Resend::Never,
-            Effect::Idempotent if now >= risky.sent_at + class.deduplication_window => Resend::Never,
-            Effect::Idempotent if class.deduplication_scope == DeduplicationScope::All => Resend::Anywhere,
-            Effect::Idempotent => Resend::Beside(risky.worker, class.deduplication_scope),
-        }
-    }
-
-    /// Whether telling the client that trying again is harmless would be true.
-    pub(super) fn may_refuse(&self, job: &Job) -> bool {
+    pub(super) fn retry_scope(&self, now: Millis, job: &Job) -> RetryScope {
         let class = &self.settings.classes[job.class];
-        match class.effect {
-            Effect::Repeatable => true,
-            Effect::Idempotent if class.deduplication_scope == DeduplicationScope::All => true,
-            _ => job.first_possible_run().is_none(),
+        let Some(first) = job.first_possible_run() else { return RetryScope::Anywhere };
+        let is_past_window = now >= first.sent_at + class.deduplication_window;
+        match (class.effect, class.deduplication_scope) {
+            (Effect::Repeatable, _) => RetryScope::Anywhere,
+            (Effect::NonIdempotent, _) => RetryScope::Nowhere,
+            (Effect::Idempotent, _) if is_past_window => RetryScope::Nowhere,
+            (Effect::Idempotent, DeduplicationScope::All) => RetryScope::Anywhere,
+            (Effect::Idempotent, DeduplicationScope::Zone) => RetryScope::ZoneOf(first.worker),
+            (Effect::Idempotent, DeduplicationScope::Cell) => RetryScope::CellOf(first.worker),
         }
     }
 
-    /// A job with nothing out and no answer yet: back to its queue's head, or to its end.
-    pub(super) fn next_step(&mut self, now: Millis, id: JobId, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let again = job.attempts.len() < self.settings.max_attempts && self.resend(now, job) != Resend::Never;
-        let grace = now + 0.5 * self.settings.classes[job.class].latency_objective;
-        let until = job.queue_deadline.max(grace).min(job.deadline - DEADLINE_MARGIN);
-        if !again || now >= until {
-            self.finish(id, out);
-            return;
+    /// Retries a job that has no attempt in flight and no answer, or answers it.
+    fn retry_or_answer(&mut self, now: Millis, id: JobId, actions: &mut Vec<Action>) {
+        let job = &self.jobs[&id];
+        let has_attempts = job.attempts.len() < self.settings.max_attempts;
+        let may_retry = has_attempts && self.retry_scope(now, job) != RetryScope::Nowhere;
+        let retry_time = MIN_RETRY_TIME * self.settings.classes[job.class].latency_objective;
+        let queue_deadline = job.queue_deadline.max(now + retry_time).min(job.deadline - DEADLINE_MARGIN);
+        if !may_retry || now >= queue_deadline {
+            self.reject_or_fail(id, actions);
+        } else if let Some(job) = self.jobs.get_mut(&id) {
+            job.requeue(queue_deadline);
+            self.job_timers.push(queue_deadline, id);
+            self.tenant_queues[job.tenant].lanes[job.lane].jobs.push_front(id);
         }
-        let (tenant, lane) = (job.tenant, job.lane);
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.queued = true;
-            job.queue_deadline = until;
-        }
-        self.due.push(until, id);
-        self.tenants[tenant].lanes[lane].queue.push_front(id);
     }
 }
 
-/// Where a job may be sent again.
+/// The workers to which a job may be sent.
 #[derive(Clone, Copy, PartialEq)]
-pub(super) enum Resend {
+pub(super) enum RetryScope {
     Anywhere,
-    Beside(WorkerId, DeduplicationScope),
-    Never,
+    /// The workers in this one's zone; none if it is not known.
+    ZoneOf(WorkerId),
+    /// The workers in this one's cell; none if it is not known.
+    CellOf(WorkerId),
+    Nowhere,
 }
 
-impl Resend {
-    pub(super) fn allows(self, id: WorkerId, workers: &[Worker]) -> bool {
+impl RetryScope {
+    pub(super) fn allows(self, worker: &Worker, workers: &[Worker]) -> bool {
         match self {
-            Resend::Anywhere => true,
-            Resend::Beside(at, DeduplicationScope::Zone) => {
-                workers.get(at).map(|w| w.zone) == Some(workers[id].zone)
-            }
-            Resend::Beside(at, _) => workers.get(at).map(|w| w.cell) == Some(workers[id].cell),
-            Resend::Never => false,
+            RetryScope::Anywhere => true,
+            RetryScope::ZoneOf(first) => workers.get(first).is_some_and(|first| first.zone == worker.zone),
+            RetryScope::CellOf(first) => workers.get(first).is_some_and(|first| first.cell == worker.cell),
+            RetryScope::Nowhere => false,
         }
     }
 }
--- a/crates/policy/src/dispatcher/budget.rs
+++ b/crates/policy/src/dispatcher/budget.rs
@@ -1,49 +1,90 @@
-//! The slot budget, tuned by the delay until jobs start.
+//! The budget of slots that attempts may occupy, adjusted by the delay until jobs start (AIMD). Figures in
+//! slots per worker are for all schedulers together: each has its part of them.
 use super::*;
 
+const MIN_SLOTS_PER_WORKER: f64 = 1.0; // cutting below it relieves no worker
+const MAX_SLOTS_PER_WORKER: f64 = 8.0; // what light load makes of the budget meets the next burst
+const ADJUST_INTERVAL: Millis = 1_000.0; // the published 5 s is a tenth of how long overload lasts here
+const DELAY_WINDOW: Millis = 6_000.0; // delays older than this say nothing about the present
+const HOLD_AFTER_CUT: u32 = 1; // adjustments; with more, bursts end before the budget fits them
+const DELAY_QUANTILE: f64 = 0.8; // the published 99th percentile is the single worst of a quiet window
+const GROW_BELOW: f64 = 0.8; // latency objectives
+const CUT_ABOVE: f64 = 1.2; // latency objectives
+const CUT_FACTOR: f64 = 0.8; // the published half is too much where every scheduler cuts at once
+const GROWTH: f64 = 0.5; // slots per worker
+const HELD_BACK_GROWTH: f64 = 0.25; // as a fraction of a budget that held jobs back
+const MIN_DELAYS: usize = 20; // before a cut
+const FLOOR_PER_MEAN: f64 = 0.8; // slots that are never cut: times the mean need within quotas
+const FLOOR_PER_ROOT: f64 = 1.5; // and times its square root
+const MAX_OVER_QUOTA_FRACTION: f64 = 0.7; // of the budget, for jobs beyond quotas: at most and at first
+const OVER_QUOTA_GROWTH: f64 = 0.05; // of that fraction, by addition
+const OVER_QUOTA_CUT_FACTOR: f64 = 0.5; // of that fraction
+const OVER_QUOTA_QUANTILE: f64 = 0.95; // of the delays within quotas: capacity is spare while it is in time
+
+/// The largest budget: a low one would reject the load that comes to a scheduler that replaces others.
+pub(super) fn initial_budget(now: Millis, settings: &Settings) -> SlotBudget {
+    let sharing = if settings.peer_messages { 1.0 } else { f64::from(settings.schedulers) };
+    SlotBudget {
+        slots_per_worker: MAX_SLOTS_PER_WORKER / sharing,
+        adjust_at: now + ADJUST_INTERVAL,
+        over_quota_fraction: MAX_OVER_QUOTA_FRACTION,
+        ..SlotBudget::default()
+    }
+}
+
 impl Dispatcher {
-    pub(super) fn budget_has_room(&self, lane: usize, slots: f64) -> bool {
-        let whole = self.budget.cap * self.ready.ids.len() as f64;
-        let limit = if lane == 0 { whole.max(self.budget.floor) } else { self.budget.over * whole };
-        self.budget.used == 0.0 && lane == 0 || self.budget.used + slots <= limit
+    pub(super) fn budget_admits(&self, lane: usize, slots: f64) -> bool {
+        let SlotBudget { used_slots, floor, over_quota_fraction, .. } = self.budget;
+        let total = self.budget.slots_per_worker * self.ready.ids.len() as f64;
+        let limit = if lane == WITHIN_QUOTA { total.max(floor) } else { over_quota_fraction * total };
+        used_slots == 0.0 && lane == WITHIN_QUOTA || used_slots + slots <= limit
     }
 
-    pub(super) fn note_delay(&mut self, now: Millis, lane: usize, aims: f64) {
-        if lane == 0 && aims.is_finite() {
-            self.budget.delays.push_back((now, aims));
+    pub(super) fn record_start_delay(&mut self, now: Millis, lane: usize, objectives: f64) {
+        if lane == WITHIN_QUOTA && objectives.is_finite() {
+            self.budget.delays.push(now, objectives);
         }
     }
 
-    pub(super) fn tick(&mut self, now: Millis) {
-        let dispatchers = f64::from(self.settings.schedulers);
-        let queued = self.tenants.iter().any(|t| t.lanes.iter().any(|lane| !lane.queue.is_empty()));
+    /// A job within its quota arrived that will take this much work.
+    pub(super) fn record_quota_work(&mut self, now: Millis, work: f64) {
         let budget = &mut self.budget;
-        while budget.delays.front().is_some_and(|&(at, _)| at < now - WINDOW) {
-            budget.delays.pop_front();
-        }
-        let delays: Vec<f64> = budget.delays.iter().map(|&(_, delay)| delay).collect();
-        let (seen, [delay, tail]) = (delays.len(), quantiles(delays, [QUANTILE, OVER_QUANTILE]));
-        if tail > BAND.1 && seen >= EVIDENCE {
-            budget.over *= OVER_STEPS.1;
-        } else if tail < BAND.0 {
-            budget.over = (budget.over + OVER_STEPS.0).min(OVER_MOST);
+        budget.quota_work.add(now, RATE_DECAY_TIME, work);
+        let mean = budget.quota_work.value / self.quotas.counted_duration(now).max(ADJUST_INTERVAL);
+        budget.floor = FLOOR_PER_MEAN * mean + FLOOR_PER_ROOT * mean.sqrt();
+    }
+
+    pub(super) fn adjust_budget(&mut self, now: Millis) {
+        self.budget.adjust_at = now + ADJUST_INTERVAL * (0.9 + 0.2 * self.rng.f64());
+        let has_queued = self.tenant_queues.iter().any(TenantQueue::has_jobs);
+        let budget = &mut self.budget;
+        let delays = budget.delays.since(now - DELAY_WINDOW);
+        let has_evidence = delays.len() >= MIN_DELAYS;
+        let [delay, tail_delay] = quantiles(delays, [DELAY_QUANTILE, OVER_QUOTA_QUANTILE]);
+        if tail_delay > CUT_ABOVE && has_evidence {
+            budget.over_quota_fraction *= OVER_QUOTA_CUT_FACTOR;
+        } else if tail_delay < GROW_BELOW {
+            let grown = budget.over_quota_fraction + OVER_QUOTA_GROWTH;
+            budget.over_quota_fraction = grown.min(MAX_OVER_QUOTA_FRACTION);
         }
-        // Whoever is left carries the others' part too. In a large tier that is not known: none is held back.
-        let live =
-            if self.settings.peer_messages { self.peers.heard_directly() as f64 + 1.0 } else { dispatchers };
-        let (least, most) = (CAP_FLOOR / dispatchers, CAP_CEILING / live.min(dispatchers));
-        let bound = std::mem::take(&mut budget.bound);
-        if delay > BAND.1 && budget.hold == 0 && seen >= EVIDENCE {
-            budget.cap = (budget.cap * CUT).max(least);
-            budget.hold = HOLD_TICKS;
-        } else if delay < BAND.0 && (queued || budget.used > 0.0) {
-            // A budget that held jobs back while workers had room is far off, and grows in proportion.
-            let step = if bound { GROW_BOUND * budget.cap } else { 0.0 };
-            budget.cap += step.max(GROW / dispatchers);
-            budget.hold = budget.hold.saturating_sub(1);
+        let schedulers = f64::from(self.settings.schedulers);
+        let held_back = std::mem::take(&mut budget.held_back);
+        if delay > CUT_ABOVE && budget.hold == 0 && has_evidence {
+            let min_slots = MIN_SLOTS_PER_WORKER / schedulers;
+            budget.slots_per_worker = (budget.slots_per_worker * CUT_FACTOR).max(min_slots);
+            budget.hold = HOLD_AFTER_CUT;
         } else {
+            if delay < GROW_BELOW && (has_queued || budget.used_slots > 0.0) {
+                // A budget that held jobs back while workers had capacity is far off: it grows in proportion.
+                let growth = if held_back { HELD_BACK_GROWTH * budget.slots_per_worker } else { 0.0 };
+                budget.slots_per_worker += growth.max(GROWTH / schedulers);
+            }
             budget.hold = budget.hold.saturating_sub(1);
         }
-        budget.cap = budget.cap.min(most);
+        // Those that are left have the others' part too. A large cluster does not know them, and limits none.
+        let peers = self.peer_loads.direct_peers() as f64;
+        let active = if self.settings.peer_messages { peers + 1.0 } else { schedulers };
+        let max_slots = MAX_SLOTS_PER_WORKER / active.min(schedulers);
+        budget.slots_per_worker = budget.slots_per_worker.min(max_slots);
     }
 }
--- /dev/null
+++ b/crates/policy/src/dispatcher/loads.rs
@@ -0,0 +1,94 @@
+//! The slots of workers, as far as load reports and the messages of other schedulers state them.
+use super::*;
+
+const REPORT_TTL: Millis = 3_000.0; // a load report older than this counts for nothing
+const PEER_LOAD_TTL: Millis = 1_500.0; // what another scheduler stated counts for this long
+const AGGREGATED_LOAD_AGE: Millis = 300.0; // that aggregated loads reach; what was sent since is on its way
+
+impl Dispatcher {
+    pub(super) fn on_peer_message(&mut self, now: Millis, from: u32, text: &str) {
+        let own = |id: WorkerId| Self::stated_slots(now, &self.workers[id]).slots;
+        self.peer_loads.handle_message(now, from, text, own);
+    }
+
+    /// The slots in flight at a worker as others are told; faults count too.
+    fn stated_slots(now: Millis, worker: &Worker) -> SlotsByHash {
+        let slots = worker.in_flight_slots + worker.faults.equivalent_slots(now);
+        SlotsByHash { name_hash: worker.name_hash, slots }
+    }
+
+    pub(super) fn exchange_loads(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.peer_loads.expire(now - PEER_LOAD_TTL);
+        if !self.peer_loads.is_direct() {
+            let load = |&id: &WorkerId| {
+                let worker = &self.workers[id];
+                let occupied = self.peer_loads.remote_slots(id) + worker.in_flight_slots;
+                WorkerLoad { occupied, slots: self.known_slots(worker) }
+            };
+            let loads: Vec<WorkerLoad> = self.ready.ids.iter().map(load).collect();
+            let run_times = AGGREGATED_LOAD_AGE / self.mean_run_time();
+            self.peer_loads.update_expected_level(&loads, run_times);
+        } else if self.settings.peer_messages {
+            self.broadcast_loads(actions);
+        }
+    }
+
+    /// In a small cluster all are told the slots in flight. Each attempt pays for a part of a message.
+    fn broadcast_loads(&mut self, actions: &mut Vec<Action>) {
+        let ready = self.ready.ids.iter().map(|&id| &self.workers[id]);
+        let in_use = ready.filter(|worker| worker.in_flight_slots > 0.0);
+        let own = in_use.map(|w| SlotsByHash { name_hash: w.name_hash, slots: w.in_flight_slots });
+        let texts = PeerLoads::direct_messages(own);
+        let price = texts.len() as f64 * f64::from(self.settings.schedulers - 1);
+        if price > 0.0 && self.message_credit >= price {
+            self.message_credit = 0.0;
+            actions.extend(texts.into_iter().map(|text| Action::SendMessage { to: None, text }));
+        }
+    }
+
+    /// In a large cluster the aggregator is told the slots in flight, and tells all.
+    pub(super) fn send_aggregation_messages(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let changed = std::mem::take(&mut self.slots_changed);
+        if self.settings.peer_messages {
+            let ready = self.ready.ids.iter().map(|&id| &self.workers[id]);
+            let own = ready.map(|worker| Self::stated_slots(now, worker));
+            let messages = self.peer_loads.poll_messages(now, changed, own).into_iter();
+            actions.extend(messages.map(|OutgoingMessage { to, text }| Action::SendMessage { to, text }));
+        }
+    }
+
+    /// Free slots, as far as other schedulers' messages or a fresh load report state them; negative: jobs
+    /// queue.
+    pub(super) fn free_slots(&self, now: Millis, id: WorkerId, worker: &Worker) -> Option<f64> {
+        // What all other schedulers state of themselves is newer than a report, and exact.
+        let is_complete = self.peer_loads.is_complete(now, self.settings.schedulers);
+        let in_flight = worker.in_flight_slots;
+        let stated = || self.peer_loads.expected_remote_slots(now, id, worker.name_hash, in_flight);
+        let remote = if is_complete { stated() } else { worker.remote_slots };
+        let slots = self.known_slots(worker);
+        let is_known = slots > 0.0 && (is_complete || now - worker.reported_at < REPORT_TTL);
+        is_known.then_some(slots - remote - in_flight)
+    }
+
+    /// A worker's slots as reported, or else, in a large cluster, those of its kind; 0: not known.
+    pub(super) fn known_slots(&self, worker: &Worker) -> f64 {
+        let is_reported = worker.reported_slots.0 > 0.0 || self.peer_loads.is_direct();
+        let of_kind = || self.kind_slots.get(&worker.kind).copied().unwrap_or_default();
+        if is_reported { worker.reported_slots.0 } else { of_kind().0 }
+    }
+
+    pub(super) fn on_load_report(&mut self, now: Millis, id: WorkerId, report: Option<LoadReport>) {
+        let (Some(worker), Some(report)) = (self.workers.get_mut(id), report) else { return };
+        let (Some(free), in_flight) = (report.free_slots, report.in_flight.unwrap_or(0.0)) else { return };
+        if !(free.is_finite() && in_flight.is_finite()) {
+            return;
+        }
+        if free >= 0.5 {
+            worker.reported_slots.observe(free, in_flight);
+            self.kind_slots.entry(worker.kind).or_default().observe(free, in_flight);
+        }
+        let occupied = in_flight.max(worker.reported_slots.0 - free);
+        worker.remote_slots = (occupied - worker.in_flight_slots).max(0.0);
+        worker.reported_at = now;
+    }
+}
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -1,135 +1,110 @@
-//! Placement: an idle worker first.
+//! Placement: each job goes to the worker of least cost, which is an idle one if there is any.
+//!
+//! Costs are in milliseconds of expected delay.
 use super::*;
 
+const MAX_SCANNED_WORKERS: usize = 96; // taken at random for one job,
+const SCANNED_NEAR_KEY: f64 = 8.0; // and of the nearest to its affinity key, on average
+const OCCUPIED_SLOT_WAIT: f64 = 0.25; // running times that each slot in flight, or unstarted, counts for
+const FREE_SLOT_GAIN: f64 = 0.01; // running times that each free slot is better by
+const FRESHLY_FREED_GAIN: f64 = 0.2; // running times that a slot freed just now is better by
+const SLOWNESS_WEIGHT: f64 = 0.1; // of a slower run while it is in time,
+const LATENESS_WEIGHT: f64 = 2.0; // and of what exceeds
+const SLOWNESS_SLACK: f64 = 0.5; // this fraction of the slack
+const FAULT_COST: f64 = 10.0; // latency objectives that a worker sure to fail counts for
+const DRAIN_COST: f64 = 1.0; // latency objectives that a worker sure to be draining unlisted counts for
+const FETCH_COST: f64 = 2.5; // running times that fetching a key's data counts for: it occupies a slot
+const CACHED_FETCH_FRACTION: f64 = 0.2; // of that cost, where a job of the key was sent lately
+const PREFERRED_MARGIN: f64 = 2.5; // preferred workers of a key, over its part of the jobs times all workers
+const ADMITTED_WAIT: f64 = 0.8; // fraction of the slack that a wait known from aggregated loads may take
+
 impl Dispatcher {
-    pub(super) fn choose(&mut self, now: Millis, id: JobId) -> Option<WorkerId> {
+    pub(super) fn select_worker(&mut self, now: Millis, id: JobId) -> Option<WorkerId> {
         let job = self.jobs.get(&id)?;
-        let (kind, limit) = (self.settings.classes[job.class].kind, self.resend(now, job));
-        if limit == Resend::Never || job.attempts.len() >= self.settings.max_attempts {
+        let (kind, scope) = (self.settings.classes[job.class].kind, self.retry_scope(now, job));
+        if scope == RetryScope::Nowhere || job.attempts.len() >= self.settings.max_attempts {
             return None;
         }
-        let work = self.runs[job.class].usual * job.slots;
+        let work = self.run_times[job.class].typical * job.slots;
+        let key = job.key;
         let count = self.ready.ids.len();
+        let rank = |key: u64, hash: u64| rendezvous_distance(key, hash) * count as f64;
+        let is_near = |hash: u64| key.is_some_and(|key| rank(key, hash) < SCANNED_NEAR_KEY);
         let start = if count == 0 { 0 } else { self.rng.usize(..count) };
+        let scanned = if key.is_some() { count } else { count.min(MAX_SCANNED_WORKERS) };
         let mut best: Option<(f64, WorkerId)> = None;
-        let homes = job.key;
-        let near = |hash: u64| homes.is_some_and(|key| distance(key, hash) * (count as f64) < SCAN_HOMES);
-        for step in 0..if homes.is_some() { count } else { count.min(SCAN_MOST) } {
-            let place = (start + step) % count;
-            if step >= SCAN_MOST && !near(self.ready.hashes[place]) {
-                continue;
-            }
-            let id_here = self.ready.ids[place];
-            let worker = &self.workers[id_here];
-            if kind.is_some_and(|kind| kind != worker.kind) || now < worker.full_until {
+        for step in 0..scanned {
+            let index = (start + step) % count;
+            if step >= MAX_SCANNED_WORKERS && !is_near(self.ready.name_hashes[index]) {
                 continue;
             }
-            if !limit.allows(id_here, &self.workers) {
+            let worker_id = self.ready.ids[index];
+            let worker = &self.workers[worker_id];
+            let is_suitable = kind.is_none_or(|kind| kind == worker.kind) && now >= worker.backoff_until;
+            if !is_suitable || !scope.allows(worker, &self.workers) {
                 continue;
             }
-            let cost = self.cost(now, id_here, &self.jobs[&id]);
-            if best.is_none_or(|(least, _)| cost < least) && self.cold_permits(now, id_here, work) {
-                best = Some((cost, id_here));
+            let cost = self.placement_cost(now, worker_id, &self.jobs[&id]);
+            let is_better = best.is_none_or(|(least, _)| cost < least);
+            if is_better && self.slow_start_admits(now, worker_id, work) {
+                best = Some((cost, worker_id));
             }
         }
-        // Where what all hold is known, a job that would wait too long makes room for those that need not.
-        let told = !self.peers.direct() && self.peers.complete(now, self.settings.schedulers);
-        let job = &self.jobs[&id];
-        let most = if told { ADMIT * self.slack(job.class) } else { f64::INFINITY };
-        best.map(|best| best.1).filter(|&worker| self.wait(now, worker, job) <= most)
+        best.map(|(_, worker)| worker).filter(|&worker| self.admits_wait(now, worker, &self.jobs[&id]))
+    }
+
+    /// Where the slots of all schedulers are known, a job that would wait too long lets those pass that need
+    /// not.
+    fn admits_wait(&self, now: Millis, worker: WorkerId, job: &Job) -> bool {
+        let is_known = self.peer_loads.has_aggregated(now);
+        let max_wait = if is_known { ADMITTED_WAIT * self.slack(job.class) } else { f64::INFINITY };
+        self.expected_wait(now, worker, job) <= max_wait
     }
 
-    /// How long a job is expected to wait at a worker, in milliseconds; less than none at one with room.
-    pub(super) fn wait(&self, now: Millis, id: WorkerId, job: &Job) -> f64 {
+    /// How long a job is expected to wait at a worker; negative at one with free slots.
+    fn expected_wait(&self, now: Millis, id: WorkerId, job: &Job) -> f64 {
         let worker = &self.workers[id];
-        let run = self.runs[job.class].usual;
+        let typical = self.run_times[job.class].typical;
         let queue = match self.free_slots(now, id, worker) {
-            Some(free) if free >= job.slots => -0.01 * free * run,
-            Some(free) => (job.slots - free) / self.slots(worker).max(1.0) * self.mean_run(),
+            Some(free) if free >= job.slots => -FREE_SLOT_GAIN * free * typical,
+            Some(free) => (job.slots - free) / self.known_slots(worker).max(1.0) * self.mean_run_time(),
             None => {
                 let age = now - worker.freed_at;
-                let fresh = FRESH_GAIN * run * (1.0 - age / run).max(0.0);
-                OWN_STEP * run * (worker.own + self.peers.load(id)) / worker.size - fresh
+                let freshness = FRESHLY_FREED_GAIN * typical * (1.0 - age / typical).max(0.0);
+                let occupied = worker.in_flight_slots + self.peer_loads.remote_slots(id);
+                OCCUPIED_SLOT_WAIT * typical * occupied / worker.size - freshness
             }
         };
-        let waits = worker.wait.value_at(now, run)
-            + if self.settings.reports_job_start { worker.unstarted * OWN_STEP * run } else { 0.0 };
+        let unstarted = if self.settings.reports_job_start { worker.unstarted_slots } else { 0.0 };
+        let waits = worker.start_wait.value_at(now, typical) + unstarted * OCCUPIED_SLOT_WAIT * typical;
         queue + waits
     }
 
-    /// What sending a job to a worker is expected to cost it, in milliseconds.
-    pub(super) fn cost(&self, now: Millis, id: WorkerId, job: &Job) -> f64 {
+    /// What sending a job to a worker is expected to cost it.
+    fn placement_cost(&self, now: Millis, id: WorkerId, job: &Job) -> f64 {
         let worker = &self.workers[id];
-        let (run, aim) = (self.runs[job.class].usual, self.settings.classes[job.class].latency_objective);
-        let zone = self.zones.get(&worker.zone).map_or(0.0, |zone| zone.trouble.value_at(now, Trouble::LIFE));
-        let trouble = worker.trouble.part(now) + zone;
-        let away = self.settings.cross_zone_cost(worker.zone) * aim;
-        let fetch = job.key.map_or(0.0, |key| {
-            let homes = job.key_popularity * HOME_MARGIN;
-            let rank = self.ready.ids.len() as f64 * (distance(key, worker.hash) - homes).max(0.0);
-            let kept = worker.keys.contains(&key);
-            FETCH_COST * run * rank / (rank + 1.0) * if kept { KEPT_PART } else { 1.0 }
-        });
-        let slower = worker.slowness.value_at(now, SLOW_LIFE) * run;
-        let late = (slower - 0.5 * self.slack(job.class)).max(0.0);
-        let slower = SPEED_PART.0 * slower + SPEED_PART.1 * late;
-        let wait = self.wait(now, id, job);
-        wait + slower + (TROUBLE_COST * trouble + DOUBT_COST * worker.drain_probability) * aim + away + fetch
+        let typical = self.run_times[job.class].typical;
+        let objective = self.settings.classes[job.class].latency_objective;
+        let zone = self.zones.get(&worker.zone);
+        let zone_faults = zone.map_or(0.0, |zone| zone.faults.value_at(now, FaultScore::DECAY_TIME));
+        let fault_rate = worker.faults.failure_rate(now) + zone_faults;
+        let distance = self.settings.cross_zone_cost(worker.zone) * objective;
+        let fetch = job.key.map_or(0.0, |key| self.fetch_cost(worker, key, job.key_popularity, typical));
+        let slower = worker.slowness.value_at(now, SLOWNESS_DECAY_TIME) * typical;
+        let late = (slower - SLOWNESS_SLACK * self.slack(job.class)).max(0.0);
+        let slower = SLOWNESS_WEIGHT * slower + LATENESS_WEIGHT * late;
+        let risk = (FAULT_COST * fault_rate + DRAIN_COST * worker.drain_probability) * objective;
+        self.expected_wait(now, id, job) + slower + risk + distance + fetch
     }
 
-    /// Tells the others how many slots we hold where; each job sent pays for a part of a message.
-    pub(super) fn tell_loads(&mut self, out: &mut Vec<Action>) {
-        let held = self.ready.ids.iter().map(|&id| &self.workers[id]).filter(|worker| worker.own > 0.0);
-        let texts = Peers::tell(held.map(|worker| (worker.hash, worker.own)));
-        let price = texts.len() as f64 * f64::from(self.settings.schedulers - 1);
-        if price > 0.0 && self.message_credit >= price {
-            self.message_credit = 0.0;
-            out.extend(texts.into_iter().map(|text| Action::SendMessage { to: None, text }));
-        }
-    }
-
-    /// In a large tier one dispatcher is told by all, and tells all.
-    pub(super) fn tell_relay(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let changed = std::mem::take(&mut self.changed);
-        if self.settings.peer_messages {
-            let ready = self.ready.ids.iter().map(|&id| &self.workers[id]);
-            let texts = self.peers.relay(now, changed, ready.map(|w| (w.hash, w.shown(now))));
-            out.extend(texts.into_iter().map(|(to, text)| Action::SendMessage { to, text }));
-        }
-    }
-
-    /// Free slots as far as the others' messages, or else a fresh report, and our own doings since tell.
-    pub(super) fn free_slots(&self, now: Millis, id: WorkerId, worker: &Worker) -> Option<f64> {
-        // What all the others told of themselves is newer than a report, and exact.
-        let all_heard = self.peers.complete(now, self.settings.schedulers);
-        let others =
-            if all_heard { self.peers.expected(now, id, worker.hash, worker.own) } else { worker.others };
-        let slots = self.slots(worker);
-        let known = slots > 0.0 && (all_heard || now - worker.reported_at < REPORT_LIFE);
-        known.then_some(slots - others - worker.own)
-    }
-
-    /// A worker's slots as reported, or else those of its kind.
-    pub(super) fn slots(&self, worker: &Worker) -> f64 {
-        let known = worker.slots > 0.0 || self.peers.direct();
-        if known { worker.slots } else { self.kind_slots.get(&worker.kind).copied().unwrap_or(0.0) }
-    }
-
-    pub(super) fn note_report(&mut self, now: Millis, id: WorkerId, report: LoadReport) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let (Some(free), held) = (report.free_slots, report.in_flight.unwrap_or(0.0)) else { return };
-        if !(free.is_finite() && held.is_finite()) {
-            return;
-        }
-        if free >= 0.5 {
-            // One taken between an end and the next start counts the queue too: none moves this by far.
-            let seen = (free + held).round().clamp(1.0, 1_000.0);
-            let near = |slots: f64| if slots > 0.0 { slots + (seen - slots).clamp(-1.0, 1.0) } else { seen };
-            worker.slots = near(worker.slots);
-            let slots = self.kind_slots.entry(worker.kind).or_default();
-            *slots = near(*slots);
-        }
-        worker.others = (held.max(worker.slots - free) - worker.own).max(0.0);
-        worker.reported_at = now;
+    /// What fetching the data of a key costs at a worker: nothing at its preferred workers, of which a
+    /// popular key has many, and more the further the worker is from them.
+    fn fetch_cost(&self, worker: &Worker, key: u64, popularity: f64, run_time: Millis) -> f64 {
+        let preferred = popularity * PREFERRED_MARGIN;
+        let beyond = (rendezvous_distance(key, worker.name_hash) - preferred).max(0.0);
+        let rank = self.ready.ids.len() as f64 * beyond;
+        let is_cached = worker.recent_keys.contains(&key);
+        let fraction = if is_cached { CACHED_FETCH_FRACTION } else { 1.0 };
+        FETCH_COST * run_time * rank / (rank + 1.0) * fraction
     }
 }
--- a/crates/policy/src/dispatcher/queues.rs
+++ b/crates/policy/src/dispatcher/queues.rs
@@ -1,123 +1,131 @@
-//! Tenant queues and deficit round-robin.
+//! The tenants' queues, and deficit round-robin (Shreedhar and Varghese, 1995). A queued job is in one lane
+//! of its tenant, and has no attempt in flight.
 use super::*;
 
+const MAX_QUEUE_TIME: f64 = 0.2; // latency objectives: a job that waits longer starts too late to be in time
+const CAPACITY_RETRY_INTERVAL: Millis = 5.0; // before jobs that no worker could take are tried again
+const MAX_SKIPPED_JOBS: usize = 4; // of a tenant, that no worker can take now, in one turn
+const MAX_IDLE_ROUNDS: usize = 8; // rounds of all tenants without a start
+const MAX_CREDIT_TURNS: f64 = 8.0; // turns whose credit a tenant can save up
+
+/// How a tenant's turn ended.
+enum Turn {
+    Done { has_started: bool },
+    BudgetExhausted,
+}
+
 impl Dispatcher {
-    pub(super) fn take(&mut self, now: Millis, new: NewJob, out: &mut Vec<Action>) {
+    pub(super) fn enqueue_job(&mut self, now: Millis, new: NewJob, actions: &mut Vec<Action>) {
         let class = new.class.min(self.settings.classes.len() - 1);
-        let tenant = new.tenant.min(self.tenants.len() - 1);
-        let lane = usize::from(!self.shares.within(now, tenant));
-        let deadline = now + new.time_left;
-        let grant = now + GRANT * self.settings.classes[class].latency_objective;
-        let worth = |class: usize| self.settings.classes[class].priority_weight;
-        let held = |id: &JobId| self.jobs.get(id).map_or(0.0, |job| worth(job.class));
-        let queue = &self.tenants[tenant].lanes[lane].queue;
-        // What is worth most for its work goes first, and the last of a full queue gives way to it.
-        let place = queue.iter().take_while(|id| held(id) >= worth(class)).count();
-        let full = queue.len() >= self.tenants[tenant].depth;
-        let last = queue.back().copied().filter(|_| full && place < queue.len());
-        let fits = !full || last.is_some();
+        let tenant = new.tenant.min(self.tenant_queues.len() - 1);
+        let lane = if self.quotas.admit(now, tenant) { WITHIN_QUOTA } else { OVER_QUOTA };
+        // The jobs of the greatest weight go first, and the last of a full queue gives way to them.
+        let weight = |class: usize| self.settings.classes[class].priority_weight;
+        let queued_weight = |id: &JobId| self.jobs.get(id).map_or(0.0, |job| weight(job.class));
+        let queue = &self.tenant_queues[tenant].lanes[lane].jobs;
+        let place = queue.iter().take_while(|id| queued_weight(id) >= weight(class)).count();
+        let is_full = queue.len() >= self.tenant_queues[tenant].max_depth;
+        let displaced = queue.back().copied().filter(|_| is_full && place < queue.len());
+        let fits = !is_full || displaced.is_some();
         let key = new.affinity_key.as_deref().map(hash);
-        let ran = |PriorExecution { worker, age }| Attempt {
-            worker,
-            sent_at: now - age,
-            may_have_run: true,
-            ..Attempt::default()
-        };
+        let deadline = now + new.time_left;
+        let queue_deadline = now + MAX_QUEUE_TIME * self.settings.classes[class].latency_objective;
+        let prior = new.prior_execution.map(|prior| Attempt::of_earlier_scheduler(now, prior));
         let job = Job {
             class,
             tenant,
             lane,
             key,
-            key_popularity: key.map_or(0.0, |key| self.key_shares.add(now, key)),
+            key_popularity: key.map_or(0.0, |key| self.key_popularity.record(now, key)),
             deadline,
-            queue_deadline: grant.min(deadline - DEADLINE_MARGIN),
+            queue_deadline: queue_deadline.min(deadline - DEADLINE_MARGIN),
             slots: new.slots.max(1.0),
             queued: fits,
-            attempts: new.prior_execution.map(ran).into_iter().collect(),
+            attempts: prior.into_iter().collect(),
             ..Job::default()
         };
-        self.due.push(job.queue_deadline, new.id);
-        if lane == 0 {
-            self.budget.within.add(now, RATE_TIME, self.runs[class].shortest * job.slots);
-            let mean = self.budget.within.sum / self.shares.seen_for(now).max(TICK);
-            self.budget.floor = FLOOR_LOAD.0 * mean + FLOOR_LOAD.1 * mean.sqrt();
+        self.job_timers.push(job.queue_deadline, new.id);
+        if lane == WITHIN_QUOTA {
+            self.record_quota_work(now, self.run_times[class].shortest * job.slots);
         }
         self.jobs.insert(new.id, job);
-        if let Some(last) = last {
-            self.finish(last, out);
+        if let Some(displaced) = displaced {
+            self.reject_or_fail(displaced, actions);
         }
-        if fits && self.resend(now, &self.jobs[&new.id]) != Resend::Never {
-            self.tenants[tenant].lanes[lane].queue.insert(place, new.id);
+        if fits && self.retry_scope(now, &self.jobs[&new.id]) != RetryScope::Nowhere {
+            self.tenant_queues[tenant].lanes[lane].jobs.insert(place, new.id);
         } else {
-            self.finish(new.id, out);
+            self.reject_or_fail(new.id, actions);
         }
     }
 
-    /// Sends queued jobs while the budget allows, work within tenants' shares first.
-    pub(super) fn drain(&mut self, now: Millis, out: &mut Vec<Action>) {
-        // Workers that had no room a moment ago have none now; looking again for each event costs too much.
-        if now < self.stuck_until {
+    /// Starts attempts of queued jobs while the budget allows, those within their tenants' quotas first.
+    pub(super) fn dispatch_queued_jobs(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        // Workers that had no capacity a moment ago have none now; a look for each event costs too much.
+        if now < self.no_capacity_until {
             return;
         }
         for lane in 0..LANES {
-            self.drain_lane(now, lane, out);
+            self.dispatch_lane(now, lane, actions);
         }
     }
 
-    pub(super) fn drain_lane(&mut self, now: Millis, lane: usize, out: &mut Vec<Action>) {
-        let tenants = self.tenants.len();
-        let quantum = self.tenants.iter().map(|t| t.weight).fold(f64::INFINITY, f64::min);
-        let mut fruitless = 0;
-        while fruitless < tenants * 8 && self.tenants.iter().any(|t| !t.lanes[lane].queue.is_empty()) {
-            let turn = self.turn[lane];
-            let queue = &mut self.tenants[turn];
-            let weight = queue.weight / quantum;
-            let state = &mut queue.lanes[lane];
-            if !self.visited[lane] {
-                state.credit += weight;
+    fn dispatch_lane(&mut self, now: Millis, lane: usize, actions: &mut Vec<Action>) {
+        let tenants = self.tenant_queues.len();
+        let min_weight = self.tenant_queues.iter().map(|queue| queue.weight).fold(f64::INFINITY, f64::min);
+        let has_jobs = |queue: &TenantQueue| !queue.lanes[lane].jobs.is_empty();
+        let mut idle_turns = 0;
+        while idle_turns < tenants * MAX_IDLE_ROUNDS && self.tenant_queues.iter().any(has_jobs) {
+            let LaneTurn { tenant, is_credited } = self.turns[lane];
+            let queue = &mut self.tenant_queues[tenant];
+            let credit = queue.weight / min_weight;
+            if !is_credited {
+                queue.lanes[lane].credit += credit;
             }
-            self.visited[lane] = true;
-            let mut skipped = 0;
-            while skipped < LOOK_PAST {
-                let state = &self.tenants[turn].lanes[lane];
-                let Some(&id) = state.queue.get(skipped) else { break };
-                let slots = self.jobs.get(&id).map_or(1.0, |job| job.slots);
-                if state.credit < slots {
-                    break;
-                }
-                if !self.budget_has_room(lane, slots) {
-                    self.budget.bound |= lane == 0;
+            self.turns[lane].is_credited = true;
+            match self.dispatch_turn(now, lane, tenant, actions) {
+                Turn::BudgetExhausted => {
+                    self.budget.held_back |= lane == WITHIN_QUOTA;
                     return;
                 }
-                // A job that no worker can take now must not hold up the ones behind it.
-                let Some(worker) = self.choose(now, id) else {
-                    skipped += 1;
-                    continue;
-                };
-                let state = &mut self.tenants[turn].lanes[lane];
-                state.queue.remove(skipped);
-                state.credit -= slots;
-                fruitless = 0;
-                self.send(now, id, worker, out);
-            }
-            if skipped == LOOK_PAST {
-                self.stuck_until = now + STUCK;
-            }
-            let state = &mut self.tenants[turn].lanes[lane];
-            if state.queue.is_empty() {
-                state.credit = 0.0;
+                Turn::Done { has_started: true } => idle_turns = 1,
+                Turn::Done { has_started: false } => idle_turns += 1,
             }
-            state.credit = state.credit.min(8.0 * weight);
-            fruitless += 1;
-            self.turn[lane] = (turn + 1) % tenants;
-            self.visited[lane] = false;
+            let queue = &mut self.tenant_queues[tenant].lanes[lane];
+            let credit_left = if queue.jobs.is_empty() { 0.0 } else { queue.credit };
+            queue.credit = credit_left.min(MAX_CREDIT_TURNS * credit);
+            self.turns[lane] = LaneTurn { tenant: (tenant + 1) % tenants, is_credited: false };
         }
     }
 
-    pub(super) fn unqueue(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id).filter(|job| job.queued) {
-            job.queued = false;
-            self.tenants[job.tenant].lanes[job.lane].queue.retain(|&queued| queued != id);
+    /// Starts attempts of a tenant's jobs as far as its credit allows.
+    fn dispatch_turn(&mut self, now: Millis, lane: usize, tenant: usize, actions: &mut Vec<Action>) -> Turn {
+        let mut has_started = false;
+        let mut skipped = 0;
+        while skipped < MAX_SKIPPED_JOBS {
+            let queue = &self.tenant_queues[tenant].lanes[lane];
+            let Some(&id) = queue.jobs.get(skipped) else { break };
+            let slots = self.jobs.get(&id).map_or(1.0, |job| job.slots);
+            if queue.credit < slots {
+                break;
+            }
+            if !self.budget_admits(lane, slots) {
+                return Turn::BudgetExhausted;
+            }
+            // A job that no worker can take now must not hold up the ones behind it.
+            let Some(worker) = self.select_worker(now, id) else {
+                skipped += 1;
+                continue;
+            };
+            let queue = &mut self.tenant_queues[tenant].lanes[lane];
+            queue.jobs.remove(skipped);
+            queue.credit -= slots;
+            has_started = true;
+            self.start_attempt(now, id, worker, actions);
+        }
+        if skipped == MAX_SKIPPED_JOBS {
+            self.no_capacity_until = now + CAPACITY_RETRY_INTERVAL;
         }
+        Turn::Done { has_started }
     }
 }
--- a/crates/policy/src/job.rs
+++ b/crates/policy/src/job.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher remembers of a job and its attempts. Nothing is decided here.
 
+use crate::event::{Outcome, PriorExecution};
 use crate::units::{Millis, WorkerId};
 
 /// An attempt of a job.
@@ -16,6 +17,25 @@
     pub(crate) is_overdue: bool,
 }
 
+impl Attempt {
+    /// An attempt that is sent now.
+    pub(crate) fn start(now: Millis, worker: WorkerId) -> Self {
+        Attempt { worker, sent_at: now, in_flight: true, ..Attempt::default() }
+    }
+
+    /// An attempt of an earlier scheduler, which counts as ended.
+    pub(crate) fn of_earlier_scheduler(now: Millis, prior: PriorExecution) -> Self {
+        let PriorExecution { worker, age } = prior;
+        Attempt { worker, sent_at: now - age, may_have_run: true, ..Attempt::default() }
+    }
+
+    /// It ends by this outcome.
+    pub(crate) fn end(&mut self, outcome: Outcome) {
+        self.in_flight = false;
+        self.may_have_run = !outcome.never_ran();
+    }
+}
+
 /// A job that has not ended, or has an attempt in flight.
 #[derive(Default)]
 pub(crate) struct Job {
@@ -44,6 +64,17 @@
         self.attempts.iter().enumerate().filter(|(_, attempt)| attempt.in_flight)
     }
 
+    /// An attempt, if it is in flight.
+    pub(crate) fn in_flight_mut(&mut self, number: usize) -> Option<&mut Attempt> {
+        self.attempts.get_mut(number).filter(|attempt| attempt.in_flight)
+    }
+
+    /// It waits for a further attempt, until this deadline.
+    pub(crate) fn requeue(&mut self, queue_deadline: Millis) {
+        self.queued = true;
+        self.queue_deadline = queue_deadline;
+    }
+
     /// Whether an attempt of it is in flight.
     pub(crate) fn has_attempt_in_flight(&self) -> bool {
         self.in_flight().next().is_some()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,8 +1,20 @@
-//! The decisions of a dispatcher that pushes jobs to workers.
+//! The decision module of a scheduler that pushes jobs to workers: which job is sent to which worker when, and which is
+//! retried, rejected or failed.
 //!
-//! Jobs queue per tenant and are drained by weighted deficit round-robin into a slot budget that AIMD tunes
-//! against a start-delay target; each job goes to an idle worker first. The crate does no I/O and reads no
-//! clock: feed [`Dispatcher::handle`] what happened and when, and carry out the [`Action`]s it appends.
+//! **Invariant.** Each job gets exactly one final answer, unless its client disconnects first. The same settings, seed,
+//! events and times give the same actions.
+//!
+//! No I/O, no clock: [`Dispatcher::handle`] is told what happened and when, and appends the [`Action`]s to carry out.
+//!
+//! | module | its job |
+//! | --- | --- |
+//! | [`dispatcher`] | every decision; its files are counted, see `deploy/balancer.toml` |
+//! | [`settings`] | what a dispatcher is told at its start, and the document that this is read from |
+//! | `event`, `action`, `worker_list`, `units` | what goes in and what comes out |
+//! | `job`, `worker`, `ready_workers`, `slot_budget`, `tenant_queues`, `timer_queue` | state without decisions |
+//! | [`measure`], `key_popularity`, `tenant_quotas` | what is measured: rates, running times, faults, popularity of keys |
+//! | `peers`, [`symbols`] | the loads of other schedulers, and the text of messages |
+//! | [`hashing`] | hashes that are the same at every scheduler |
 //!
 //! ```
 //! use brackenledge_policy::{Action, Dispatcher, Event, ListKind, Settings, WorkerEntry};
@@ -20,15 +32,20 @@
 mod action;
 pub mod dispatcher;
 mod event;
+pub mod hashing;
 mod job;
-mod keys;
+mod key_popularity;
 pub mod measure;
 mod peers;
+mod ready_workers;
 pub mod settings;
-mod shares;
+mod slot_budget;
 pub mod symbols;
-mod tenants;
+mod tenant_queues;
+mod tenant_quotas;
+mod timer_queue;
 mod units;
+mod worker;
 mod worker_list;
 
 pub use action::Action;
--- a/crates/policy/src/measure.rs
+++ b/crates/policy/src/measure.rs
@@ -1,188 +1,147 @@
-//! Small instruments of the decision module and of others that decide: a fading count, running times, the ready workers, hashes.
+//! Estimates from what was observed: decaying sums, running times, faults and slowness of workers.
 
-use crate::{JobId, Millis, WorkerId};
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use crate::units::Millis;
 
-/// A count that fades with time, so that it tells a rate.
+/// A decaying sum below this counts as nothing.
+const NEGLIGIBLE_SUM: f64 = 1e-6;
+
+/// A sum of which everything added decays exponentially, so that it measures a rate.
 #[derive(Clone, Copy, Default)]
 pub struct DecayingSum {
-    /// The count when it was last added to.
-    pub sum: f64,
+    /// The sum at the last change.
+    pub value: f64,
     /// When that was.
-    pub at: Millis,
+    pub updated_at: Millis,
 }
 
 impl DecayingSum {
-    /// The count now; it fades to a third in `life`.
-    pub fn value_at(&self, now: Millis, life: Millis) -> f64 {
-        if self.sum < 1e-6 {
+    /// A sum that has this value now.
+    pub fn new(now: Millis, value: f64) -> Self {
+        DecayingSum { value, updated_at: now }
+    }
+
+    /// The sum now. It decays to 1/e in `decay_time`.
+    pub fn value_at(&self, now: Millis, decay_time: Millis) -> f64 {
+        if self.value < NEGLIGIBLE_SUM {
             return 0.0;
         }
-        self.sum * (-(now - self.at).max(0.0) / life).exp()
+        self.value * (-(now - self.updated_at).max(0.0) / decay_time).exp()
     }
 
-    /// Adds to the count.
-    pub fn add(&mut self, now: Millis, life: Millis, amount: f64) {
-        *self = DecayingSum { sum: self.value_at(now, life) + amount, at: now };
+    /// Adds an amount now.
+    pub fn add(&mut self, now: Millis, decay_time: Millis, amount: f64) {
+        *self = DecayingSum::new(now, self.value_at(now, decay_time) + amount);
     }
 }
 
-/// What these parts of the values lie under; 0 where there are none.
-pub fn quantiles<const N: usize>(mut values: Vec<f64>, parts: [f64; N]) -> [f64; N] {
+/// What these fractions of the values lie below; 0 where there are no values.
+pub(crate) fn quantiles<const N: usize>(mut values: Vec<f64>, fractions: [f64; N]) -> [f64; N] {
     values.sort_by(f64::total_cmp);
-    parts.map(|part| values.get((values.len() as f64 * part) as usize).copied().unwrap_or(0.0))
+    let index = |fraction: f64| (values.len() as f64 * fraction) as usize;
+    fractions.map(|fraction| values.get(index(fraction)).copied().unwrap_or(0.0))
 }
 
-/// Attempts at a worker that failed, and all that ended, both fading.
+/// How often attempts at a worker fail, of late.
 #[derive(Clone, Copy, Default)]
-pub struct Trouble {
+pub(crate) struct FaultScore {
     failures: DecayingSum,
-    endings: DecayingSum,
+    attempts: DecayingSum,
 }
 
-impl Trouble {
-    /// In which distrust fades to a third, so that a trial is made.
-    pub const LIFE: Millis = 5_000.0;
-    /// Attempts gone well that every worker is taken to have had lately.
-    const PRIOR: f64 = 2.0;
-    /// Slots that each failure counts for where the others are told of it, at a worker where all fail.
-    const SLOTS: f64 = 6.0;
-
-    /// An attempt has ended.
-    pub fn note(&mut self, now: Millis, failed: bool) {
-        self.failures.add(now, Self::LIFE, f64::from(failed));
-        self.endings.add(now, Self::LIFE, 1.0);
+impl FaultScore {
+    /// Faults decay to 1/e in this time, so that the worker is tried again.
+    pub(crate) const DECAY_TIME: Millis = 5_000.0;
+    /// Successful attempts that every worker is assumed to have had of late.
+    const PRIOR_SUCCESSES: f64 = 2.0;
+    /// Slots that a failure counts for at a worker where all attempts fail.
+    const SLOTS_PER_FAILURE: f64 = 6.0;
+
+    /// Takes in the end of an attempt.
+    pub(crate) fn record(&mut self, now: Millis, failed: bool) {
+        self.failures.add(now, Self::DECAY_TIME, f64::from(failed));
+        self.attempts.add(now, Self::DECAY_TIME, 1.0);
     }
 
-    /// The part of the attempts that fails.
-    pub fn part(&self, now: Millis) -> f64 {
-        self.failures.value_at(now, Self::LIFE) / (self.endings.value_at(now, Self::LIFE) + Self::PRIOR)
+    /// The fraction of the attempts that fails.
+    pub(crate) fn failure_rate(&self, now: Millis) -> f64 {
+        let attempts = self.attempts.value_at(now, Self::DECAY_TIME) + Self::PRIOR_SUCCESSES;
+        self.failures.value_at(now, Self::DECAY_TIME) / attempts
     }
 
-    /// Slots that count as held at the worker for what failed there. One that fails at once is idle at once, and
-    /// looks the best of all to whoever has not tried it.
-    pub fn slots(&self, now: Millis) -> f64 {
-        Self::SLOTS * self.failures.value_at(now, Self::LIFE) * self.part(now)
+    /// Slots that the failures count for. A worker that fails at once is idle at once, and without them it would look the
+    /// best of all to every scheduler that has not tried it yet.
+    pub(crate) fn equivalent_slots(&self, now: Millis) -> f64 {
+        let failures = self.failures.value_at(now, Self::DECAY_TIME);
+        Self::SLOTS_PER_FAILURE * failures * self.failure_rate(now)
     }
 }
 
-/// The running time of a class: the usual one of late, and the shortest that this has been, hardly forgotten.
-pub struct RunTime {
-    /// The usual running time of late.
-    pub usual: Millis,
-    /// The shortest seen, hardly forgotten.
-    pub shortest: Millis,
-    seen: f64,
+/// The running time of a class.
+pub(crate) struct RunTimeEstimate {
+    /// The typical running time of late.
+    pub(crate) typical: Millis,
+    /// The shortest that the typical one has been; it rises very slowly.
+    pub(crate) shortest: Millis,
+    observations: f64,
 }
 
-impl RunTime {
-    /// Observations before the shortest is taken from them rather than from the usual one.
-    const SETTLED: f64 = 20.0;
-    /// Longest observation taken at its word, in usual running times.
-    const MOST: f64 = 10.0;
+impl RunTimeEstimate {
+    /// Until there are more observations than this, the shortest running time is the typical one: the assumption made before
+    /// them must not last.
+    const MIN_OBSERVATIONS: f64 = 20.0;
+    /// An observation counts as at most this many typical running times.
+    const MAX_RATIO: f64 = 10.0;
 
-    /// A running time before anything was seen.
-    pub fn guess(usual: Millis) -> Self {
-        RunTime { usual, shortest: usual, seen: 0.0 }
+    /// What is assumed before anything was observed.
+    pub(crate) fn assume(typical: Millis) -> Self {
+        RunTimeEstimate { typical, shortest: typical, observations: 0.0 }
     }
 
-    /// Takes in one observation. The mean counts from the first one, and until some have come the shortest is
-    /// the mean: the guess made before them must not last.
-    pub fn learn(&mut self, took: Millis, weight: f64, rise: f64) {
-        self.seen += 1.0;
-        self.usual += weight.max(1.0 / self.seen) * (took.min(Self::MOST * self.usual) - self.usual);
-        let settled = self.seen > Self::SETTLED;
-        self.shortest = if settled { (self.shortest * rise).min(self.usual) } else { self.usual };
-    }
-}
-
-/// The workers that take work, by their numbers, and beside them their names' hashes. A change costs no look at
-/// the others.
-#[derive(Default)]
-pub struct ReadySet {
-    /// Their numbers, in order.
-    pub ids: Vec<WorkerId>,
-    /// Their names' hashes, in the same order.
-    pub hashes: Vec<u64>,
-}
-
-impl ReadySet {
-    /// Takes a worker in or out.
-    pub fn set(&mut self, id: WorkerId, hash: u64, ready: bool) {
-        match (self.ids.binary_search(&id), ready) {
-            (Ok(at), true) => self.hashes[at] = hash,
-            (Err(at), true) => {
-                self.ids.insert(at, id);
-                self.hashes.insert(at, hash);
-            }
-            (Ok(at), false) => {
-                self.ids.remove(at);
-                self.hashes.remove(at);
-            }
-            (Err(_), false) => {}
-        }
+    /// Takes in an observation with this weight; the first ones count as in a plain mean. The shortest running time rises
+    /// by the factor `rise`.
+    pub(crate) fn observe(&mut self, run_time: Millis, weight: f64, rise: f64) {
+        self.observations += 1.0;
+        let weight = weight.max(1.0 / self.observations);
+        self.typical += weight * (run_time.min(Self::MAX_RATIO * self.typical) - self.typical);
+        self.shortest = if self.observations > Self::MIN_OBSERVATIONS {
+            (self.shortest * rise).min(self.typical)
+        } else {
+            self.typical
+        };
     }
 }
 
-/// How much slower than usual a worker runs: its running time over the usual one, less 1, as last seen.
+/// How much slower than usual a worker runs jobs: their running time over the typical one, less 1.
 #[derive(Clone, Copy, Default)]
-pub struct Slowness(DecayingSum);
+pub(crate) struct SlownessEstimate(DecayingSum);
 
-impl Slowness {
-    /// The slowness now. What is not seen any more fades in `life`, or a worker that was slow once would be left
-    /// out for good.
-    pub fn value_at(&self, now: Millis, life: Millis) -> f64 {
-        if self.0.sum > 0.0 { self.0.value_at(now, life) } else { self.0.sum }
+impl SlownessEstimate {
+    /// The slowness now. Slowness decays while it is not observed, or a worker that was slow once would never be used
+    /// again; a worker that is faster than usual keeps its value.
+    pub(crate) fn value_at(&self, now: Millis, decay_time: Millis) -> f64 {
+        if self.0.value > 0.0 { self.0.value_at(now, decay_time) } else { self.0.value }
     }
 
-    /// Takes in a running time, in usual ones, with this weight.
-    pub fn note(&mut self, now: Millis, life: Millis, weight: f64, ratio: f64) {
-        let slowness = self.value_at(now, life);
-        self.0 = DecayingSum { sum: slowness + weight * (ratio - 1.0 - slowness), at: now };
+    /// Takes in a running time, as a multiple of the typical one, with this weight.
+    pub(crate) fn observe(&mut self, now: Millis, decay_time: Millis, weight: f64, ratio: f64) {
+        let slowness = self.value_at(now, decay_time);
+        self.0 = DecayingSum::new(now, slowness + weight * (ratio - 1.0 - slowness));
     }
 }
 
-/// What comes due when, the earliest first.
-#[derive(Default)]
-pub struct Due(BinaryHeap<Reverse<(u64, JobId)>>);
-
-impl Due {
-    /// Something about a job comes due at a point in time.
-    pub fn push(&mut self, at: Millis, job: JobId) {
-        self.0.push(Reverse((micros(at), job)));
-    }
-
-    /// The next job of which something has come due by now.
-    pub fn pop(&mut self, now: Millis) -> Option<JobId> {
-        let due = self.0.peek().is_some_and(|next| next.0.0 <= micros(now));
-        if due { self.0.pop().map(|next| next.0.1) } else { None }
-    }
-
-    /// When the next comes due.
-    pub fn next(&self) -> Millis {
-        self.0.peek().map_or(f64::INFINITY, |next| next.0.0 as f64 / 1_000.0)
+/// The slots of a worker or of a machine kind, as load reports state them; 0: not known.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct SlotEstimate(pub(crate) f64);
+
+impl SlotEstimate {
+    const MAX_SLOTS: f64 = 1_000.0;
+    /// A report between a job's end and the next one's start counts the queue too: none changes the estimate by more.
+    const MAX_STEP: f64 = 1.0;
+
+    /// Takes in a worker's free slots and requests in flight.
+    pub(crate) fn observe(&mut self, free: f64, in_flight: f64) {
+        let reported = (free + in_flight).round().clamp(1.0, Self::MAX_SLOTS);
+        let step = (reported - self.0).clamp(-Self::MAX_STEP, Self::MAX_STEP);
+        self.0 = if self.0 > 0.0 { self.0 + step } else { reported };
     }
 }
-
-/// A point in time in whole microseconds, rounded up.
-pub fn micros(at: Millis) -> u64 {
-    (at * 1_000.0).ceil().max(0.0) as u64
-}
-
-/// FNV-1a over the text, mixed: the same at every dispatcher.
-pub fn hash(text: &str) -> u64 {
-    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)))
-}
-
-/// The finaliser of splitmix64.
-fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
-
-/// How far a worker is from a key, 0 to 1: the part of all workers that lie nearer (rendezvous hashing).
-pub fn distance(key: u64, worker: u64) -> f64 {
-    (mix(key ^ worker) >> 11) as f64 / (1u64 << 53) as f64
-}
--- /dev/null
+++ b/crates/policy/src/peers/load_message.rs
@@ -0,0 +1,142 @@
+//! The text of messages that state how many slots are occupied at which workers.
+//!
+//! | part | symbols | value |
+//! | --- | --- | --- |
+//! | kind | 1 | 0: the sender's slots, 1: more of them, 2: aggregated loads |
+//! | for each worker: tag | 3 | the lowest bits of its name's hash |
+//! | for each worker: slots | 1 | rounded, at most 63 |
+
+use crate::symbols::{BITS_PER_SYMBOL, InvalidSymbol, decode, encode};
+use crate::units::WorkerId;
+
+/// Symbols of the kind, of a worker's tag, of its slots, and of both of these together.
+const KIND_SYMBOLS: usize = 1;
+const TAG_SYMBOLS: usize = 3;
+const SLOTS_SYMBOLS: usize = 1;
+const ENTRY_SYMBOLS: usize = TAG_SYMBOLS + SLOTS_SYMBOLS;
+/// The bits of a hash that a tag holds.
+const TAG_MASK: u64 = (1 << (BITS_PER_SYMBOL * TAG_SYMBOLS)) - 1;
+/// The most slots that a message can state of a worker.
+const MAX_SLOTS: f64 = 63.0;
+/// Longest message that a driver sends.
+pub(super) const MAX_MESSAGE_BYTES: usize = 256;
+const MAX_ENTRIES: usize = (MAX_MESSAGE_BYTES - KIND_SYMBOLS) / ENTRY_SYMBOLS;
+
+/// Names a worker in messages. Two workers may share a tag; then their slots are added up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct WorkerTag(u32);
+
+impl WorkerTag {
+    pub(super) fn of_hash(name_hash: u64) -> Self {
+        WorkerTag((name_hash & TAG_MASK) as u32)
+    }
+}
+
+/// Slots that are occupied at a worker, as a message states them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct TaggedSlots {
+    pub(super) tag: WorkerTag,
+    pub(super) slots: f64,
+}
+
+/// Slots that are occupied at a worker that is known here.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WorkerSlots {
+    pub(super) worker: WorkerId,
+    pub(super) slots: f64,
+}
+
+/// What a message states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LoadMessageKind {
+    /// The sender's own slots; what it stated before is out of date.
+    Own,
+    /// More of the sender's own slots, after a message that could not hold all of them.
+    OwnContinued,
+    /// The slots of all schedulers together, from the aggregator; workers that are not named have not changed.
+    Aggregated,
+}
+
+/// The kinds by the value of their symbol.
+const KINDS: [LoadMessageKind; 3] =
+    [LoadMessageKind::Own, LoadMessageKind::OwnContinued, LoadMessageKind::Aggregated];
+
+/// Why a text is no load message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum LoadMessageError {
+    #[error("the text is empty")]
+    Empty,
+    #[error("unknown kind {0}")]
+    Kind(u64),
+    #[error("{0} bytes are no whole number of entries")]
+    Length(usize),
+    #[error(transparent)]
+    Symbol(#[from] InvalidSymbol),
+}
+
+/// A decoded message.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct LoadMessage {
+    pub(super) kind: LoadMessageKind,
+    pub(super) entries: Vec<TaggedSlots>,
+}
+
+impl LoadMessage {
+    pub(super) fn decode(text: &str) -> Result<LoadMessage, LoadMessageError> {
+        let (kind, entries) = text.as_bytes().split_first().ok_or(LoadMessageError::Empty)?;
+        let kind = decode(&[*kind])?;
+        let kind = *KINDS.get(kind as usize).ok_or(LoadMessageError::Kind(kind))?;
+        if entries.len() % ENTRY_SYMBOLS != 0 {
+            return Err(LoadMessageError::Length(entries.len()));
+        }
+        let entries = entries.chunks(ENTRY_SYMBOLS).map(decode_entry).collect::<Result<_, _>>()?;
+        Ok(LoadMessage { kind, entries })
+    }
+}
+
+fn decode_entry(entry: &[u8]) -> Result<TaggedSlots, LoadMessageError> {
+    let (tag, slots) = entry.split_at(TAG_SYMBOLS);
+    Ok(TaggedSlots { tag: WorkerTag(decode(tag)? as u32), slots: decode(slots)? as f64 })
+}
+
+/// Messages that state these slots: at least one, and as many as they need.
+pub(super) fn encode_loads(kind: LoadMessageKind, entries: &[TaggedSlots]) -> Vec<String> {
+    let mut parts: Vec<&[TaggedSlots]> = entries.chunks(MAX_ENTRIES).collect();
+    if parts.is_empty() {
+        parts.push(&[]);
+    }
+    let part_kind = |part: usize| match kind {
+        LoadMessageKind::Own if part > 0 => LoadMessageKind::OwnContinued,
+        kind => kind,
+    };
+    parts.into_iter().enumerate().map(|(part, entries)| encode_part(part_kind(part), entries)).collect()
+}
+
+fn encode_part(kind: LoadMessageKind, entries: &[TaggedSlots]) -> String {
+    let mut text = String::new();
+    encode(&mut text, kind as u64, KIND_SYMBOLS);
+    for entry in entries {
+        encode(&mut text, u64::from(entry.tag.0), TAG_SYMBOLS);
+        encode(&mut text, entry.slots.round().clamp(0.0, MAX_SLOTS) as u64, SLOTS_SYMBOLS);
+    }
+    text
+}
+
+/// Whether a message states aggregated loads, which only one scheduler at a time should send.
+pub fn is_aggregated_loads(text: &str) -> bool {
+    LoadMessage::decode(text).is_ok_and(|message| message.kind == LoadMessageKind::Aggregated)
+}
+
+/// Aggregated loads as messages of at most `max_bytes` each. Together they state what the one message does.
+pub fn split_aggregated_loads(text: &str, max_bytes: usize) -> Vec<String> {
+    if text.len() <= max_bytes || max_bytes <= KIND_SYMBOLS + ENTRY_SYMBOLS {
+        return vec![text.to_owned()];
+    }
+    let (kind, entries) = text.split_at(KIND_SYMBOLS);
+    let part_bytes = (max_bytes - KIND_SYMBOLS) / ENTRY_SYMBOLS * ENTRY_SYMBOLS;
+    let parts = entries.as_bytes().chunks(part_bytes);
+    parts.map(|part| format!("{kind}{}", String::from_utf8_lossy(part))).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/policy/src/symbols.rs
+++ b/crates/policy/src/symbols.rs
@@ -2,7 +2,8 @@
 //! in UTF-8 and JSON.
 
 const SYMBOLS: &[u8; 64] = b"0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_";
-const BITS_PER_SYMBOL: usize = 6;
+/// Bits that a symbol stands for.
+pub const BITS_PER_SYMBOL: usize = 6;
 const SYMBOL_MASK: u64 = (1 << BITS_PER_SYMBOL) - 1;
 
 /// A byte that is not in the alphabet.
