--- a/crates/adapter/tests/adapter.rs
+++ b/crates/adapter/tests/adapter.rs
@@ -115,11 +115,22 @@
 #[test]
 fn malformed_input_ends_with_a_plain_message() {
     let head = "{\"sim-time\":1,\"round\":1,\"happened\":[";
+    let batch = |events: &[Value]| json!({"sim-time": 1.0, "round": 1, "happened": events}).to_string();
+    let without_slot = json!({"BackendsChanged": {"dispatcher": "d/0", "kind": "full", "stamp": 1}});
+    let unknown_code = json!({"StatusBack": {"dispatcher": "d/0", "runner": "r.a", "code": 418}});
     let cases = [
         ("no json".to_owned(), "line 1"),
         (format!("{head}{{\"Surprise\":{{}}}}]}}"), "Surprise"),
         (format!("{head}{{\"Ask\":{{\"dispatcher\":\"d/0\",\"category\":0,\"left\":1}}}}]}}"), "op-id"),
         (format!("{head}{{\"Timer\":{{\"dispatcher\":\"d/9\",\"label\":\"x\"}}}}]}}"), "d/9"),
+        (
+            batch(&[json!({"Kill": {"dispatcher": "d/9"}})]),
+            "line 1: event for \"d/9\", which was never booted\n",
+        ),
+        (batch(&[directory(16, "r.a")]), "line 1: directory slot 16\n"),
+        (batch(&[boot("d/0"), list("d/0", "full", 3)]), "line 1: no directory in slot 3\n"),
+        (batch(&[boot("d/0"), without_slot]), "line 1: BackendsChanged without a slot\n"),
+        (batch(&[boot("d/0"), unknown_code]), "line 1: unknown outcome code 418\n"),
     ];
     for (input, named) in cases {
         let output = run(&format!("{input}\n"));
