Heads of responses and of workers' requests are encoded in the protocol crate

The daemon formatted three kinds of heads itself, with header names that the decoder of requests spells again and whole header lines handed on as text. ClientResponseHead and WorkerJobHead are encoded in the protocol crate now, from typed fields (Retry-After, Content-Type, what is left of the time), and the platform's header names stand once, in header_names.

--- a/crates/daemon/src/net/backend/request_writer.rs
+++ b/crates/daemon/src/net/backend/request_writer.rs
@@ -5,6 +5,7 @@
 use crate::net::event_loop::{Alarm, Millis};
 use brackenledge_engine::{AttemptDeadlines, Request};
 use brackenledge_policy::Effect;
+use brackenledge_protocol::worker_request::{WorkerJobHead, encode_load_request};
 
 /// While pooled connections are not trusted, the last byte of a request that must not run twice is withheld for so long
 /// after the rest, a round trip between zones: a connection that is reset meanwhile has not carried it, and it may go
@@ -25,8 +26,7 @@
     }
 
     fn write_health_check(&mut self) {
-        let request = format!("GET /metrics/load HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
-        self.stream.buffer.push(request.as_bytes());
+        self.stream.buffer.push(encode_load_request(self.address).as_bytes());
     }
 
     fn write_job(&mut self, request: &Request, deadlines: AttemptDeadlines, cx: &mut Context) {
@@ -39,24 +39,16 @@
         self.stream.buffer.push(&message);
     }
 
-    /// The worker is told how long the job is worth working on.
     fn job_head(&self, request: &Request, deadlines: AttemptDeadlines, now: Millis) -> String {
-        let mut head = format!(
-            "POST {} HTTP/1.1\r\nHost: {}\r\nX-Trace-Id: {}\r\nX-Expires-In-Ms: {:.0}\r\nContent-Length: {}\r\n",
-            request.target,
-            self.address,
-            request.id,
-            (deadlines.response_deadline - now).max(1.0),
-            request.body.len()
-        );
-        let optional_headers =
-            [("Idempotency-Key", &request.idempotency_key), ("Content-Type", &request.content_type)];
-        for (name, value) in optional_headers {
-            if let Some(value) = value {
-                head.extend([name, ": ", value, "\r\n"]);
-            }
-        }
-        head.push_str("\r\n");
-        head
+        let head = WorkerJobHead {
+            host: self.address,
+            target: &request.target,
+            trace_id: &request.id,
+            expires_in: deadlines.response_deadline - now,
+            body_length: request.body.len(),
+            idempotency_key: request.idempotency_key.as_deref(),
+            content_type: request.content_type.as_deref(),
+        };
+        head.encode()
     }
 }
--- a/crates/daemon/src/net/frontend/request_reader.rs
+++ b/crates/daemon/src/net/frontend/request_reader.rs
@@ -4,7 +4,7 @@
 use crate::net::Context;
 use crate::net::event_loop::Millis;
 use brackenledge_engine::{Answer, JobRequest};
-use brackenledge_protocol::http::{Body, MAX_BODY_BYTES, RequestError, RequestHead};
+use brackenledge_protocol::http::{Body, CONTINUE, MAX_BODY_BYTES, RequestError, RequestHead};
 
 /// Responses that wait to be written, in bytes, beyond which no further request is read.
 const MAX_BUFFERED_OUTPUT: usize = 2 * MAX_BODY_BYTES;
@@ -102,7 +102,7 @@
 
     fn begin_body(&mut self, kind: RequestKind, body: Body, expects_continue: bool) {
         if expects_continue && self.stream.buffer.input().is_empty() {
-            self.stream.buffer.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+            self.stream.buffer.push(CONTINUE);
         }
         self.state = State::ReadingBody(kind, body);
     }
--- a/crates/daemon/src/net/frontend/responses.rs
+++ b/crates/daemon/src/net/frontend/responses.rs
@@ -2,20 +2,35 @@
 
 use super::connection::{ClientConnection, State};
 use crate::net::Context;
+use crate::net::event_loop::Millis;
 use brackenledge_engine::Answer;
-use brackenledge_protocol::http::RequestError;
+use brackenledge_protocol::http::{ClientResponseHead, RequestError};
+
+/// A response before it is known whether the connection is kept.
+struct Response<'a> {
+    status: u16,
+    retry_after: Option<Millis>,
+    content_type: Option<&'static str>,
+    body: &'a [u8],
+}
+
+impl<'a> Response<'a> {
+    fn new(status: u16, body: &'a [u8]) -> Self {
+        Response { status, retry_after: None, content_type: None, body }
+    }
+}
 
 impl ClientConnection {
     /// Writes the response to a job.
     pub(super) fn respond(&mut self, answer: Answer, cx: &Context) {
-        match answer {
-            Answer::Served(result) => self.write_response(200, "", result.as_bytes(), cx),
-            Answer::Rejected { retry_after: Some(wait) } => {
-                self.write_response(503, &format!("Retry-After: {:.3}\r\n", wait / 1_000.0), b"", cx);
+        let response = match &answer {
+            Answer::Served(result) => Response::new(200, result.as_bytes()),
+            Answer::Rejected { retry_after } => {
+                Response { retry_after: *retry_after, ..Response::new(503, b"") }
             }
-            Answer::Rejected { retry_after: None } => self.write_response(503, "", b"", cx),
-            Answer::Failed => self.write_response(502, "", b"", cx),
-        }
+            Answer::Failed => Response::new(502, b""),
+        };
+        self.write_response(&response, cx);
     }
 
     /// Whether this scheduler can serve jobs.
@@ -29,46 +44,32 @@
         } else {
             (200, b"up\n")
         };
-        self.write_response(status, "", body, cx);
+        self.write_response(&Response::new(status, body), cx);
     }
 
     /// Rejects a request that can't be read or served.
     pub(super) fn reject(&mut self, error: RequestError, cx: &Context) {
         self.keep_alive &= error.keeps_connection();
         let body = format!("{error}\n");
-        self.write_response(error.status(), "Content-Type: text/plain\r\n", body.as_bytes(), cx);
+        let response = Response::new(error.status(), body.as_bytes());
+        self.write_response(&Response { content_type: Some("text/plain"), ..response }, cx);
     }
 
-    /// Buffers a response. `extra_headers`: whole lines with their ends.
-    fn write_response(&mut self, status: u16, extra_headers: &str, body: &[u8], cx: &Context) {
-        let phrase = reason_phrase(status);
+    /// Buffers a response.
+    fn write_response(&mut self, response: &Response, cx: &Context) {
         self.keep_alive &= !cx.is_closing_connections() && cx.drain.keeps_connections();
-        let connection = if self.keep_alive { "" } else { "Connection: close\r\n" };
-        let head = format!(
-            "HTTP/1.1 {status} {phrase}\r\nContent-Length: {}\r\n{connection}{extra_headers}\r\n",
-            body.len()
-        );
-        self.stream.buffer.push(head.as_bytes());
-        self.stream.buffer.push(body);
+        let head = ClientResponseHead {
+            status: response.status,
+            body_length: response.body.len(),
+            keep_alive: self.keep_alive,
+            retry_after: response.retry_after,
+            content_type: response.content_type,
+        };
+        self.stream.buffer.push(head.encode().as_bytes());
+        self.stream.buffer.push(response.body);
         self.state = if self.keep_alive { State::ReadingHead } else { State::Closing };
         self.last_response_at = cx.now;
         self.request_began_at = None;
         self.discarded = 0;
     }
 }
-
-fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        403 => "Forbidden",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        409 => "Conflict",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
-        502 => "Bad Gateway",
-        _ => "Service Unavailable",
-    }
-}
--- a/crates/protocol/src/http/mod.rs
+++ b/crates/protocol/src/http/mod.rs
@@ -4,7 +4,9 @@
 //! | --- | --- |
 //! | `buffer` | the one buffer of each connection |
 //! | `body` | removes the framing of bodies: lengths and chunks |
-//! | `request_head`, `response_head` | heads |
+//! | `request_head` | heads of clients' requests |
+//! | `response` | heads of responses to clients |
+//! | `response_head` | heads of responses from workers and discovery |
 //! | `headers` | single headers of a head |
 //! | `request_error` | why a request is rejected before it becomes a job |
 
@@ -13,12 +15,14 @@
 mod headers;
 mod request_error;
 mod request_head;
+mod response;
 mod response_head;
 
 pub use self::body::Body;
 pub use self::buffer::Buffer;
 pub use self::request_error::RequestError;
 pub use self::request_head::{RequestHead, Version};
+pub use self::response::{CONTINUE, ClientResponseHead};
 pub use self::response_head::{ResponseHead, take_response_head};
 
 /// Limit of a body in bytes, by the platform's protocol.
--- a/crates/protocol/src/job_head.rs
+++ b/crates/protocol/src/job_head.rs
@@ -2,22 +2,15 @@
 //!
 //! A header that decides something must be there at most once, as plain text: whoever reads it next must read the same.
 
+use crate::header_names::{
+    CLASS, CONTENT_TYPE, EXPIRES_IN, IDEMPOTENCY_KEY, PROPERTIES, RETRY, SIZE_HINT, TENANT, TRACE_ID,
+};
 use crate::http::{RequestError, RequestHead};
 use brackenledge_policy::Millis;
 
 /// The longest trace id that is accepted, in bytes.
 pub const MAX_TRACE_ID_LEN: usize = 128;
 
-const CLASS: &str = "X-Qos";
-const TRACE_ID: &str = "X-Trace-Id";
-const TENANT: &str = "X-Customer";
-const EXPIRES_IN: &str = "X-Expires-In-Ms";
-const SIZE_HINT: &str = "X-Size-Hint";
-const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
-const PROPERTIES: &str = "X-Props";
-const RETRY: &str = "X-Second-Try";
-const CONTENT_TYPE: &str = "Content-Type";
-
 /// A class of jobs, as far as heads refer to it.
 #[derive(Clone, Debug)]
 pub struct ClassRule {
