--- a/crates/daemon/tests/cluster.rs
+++ b/crates/daemon/tests/cluster.rs
@@ -73,7 +73,8 @@
     let sum = |name: &str| sums.get(&format!("handover.{name}")).copied().unwrap_or(0);
     assert_eq!(sum("nonsense"), 0, "{sums:?}\n{summary}");
     // The process whose duplicate replaced it must be back by then.
-    let all_are_back = scenario.name != "handover-twin" || sum("settled") == scenario.schedulers as u64;
+    let all_are_back =
+        scenario.name != "failover-duplicate-process" || sum("settled") == scenario.schedulers as u64;
     assert!(all_are_back && sum("settled") > 0, "{sums:?}\n{summary}");
     assert!(sum("kept_ended.market-sale") + sum("refused") > 0, "no job was replicated: {sums:?}");
     // The processes that still run have counted the takeovers observed, and more: jobs that were not sent again.
@@ -86,7 +87,7 @@
 fn requires_fencing(name: &str, checked: &Report, outcome: &Outcome, summary: &str) {
     let late = checked.late_fenced_messages;
     // Where messages are delayed for it, some must have come late, or the next check shows nothing.
-    assert!(name != "late-deeds" || late > MIN_LATE_FENCED_MESSAGES, "{summary}");
+    assert!(name != "late-fenced-messages" || late > MIN_LATE_FENCED_MESSAGES, "{summary}");
     let rejected: usize = outcome.role_replies.iter().map(|reply| figure(reply, "deeds_refused=")).sum();
     assert!(rejected >= late, "{rejected} rejected of {late} late fenced messages: {summary}");
 }
@@ -113,61 +114,61 @@
 }
 
 scenarios! {
-    handover_clients_reset "handover-clients-reset"
-    handover_crash "handover-crash"
-    handover_crash_in_rolling_restart "handover-crash-in-rolling-restart"
-    handover_crash_then_keeper "handover-crash-then-keeper"
-    handover_cut_from_keepers "handover-cut-from-keepers"
-    handover_cut_from_workers "handover-cut-from-workers"
-    handover_full "handover-full"
-    handover_links_reset "handover-links-reset"
-    handover_loss_and_delay "handover-loss-and-delay"
-    handover_pause_10s "handover-pause-10s"
-    handover_pause_1s "handover-pause-1s"
-    handover_pause_4s "handover-pause-4s"
-    handover_slow_keepers "handover-slow-keepers"
-    handover_split_3_3 "handover-split-3-3"
-    handover_steward_killed "handover-steward-killed"
-    handover_twin "handover-twin"
-    handover_woken_refuses "handover-woken-refuses"
-    handover_two_at_once "handover-two-at-once"
-    broken_links "broken-links"
+    aggregator_killed "aggregator-killed"
+    aggregator_lease_holder_killed "aggregator-lease-holder-killed"
+    aggregator_paused "aggregator-paused"
+    broken_connections "broken-connections"
     calm "calm"
-    cold_return "cold-return"
-    crash_in_hand "crash-in-hand"
-    cut_both "cut-both"
-    cut_in "cut-in"
-    cut_out "cut-out"
-    deaf_one_way "deaf-one-way"
+    crash_in_flight "crash-in-flight"
+    discovery_outage_with_crash "discovery-outage-with-crash"
+    duplicate_lease_holders "duplicate-lease-holders"
+    duplicate_process "duplicate-process"
+    failover_capacity_exceeded "failover-capacity-exceeded"
+    failover_clients_reset "failover-clients-reset"
+    failover_crash "failover-crash"
+    failover_crash_in_rolling_restart "failover-crash-in-rolling-restart"
+    failover_crash_then_replica "failover-crash-then-replica"
+    failover_duplicate_process "failover-duplicate-process"
+    failover_leader_killed "failover-leader-killed"
+    failover_links_reset "failover-links-reset"
+    failover_loss_and_delay "failover-loss-and-delay"
+    failover_partition_from_replicas "failover-partition-from-replicas"
+    failover_partition_from_workers "failover-partition-from-workers"
+    failover_pause_10s "failover-pause-10s"
+    failover_pause_1s "failover-pause-1s"
+    failover_pause_4s "failover-pause-4s"
+    failover_resumed_rejects "failover-resumed-rejects"
+    failover_slow_replicas "failover-slow-replicas"
+    failover_split_3_3 "failover-split-3-3"
+    failover_two_at_once "failover-two-at-once"
     few_descriptors "few-descriptors"
-    late_deeds "late-deeds"
+    late_fenced_messages "late-fenced-messages"
+    lease_holder_killed "lease-holder-killed"
+    lease_holder_killed_loss_30 "lease-holder-killed-loss-30"
+    lease_holder_one_way_partition "lease-holder-one-way-partition"
+    lease_holder_paused "lease-holder-paused"
+    lease_holder_terminated "lease-holder-terminated"
     loss_10 "loss-10"
     loss_30 "loss-30"
     loss_50 "loss-50"
-    no_agreement "no-agreement"
-    outage_with_crash "outage-with-crash"
-    owner_killed "owner-killed"
-    owner_killed_loss_30 "owner-killed-loss-30"
-    owner_leaves "owner-leaves"
-    owner_stopped "owner-stopped"
+    no_quorum "no-quorum"
+    partition_bidirectional "partition-bidirectional"
+    partition_inbound "partition-inbound"
+    partition_outbound "partition-outbound"
+    pause_10s "pause-10s"
     pause_1s "pause-1s"
     pause_4s "pause-4s"
-    pause_10s "pause-10s"
-    relay_killed "relay-killed"
-    relay_owned "relay-owned"
-    relay_paused "relay-paused"
     rolling_restart "rolling-restart"
     split_3_2 "split-3-2"
     split_4_4 "split-4-4"
-    stale_list "stale-list"
-    twin "twin"
-    twins_of_owners "twins-of-owners"
-    voters_forget "voters-forget"
-    zone_gone "zone-gone"
-    zones_cut_off "zones-cut-off"
-    zones_flapping "zones-flapping"
-    zones_owner_killed "zones-owner-killed"
-    zones_workers_gone "zones-workers-gone"
+    stale_endpoint_list "stale-endpoint-list"
+    voters_lose_state "voters-lose-state"
+    warm_up_after_restart "warm-up-after-restart"
+    zone_lost "zone-lost"
+    zone_routing_flapping "zone-routing-flapping"
+    zone_routing_partition "zone-routing-partition"
+    zone_routing_planner_killed "zone-routing-planner-killed"
+    zone_routing_workers_lost "zone-routing-workers-lost"
 }
 
 /// The number of active schedulers that each process still running at the end reports.
