A response's head is taken typed, with its load report

ResponseHead::take replaces a free function and gives the load report decoded, where the backend was handed its text, and the two headers that only workers send join the platform's header names. The engine's page says where the state machine stands.

--- a/crates/daemon/src/net/backend/response_reader.rs
+++ b/crates/daemon/src/net/backend/response_reader.rs
@@ -6,8 +6,8 @@
 use brackenledge_discovery::EndpointSignal;
 use brackenledge_engine::AttemptId;
 use brackenledge_policy::{LoadReport, Outcome};
-use brackenledge_protocol::http::take_response_head;
-use brackenledge_protocol::worker::{LineState, decode_line, decode_load, decode_load_header};
+use brackenledge_protocol::http::ResponseHead;
+use brackenledge_protocol::worker::{LineState, decode_line, decode_load};
 
 impl WorkerConnection {
     /// Reads a response as far as it has come; `Close` where the connection can't be used again.
@@ -18,7 +18,7 @@
             return Flow::Close;
         }
         if self.response_head.is_none() {
-            match take_response_head(&mut self.stream.buffer, MAX_LINE_LEN) {
+            match ResponseHead::take(&mut self.stream.buffer, MAX_LINE_LEN) {
                 Ok(Some(head)) => self.response_head = Some(head),
                 Ok(None) => return Flow::Keep,
                 Err(_) => return Flow::Close,
@@ -96,14 +96,13 @@
     pub(super) fn on_response_complete(&mut self, cx: &mut Context) {
         let Some(mut head) = self.response_head.take() else { return };
         let body = head.body.take_all(&mut self.stream.buffer);
-        let from_header: Option<LoadReport> = head.load.as_deref().map(decode_load_header);
         if let Some(Task::HealthCheck) = self.task {
             let report = decode_load(&body).ok();
             let outcome = if head.status == 200 { Outcome::Served } else { Outcome::WorkerError };
-            self.end_task(outcome, from_header.or(report), cx);
+            self.end_task(outcome, head.load.or(report), cx);
             return;
         }
-        self.end_task(attempt_outcome(head.status, head.never_ran), from_header, cx);
+        self.end_task(attempt_outcome(head.status, head.never_ran), head.load, cx);
     }
 
     /// Ends the exchange; `Close` where the connection can't carry another one.
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -6,7 +6,7 @@
 use brackenledge_discovery::{EndpointRecord, Event, RequestEnd, RequestId, RequestKind, readiness_name};
 use brackenledge_policy::Readiness;
 use brackenledge_protocol::config::Endpoint;
-use brackenledge_protocol::http::{MAX_HEAD_BYTES, ResponseHead, take_response_head};
+use brackenledge_protocol::http::{MAX_HEAD_BYTES, ResponseHead};
 use brackenledge_protocol::list_stream::{ListItem, ListReader};
 use mio::net::TcpStream;
 use slab::Slab;
@@ -81,7 +81,7 @@
 
     /// Takes the response's head from the input; `Flow::Close` if it is no success.
     fn read_head(&mut self, cx: &mut Context) -> Flow {
-        match take_response_head(&mut self.stream.buffer, MAX_LIST_BYTES) {
+        match ResponseHead::take(&mut self.stream.buffer, MAX_LIST_BYTES) {
             Ok(Some(head)) if head.status == STATUS_OK => {
                 self.head = Some(head);
                 cx.endpoints.handle_response_head(cx.now, self.id);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,8 +10,8 @@
 //! | module | its job |
 //! | --- | --- |
 //! | `engine` | the queues of events and commands, and all inputs |
-//! | `job` | one job's life, from its submission to its answer |
-//! | `attempt` | one attempt's life, and its deadlines |
+//! | `job` | the state machine of a job and its attempts, with the table of all transitions |
+//! | `attempt` | the states of one attempt, and its deadlines |
 //! | `command` | what drivers carry out |
 //! | [`stats`] | how jobs ended, for operators |
 //! | [`drain`], [`shutdown`] | lame duck, and the end of the process |
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -13,7 +13,7 @@
 };
 use brackenledge_membership::{Membership, ProcessId, SwimConfig};
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
-use brackenledge_protocol::http::{Buffer, MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestHead, take_response_head};
+use brackenledge_protocol::http::{Buffer, MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestHead, ResponseHead};
 use brackenledge_protocol::job_head::{ClassRule, JobHead, JobRules, MAX_TRACE_ID_LEN};
 use brackenledge_protocol::list_stream::{ListItem, ListReader};
 use brackenledge_protocol::{control, operations::Operations, worker};
@@ -198,7 +198,7 @@
         let mut source = piece;
         while let Ok(1..) = buffer.read_from(&mut source) {}
         if head.is_none() {
-            match take_response_head(&mut buffer, MAX_BODY_BYTES) {
+            match ResponseHead::take(&mut buffer, MAX_BODY_BYTES) {
                 Ok(found) => head = found,
                 Err(_) => return,
             }
@@ -210,7 +210,6 @@
         }
         buffered = buffered.max(head.body.ready());
         if ended {
-            head.load.as_deref().map(worker::decode_load_header);
             head.body.take_all(&mut buffer);
             return;
         }
--- a/crates/protocol/src/header_names.rs
+++ b/crates/protocol/src/header_names.rs
@@ -18,3 +18,7 @@
 pub(crate) const RETRY: &str = "X-Second-Try";
 /// The body's type.
 pub(crate) const CONTENT_TYPE: &str = "Content-Type";
+/// `1`: the worker has not run the job and won't.
+pub(crate) const NEVER_RAN: &str = "X-Never-Ran";
+/// A worker's load report.
+pub(crate) const LOAD_REPORT: &str = "Endpoint-Load-Metrics";
--- a/crates/protocol/src/http/mod.rs
+++ b/crates/protocol/src/http/mod.rs
@@ -23,7 +23,7 @@
 pub use self::request_error::RequestError;
 pub use self::request_head::{RequestHead, Version};
 pub use self::response::{CONTINUE, ClientResponseHead};
-pub use self::response_head::{ResponseHead, take_response_head};
+pub use self::response_head::ResponseHead;
 
 /// Limit of a body in bytes, by the platform's protocol.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
