--- a/crates/policy/src/measure.rs
+++ b/crates/policy/src/measure.rs
@@ -68,8 +68,8 @@
         self.failures.value_at(now, Self::DECAY_TIME) / attempts
     }
 
-    /// Slots that the failures count for. A worker that fails at once is idle at once, and without them it would look the
-    /// best of all to every scheduler that has not tried it yet.
+    /// Slots that the failures count for. A worker that fails at once is idle at once, and without them it would look
+    /// the best of all to every scheduler that has not tried it yet.
     pub(crate) fn equivalent_slots(&self, now: Millis) -> f64 {
         let failures = self.failures.value_at(now, Self::DECAY_TIME);
         Self::SLOTS_PER_FAILURE * failures * self.failure_rate(now)
@@ -86,8 +86,8 @@
 }
 
 impl RunTimeEstimate {
-    /// Until there are more observations than this, the shortest running time is the typical one: the assumption made before
-    /// them must not last.
+    /// Until there are more observations than this, the shortest running time is the typical one: the assumption made
+    /// before them must not last.
     const MIN_OBSERVATIONS: f64 = 20.0;
     /// An observation counts as at most this many typical running times.
     const MAX_RATIO: f64 = 10.0;
@@ -97,8 +97,8 @@
         RunTimeEstimate { typical, shortest: typical, observations: 0.0 }
     }
 
-    /// Takes in an observation with this weight; the first ones count as in a plain mean. The shortest running time rises
-    /// by the factor `rise`.
+    /// Takes in an observation with this weight; the first ones count as in a plain mean. The shortest running time
+    /// rises by the factor `rise`.
     pub(crate) fn observe(&mut self, run_time: Millis, weight: f64, rise: f64) {
         self.observations += 1.0;
         let weight = weight.max(1.0 / self.observations);
--- a/crates/policy/src/peers/aggregation.rs
+++ b/crates/policy/src/peers/aggregation.rs
@@ -1,8 +1,8 @@
 //! Loads of a large cluster, by way of one scheduler.
 //!
 //! If all schedulers of a large cluster sent their loads to all others, each job would cost a message to each of them.
-//! Instead one of them, the aggregator, receives the loads of all others, and broadcasts the sums a few times a second. It
-//! needs no election: the aggregator is whoever sends sums. When it falls silent, the scheduler with the next number
+//! Instead one of them, the aggregator, receives the loads of all others, and broadcasts the sums a few times a second.
+//! It needs no election: the aggregator is whoever sends sums. When it falls silent, the scheduler with the next number
 //! succeeds it, and of two aggregators the one with the higher number stops. Two of them cost a message, and no more.
 
 use super::load_message::{LoadMessageKind, TaggedSlots, WorkerSlots, WorkerTag, encode_loads};
@@ -117,16 +117,16 @@
         self.remote_slots[total.worker] = RemoteSlots { slots, received_at: now };
     }
 
-    /// Forgets slots that were last stated before `then`: that a worker is idle again is stated once, and that message may
-    /// have been lost.
+    /// Forgets slots that were last stated before `then`: that a worker is idle again is stated once, and that message
+    /// may have been lost.
     pub(super) fn expire(&mut self, then: Millis) {
         for remote in self.remote_slots.iter_mut().filter(|remote| remote.received_at < then) {
             remote.slots = 0.0;
         }
     }
 
-    /// The messages that are due. `reports`: what the other schedulers reported. `own`: the slots of this one, of which some
-    /// have `changed`.
+    /// The messages that are due. `reports`: what the other schedulers reported. `own`: the slots of this one, of which
+    /// some have `changed`.
     pub(super) fn poll_messages<'a>(
         &mut self,
         now: Millis,
--- a/crates/policy/src/peers/mod.rs
+++ b/crates/policy/src/peers/mod.rs
@@ -1,7 +1,8 @@
 //! The loads of the other schedulers, and the messages by which schedulers state them.
 //!
-//! The schedulers of a small cluster send their loads to one another; those of a large one aggregate them. Messages may be
-//! lost, repeated or forged: none of them costs more than a wrong estimate of a worker's free slots for a short time.
+//! The schedulers of a small cluster send their loads to one another; those of a large one aggregate them. Messages may
+//! be lost, repeated or forged: none of them costs more than a wrong estimate of a worker's free slots for a short
+//! time.
 //!
 //! | module | its job |
 //! | --- | --- |
@@ -55,8 +56,8 @@
     pub(crate) slots: f64,
 }
 
-/// This scheduler's position, 0 to 1, in the order in which all schedulers may use a worker now. The order is another one
-/// in each round of the aggregation.
+/// This scheduler's position, 0 to 1, in the order in which all schedulers may use a worker now. The order is another
+/// one in each round of the aggregation.
 pub(crate) fn turn_position(now: Millis, worker_hash: u64, ordinal: u32) -> f64 {
     let round = (now / ROUND_INTERVAL) as u64;
     rendezvous_distance(worker_hash ^ round, hash(&ordinal.to_string()))
@@ -132,9 +133,9 @@
         }
     }
 
-    /// Estimates to which level the schedulers will have filled the workers by the next aggregated loads. Until then all
-    /// see the same workers as the least loaded, and send their jobs there (Dahlin, "Interpreting stale load information",
-    /// 1999). As many jobs arrive as end; `run_times`: how many of them a slot serves until then.
+    /// Estimates to which level the schedulers will have filled the workers by the next aggregated loads. Until then
+    /// all see the same workers as the least loaded, and send their jobs there (Dahlin, "Interpreting stale load
+    /// information", 1999). As many jobs arrive as end; `run_times`: how many of them a slot serves until then.
     pub(crate) fn update_expected_level(&mut self, loads: &[WorkerLoad], run_times: f64) {
         let ending: f64 = loads.iter().map(|load| load.occupied.min(load.slots) * run_times).sum();
         self.expected_level = water_fill_level(loads.iter().map(|load| load.occupied).collect(), ending);
@@ -175,14 +176,14 @@
         self.has_aggregated(now).then(|| self.remote_slots(worker))
     }
 
-    /// How many other schedulers sent their loads to this one of late. What an aggregator receives is not known to the others
-    /// as well, and does not count.
+    /// How many other schedulers sent their loads to this one of late. What an aggregator receives is not known to the
+    /// others as well, and does not count.
     pub(crate) fn direct_peers(&self) -> usize {
         if self.is_direct() { self.reports.len() } else { 0 }
     }
 
-    /// Takes in a message. Any other text is ignored, and so are entries for workers that are not known here. `own`: the slots
-    /// of this scheduler at a worker.
+    /// Takes in a message. Any other text is ignored, and so are entries for workers that are not known here. `own`:
+    /// the slots of this scheduler at a worker.
     pub(crate) fn handle_message(
         &mut self,
         now: Millis,
@@ -233,8 +234,8 @@
         }
     }
 
-    /// In a large cluster: the messages that are due now. `own`: the slots of this scheduler by worker, of which some have
-    /// `changed`; it is iterated only where something is sent.
+    /// In a large cluster: the messages that are due now. `own`: the slots of this scheduler by worker, of which some
+    /// have `changed`; it is iterated only where something is sent.
     pub(crate) fn poll_messages(
         &mut self,
         now: Millis,
--- a/crates/policy/src/peers/tests.rs
+++ b/crates/policy/src/peers/tests.rs
@@ -84,8 +84,8 @@
     assert_eq!(water_fill_level(vec![4.0, 0.0, 2.0], 6.0), 4.0);
 }
 
-/// By the aggregated loads one worker of 60 is idle; 60 jobs arrive until the next ones. Not all of a hundred schedulers
-/// may send theirs there, yet as many must as it takes to fill it.
+/// By the aggregated loads one worker of 60 is idle; 60 jobs arrive until the next ones. Not all of a hundred
+/// schedulers may send theirs there, yet as many must as it takes to fill it.
 #[test]
 fn a_worker_that_all_see_as_idle_is_not_used_by_all() {
     let name_hash = |id: WorkerId| hash(&format!("w{id}"));
--- a/crates/policy/src/settings/document.rs
+++ b/crates/policy/src/settings/document.rs
@@ -1,8 +1,8 @@
 //! The settings document that a dispatcher starts with, and the settings that it stands for.
 //!
-//! The simulator's first message and a scheduler's configuration carry the same document, so that one struct serves both.
-//! Every field that may be absent is an `Option`, and every name that differs from the document's is a plain `rename`:
-//! serde and miniserde both understand that much. What is absent has the value that promises least.
+//! The simulator's first message and a scheduler's configuration carry the same document, so that one struct serves
+//! both. Every field that may be absent is an `Option`, and every name that differs from the document's is a plain
+//! `rename`: serde and miniserde both understand that much. What is absent has the value that promises least.
 
 use super::{Class, DeduplicationScope, Effect, ReportSource, Settings, Tenant, Weights};
 use crate::units::Millis;
@@ -296,7 +296,8 @@
             deduplication_scope: match class.deduplication_scope {
                 Some(ScopeName::All) => DeduplicationScope::All,
                 Some(ScopeName::Zone) => DeduplicationScope::Zone,
-                // The narrowest scope where none is stated: only workers of one cell share all idempotency keys for certain.
+                // The narrowest scope where none is stated: only workers of one cell share all idempotency keys for
+                // certain.
                 Some(ScopeName::Cell) | None => DeduplicationScope::Cell,
             },
             deduplication_window: class.deduplication_window.unwrap_or(0.0),
--- a/crates/policy/src/tenant_quotas.rs
+++ b/crates/policy/src/tenant_quotas.rs
@@ -72,7 +72,8 @@
         RATE_DECAY_TIME * (1.0 - (-(now - self.started_at) / RATE_DECAY_TIME).exp())
     }
 
-    /// The fraction of all traffic that arrives here: the median, over the tenants, of what arrives here to their quotas.
+    /// The fraction of all traffic that arrives here: the median, over the tenants, of what arrives here to their
+    /// quotas.
     fn traffic_fraction(&self, now: Millis) -> f64 {
         let duration = self.counted_duration(now);
         let fraction = |meter: &TenantMeter| {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -9,8 +9,8 @@
 
 pub struct Attempt {
     pub worker: WorkerId,
-    pub sent: Millis,
-    pub out: bool,
+    pub sent_at: Millis,
+    pub in_flight: bool,
     pub may_have_run: bool,
 }
 
@@ -28,8 +28,8 @@
     pub jobs: BTreeMap<JobId, Job>,
     pub workers: BTreeMap<WorkerId, WorkerEntry>,
     pub stop_at: BTreeMap<WorkerId, Millis>,
-    pub wakes: Vec<Millis>,
-    pub refused: Vec<JobId>,
+    pub timers: Vec<Millis>,
+    pub rejected: Vec<JobId>,
     pub failed: Vec<JobId>,
     pub watches: usize,
     pub cancelled: Vec<(JobId, usize)>,
@@ -98,8 +98,8 @@
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             stop_at: BTreeMap::new(),
-            wakes: Vec::new(),
-            refused: Vec::new(),
+            timers: Vec::new(),
+            rejected: Vec::new(),
             failed: Vec::new(),
             watches: 0,
             cancelled: Vec::new(),
@@ -107,7 +107,7 @@
         }
     }
 
-    /// A list event, with what it obliges the dispatcher to.
+    /// A list event, and until when the workers in it may be sent jobs.
     pub fn list(&mut self, kind: ListKind, entries: Vec<WorkerEntry>) {
         if kind == ListKind::Full {
             for id in self.workers.keys() {
@@ -130,6 +130,13 @@
         self.job_with(NewJob { class, time_left: left, slots: 1.0, ..NewJob::default() })
     }
 
+    /// A job of this class and affinity key, with all its time left.
+    pub fn job_with_key(&mut self, class: usize, key: &str) -> JobId {
+        let time_left = self.settings.classes[class].deadline;
+        let affinity_key = Some(key.to_owned());
+        self.job_with(NewJob { class, affinity_key, time_left, slots: 1.0, ..NewJob::default() })
+    }
+
     pub fn job_with(&mut self, new: NewJob) -> JobId {
         let id = self.next_id;
         self.next_id += 1;
@@ -140,12 +147,12 @@
         id
     }
 
-    /// Ends an attempt; a first `Ok` is the job's final answer.
-    pub fn respond(&mut self, id: JobId, attempt: usize, outcome: Outcome) {
+    /// Ends an attempt; a first `Served` is the job's final answer.
+    pub fn end_attempt(&mut self, id: JobId, attempt: usize, outcome: Outcome) {
         let now = self.now;
         let job = self.jobs.get_mut(&id).expect("a known job");
         let state = &mut job.attempts[attempt];
-        assert!(std::mem::take(&mut state.out), "attempt {attempt} of job {id} ends once");
+        assert!(std::mem::take(&mut state.in_flight), "attempt {attempt} of job {id} ends once");
         state.may_have_run = !outcome.never_ran();
         if outcome == Outcome::Served && job.answered.is_none() {
             job.answered = Some(now);
@@ -162,9 +169,9 @@
 
     /// Serves every attempt that was sent at least this long ago.
     pub fn serve_after(&mut self, run: Millis) {
-        for (id, attempt) in self.out() {
-            if self.jobs[&id].attempts[attempt].sent + run <= self.now {
-                self.respond(id, attempt, Outcome::Served);
+        for (id, attempt) in self.in_flight() {
+            if self.jobs[&id].attempts[attempt].sent_at + run <= self.now {
+                self.end_attempt(id, attempt, Outcome::Served);
             }
         }
     }
@@ -173,19 +180,19 @@
         self.event(Event::JobStarted { job: id, attempt });
     }
 
-    pub fn client_gone(&mut self, id: JobId) {
+    pub fn disconnect(&mut self, id: JobId) {
         let now = self.now;
         self.jobs.get_mut(&id).expect("a known job").answered.get_or_insert(now);
         self.event(Event::ClientDisconnected { job: id });
     }
 
-    /// Moves the clock, bringing the timers asked for and the time-outs at clients' deadlines.
+    /// Moves the clock; timers expire, and attempts time out at their clients' deadlines.
     pub fn advance(&mut self, by: Millis) {
         let until = self.now + by;
         loop {
-            let timer = self.wakes.iter().copied().fold(f64::INFINITY, f64::min);
+            let timer = self.timers.iter().copied().fold(f64::INFINITY, f64::min);
             let late = |(id, job): (&JobId, &Job)| {
-                let out = job.attempts.iter().position(|a| a.out)?;
+                let out = job.attempts.iter().position(|a| a.in_flight)?;
                 (job.deadline > self.now - 1e-9 && job.answered.is_none()).then_some((job.deadline, *id, out))
             };
             let timeout = self.jobs.iter().filter_map(late).min_by(|a, b| a.0.total_cmp(&b.0));
@@ -195,10 +202,10 @@
             }
             self.now = self.now.max(next);
             if let Some((_, id, attempt)) = timeout.filter(|t| t.0 <= timer) {
-                self.respond(id, attempt, Outcome::Timeout);
+                self.end_attempt(id, attempt, Outcome::Timeout);
             } else {
-                let place = self.wakes.iter().position(|&at| at == timer).expect("the timer");
-                self.wakes.swap_remove(place);
+                let place = self.timers.iter().position(|&at| at == timer).expect("the timer");
+                self.timers.swap_remove(place);
                 self.event(Event::Timer);
             }
         }
@@ -231,10 +238,10 @@
                 let job = &self.jobs[&id];
                 assert!(job.answered.is_none(), "job {id} sent after its final answer");
                 assert!(job.attempts.len() < self.settings.max_attempts, "job {id}: too many attempts");
-                let copies = self.settings.hedged_requests || !job.attempts.iter().any(|a| a.out);
+                let copies = self.settings.hedged_requests || !job.attempts.iter().any(|a| a.in_flight);
                 assert!(copies, "job {id} has two attempts out");
                 assert!(self.may_send(job, worker), "job {id} sent where it may run twice");
-                let attempt = Attempt { worker, sent: now, out: true, may_have_run: false };
+                let attempt = Attempt { worker, sent_at: now, in_flight: true, may_have_run: false };
                 self.jobs.get_mut(&id).expect("a known job").attempts.push(attempt);
             }
             Action::Reject { job: id, .. } => {
@@ -243,9 +250,9 @@
                 let free = class.effect == Effect::Repeatable
                     || class.effect == Effect::Idempotent
                         && class.deduplication_scope == DeduplicationScope::All;
-                let risk = job.attempts.iter().any(|a| a.out || a.may_have_run);
-                assert!(free || !risk, "job {id} refused though it may have run");
-                self.refused.push(id);
+                let risk = job.attempts.iter().any(|a| a.in_flight || a.may_have_run);
+                assert!(free || !risk, "job {id} rejected though it may have run");
+                self.rejected.push(id);
                 self.answer(id);
             }
             Action::Fail { job: id } => {
@@ -254,7 +261,7 @@
             }
             Action::SetTimer { after } => {
                 assert!(after >= 0.0, "a timer in the past");
-                self.wakes.push(now + after);
+                self.timers.push(now + after);
             }
             Action::WatchEndpoints { .. } => self.watches += 1,
             Action::CancelAttempt { job, attempt } => {
@@ -275,7 +282,7 @@
     /// Rule 2, for a further attempt at `to`.
     fn may_send(&self, job: &Job, to: WorkerId) -> bool {
         let class = &self.settings.classes[job.class];
-        let Some(first) = job.attempts.iter().find(|a| a.out || a.may_have_run) else { return true };
+        let Some(first) = job.attempts.iter().find(|a| a.in_flight || a.may_have_run) else { return true };
         let (from, to) = (&self.workers[&first.worker], &self.workers[&to]);
         let in_group = match class.deduplication_scope {
             DeduplicationScope::All => true,
@@ -284,19 +291,19 @@
         };
         match class.effect {
             Effect::Repeatable => true,
-            Effect::Idempotent => in_group && self.now <= first.sent + class.deduplication_window,
+            Effect::Idempotent => in_group && self.now <= first.sent_at + class.deduplication_window,
             Effect::NonIdempotent => false,
         }
     }
 
-    pub fn sends(&self, id: JobId) -> Vec<WorkerId> {
+    pub fn workers_of(&self, id: JobId) -> Vec<WorkerId> {
         self.jobs[&id].attempts.iter().map(|attempt| attempt.worker).collect()
     }
 
-    /// Attempts out now, as (job, attempt).
-    pub fn out(&self) -> Vec<(JobId, usize)> {
+    /// Attempts in flight, as (job, attempt).
+    pub fn in_flight(&self) -> Vec<(JobId, usize)> {
         let of = |(&id, job): (&JobId, &Job)| -> Vec<(JobId, usize)> {
-            let out = job.attempts.iter().enumerate().filter(|(_, a)| a.out);
+            let out = job.attempts.iter().enumerate().filter(|(_, a)| a.in_flight);
             out.map(|(number, _)| (id, number)).collect()
         };
         self.jobs.iter().flat_map(of).collect()
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -15,11 +15,11 @@
     Job { class: usize, tenant: usize, left: f64, slots: u32 },
     End { pick: usize, outcome: usize },
     Start { pick: usize },
-    Gone { pick: usize },
+    Disconnect { pick: usize },
     List { kind: usize, id: usize, state: usize },
     Wait { by: f64 },
     Stray { job: u32, attempt: usize },
-    Probe { worker: usize, free: f64, held: f64 },
+    HealthCheck { worker: usize, free: f64, held: f64 },
 }
 
 const OUTCOMES: [Outcome; 8] = [
@@ -39,11 +39,11 @@
             .prop_map(|(class, tenant, left, slots)| Step::Job { class, tenant, left, slots }),
         6 => (any::<usize>(), 0..8usize).prop_map(|(pick, outcome)| Step::End { pick, outcome }),
         3 => any::<usize>().prop_map(|pick| Step::Start { pick }),
-        1 => any::<usize>().prop_map(|pick| Step::Gone { pick }),
+        1 => any::<usize>().prop_map(|pick| Step::Disconnect { pick }),
         2 => (0..4usize, 0..8usize, 0..4usize).prop_map(|(kind, id, state)| Step::List { kind, id, state }),
         4 => (0.0..900.0).prop_map(|by| Step::Wait { by }),
         1 => (0..90u32, 0..6usize).prop_map(|(job, attempt)| Step::Stray { job, attempt }),
-        1 => (0..9usize, -1e9..1e9, -1e9..1e9).prop_map(|(worker, free, held)| Step::Probe { worker, free, held }),
+        1 => (0..9usize, -1e9..1e9, -1e9..1e9).prop_map(|(worker, free, held)| Step::HealthCheck { worker, free, held }),
     ]
 }
 
@@ -59,24 +59,24 @@
             driver.job_with(job);
         }
         Step::End { pick, outcome } => {
-            let out = driver.out();
+            let out = driver.in_flight();
             if !out.is_empty() {
                 let (job, attempt) = out[pick % out.len()];
-                driver.respond(job, attempt, OUTCOMES[outcome]);
+                driver.end_attempt(job, attempt, OUTCOMES[outcome]);
             }
         }
         Step::Start { pick } => {
-            let out = driver.out();
+            let out = driver.in_flight();
             if !out.is_empty() {
                 let (job, attempt) = out[pick % out.len()];
                 driver.start(job, attempt);
             }
         }
-        Step::Gone { pick } => {
+        Step::Disconnect { pick } => {
             let open: Vec<u32> =
                 driver.jobs.iter().filter(|(_, job)| job.answered.is_none()).map(|(&id, _)| id).collect();
             if !open.is_empty() {
-                driver.client_gone(open[pick % open.len()]);
+                driver.disconnect(open[pick % open.len()]);
             }
         }
         Step::List { kind, id, state } => match kind {
@@ -85,9 +85,13 @@
             _ => driver.list(ListKind::Delta, vec![entry(driver, id, state)]),
         },
         Step::Wait { by } => driver.advance(by),
-        // Stale and made-up notes are taken calmly; jobs still open are left to the driver.
+        // Late and invented reports change nothing; jobs in flight are left to the driver.
         Step::Stray { job, attempt } => {
-            if driver.jobs.get(&job).is_none_or(|known| known.attempts.get(attempt).is_none_or(|a| !a.out)) {
+            if driver
+                .jobs
+                .get(&job)
+                .is_none_or(|known| known.attempts.get(attempt).is_none_or(|a| !a.in_flight))
+            {
                 driver.event(Event::JobStarted { job, attempt });
                 driver.event(Event::JobProgress { job, attempt, done: 0.5 });
                 let outcome = Outcome::WorkerError;
@@ -100,7 +104,7 @@
                 }));
             }
         }
-        Step::Probe { worker, free, held } => {
+        Step::HealthCheck { worker, free, held } => {
             let report =
                 LoadReport { free_slots: Some(free), in_flight: Some(held), ..LoadReport::default() };
             driver.event(Event::HealthChecked { worker, outcome: Outcome::Served, report: Some(report) });
@@ -119,7 +123,7 @@
         for step in steps {
             play(&mut driver, step);
         }
-        // Everything taken is answered once the last deadline has passed.
+        // Every job has its answer once the last deadline has passed.
         driver.advance(6_000.0);
         prop_assert!(driver.jobs.values().all(|job| job.answered.is_some()));
         Ok(())
@@ -128,11 +132,11 @@
 }
 
 #[test]
-fn rules_hold_with_second_copies() {
+fn rules_hold_with_hedged_requests() {
     run(true, false, 1);
 }
 
 #[test]
-fn rules_hold_without_second_copies_and_a_list_on_request() {
+fn rules_hold_without_hedged_requests_and_with_a_list_on_request() {
     run(false, true, 2);
 }
