Test cluster: imports go one way

Four pairs of modules imported each other: the event loop and the fault injector, the context and the datagram proxy, the reader of scenario files and its sections, the checker's fault windows and observations. The state of faults (active_faults), the relay of datagrams (datagram_relay), the reading of a whole file (parse) and the exemptions become modules of their own, so that each import goes from the part that acts to the part that it acts on.

--- a/crates/test-cluster/src/checker/mod.rs
+++ b/crates/test-cluster/src/checker/mod.rs
@@ -5,6 +5,7 @@
 //! because their client sent a second request to another scheduler.
 
 mod availability;
+mod exemption;
 mod fault_windows;
 mod observations;
 mod report;
--- a/crates/test-cluster/src/checker/request_outcome.rs
+++ b/crates/test-cluster/src/checker/request_outcome.rs
@@ -1,7 +1,7 @@
 //! How a request ended, with the exemptions of its scheduler's fault windows taken into account.
 
 use super::ANSWER_TOLERANCE;
-use super::fault_windows::exemption;
+use super::exemption::exemption;
 use super::observations::{Observations, Request};
 use crate::Millis;
 use crate::history::RequestEnd;
--- a/crates/test-cluster/src/cluster/datagrams.rs
+++ b/crates/test-cluster/src/cluster/datagrams.rs
@@ -1,12 +1,8 @@
 //! The proxy's datagrams: each scheduler has a socket of the proxy for each other scheduler, and one for all of them.
 
-use super::context::Context;
 use super::listener::any_loopback_port;
 use super::runtime::Runtime;
 use super::sources::{DatagramRoute, Source};
-use super::timers::Timer;
-use crate::history::HistoryEvent;
-use crate::scenario::{Link, Node};
 use mio::Interest;
 use mio::net::UdpSocket;
 use std::collections::HashMap;
@@ -37,7 +33,7 @@
     }
 
     /// The next datagram that the scheduler with this address has sent.
-    fn receive(&self, route: DatagramRoute, sender: SocketAddr) -> Option<Vec<u8>> {
+    pub fn receive(&self, route: DatagramRoute, sender: SocketAddr) -> Option<Vec<u8>> {
         let socket = self.sockets.get(&route)?;
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         loop {
@@ -51,7 +47,7 @@
     }
 
     /// Sends a datagram to its receiver, from the socket that this knows as the sender's.
-    fn deliver(&self, from: usize, to: usize, bytes: &[u8], receiver: SocketAddr) {
+    pub fn deliver(&self, from: usize, to: usize, bytes: &[u8], receiver: SocketAddr) {
         let back = DatagramRoute { from: to, to: Some(from) };
         if let Some(socket) = self.sockets.get(&back) {
             // A receiver that is down loses it.
@@ -64,49 +60,3 @@
 fn is_transient(error: &io::Error) -> bool {
     matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted)
 }
-
-impl Context<'_> {
-    /// Passes on what a scheduler has sent, under the conditions of each link.
-    pub fn relay_datagrams(&mut self, route: DatagramRoute) {
-        let sender = self.supervisor.addresses(route.from).datagrams;
-        while let Some(bytes) = self.datagrams.receive(route, sender) {
-            self.observe_roles(route.from, None, &bytes);
-            let receivers = match route.to {
-                Some(to) => vec![to],
-                None => (0..self.scenario.schedulers).filter(|&to| to != route.from).collect(),
-            };
-            for to in receivers {
-                self.relay_datagram(route.from, to, &bytes);
-            }
-        }
-    }
-
-    fn relay_datagram(&mut self, from: usize, to: usize, bytes: &[u8]) {
-        let clock = self.runtime.clock;
-        let at = clock.since_start();
-        self.runtime.record(HistoryEvent::PeerMessage { at, scheduler: from, bytes: bytes.len() });
-        let link = Link::new(Node::Scheduler(from), Node::Scheduler(to));
-        let conditions = self.network.conditions(link);
-        let now = clock.now();
-        for arrival in conditions.arrivals(now, &mut self.runtime.rng) {
-            if arrival <= now {
-                self.deliver_datagram(from, to, bytes);
-            } else {
-                let timer = Timer::Datagram { from, to, bytes: bytes.to_vec() };
-                self.runtime.timers.schedule(arrival, timer);
-            }
-        }
-    }
-
-    /// A datagram arrives at its receiver.
-    pub fn deliver_datagram(&mut self, from: usize, to: usize, bytes: &[u8]) {
-        self.observe_roles(from, Some(to), bytes);
-        self.datagrams.deliver(from, to, bytes, self.supervisor.addresses(to).datagrams);
-    }
-
-    fn observe_roles(&mut self, from: usize, receiver: Option<usize>, bytes: &[u8]) {
-        let at = self.runtime.clock.since_start();
-        let events = self.roles.observe(at, from, receiver, bytes);
-        self.runtime.history.extend(events);
-    }
-}
--- a/crates/test-cluster/src/cluster/event_loop.rs
+++ b/crates/test-cluster/src/cluster/event_loop.rs
@@ -1,10 +1,10 @@
 //! The event loop: waits for sockets, logs and timers, and hands each event to the part that it is for.
 
+use super::active_faults::ActiveFaults;
 use super::client_stand_in::ClientStandIn;
 use super::connection::{Connection, Ends, FarEnd};
 use super::context::Context;
 use super::discovery_stand_in::DiscoveryStandIn;
-use super::fault_injector::FaultInjector;
 use super::health_checks::{HEALTH_CHECK_INTERVAL, HealthChecks};
 use super::network::NetworkEvent;
 use super::scheduler_links::SchedulerLinks;
@@ -39,7 +39,7 @@
     pub clients: ClientStandIn,
     pub health_checks: HealthChecks,
     pub links: SchedulerLinks,
-    pub faults: FaultInjector,
+    pub faults: ActiveFaults,
     options: &'a Options,
     poll: Poll,
     late_turns: usize,
@@ -68,7 +68,7 @@
             clients: ClientStandIn::new(scenario),
             health_checks: HealthChecks::default(),
             links: SchedulerLinks::default(),
-            faults: FaultInjector::default(),
+            faults: ActiveFaults::default(),
             options,
             poll,
             late_turns: 0,
--- a/crates/test-cluster/src/cluster/fault_injector.rs
+++ b/crates/test-cluster/src/cluster/fault_injector.rs
@@ -10,7 +10,7 @@
 use crate::network_conditions::NetworkConditions;
 use crate::scenario::{FaultAction, Link, Node};
 use rustix::process::Signal;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 /// Clients of a scheduler whose connections were broken may miss answers for this long.
 const BROKEN_CONNECTIONS_EFFECT: Millis = 500.0;
@@ -32,56 +32,19 @@
     }
 }
 
-/// The faults that have begun.
-#[derive(Debug, Default)]
-pub struct FaultInjector {
-    /// By number, with the lease holder and the leader of the time when they began.
-    begun: HashMap<usize, FaultAction>,
-    /// Faults that have begun and will end.
-    unfinished: BTreeSet<usize>,
-    /// Conditions of links that faults ask for now.
-    network: BTreeMap<usize, (Vec<Link>, NetworkConditions)>,
-}
-
-impl FaultInjector {
-    /// Whether a fault has begun that will end.
-    pub fn has_unfinished(&self) -> bool {
-        !self.unfinished.is_empty()
-    }
-
-    /// The conditions of all links; several faults on one link are combined.
-    fn conditions(&self) -> HashMap<Link, NetworkConditions> {
-        let mut all: HashMap<Link, NetworkConditions> = HashMap::new();
-        for (links, conditions) in self.network.values() {
-            for link in links {
-                let combined = match all.get(link) {
-                    Some(others) => others.combined_with(conditions),
-                    None => conditions.clone(),
-                };
-                all.insert(*link, combined);
-            }
-        }
-        all
-    }
-}
-
 impl Cluster<'_> {
     /// Begins a fault of the scenario.
     pub fn begin_fault(&mut self, number: usize) {
         let fault = &self.context.scenario.faults[number];
         let roles = &self.context.roles;
         let action = fault.action.resolved(roles.lease_holder, roles.leader);
-        self.faults.begun.insert(number, action.clone());
-        if fault.until.is_some() {
-            self.faults.unfinished.insert(number);
-        }
+        self.faults.begin(number, action.clone(), fault.until.is_some());
         self.apply(number, &action, Phase::Begin);
     }
 
     /// Ends a fault of the scenario.
     pub fn end_fault(&mut self, number: usize) {
-        self.faults.unfinished.remove(&number);
-        if let Some(action) = self.faults.begun.remove(&number) {
+        if let Some(action) = self.faults.end(number) {
             self.apply(number, &action, Phase::End);
         }
     }
@@ -121,12 +84,8 @@
 
     fn apply_network(&mut self, number: usize, links: &[Link], conditions: &NetworkConditions, phase: Phase) {
         match phase {
-            Phase::Begin => {
-                self.faults.network.insert(number, (links.to_vec(), conditions.clone()));
-            }
-            Phase::End => {
-                self.faults.network.remove(&number);
-            }
+            Phase::Begin => self.faults.add_conditions(number, links, conditions),
+            Phase::End => self.faults.remove_conditions(number),
         }
         let conditions = self.faults.conditions();
         self.context.network.set_conditions(&mut self.context.runtime, conditions);
--- a/crates/test-cluster/src/cluster/mod.rs
+++ b/crates/test-cluster/src/cluster/mod.rs
@@ -9,17 +9,20 @@
 //! | --- | --- |
 //! | `event_loop` | the poll; hands each event and timer to the part that it is for |
 //! | `runtime`, `timers`, `sources` | what all parts share: clock, random numbers, timers, poll sources, the history |
-//! | `setup`, `scheduler_config` | addresses, files and settings of the processes |
+//! | `context` | what stand-ins and faults work on: the runtime, the proxy, the processes |
+//! | `setup`, `scheduler_config`, `descriptor_limit` | addresses, files, settings and limits of the processes |
 //! | `supervisor` | processes: start, signals, logs, calls of the admin endpoint |
-//! | `fault_injector`, `worker_faults`, `listener_states` | faults, and the listeners' states that follow from them |
+//! | `active_faults`, `fault_injector`, `worker_faults`, `listener_states` | faults, and the listeners' states that follow from them |
 //! | `network`, `connection`, `listener` | the proxy's connections and listeners |
-//! | `datagrams`, `role_monitor` | the proxy's datagrams, and what they show of leases |
+//! | `datagrams`, `datagram_relay`, `role_monitor` | the proxy's datagrams, and what they show of leases |
 //! | `stand_in` | the trait that the far ends of connections implement |
 //! | `worker_stand_in`, `discovery_stand_in`, `client_stand_in`, `health_checks`, `scheduler_links` | these far ends |
 
+mod active_faults;
 mod client_stand_in;
 mod connection;
 mod context;
+mod datagram_relay;
 mod datagrams;
 mod descriptor_limit;
 mod discovery_stand_in;
--- a/crates/test-cluster/src/lib.rs
+++ b/crates/test-cluster/src/lib.rs
@@ -14,9 +14,9 @@
 //! shows as delay, as the kernel makes it. A link that is a black hole holds what was sent on its connections and
 //! delivers it late once it works again, as retransmission does.
 //!
-//! One thread, one poll, in [`cluster`]; all other modules but [`process`] do no I/O and read no clock. Imports go one
-//! way: [`history`] and [`scenario`] know no other part, [`stand_ins`] and [`checker`] know these two, [`report`] knows
-//! the checker, and [`cluster`] knows all but the report.
+//! One thread, one poll, in [`cluster`]; all other modules but [`process`] do no I/O and read no clock. Imports go one way:
+//! [`scenario`] builds on [`rules`] and [`network_conditions`]; [`history`], [`stand_ins`] and [`checker`] on the scenario;
+//! [`cluster`] on all of these; [`report`] on the checker and the cluster's outcome.
 
 pub mod checker;
 pub mod cluster;
--- a/crates/test-cluster/src/scenario/mod.rs
+++ b/crates/test-cluster/src/scenario/mod.rs
@@ -5,6 +5,7 @@
 mod expectations;
 mod faults;
 mod nodes;
+mod parse;
 mod reader;
 #[cfg(test)]
 mod tests;
@@ -109,7 +110,7 @@
 
     /// Reads the text of a scenario's file. Gives all errors at once.
     pub fn parse(path: &Path, text: &str) -> Result<Scenario, ScenarioErrors> {
-        reader::read(path, text)
+        parse::read(path, text)
     }
 
     /// The zone of a scheduler or worker of this number.
