Membership: each constant of SWIM says what it bounds and why

Cause: one doc comment covered two constants, others told a measurement before they said what the value is, and two results of foca were dropped without a reason. Change: a comment for each constant, with the measured false deaths kept; one closure for foca's periodic parameters in place of two; why the results of announce and leave_cluster may be dropped. Values, messages and timers are the same.

--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -5,39 +5,40 @@
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
-/// Members that gossip is sent to at once.
-const GOSSIP_FANOUT: NonZeroUsize = NonZeroUsize::new(3).expect("three");
-/// Members asked to probe a third one that has not answered. At 30% loss a round trip through another works one time in
-/// four: of three all fail so often that a cluster of 40 should have some 22 suspicions a second (reckoned), and has 24
-/// false deaths an hour; of six, none in an hour (measured).
-const INDIRECT_PROBES: NonZeroUsize = NonZeroUsize::new(6).expect("six");
-/// How often an update is transmitted: this, and so many for each gossip round that it takes to reach all. It must last
-/// as long as a suspicion: each round goes to three, so that small clusters used up ten transmissions in 0.7 s (66 false
-/// deaths an hour in a cluster of four at 30% loss).
+/// Number of members that one round of gossip is sent to.
+const GOSSIP_FANOUT: NonZeroUsize = NonZeroUsize::new(3).expect("not zero");
+/// Number of members that are asked to probe one that has not answered (SWIM's ping-req). At 30% loss an indirect probe
+/// succeeds one time in four. With three of them a cluster of 40 had 24 false deaths an hour, with six none (measured;
+/// the expected rate with three is some 22 suspicions a second).
+const INDIRECT_PROBES: NonZeroUsize = NonZeroUsize::new(6).expect("not zero");
+/// An update on a member is transmitted this often, whatever the cluster's size. It must be gossiped for as long as a
+/// suspicion lasts: ten transmissions, three in each round, were over after 0.7 s (66 false deaths an hour in a cluster
+/// of four at 30% loss).
 const MIN_TRANSMISSIONS: u8 = 40;
+/// Further transmissions of an update, for each of the [`gossip_rounds`].
 const TRANSMISSIONS_PER_ROUND: u8 = 6;
 
 /// Intervals and timeouts of SWIM, each in milliseconds by the caller's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SwimConfig {
-    /// Between two probes that a process sends, each to one other.
+    /// Time between two probes by a process, each of one other.
     pub probe_interval: Millis,
     /// How long an answer to a probe may take; then others are asked to probe.
     pub probe_timeout: Millis,
     /// How long a suspect process has to refute the suspicion.
     pub suspicion_timeout: Millis,
-    /// Between two rounds of gossip.
+    /// Time between two rounds of gossip.
     pub gossip_interval: Millis,
-    /// Between two requests for the whole membership, each to one other, so that partitions join again.
+    /// Time between two requests for the whole membership, each to one other, so that partitions join again.
     pub announce_interval: Millis,
     /// How long a down process is remembered, so that late messages do not bring it back.
     pub down_retention: Millis,
 }
 
 impl SwimConfig {
-    /// For a cluster of so many schedulers. A suspicion must reach the suspect and its refutation must come round before
-    /// it is declared down: both travel by gossip, in rounds that grow with the logarithm of the number; at 30% loss a
-    /// round reaches half as many. Figures: docs/measurements/leases.md.
+    /// The times for a cluster of so many schedulers. The suspicion timeout grows with the [`gossip_rounds`]: a suspicion
+    /// must reach the suspect, and its refutation all others, before it is declared down, and at 30% loss each round
+    /// reaches half as many. Figures: docs/measurements/leases.md.
     pub fn for_cluster_size(schedulers: usize) -> SwimConfig {
         SwimConfig {
             probe_interval: 400.0,
@@ -49,12 +50,11 @@
         }
     }
 
-    /// The same as foca reads it.
+    /// foca's configuration for a cluster of so many schedulers.
     pub(crate) fn to_foca(self, schedulers: usize) -> Config {
-        let to_one =
-            |interval| Some(PeriodicParams { frequency: duration(interval), num_members: NonZeroUsize::MIN });
-        let to_fanout =
-            |interval| Some(PeriodicParams { frequency: duration(interval), num_members: GOSSIP_FANOUT });
+        let to_members =
+            |num_members, interval| Some(PeriodicParams { frequency: duration(interval), num_members });
+        let to_one = |interval| to_members(NonZeroUsize::MIN, interval);
         Config {
             probe_period: duration(self.probe_interval),
             probe_rtt: duration(self.probe_timeout),
@@ -66,12 +66,12 @@
             notify_down_members: true,
             periodic_announce: to_one(self.announce_interval),
             periodic_announce_to_down_members: to_one(2.0 * self.announce_interval),
-            periodic_gossip: to_fanout(self.gossip_interval),
+            periodic_gossip: to_members(GOSSIP_FANOUT, self.gossip_interval),
         }
     }
 }
 
-/// The rounds in which gossip reaches all, by the logarithm of their number.
+/// Rounds in which gossip reaches all schedulers: the logarithm of their number.
 fn gossip_rounds(schedulers: usize) -> f64 {
     (schedulers.max(2) as f64).log2()
 }
--- a/crates/membership/src/identity.rs
+++ b/crates/membership/src/identity.rs
@@ -12,7 +12,7 @@
     pub incarnation: u64,
 }
 
-/// A process under the identity by which others know it now: one that was declared down by mistake takes the next.
+/// The identity by which other members know a process. One that was declared down by mistake renews it to rejoin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct MemberIdentity {
     pub process: ProcessId,
@@ -26,7 +26,7 @@
         MemberIdentity { process, renewals: 0 }
     }
 
-    /// A scheduler of which only the ordinal is known.
+    /// The address of a scheduler whose incarnation is not known: older than that of any process.
     pub fn unknown_incarnation(ordinal: u16) -> MemberIdentity {
         MemberIdentity::new(ProcessId { ordinal, incarnation: 0 })
     }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -99,8 +99,9 @@
     timers: TimerQueue,
     commands: VecDeque<Command>,
     me: ProcessId,
-    /// Ordinals of the others in the settings, and the index of the one that is announced to next.
+    /// Ordinals of the others in the settings.
     seeds: Vec<u16>,
+    /// Index of the seed that is announced to next.
     next_seed: usize,
     announce_at: Millis,
     /// Processes that the caller was told are up.
@@ -198,12 +199,13 @@
         if let Some((skipped, &ordinal)) = missing {
             self.next_seed = (self.next_seed + skipped + 1) % self.seeds.len();
             let seed = MemberIdentity::unknown_incarnation(ordinal);
+            // It fails only if the message can't be encoded, and is repeated in any case.
             let _ = self.foca.announce(seed, &mut self.runtime);
             self.drain_runtime(now);
         }
     }
 
-    /// Takes a message in; whether it is well-formed.
+    /// Handles a message. Returns whether it is well-formed; a process that has left ignores all, and returns true.
     pub fn handle_message(&mut self, now: Millis, bytes: &[u8]) -> bool {
         self.counts.received += 1;
         if self.has_left {
@@ -223,8 +225,8 @@
         is_well_formed
     }
 
-    /// Whether a message is addressed to a newer process of our ordinal: two may share an address, and each gets some of
-    /// the other's messages. An announcement does not count, since its receiver may be down.
+    /// Whether a message is addressed to a newer process of our ordinal: two may share an address, and each receives some
+    /// of the other's messages. An announcement does not count, since it may be addressed to a process that is down.
     pub fn is_for_newer_incarnation(&self, bytes: &[u8]) -> bool {
         let header: Option<foca::Header<MemberIdentity>> = foca::PostcardCodec.decode_header(bytes).ok();
         header.is_some_and(|header| {
@@ -235,9 +237,10 @@
         })
     }
 
-    /// Tells some others that this process leaves, and sends nothing more.
+    /// Announces to some others that this process leaves. After that it sends nothing more.
     pub fn leave(&mut self, now: Millis) {
         if !std::mem::replace(&mut self.has_left, true) {
+            // If it can't be said, the others find out by their probes.
             let _ = self.foca.leave_cluster(&mut self.runtime);
             self.drain_runtime(now);
             self.timers.clear();
@@ -263,7 +266,7 @@
         }
     }
 
-    /// Takes over foca's messages, timers and notifications.
+    /// Turns foca's output into commands and scheduled timers.
     fn drain_runtime(&mut self, now: Millis) {
         while let Some((to, bytes)) = self.runtime.to_send() {
             self.commands.push_back(Command::Send { to: to.process.ordinal, bytes: bytes.to_vec() });
