Discovery: standard names for giving up a request, retries by their backoff

Change: give_up_at, give_up_after, is_new_revision, check_silence, execute_client_command; the backoff is the argument; the cost of a request is a constant; each constant has its own comment. Requests, messages, events and figures are the same.

--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -30,20 +30,22 @@
 use fastrand::Rng;
 use request::Request;
 use std::collections::VecDeque;
-use timing::{ClientTiming, MAX_RESPONSE_LATE, RequestPhase};
+use timing::{Backoff, ClientTiming, MAX_RESPONSE_LATE, RequestPhase};
 
 /// Without a keep-alive, update or list for so long the table is stale.
 const STALE_AFTER: Millis = 5_000.0;
 /// What discovery writes to a watch that has fallen silent counts as received this long after its last byte.
 const SILENCE_GRACE: Millis = 6_000.0;
-/// Open watches at once, where none of them is on time.
+/// Most watches that are open at once while none of them is on time.
 const MAX_WATCHES: usize = 3;
-/// Requests saved up for a bad moment.
+/// Capacity of the token bucket, in requests.
 const REQUEST_BURST: f64 = 5.0;
-/// Requests that may be made after discovery has moved, whatever was saved up.
+/// Requests that may be made after discovery has moved, however few tokens are left.
 const REQUESTS_AFTER_MOVE: f64 = 2.0;
-/// What a request costs: a hair less than a token, since the time at which a whole one is there is rounded.
-const REQUEST_COST_WITH_TOLERANCE: f64 = 1.0 - 1e-6;
+/// Tokens that a request costs.
+const REQUEST_COST: f64 = 1.0;
+/// Tokens that suffice for a request: the time at which a whole one is available is rounded.
+const REQUEST_COST_WITH_TOLERANCE: f64 = REQUEST_COST - 1e-6;
 
 /// What the client asks of its owner.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -76,7 +78,7 @@
     rotate_watch_at: Millis,
     /// When discovery last confirmed or changed the list.
     confirmed_at: Millis,
-    /// A request is made by then, paid for or not: without a watch the list held would come to count as too old.
+    /// A request that is wanted is made by then even without a token: the list held would otherwise become too old.
     forced_request_at: Millis,
     /// Since when a watch that worked has been silent.
     silent_since: Option<Millis>,
@@ -131,7 +133,7 @@
             request.suspected = true;
             request.address_outdated = true;
         }
-        // The old address is about to end its watches; one that was not answered there won't be.
+        // The service at the old address is about to end its watches, and answers no request that still waits.
         self.cancel_watches(|request| !request.is_streaming());
         self.consecutive_failures = 0;
         self.retry_at = now;
@@ -183,10 +185,11 @@
         }
     }
 
-    /// An update or a keep-alive has come completely: the request works, and the table is as new as it. `has_news`: it
-    /// brings more than was held. A watch that was opened beside one that works and has no news clears that one and is
-    /// cancelled: an overloaded discovery answers a request and breaks it off as soon as it has to wait its turn.
-    pub(crate) fn handle_update(&mut self, now: Millis, id: RequestId, has_news: bool) {
+    /// An update or a keep-alive has come completely: the request works, and the table is as new as it.
+    /// `is_new_revision`: it brings another revision than was held. A second watch that brings none shows that the first
+    /// one has missed nothing; the second is cancelled then, since an overloaded discovery may break off a watch that it
+    /// has only just answered.
+    pub(crate) fn handle_update(&mut self, now: Millis, id: RequestId, is_new_revision: bool) {
         self.handle_bytes(now, id, false);
         let Some(request) = self.request_mut(id) else { return };
         if !request.is_watch() {
@@ -196,7 +199,7 @@
         request.late = false;
         request.proven = true;
         if request.suspected {
-            // It sends keep-alives, yet lacks what peers hold: the watch opened beside it decides.
+            // It sends keep-alives, yet lacks a revision that peers hold: the second watch shows which one to keep.
             return;
         }
         self.confirmed_at = now;
@@ -204,20 +207,21 @@
         self.consecutive_failures = 0;
         self.forced_request_at = Millis::INFINITY;
         self.silent_since = None;
-        self.keep_one_watch(now, id, has_news);
+        self.keep_one_watch(now, id, is_new_revision);
     }
 
-    /// One watch works: cancels the others, or that one in favour of an older one.
-    fn keep_one_watch(&mut self, now: Millis, newest: RequestId, has_news: bool) {
+    /// Cancels all watches but one: the one that was just updated, or the oldest that works where the update brought no
+    /// new revision.
+    fn keep_one_watch(&mut self, now: Millis, updated: RequestId, is_new_revision: bool) {
         let works = |request: &&mut Request| {
             request.is_watch() && request.proven && !request.late && !request.address_outdated
         };
         let kept = match self.requests.iter_mut().find(works) {
-            Some(oldest) if !has_news => {
+            Some(oldest) if !is_new_revision => {
                 oldest.suspected = false;
                 oldest.id
             }
-            _ => newest,
+            _ => updated,
         };
         if self.open_watches() > 1 || self.rotate_watch_at.is_infinite() {
             self.schedule_watch_rotation(now);
@@ -239,20 +243,21 @@
             return None;
         };
         self.poll_requested |= !request.is_watch();
-        let retry_after = self.schedule_retry(now, end == RequestEnd::Rejected);
+        let backoff =
+            if end == RequestEnd::Rejected { self.timing.rejected_retry } else { self.timing.retry };
+        let retry_after = self.schedule_retry(now, backoff);
         if request.proven {
-            // All that was written to it counts as received, whether it has come or not.
+            // Discovery counts what it has written to the watch as received, so that updates may have been missed.
             self.forced_request_at = self.retry_at;
         }
         Some(RequestFailure { kind: request.kind, cause, retry_after })
     }
 
     /// Sets the time of the next request after a failure; gives the pause until then.
-    fn schedule_retry(&mut self, now: Millis, rejected: bool) -> Millis {
-        let backoff = if rejected { self.timing.rejected_retry } else { self.timing.retry };
+    fn schedule_retry(&mut self, now: Millis, backoff: Backoff) -> Millis {
         let pause = backoff.pause(self.consecutive_failures) * (0.5 + self.rng.f64());
         self.consecutive_failures += 1;
-        // While another watch works or is being asked for, nothing has to be retried; it may yet fail too.
+        // It is set even while another watch works, which may fail too.
         self.retry_at = now + pause;
         let may_miss_updates = self.silent_since.is_some_and(|since| now < since + SILENCE_GRACE);
         let max_pause =
@@ -282,7 +287,7 @@
 
     pub(crate) fn next_timeout(&self) -> Millis {
         let limit = |request: &Request| {
-            if request.late { request.dead_at(&self.timing) } else { request.late_at(&self.timing) }
+            if request.late { request.give_up_at(&self.timing) } else { request.late_at(&self.timing) }
         };
         let mut next = self.requests.iter().map(limit).fold(Millis::INFINITY, Millis::min);
         let stale_at = self.confirmed_at + STALE_AFTER;
@@ -290,7 +295,7 @@
             next = next.min(stale_at);
         }
         if self.wants_request() {
-            let paid_at = self.budget.available_at(1.0);
+            let paid_at = self.budget.available_at(REQUEST_COST);
             next = next.min(self.retry_at.max(self.forced_request_at.min(paid_at)));
         }
         if self.watching { next.min(self.rotate_watch_at) } else { next }
@@ -317,7 +322,7 @@
     }
 
     pub(crate) fn handle_timeout(&mut self, now: Millis) {
-        for id in self.note_silence(now) {
+        for id in self.check_silence(now) {
             self.give_up(now, id);
         }
         if now >= self.rotate_watch_at {
@@ -326,7 +331,7 @@
         }
         self.budget.refill(now);
         while self.wants_request() && now >= self.retry_at && self.may_open_request(now) {
-            self.budget.take(1.0);
+            self.budget.take(REQUEST_COST);
             self.forced_request_at = Millis::INFINITY;
             self.open_request(now);
         }
@@ -336,32 +341,32 @@
         self.budget.tokens() >= REQUEST_COST_WITH_TOLERANCE || now >= self.forced_request_at
     }
 
-    /// Marks requests that have become late; gives those that have been silent for too long.
-    fn note_silence(&mut self, now: Millis) -> Vec<RequestId> {
-        let mut dead = Vec::new();
-        // A request whose turn can't have taken this long is as silent as a watch that has worked.
+    /// Marks requests that have become late; gives those that are to be given up.
+    fn check_silence(&mut self, now: Millis) -> Vec<RequestId> {
+        let mut given_up = Vec::new();
+        // Discovery's queue can't explain so long a wait: silence is then as bad a sign as that of a watch that worked.
         let silent_if_unanswered = self.timing.response_late_after >= MAX_RESPONSE_LATE;
         for request in &mut self.requests {
-            if now >= request.dead_at(&self.timing) {
-                dead.push(request.id);
+            if now >= request.give_up_at(&self.timing) {
+                given_up.push(request.id);
             } else if now >= request.late_at(&self.timing) && !request.late {
                 request.late = true;
                 let unanswered = request.phase == RequestPhase::AwaitingResponse && silent_if_unanswered;
                 if request.proven || unanswered {
-                    // There is no time to save up for the next one.
+                    // The next request can't wait for a token.
                     self.forced_request_at = now;
                     self.silent_since.get_or_insert(request.active_at);
                 }
             }
         }
-        dead
+        given_up
     }
 
     fn give_up(&mut self, now: Millis, id: RequestId) {
         self.poll_requested |= !self.is_watch(id);
         self.requests.retain(|request| request.id != id);
         self.commands.push_back(ClientCommand::Cancel { request: id });
-        self.schedule_retry(now, false);
+        self.schedule_retry(now, self.timing.retry);
     }
 
     fn open_request(&mut self, now: Millis) {
--- a/crates/discovery/src/client/request.rs
+++ b/crates/discovery/src/client/request.rs
@@ -49,11 +49,11 @@
     pub(super) phase: RequestPhase,
     /// When it entered its phase, or last received bytes.
     pub(super) active_at: Millis,
-    /// It has been silent for too long, and is not given up yet.
+    /// It has been silent for longer than its phase allows, and is not given up yet.
     pub(super) late: bool,
-    /// It is doubted for other reasons, whatever it sends: a peer holds more, or discovery has moved.
+    /// It is not trusted, whatever it sends: a peer holds a newer revision, or discovery has moved.
     pub(super) suspected: bool,
-    /// Discovery has moved: its end is near, however well it works.
+    /// It goes to an address that discovery has left, and will end soon.
     pub(super) address_outdated: bool,
     /// It has brought a complete update or a keep-alive.
     pub(super) proven: bool,
@@ -87,8 +87,8 @@
     }
 
     /// When it is given up.
-    pub(super) fn dead_at(&self, timing: &ClientTiming) -> Millis {
-        self.active_at + timing.silence_limits(self.phase).dead_after
+    pub(super) fn give_up_at(&self, timing: &ClientTiming) -> Millis {
+        self.active_at + timing.silence_limits(self.phase).give_up_after
     }
 
     /// Why it failed, if `end` is a failure.
--- a/crates/discovery/src/client/timing.rs
+++ b/crates/discovery/src/client/timing.rs
@@ -9,39 +9,42 @@
 const KEEP_ALIVE_GRACE: Millis = 250.0;
 /// An update that makes no progress in its middle for so long is late: its pieces come within 2 ms of one another.
 const MID_UPDATE_LATE: Millis = 150.0;
-/// Bounds of the time after which a response that has not begun is late: the request may wait in discovery's queue (3 s
-/// at most), or its connection may be dead.
+/// A response that has not begun is late after this time for each scheduler, since all may be asking at once and a
+/// request takes discovery some 0.3 s; within the two bounds that follow.
+const RESPONSE_LATE_PER_SCHEDULER: Millis = 300.0;
 const MIN_RESPONSE_LATE: Millis = 1_200.0;
+/// A request waits in discovery's queue for 3 s at most: after this its connection may be dead.
 pub(super) const MAX_RESPONSE_LATE: Millis = 3_500.0;
-/// The same for each scheduler that may be asking at the same time: a request takes discovery some 0.3 s.
-const RESPONSE_LATE_PER_SCHEDULER: Millis = 300.0;
-/// A request without a byte for so long is given up: its turn can't take longer, nor can two keep-alives.
+/// A request without a byte for so long is given up: neither the queue nor two keep-alives can take longer.
 const IDLE_TIMEOUT: Millis = 4_500.0;
 /// A connection that is not up by then won't be soon: TCP alone retries after 1, 3 and 7 s only.
 const CONNECT_TIMEOUT: Millis = 400.0;
-/// After a failure, where discovery serves all schedulers.
+/// Pauses after a failure, where one discovery service serves all schedulers.
 const RETRY: Backoff = Backoff { initial: 60.0, max: 2_000.0 };
-/// After a failure in push mode: whoever pushes the list serves this scheduler alone, and what it sends when discovery
-/// is back counts as received at once, so that a drain's grace is all the time there is.
+/// Pauses after a failure in push mode. The service that pushes the list serves this scheduler alone, so retries do not
+/// overload it. What it sends once it works again counts as received at once, so a retry must come within the grace
+/// period of a draining endpoint.
 const PUSH_MODE_RETRY: Backoff = Backoff { initial: 30.0, max: 80.0 };
-/// In push mode: when a response is late, and when its request is given up.
+/// In push mode a response that has not begun is late after this.
 const PUSH_MODE_RESPONSE_LATE: Millis = 60.0;
+/// In push mode a request whose response has not begun is given up after this.
 const PUSH_MODE_IDLE_TIMEOUT: Millis = 200.0;
-/// First pause after a rejection: discovery is overloaded.
+/// First pause after a rejection, by which discovery says that it is overloaded.
 const INITIAL_REJECTED_RETRY: Millis = 500.0;
 /// The longest pause after a rejection, for each scheduler: the more of them ask, the more it is overloaded.
 const MAX_REJECTED_RETRY_PER_SCHEDULER: Millis = 200.0;
 /// Requests a second that all schedulers together may keep up, for a discovery service that handles 3 to 5.
 const TOTAL_REQUESTS_PER_SECOND: f64 = 4.0;
-/// The upper bound of each scheduler's part of it. The lower bound lets every scheduler ask as often as its
-/// `max_list_age` demands.
+/// Upper bound of one scheduler's part of [`TOTAL_REQUESTS_PER_SECOND`]. The lower bound is one request in each longest
+/// pause, whatever the number of schedulers.
 const MAX_REQUESTS_PER_SECOND: f64 = 1.0;
-/// A list without a watch may be used for `max_list_age` after a request, four times as long after one that failed.
-/// Twice of it is the longest that a scheduler waits before it asks again, whatever the others do.
+/// The longest pause between two requests while no watch works, in units of `max_list_age`. A list may be used for one
+/// such age after a request, and for four after a request that failed.
 const MAX_RETRY_PAUSE_IN_LIST_AGES: f64 = 2.0;
-/// A healthy watch is replaced this often, and no more often than so for each scheduler: one that sends keep-alives and
-/// no news would otherwise be trusted for good.
+/// A watch is replaced this often, however well it works: one that sends keep-alives but no updates would otherwise be
+/// trusted for ever.
 const WATCH_ROTATION_INTERVAL: Millis = 20_000.0;
+/// Lower bound of the rotation interval for each scheduler, since discovery serves their requests one after another.
 const WATCH_ROTATION_INTERVAL_PER_SCHEDULER: Millis = 2_000.0;
 
 /// A pause between retries that doubles with each failure.
@@ -76,7 +79,7 @@
     /// After this it is late, and a second watch may be opened beside it.
     pub(super) late_after: Millis,
     /// After this it is given up.
-    pub(super) dead_after: Millis,
+    pub(super) give_up_after: Millis,
 }
 
 /// The times that hold for one scheduler, by its settings.
@@ -89,7 +92,7 @@
     pub(super) request_rate: f64,
     pub(super) watch_rotation_interval: Millis,
     pub(super) response_late_after: Millis,
-    response_dead_after: Millis,
+    response_give_up_after: Millis,
 }
 
 impl ClientTiming {
@@ -106,7 +109,7 @@
                 request_rate: 1.0 / PUSH_MODE_RETRY.initial,
                 watch_rotation_interval,
                 response_late_after: PUSH_MODE_RESPONSE_LATE,
-                response_dead_after: PUSH_MODE_IDLE_TIMEOUT,
+                response_give_up_after: PUSH_MODE_IDLE_TIMEOUT,
             };
         }
         let max_rejected_retry =
@@ -125,19 +128,19 @@
             watch_rotation_interval,
             response_late_after: (RESPONSE_LATE_PER_SCHEDULER * schedulers)
                 .clamp(MIN_RESPONSE_LATE, MAX_RESPONSE_LATE),
-            response_dead_after: IDLE_TIMEOUT,
+            response_give_up_after: IDLE_TIMEOUT,
         }
     }
 
     /// For how long a request may be silent in this phase.
     pub(super) fn silence_limits(&self, phase: RequestPhase) -> SilenceLimits {
         let late_keep_alive = KEEP_ALIVE_INTERVAL + KEEP_ALIVE_GRACE;
-        let (late_after, dead_after) = match phase {
+        let (late_after, give_up_after) = match phase {
             RequestPhase::Connecting => (CONNECT_TIMEOUT, CONNECT_TIMEOUT),
-            RequestPhase::AwaitingResponse => (self.response_late_after, self.response_dead_after),
+            RequestPhase::AwaitingResponse => (self.response_late_after, self.response_give_up_after),
             RequestPhase::Streaming { mid_update: true } => (MID_UPDATE_LATE, late_keep_alive),
             RequestPhase::Streaming { mid_update: false } => (late_keep_alive, IDLE_TIMEOUT),
         };
-        SilenceLimits { late_after, dead_after }
+        SilenceLimits { late_after, give_up_after }
     }
 }
--- a/crates/discovery/src/directory.rs
+++ b/crates/discovery/src/directory.rs
@@ -176,7 +176,8 @@
         self.advance(now);
     }
 
-    /// Bytes of a response have come, after whatever was complete in them; `mid_update`: they end within an update.
+    /// Bytes of a response have come; to be called after the entries and updates that they completed were handled.
+    /// `mid_update`: they end within an update.
     pub fn handle_bytes(&mut self, now: Millis, request: RequestId, mid_update: bool) {
         self.client.handle_bytes(now, request, mid_update);
         if mid_update {
@@ -234,7 +235,7 @@
         self.advance(now);
     }
 
-    /// Discovery has started anew, and counts from there.
+    /// Discovery has restarted and counts its revisions from anew.
     fn restart_revisions(&mut self, now: Millis, update: &ListUpdate) {
         self.event(Event::RevisionsRestarted { revision: update.revision });
         self.table.restart_revisions();
@@ -261,7 +262,8 @@
 
     // ---- Peers and the endpoints themselves.
 
-    /// Takes in a message of another scheduler; tells whether it is gossip on endpoints, valid or not.
+    /// Handles a message of another scheduler. Returns whether it is gossip on endpoints; gossip that does not decode is
+    /// ignored.
     pub fn handle_message(&mut self, now: Millis, from: u32, text: &str) -> bool {
         if !is_gossip(text) {
             return false;
@@ -322,7 +324,7 @@
         self.commands.pop_front()
     }
 
-    /// Does what follows from the latest input.
+    /// Executes what the latest input has made due, and publishes all changes.
     fn advance(&mut self, now: Millis) {
         self.advance_without_status_events(now);
         self.publish_status_changes();
@@ -331,7 +333,7 @@
     fn advance_without_status_events(&mut self, now: Millis) {
         self.client.handle_timeout(now);
         while let Some(command) = self.client.poll_command() {
-            self.carry_out(now, command);
+            self.execute_client_command(now, command);
         }
         let freshness = self.client.freshness(now);
         if freshness != self.freshness {
@@ -343,7 +345,7 @@
         self.send_gossip(now);
     }
 
-    fn carry_out(&mut self, now: Millis, command: ClientCommand) {
+    fn execute_client_command(&mut self, now: Millis, command: ClientCommand) {
         match command {
             ClientCommand::Open { request, kind, is_second_watch } => {
                 self.open_request(now, request, kind, is_second_watch);
--- a/crates/discovery/src/gossip.rs
+++ b/crates/discovery/src/gossip.rs
@@ -1,9 +1,10 @@
 //! Gossip between schedulers on changes of the endpoint list, so that one scheduler's open watch serves all.
 //!
-//! Small tiers send each change to everybody. In larger ones whoever learns of a change first passes it on to a few
-//! others at random (rumour mongering, Demers et al., "Epidemic algorithms for replicated database maintenance", 1987).
-//! A peer whose reply shows a revision as new needs no further message; others are sent the rumour again, a few times,
-//! within a budget of bytes. A scheduler that has just started pulls the recent changes of its peers.
+//! In a small cluster a scheduler sends each change to all others. In a larger one, each scheduler to which a change is
+//! new passes it on to a few others at random (rumour mongering, Demers et al., "Epidemic algorithms for replicated
+//! database maintenance", 1987). A peer whose reply shows that it knows the revision gets no further message; others are
+//! sent the rumour again, a few times, within a budget of bytes. A scheduler that has just started pulls the recent
+//! changes from its peers.
 //!
 //! Messages may be lost, late or repeated. None makes an endpoint known or ready: the endpoint table sees to that.
 //!
@@ -26,19 +27,19 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Peers that one scheduler sends a change to; a tier of up to one more is reached directly.
+/// Most peers that one scheduler sends a change to. In a cluster of one scheduler more all are reached directly.
 const FANOUT: usize = 8;
 /// Pauses before a rumour is sent again to peers that have not confirmed it.
 const PUSH_RETRY_INTERVALS: [Millis; 4] = [120.0, 250.0, 500.0, 1_000.0];
-/// Pauses before pulls after a start, as long as nobody has answered.
+/// Pauses before the pulls after a start, until a message of any peer comes.
 const PULL_INTERVALS: [Millis; 3] = [0.0, 300.0, 1_200.0];
-/// For how long changes are given to a scheduler that has just started.
+/// For how long a change is remembered for schedulers that have just started and pull.
 const RECENT_CHANGE_RETENTION: Millis = 60_000.0;
-/// The most of them, and the most changes in one rumour.
+/// Most changes that are remembered, and most changes in one rumour.
 const MAX_RECENT_CHANGES: usize = 4 * MAX_CHANGES;
-/// Bytes a millisecond that may be sent.
+/// Refill rate of the byte budget.
 const BYTES_PER_MILLI: f64 = 0.256;
-/// Bytes that may be saved up.
+/// Capacity of the byte budget.
 const MAX_SAVED_BYTES: f64 = 4_096.0;
 /// The pause before a rumour is sent again varies by this much to both sides.
 const RETRY_JITTER: f64 = 0.25;
@@ -193,7 +194,7 @@
         }
     }
 
-    /// Starts a rumour. A revision that changed nothing needs none; that it is held goes along with the next message.
+    /// Starts a rumour. A revision that changed nothing needs none: the next message states that it is held.
     fn spread(&mut self, now: Millis, revision: u64, changes: &[EndpointChange]) {
         if changes.is_empty() {
             return;
@@ -252,7 +253,7 @@
         self.drop_spent_rumours();
     }
 
-    /// A rumour that was sent for the last time, or that all its receivers know, is done with.
+    /// Drops rumours that were sent for the last time, or that all their receivers know.
     fn drop_spent_rumours(&mut self) {
         let rumours = std::mem::take(&mut self.rumours);
         let is_live = |rumour: &Rumour| {
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - an endpoint that discovery (in a complete update or in part of one) or a peer with a newer list has reported as
 //!   draining or gone is not [`EndpointDirectory::is_ready`] from the same instant on;
-//! - gossip never adds an endpoint, nor does it make one ready again, whoever reported it as draining or gone.
+//! - gossip never adds an endpoint, nor does it make one ready again, whatever had taken it out of use.
 //!
 //! The crate also promises that
 //!
--- a/crates/discovery/src/revision_gap.rs
+++ b/crates/discovery/src/revision_gap.rs
@@ -5,8 +5,8 @@
 
 /// Lists reach schedulers some hundred milliseconds apart; a revision that a peer holds is missing only after this.
 const MIN_ARRIVAL_TIMEOUT: Millis = 300.0;
-/// The same for each scheduler: discovery serves the watches of a large tier one after another, some 20 a second where
-/// it is busy, and a second watch opened meanwhile makes the queue longer for all.
+/// The same for each scheduler of a large cluster: discovery updates their watches one after another, some 20 a second
+/// while it is busy, and a second watch opened meanwhile would make its queue longer.
 const ARRIVAL_TIMEOUT_PER_SCHEDULER: Millis = 50.0;
 
 /// A revision that a peer holds and this scheduler does not.
--- a/crates/discovery/src/table.rs
+++ b/crates/discovery/src/table.rs
@@ -158,7 +158,7 @@
         }
     }
 
-    /// Takes in a complete update; gives the changes that peers are to be told.
+    /// Applies a complete update; gives the changes to send to peers.
     pub(crate) fn apply_update(
         &mut self,
         now: Millis,
@@ -179,7 +179,7 @@
         changes
     }
 
-    /// Takes in one entry of a complete update.
+    /// Applies one entry of a complete update; gives the change to send to peers, if there is one.
     fn apply_record(
         &mut self,
         now: Millis,
@@ -283,7 +283,7 @@
         id
     }
 
-    /// After a snapshot, whoever it has not named is gone; gives the changes that peers are to be told.
+    /// Marks all endpoints as gone that a snapshot has not named; gives the changes to send to peers.
     fn remove_unnamed(&mut self, now: Millis, update: &ListUpdate) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
         for id in 0..self.endpoints.len() {
--- a/crates/discovery/src/table/overrides.rs
+++ b/crates/discovery/src/table/overrides.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    /// Drops overrides that have outlived their TTL, and looks no further after endpoints with nothing against them.
+    /// Drops overrides that have outlived their TTL, and ends the review of endpoints without override or evidence.
     pub(super) fn expire_overrides(&mut self, now: Millis, fresh_since: Option<Millis>) {
         let expired = |report: &mut StatusOverride| {
             fresh_since.is_some_and(|since| now >= report.received_at.max(since) + OVERRIDE_TTL)
--- a/crates/discovery/src/table/status_changes.rs
+++ b/crates/discovery/src/table/status_changes.rs
@@ -41,7 +41,7 @@
         (pending.source, pending.revision) = (source, revision);
     }
 
-    /// A complete update has confirmed the endpoint's status: if that change is still to be logged, then as its word.
+    /// A complete update has confirmed the endpoint's status: a change that is not logged yet is attributed to it.
     pub(super) fn confirm(&mut self, id: WorkerId, source: StatusChangeSource, revision: u64) {
         if let Some(pending) = self.pending.get_mut(&id) {
             (pending.source, pending.revision) = (source, revision);
