Log: the fields of counters and shutdown_started have standard names

Cause: the operators ask for the field's terms in log lines, and `counters` still said denied, gone, owed, list, servers, calls, told and peers_first. The figures of INFO and of the `handover.` lines keep their names. Result: the daemon checks with all targets; no test reads these fields (searched).

--- a/crates/daemon/src/net/counters.rs
+++ b/crates/daemon/src/net/counters.rs
@@ -10,17 +10,17 @@
         let jobs = stats.totals();
         let discovery = self.endpoints.counts();
         info!(self.log, "{}", event;
-            "peers_first" => discovery.first_reported_by_peer,
-            "told" => discovery.messages_sent,
-            "calls_doubled" => discovery.second_watches,
-            "calls_failed" => discovery.failed_requests,
-            "calls" => discovery.requests,
-            "servers" => self.endpoints.len(),
-            "list" => self.endpoints.revision().unwrap_or(0),
-            "owed" => self.engine.pending_jobs(),
-            "gone" => stats.abandoned,
+            "first_reported_by_peer" => discovery.first_reported_by_peer,
+            "gossip_messages_sent" => discovery.messages_sent,
+            "second_watches" => discovery.second_watches,
+            "discovery_requests_failed" => discovery.failed_requests,
+            "discovery_requests" => discovery.requests,
+            "endpoints" => self.endpoints.len(),
+            "revision" => self.endpoints.revision().unwrap_or(0),
+            "pending_jobs" => self.engine.pending_jobs(),
+            "abandoned" => stats.abandoned,
             "failed" => jobs.failed,
-            "denied" => jobs.rejected,
+            "rejected" => jobs.rejected,
             "served" => jobs.served);
     }
 }
--- a/crates/daemon/src/net/signals.rs
+++ b/crates/daemon/src/net/signals.rs
@@ -76,7 +76,7 @@
 
     fn start_shutdown(&mut self, shutdown: Shutdown) {
         let cx = &mut context!(self);
-        info!(cx.log, "shutdown_started"; "owed" => cx.engine.pending_jobs());
+        info!(cx.log, "shutdown_started"; "pending_jobs" => cx.engine.pending_jobs());
         cx.event_loop.set_alarm(shutdown.serve_until(), Alarm::Shutdown);
         cx.event_loop.set_alarm(shutdown.answer_by(), Alarm::AnswerAll);
         self.shutdown = Some(shutdown);
