Decision module: comments of constants that can be read alone

Cause: three constants of placement shared one sentence over three lines, and "published" figures of the budget did not say where they are published.

Change: each comment stands for itself; the budget names the article whose figures it departs from. No code changes.

--- a/crates/policy/src/dispatcher/budget.rs
+++ b/crates/policy/src/dispatcher/budget.rs
@@ -1,5 +1,6 @@
-//! The budget of slots that attempts may occupy, adjusted by the delay until jobs start (AIMD). Figures in
-//! slots per worker are for all schedulers together: each has its part of them.
+//! The budget of slots that attempts may occupy, adjusted by the delay until jobs start: AIMD as in "Adaptive
+//! Concurrency on a Multi-Tenant vLLM Gateway", whose figures are called published here. Figures in slots per
+//! worker are for all schedulers together: each has its part of them.
 use super::*;
 
 const MIN_SLOTS_PER_WORKER: f64 = 1.0; // cutting below it relieves no worker
@@ -14,8 +15,8 @@
 const GROWTH: f64 = 0.5; // slots per worker
 const HELD_BACK_GROWTH: f64 = 0.25; // as a fraction of a budget that held jobs back
 const MIN_DELAYS: usize = 20; // before a cut
-const FLOOR_PER_MEAN: f64 = 0.8; // slots that are never cut: times the mean need within quotas
-const FLOOR_PER_ROOT: f64 = 1.5; // and times its square root
+const FLOOR_PER_MEAN: f64 = 0.8; // slots that are never cut, per slot needed on average within quotas,
+const FLOOR_PER_ROOT: f64 = 1.5; // and per square root of that average
 const MAX_OVER_QUOTA_FRACTION: f64 = 0.7; // of the budget, for jobs beyond quotas: at most and at first
 const OVER_QUOTA_GROWTH: f64 = 0.05; // of that fraction, by addition
 const OVER_QUOTA_CUT_FACTOR: f64 = 0.5; // of that fraction
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -3,19 +3,19 @@
 //! Costs are in milliseconds of expected delay.
 use super::*;
 
-const MAX_SCANNED_WORKERS: usize = 96; // taken at random for one job,
-const SCANNED_NEAR_KEY: f64 = 8.0; // and of the nearest to its affinity key, on average
+const MAX_SCANNED_WORKERS: usize = 96; // for one job, from a random one on
+const SCANNED_NEAR_KEY: f64 = 8.0; // beyond those: about this many of the nearest to the job's affinity key
 const OCCUPIED_SLOT_WAIT: f64 = 0.25; // running times that each slot in flight, or unstarted, counts for
 const FREE_SLOT_GAIN: f64 = 0.01; // running times that each free slot is better by
 const FRESHLY_FREED_GAIN: f64 = 0.2; // running times that a slot freed just now is better by
-const SLOWNESS_WEIGHT: f64 = 0.1; // of a slower run while it is in time,
-const LATENESS_WEIGHT: f64 = 2.0; // and of what exceeds
-const SLOWNESS_SLACK: f64 = 0.5; // this fraction of the slack
+const SLOWNESS_WEIGHT: f64 = 0.1; // of the extra running time at a slow worker
+const LATENESS_WEIGHT: f64 = 2.0; // of the part of it that makes a job late
+const SLOWNESS_SLACK: f64 = 0.5; // fraction of the slack that extra running time may take
 const FAULT_COST: f64 = 10.0; // latency objectives that a worker sure to fail counts for
 const DRAIN_COST: f64 = 1.0; // latency objectives that a worker sure to be draining unlisted counts for
 const FETCH_COST: f64 = 2.5; // running times that fetching a key's data counts for: it occupies a slot
 const CACHED_FETCH_FRACTION: f64 = 0.2; // of that cost, where a job of the key was sent lately
-const PREFERRED_MARGIN: f64 = 2.5; // preferred workers of a key, over its part of the jobs times all workers
+const PREFERRED_MARGIN: f64 = 2.5; // times a key's fraction of the jobs: the fraction of workers it prefers
 const ADMITTED_WAIT: f64 = 0.8; // fraction of the slack that a wait known from aggregated loads may take
 
 impl Dispatcher {
