Zone routing: comments state what each figure, bound and step is

Cause: comments had to be read twice (work may stay more local, a plan that counts for nothing, an excess that is dear), stood for two constants, or told of whoever plans. Comments only; no code has changed.

--- a/crates/test-support/src/model_check.rs
+++ b/crates/test-support/src/model_check.rs
@@ -23,7 +23,7 @@
 {
 }
 
-/// What random runs have come to.
+/// The result of random runs.
 #[derive(Debug)]
 pub struct Findings {
     /// How many states were visited.
@@ -34,12 +34,12 @@
     pub observed: Vec<&'static str>,
 }
 
-/// How many states are visited: `MODEL_STATES`, or this many.
+/// How many states a run visits: the environment variable `MODEL_STATES`, or `default`.
 pub fn max_states(default: usize) -> usize {
     std::env::var("MODEL_STATES").ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-/// A checker of so many states at least, which stops at the first violation.
+/// A checker that visits at least `max_states` states unless it stops earlier, at the first violation.
 pub fn bounded_checker<M: CheckedModel>(model: &M, max_states: usize) -> CheckerBuilder<M> {
     model.clone().checker().target_state_count(max_states).finish_when(HasDiscoveries::AnyFailures)
 }
@@ -66,7 +66,7 @@
     Findings { state_count: checker.state_count(), violated, observed }
 }
 
-/// What random runs from the first of these seeds that comes to a violation have violated.
+/// Random runs from one seed after another, until one finds a violation: the properties that it violates.
 pub fn first_violation<M: CheckedModel>(
     model: &M,
     seeds: RangeInclusive<u64>,
--- a/crates/zone-routing/src/capacity.rs
+++ b/crates/zone-routing/src/capacity.rs
@@ -19,7 +19,7 @@
 }
 
 impl<'a> CapacityModel<'a> {
-    /// By the reports that are fresh.
+    /// The model of `zone_count` zones, from the reports that are fresh.
     pub fn new(
         now: Millis,
         settings: &'a Settings,
@@ -45,10 +45,10 @@
         CapacityModel { settings, demand, slots, usable, suspect }
     }
 
-    /// The best shares by this load, whatever the present plan is.
+    /// The best shares for this load, regardless of the plan in effect.
     ///
-    /// Local first, then the cheapest crossings. The first pass fills zones to their target utilization; the second uses
-    /// what is left up to the maximum, in the same order, before work is rejected.
+    /// Work is placed locally first, then over the cheapest crossings. The first pass fills zones to their target
+    /// utilization; the second, in the same order, to the maximum. What is left then is rejected.
     pub fn ideal_shares(&self) -> ShareMatrix {
         let settings = self.settings;
         let mut water_fill = WaterFill::new(&self.demand);
@@ -69,7 +69,7 @@
         }
     }
 
-    /// All costs of crossings, from cheap to dear.
+    /// All distinct costs of crossings, in ascending order. That of the local route is the lowest.
     fn crossing_costs(&self) -> Vec<f64> {
         let zone_count = self.demand.len();
         let rows = self.settings.crossing_cost.iter().take(zone_count);
@@ -99,7 +99,7 @@
         shares
     }
 
-    /// Whether a plan sends work where it can't go, or overloads a zone while there is capacity elsewhere.
+    /// Whether a plan sends work over a route that can't be used, or overloads a zone while there is capacity elsewhere.
     pub fn is_violated_by(&self, plan: &Plan) -> bool {
         let zone_count = self.demand.len();
         if plan.zone_count() != zone_count {
--- a/crates/zone-routing/src/change_budget.rs
+++ b/crates/zone-routing/src/change_budget.rs
@@ -7,7 +7,7 @@
 /// A rate per minute refills as many thousandths of a token in this time.
 const REFILL_TIME: Millis = 60;
 
-/// At most so many changes in a minute, and as many in a burst.
+/// Allows so many changes in a minute, and as many in a burst.
 #[derive(Clone, Debug)]
 pub(crate) struct ChangeBudget {
     changes_per_minute: u64,
@@ -16,7 +16,7 @@
 }
 
 impl ChangeBudget {
-    /// Full.
+    /// A full bucket.
     pub fn new(now: Millis, changes_per_minute: u32) -> ChangeBudget {
         let changes_per_minute = u64::from(changes_per_minute);
         let millitokens = changes_per_minute * MILLITOKENS_PER_CHANGE;
@@ -30,7 +30,7 @@
         self.refilled_at = now;
     }
 
-    /// Whether so many changes could be made now; a bucket smaller than that suffices when it is full.
+    /// Whether the bucket has tokens for so many changes, or is full where its capacity is smaller than that.
     pub fn allows(&self, changes: u64) -> bool {
         self.millitokens >= (changes * MILLITOKENS_PER_CHANGE).min(self.capacity())
     }
--- a/crates/zone-routing/src/load_report.rs
+++ b/crates/zone-routing/src/load_report.rs
@@ -93,7 +93,7 @@
 }
 
 impl ClusterLoad {
-    /// No report yet of so many zones.
+    /// Without any report, for so many zones.
     pub fn new(zone_count: usize) -> ClusterLoad {
         ClusterLoad { reports: vec![None; zone_count.min(MAX_ZONES)] }
     }
@@ -118,7 +118,8 @@
         (stored.made_at >= oldest).then_some(&stored.report)
     }
 
-    /// Slots in a zone as its own schedulers report them, or else as the others do on average.
+    /// Slots ready in a zone as its own schedulers report them, or without a fresh report of theirs, the average over the
+    /// other zones' reports.
     pub(crate) fn ready_slots(&self, zone: usize, oldest: Millis) -> f64 {
         let own = self.fresh_report(zone, oldest).and_then(|report| report.ready_slots(zone));
         own.unwrap_or_else(|| self.ready_slots_by_others(zone, oldest))
--- a/crates/zone-routing/src/plan_follower.rs
+++ b/crates/zone-routing/src/plan_follower.rs
@@ -1,4 +1,4 @@
-//! A scheduler's copy of the plan.
+//! Which plan a scheduler follows, and what it does when none arrives any more.
 
 use crate::{Millis, Plan, PlanVersion};
 
@@ -15,8 +15,8 @@
 pub enum RoutingMode {
     /// By the plan: its own zone's shares, by target.
     Planned(Vec<f64>),
-    /// No plan was received for long. Work stays in its zone, and what the zone can't take goes elsewhere by this
-    /// scheduler's own observations.
+    /// There is no plan, or it has expired. Work stays in its zone, and what the zone has no capacity for goes elsewhere
+    /// by this scheduler's own observations.
     LocalFallback {
         /// The share of the work that may leave the zone, at most.
         max_spill: f64,
@@ -25,9 +25,9 @@
 
 /// Follows the leader's plans for one scheduler.
 ///
-/// A plan newer than the known ones takes effect at its own time; until then the one before it stays active. A plan that
-/// is not received again within its TTL counts for half, and after half of that time again for nothing, so that routing
-/// returns to local in two bounded steps.
+/// A plan newer than the known ones takes effect at the time that it states; until then the one before it stays active.
+/// Routing returns to local in two bounded steps where the plan is not received again: after its TTL half of each remote
+/// share becomes local, after 1.5 TTL all of it.
 #[derive(Clone, Debug)]
 pub struct PlanFollower {
     local_zone: usize,
@@ -38,12 +38,11 @@
     received_at: Option<Millis>,
 }
 
-/// What may leave a zone by the observations of one scheduler alone: the others do the same, uncoordinated.
+/// Upper bound of the share that may leave a zone without a plan, since all schedulers of the zone spill uncoordinated.
 const MAX_UNCOORDINATED_SPILL: f64 = 0.1;
 
 impl PlanFollower {
-    /// For a scheduler in this zone. A plan that is not received again is halved after `plan_ttl`, and dropped after half
-    /// as long again.
+    /// A follower without a plan, for a scheduler in `local_zone`.
     pub fn new(local_zone: usize, plan_ttl: Millis) -> PlanFollower {
         PlanFollower {
             local_zone,
@@ -101,8 +100,7 @@
         let mut shares: Vec<f64> =
             (0..plan.zone_count()).map(|target| plan.share(self.local_zone, target)).collect();
         if age >= self.plan_ttl {
-            // Half of the way back to local, so that neither the remote zones lose this work at once, nor the local one
-            // gets all of it.
+            // Half of the way back to local, so that the local zone does not get all of this work at once.
             shares.iter_mut().for_each(|share| *share *= 0.5);
             if let Some(local) = shares.get_mut(self.local_zone) {
                 *local += 0.5;
--- a/crates/zone-routing/src/planner.rs
+++ b/crates/zone-routing/src/planner.rs
@@ -14,14 +14,14 @@
 pub enum ReplanReason {
     /// There was no plan.
     Initial,
-    /// The plan sends work where it can't go, or more than there is capacity for.
+    /// The plan sends work over a route that can't be used, or more than a zone has capacity for.
     Urgent,
-    /// Work may stay more local, or be spread better.
+    /// By the present load work could stay more local, or be spread more evenly.
     Improvement,
 }
 
 impl ReplanReason {
-    /// The changes that the budget must allow: an improvement leaves one for what may be urgent.
+    /// The changes that the budget must allow. An improvement leaves one for an urgent change.
     fn required_budget(self) -> u64 {
         if self == ReplanReason::Improvement { 2 } else { 1 }
     }
@@ -53,7 +53,7 @@
 }
 
 impl Planner {
-    /// A leader under a new term, who goes on from the plan that it knows.
+    /// The planner of a leader under a new term. `known`: the plan that it starts from.
     pub fn new(now: Millis, settings: Settings, term: PlannerTerm, known: Option<Plan>) -> Planner {
         Planner {
             change_budget: ChangeBudget::new(now, settings.max_changes_per_minute),
@@ -76,7 +76,7 @@
         self.plan.as_ref()
     }
 
-    /// The best shares by this load, whatever the present plan is.
+    /// The best shares for this load, regardless of the plan in effect.
     pub fn ideal_shares(&self, now: Millis, load: &ClusterLoad) -> ShareMatrix {
         let zone_count = self.zone_count(load);
         let mut suspect_routes = self.suspect_routes.clone();
@@ -84,7 +84,7 @@
         CapacityModel::new(now, &self.settings, load, zone_count, &suspect_routes).ideal_shares()
     }
 
-    /// Takes in the load; a new plan, if there is reason for one.
+    /// Returns a new plan for this load, if there is reason for one.
     pub fn replan(&mut self, now: Millis, load: &ClusterLoad) -> Option<Replan> {
         let zone_count = self.zone_count(load);
         if zone_count == 0 {
--- a/crates/zone-routing/src/route_cost.rs
+++ b/crates/zone-routing/src/route_cost.rs
@@ -1,24 +1,25 @@
-//! Shares as costs: the policy adds a zone's cost to that of each of its workers, and a zone that got more than its share
-//! costs more until it has not.
+//! Turns a zone's shares into a cost for each target zone, which the policy adds to the cost of the workers there. A
+//! target that has got more than its share of the jobs sent recently costs more until the excess is gone.
 
 use crate::Millis;
 
 /// The cost of a zone whose share is zero, in latency objectives: a worker there is used only where no other is left.
 const MAX_COST: f64 = 4.0;
-/// Cost of an excess over the share, in latency objectives per whole of the work.
+/// Cost of an excess, in latency objectives, where it is as large as the share.
 const EXCESS_COST: f64 = 3.0;
-/// Cost of any crossing, so that what the plan leaves open is decided locally.
+/// Cost of a route to any other zone, in latency objectives: between zones that are within their shares, the local one is
+/// preferred.
 const CROSSING_COST: f64 = 0.05;
-/// Time constant by which jobs sent are forgotten.
+/// Time constant of the decay of the jobs sent.
 const SENT_DECAY_TIME: Millis = 3_000;
 /// A share below this is taken for zero.
 const MIN_SHARE: f64 = 0.002;
-/// The excess is divided by this share at least, so that a small one does not make any excess dear.
+/// Lower bound of the share that an excess is divided by, so that a small share does not make every excess expensive.
 const MIN_EXCESS_DIVISOR: f64 = 0.1;
-/// With fewer jobs remembered than this, one more is no excess.
+/// Lower bound of the jobs that an excess is divided by, so that one job of a few is not a large excess.
 const MIN_JOBS: f64 = 10.0;
 
-/// Turns one zone's shares into a cost for each target zone, by the jobs that its scheduler has sent of late.
+/// The cost model of one scheduler: counts the jobs that it has sent recently to each zone.
 #[derive(Clone, Debug)]
 pub struct RouteCostModel {
     local_zone: usize,
@@ -65,7 +66,7 @@
             return MAX_COST;
         }
         let crossing = if target == self.local_zone { 0.0 } else { CROSSING_COST };
-        // As a part of all that was sent; a job or two are no excess.
+        // As a fraction of all jobs sent. The first job to a zone is never an excess.
         let excess = (sent - (share * sent_total).max(1.0)) / sent_total.max(MIN_JOBS);
         (crossing + EXCESS_COST * excess.max(0.0) / share.max(MIN_EXCESS_DIVISOR)).min(MAX_COST)
     }
--- a/crates/zone-routing/src/settings.rs
+++ b/crates/zone-routing/src/settings.rs
@@ -1,9 +1,10 @@
-//! What operators set.
+//! Settings of the planner: costs of crossings, target utilizations, and bounds on how often the plan changes.
 
 use crate::Millis;
 
-/// Cost between zones of one region, and between zones of different ones.
+/// Cost of a crossing between two zones of one region.
 const SAME_REGION_COST: f64 = 1.0;
+/// Cost of a crossing between zones of different regions.
 const OTHER_REGION_COST: f64 = 10.0;
 
 /// Settings of the planner.
@@ -11,9 +12,9 @@
 pub struct Settings {
     /// The cost of a crossing, by origin and target; infinity forbids it. Work goes over cheap crossings first.
     pub crossing_cost: Vec<Vec<f64>>,
-    /// The utilization that is planned, at most: see [`Settings::target_utilization_for`].
+    /// Upper bound of the utilization that is planned for a zone: see [`Settings::target_utilization_for`].
     pub target_utilization: f64,
-    /// The utilization that is planned rather than reject work.
+    /// Upper bound of the utilization that is planned where work would be rejected otherwise.
     pub max_utilization: f64,
     /// Shares that would change by less are left as they are.
     pub min_share_change: f64,
@@ -30,13 +31,14 @@
 }
 
 impl Settings {
-    /// The utilization planned for so many slots. A few must stand idler than many for jobs to wait as little, by the
-    /// root of their number (S. Halfin, W. Whitt, "Heavy-traffic limits for queues with many exponential servers", 1981).
+    /// The utilization planned for a zone of so many slots. For the same waiting times, the idle fraction has to be
+    /// inversely proportional to the square root of their number (S. Halfin, W. Whitt, "Heavy-traffic limits for queues
+    /// with many exponential servers", 1981).
     pub fn target_utilization_for(&self, slots: f64) -> f64 {
         (1.0 - 1.0 / slots.max(1.0).sqrt()).clamp(0.0, self.target_utilization)
     }
 
-    /// Defaults for zones with these region numbers.
+    /// Default settings. `regions`: the region number of each zone.
     pub fn of_regions(regions: &[usize]) -> Settings {
         let zone_count = regions.len();
         let cost_row = |origin| (0..zone_count).map(|target| region_cost(regions, origin, target)).collect();
--- a/crates/zone-routing/src/suspect_routes.rs
+++ b/crates/zone-routing/src/suspect_routes.rs
@@ -1,16 +1,16 @@
-//! Routes between zones that have failed and were not yet seen to work again.
+//! Outlier detection for routes between zones: which ones have failed and were not observed to work since.
 
 use crate::{ClusterLoad, Millis, RouteStats, Settings};
 use std::collections::BTreeMap;
 
-/// A suspect route is trusted again once it has worked for so long.
+/// A suspect route is trusted again once its attempts have succeeded for so long.
 const RECOVERY_PERIOD: Millis = 2_000;
-/// A suspect route that is not used is trusted again after this: the planner sends no probes between zones, and by then
-/// the endpoint list shows what has changed.
+/// A suspect route without attempts is trusted again after this: the planner sends no probes between zones, and by then
+/// the endpoint list shows which workers are gone.
 const SUSPICION_TTL: Millis = 30_000;
 /// Fewer attempts than this do not make a route suspect.
 const MIN_ATTEMPTS: u32 = 5;
-/// The part of failed attempts that makes a route suspect.
+/// A route is suspect from this fraction of failed attempts on.
 const FAILURE_THRESHOLD: f64 = 0.5;
 
 /// The route from an origin zone to a target zone.
@@ -35,8 +35,8 @@
     }
 }
 
-/// The set of suspect routes. A route stays suspect until it is observed to work, or its suspicion expires: that no
-/// attempt is sent there says nothing of it.
+/// The set of suspect routes. A route stays suspect until it is observed to work, or its suspicion expires. An interval
+/// without attempts is no evidence that it works.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SuspectRoutes {
     suspicions: BTreeMap<Route, Suspicion>,
--- a/crates/zone-routing/src/water_fill.rs
+++ b/crates/zone-routing/src/water_fill.rs
@@ -3,7 +3,7 @@
 
 /// Work and capacity below this, in slots, are taken for none.
 pub(crate) const EPSILON: f64 = 1e-6;
-/// Rounds at most; what is left then is a rounding error, or has nowhere to go.
+/// Upper bound of the rounds of one filling. Demand that is left then is a rounding error, or reaches no free capacity.
 const MAX_ROUNDS: usize = 24;
 
 /// The state of one filling, in slots.
@@ -32,7 +32,7 @@
         &self.flow
     }
 
-    /// Sets the capacity of each target, of which what was placed there is used.
+    /// Sets the total capacity of each target. Demand placed there before counts against it.
     pub fn set_capacity(&mut self, capacity: impl Fn(usize) -> f64) {
         for target in 0..self.free.len() {
             let used = self.flow.iter().map(|row| row[target]).sum::<f64>();
