Zone routing's driver: a zone that is not known sends no job, names for fractions

Cause: an attempt without a known zone was counted for zone u32::MAX, which happens to be out of range; 100.0 stood for the unit of the report, warmth for a fraction of slots, held for jobs in flight; is_publication_due changed state. Change: an unknown zone is skipped (the cost model ignored it before), CENTISLOTS_PER_SLOT, available_fraction, in_flight, take_due_publication; comments in standard terms. Result: clippy (both runs), 20 unit tests of the daemon and its tests admin_endpoint, discovery_watch, endpoint_gossip, readiness pass.

--- a/crates/daemon/src/net/zone_routing.rs
+++ b/crates/daemon/src/net/zone_routing.rs
@@ -28,9 +28,10 @@
 use brackenledge_zone_routing::{Plan, PlanFollower, PlannerTerm, RouteCostModel, RoutingMode, Settings};
 use slog::{Logger, info};
 
-/// Between two calls of [`ZoneRouting::handle_timeout`]: a plan is published and route costs follow within this.
+/// Time between two calls of [`ZoneRouting::handle_timeout`]: a new plan is published, and new route costs take effect,
+/// no later than this.
 pub const TICK_INTERVAL: Millis = 250.0;
-/// Between two reports of observed load.
+/// Time between two reports of observed load.
 const REPORT_INTERVAL: Millis = 1_000.0;
 /// How long a plan that is not received again stays in effect: longer than it takes to elect another leader.
 const PLAN_TTL: u64 = 8_000;
@@ -94,7 +95,9 @@
 
     /// An attempt is sent to a worker in this zone.
     pub fn on_attempt_started(&mut self, zone: Option<u32>) {
-        self.cost_model.on_job_sent(zone.unwrap_or(u32::MAX) as usize);
+        if let Some(zone) = zone {
+            self.cost_model.on_job_sent(zone as usize);
+        }
     }
 
     /// An attempt ended.
@@ -108,7 +111,7 @@
         self.observations.on_attempt_finished(worker, zone, outcome, report);
     }
 
-    /// A job was served, so long after its attempt started.
+    /// A job was served. `run_time`: how long its attempt took.
     pub fn on_job_served(&mut self, run_time: Millis) {
         self.observations.on_job_served(run_time);
     }
@@ -121,7 +124,7 @@
         }
     }
 
-    /// The leader's plan was received, under a fencing token that holds.
+    /// A plan was received, under a fencing token that was accepted.
     pub fn handle_plan(&mut self, now: Millis, bytes: &[u8]) {
         match Plan::decode(bytes) {
             Ok(plan) if plan.zone_count() == self.zone_names.len() => {
@@ -132,7 +135,7 @@
         }
     }
 
-    /// Does what is due; the costs of routes to all zones, where they have changed.
+    /// Does what is due. Returns the costs of the routes to all zones if they have changed.
     pub fn handle_timeout(
         &mut self,
         now: Millis,
@@ -188,14 +191,14 @@
                 "reason" => ?replan.reason);
         }
         let Some(plan) = self.leader.plan().cloned() else { return };
-        if self.leader.is_publication_due(now, replan.is_some()) {
+        if self.leader.take_due_publication(now, replan.is_some()) {
             cluster.broadcast_fenced(peer, ZONE_PLANNER, term, &plan.encode());
         }
         // A leader's own plan is never stale: its term is newer than that of any plan it knows.
         let _ = self.follower.handle_plan(now as u64, plan);
     }
 
-    /// The costs of routes to all zones now; none where the policy's own cost of a crossing applies.
+    /// The costs of the routes to all zones now. Empty: the policy applies its own cost of a crossing.
     fn update_route_costs(&mut self, now: Millis, log: &Logger) -> Vec<f64> {
         let (source, route_costs) = match self.follower.routing_mode(now as u64) {
             RoutingMode::Planned(shares) => (RoutingSource::Plan, self.cost_model.costs(now as u64, &shares)),
--- a/crates/daemon/src/net/zone_routing/observations.rs
+++ b/crates/daemon/src/net/zone_routing/observations.rs
@@ -6,8 +6,10 @@
 use brackenledge_zone_routing::{RouteStats, SchedulerZoneReport};
 use std::collections::HashMap;
 
-/// Smoothing of the offered load over reports: a second of one scheduler's traffic is a few dozen jobs, and its chance
-/// must not move other zones' work.
+/// Unit in which the offered load is reported.
+const CENTISLOTS_PER_SLOT: f64 = 100.0;
+/// Smoothing of the offered load over reports: a second of one scheduler's traffic is a few dozen jobs, and its random
+/// variation must not change the plan.
 const OFFERED_SMOOTHING: f64 = 0.25;
 /// Smoothing of the run time over jobs.
 const RUN_TIME_SMOOTHING: f64 = 0.05;
@@ -16,8 +18,9 @@
 
 /// Routes, load and workers as one scheduler observes them.
 pub(super) struct Observations {
-    /// The share of its slots that a worker has when it starts, and how long it takes to have all.
+    /// The fraction of its slots that a worker has when it starts.
     initial_capacity_fraction: f64,
+    /// How long a worker takes from its start to have all its slots.
     warm_up_duration: Millis,
     routes: Vec<RouteStats>,
     interval_start: Millis,
@@ -45,7 +48,7 @@
         }
     }
 
-    /// When the interval began that the next report is of.
+    /// When the interval of the next report began.
     pub fn interval_start(&self) -> Millis {
         self.interval_start
     }
@@ -64,18 +67,18 @@
                 _ => route.reached += 1,
             }
         }
-        if let Some((free, held)) = report.and_then(|report| Some((report.free_slots?, report.in_flight?))) {
-            self.on_slots_reported(worker, free, held);
+        if let Some(LoadReport { free_slots: Some(free), in_flight: Some(in_flight), .. }) = report {
+            self.on_slots_reported(worker, free, in_flight);
         }
     }
 
-    fn on_slots_reported(&mut self, worker: WorkerId, free: f64, held: f64) {
-        let slots = free + held;
+    fn on_slots_reported(&mut self, worker: WorkerId, free: f64, in_flight: f64) {
+        let slots = free + in_flight;
         if !slots.is_finite() {
             return;
         }
         let known = self.worker_slots.entry(worker).or_insert(slots);
-        // A worker without a free slot also holds jobs that wait: then the sum says nothing of its slots.
+        // Where no slot is free, jobs in flight may be queued without a slot, and the sum is too large.
         if free >= 1.0 {
             *known = (1.0 - SLOTS_SMOOTHING) * *known + SLOTS_SMOOTHING * slots;
         }
@@ -99,7 +102,7 @@
         (self.interval_start, self.arrived_slots) = (now, arrived_slots);
         let no_routes = vec![RouteStats::default(); self.routes.len()];
         let mut routes = std::mem::replace(&mut self.routes, no_routes);
-        // Without any job's run time or any worker's slots the load can't be told in slots.
+        // Until a job's run time and a worker's slots are known, the load can't be expressed in slots.
         let run_time = self.run_time?;
         if self.worker_slots.is_empty() || is_first {
             return None;
@@ -107,7 +110,8 @@
         for (route, slots) in routes.iter_mut().zip(self.ready_slots(now, endpoints)) {
             route.ready_slots = slots.round() as u32;
         }
-        let offered_centislots = self.smooth_offered(100.0 * arrived * run_time / interval.max(1.0));
+        let offered_centislots =
+            self.smooth_offered(CENTISLOTS_PER_SLOT * arrived * run_time / interval.max(1.0));
         Some(SchedulerZoneReport { offered_centislots, routes })
     }
 
@@ -124,21 +128,22 @@
     fn ready_slots(&self, now: Millis, endpoints: &EndpointDirectory) -> Vec<f64> {
         let mean = self.worker_slots.values().sum::<f64>() / self.worker_slots.len() as f64;
         let mut ready_slots = vec![0.0; self.routes.len()];
-        for (id, worker, readiness) in endpoints.endpoints() {
+        for (id, endpoint, readiness) in endpoints.endpoints() {
             if readiness != Readiness::Ready {
                 continue;
             }
-            if let Some(sum) = ready_slots.get_mut(worker.zone as usize) {
-                *sum += self.worker_slots.get(&id).copied().unwrap_or(mean) * self.warmth(now, worker);
+            if let Some(sum) = ready_slots.get_mut(endpoint.zone as usize) {
+                let slots = self.worker_slots.get(&id).copied().unwrap_or(mean);
+                *sum += slots * self.available_fraction(now, endpoint);
             }
         }
         ready_slots
     }
 
-    /// The part of its slots that a worker has while it warms up.
-    fn warmth(&self, now: Millis, worker: &EndpointRecord) -> f64 {
-        let age =
-            worker.started_at.map_or(1.0, |started_at| (now - started_at) / self.warm_up_duration.max(1.0));
-        self.initial_capacity_fraction + (1.0 - self.initial_capacity_fraction) * age.clamp(0.0, 1.0)
+    /// The fraction of its slots that a worker has, which grows linearly while it warms up.
+    fn available_fraction(&self, now: Millis, endpoint: &EndpointRecord) -> f64 {
+        let warmed_up =
+            endpoint.started_at.map_or(1.0, |started_at| (now - started_at) / self.warm_up_duration.max(1.0));
+        self.initial_capacity_fraction + (1.0 - self.initial_capacity_fraction) * warmed_up.clamp(0.0, 1.0)
     }
 }
--- a/crates/daemon/src/net/zone_routing/plan_leader.rs
+++ b/crates/daemon/src/net/zone_routing/plan_leader.rs
@@ -7,9 +7,10 @@
 };
 use std::collections::BTreeMap;
 
-/// How long a report counts that is not followed by another: a lost datagram must not look like a lost scheduler.
+/// How long a scheduler's last report counts: several report intervals, so that a lost datagram does not look like a lost
+/// scheduler.
 const REPORT_TTL: Millis = 3_500.0;
-/// Between two publications of the same plan.
+/// Time between two publications of the same plan.
 const PUBLISH_INTERVAL: Millis = 500.0;
 
 /// A scheduler's newest report.
@@ -55,7 +56,7 @@
     pub fn replan(&mut self, now: Millis, zone_count: usize) -> Option<Replan> {
         self.reports.retain(|_, report| now < report.received_at + REPORT_TTL);
         let load = self.cluster_load(now, zone_count);
-        // Until a scheduler has reported there is nothing to plan by.
+        // Without a report there is no load to plan for.
         if self.reports.is_empty() { None } else { self.planner.as_mut()?.replan(now as u64, &load) }
     }
 
@@ -76,8 +77,8 @@
         self.planner.as_ref()?.plan()
     }
 
-    /// Whether the plan is to be published now; counts as published then.
-    pub fn is_publication_due(&mut self, now: Millis, is_new: bool) -> bool {
+    /// Returns whether the plan is to be published now, and takes it as published if so.
+    pub fn take_due_publication(&mut self, now: Millis, is_new: bool) -> bool {
         let is_due = is_new || now >= self.published_at + PUBLISH_INTERVAL;
         if is_due {
             self.published_at = now;
