Cluster driver: commands are executed, and the invariants are on the page

Cause: carry_out, carry_out_membership and carry_out_leases kept the old name of execute_x; one returned a bool for whether members had changed; active_members_changed changed what it reports; the page named no invariant. Change: execute_commands, execute_membership_command, execute_lease_command, take_active_member_change; which commands change the members is matched where they are polled; invariants of roles and epochs stated; state_name for a member's state. Datagrams, log events and the replies to MEMBERS and DUTIES are the same.

--- a/crates/daemon/src/net/cluster/admin.rs
+++ b/crates/daemon/src/net/cluster/admin.rs
@@ -11,16 +11,16 @@
         let status = self.leases.status(micros());
         let mut lines = vec![self.view_line(status.view.as_ref(), status.leader)];
         let me = self.membership.me();
-        let mut standings: Vec<(ProcessId, &str)> = (self.membership.peers())
-            .map(|(process, state)| (process, standing_name(state)))
-            .chain([(me, standing_name(MemberState::Alive))])
+        let own_state = (me, MemberState::Alive);
+        let mut members: Vec<(ProcessId, &str)> = (self.membership.peers().chain([own_state]))
+            .map(|(process, state)| (process, state_name(state)))
             .collect();
-        standings.sort();
-        lines.extend(standings.into_iter().map(|(process, standing)| {
+        members.sort();
+        lines.extend(members.into_iter().map(|(process, state)| {
             let listed = status.member_list.contains(process);
             let (ordinal, incarnation) = (process.ordinal, process.incarnation);
             let own = if process == me { "yes" } else { "no" };
-            format!("member={ordinal} boot={incarnation} standing={standing} on_roll={listed} self={own}")
+            format!("member={ordinal} boot={incarnation} standing={state} on_roll={listed} self={own}")
         }));
         lines
     }
@@ -64,7 +64,8 @@
     format!("duty={name} owner={} term={term} own_lease_left_ms={remaining}", holder.ordinal)
 }
 
-fn standing_name(state: MemberState) -> &'static str {
+/// A member's state as operators' scripts read it.
+fn state_name(state: MemberState) -> &'static str {
     match state {
         MemberState::Alive => "alive",
         MemberState::Suspect => "suspected",
--- a/crates/daemon/src/net/cluster/datagram.rs
+++ b/crates/daemon/src/net/cluster/datagram.rs
@@ -1,5 +1,5 @@
-//! The datagrams of a cluster: a byte that tells the kind, then the payload. No text between schedulers, which is ASCII,
-//! begins with one of these bytes.
+//! The datagrams of a cluster: one byte for the kind, then the payload. The bytes of the kinds are not ASCII, so that no
+//! text between schedulers begins with one.
 
 use super::roles;
 use crate::net::peer_socket::PeerSocket;
@@ -22,7 +22,7 @@
     const ALL: [DatagramKind; 4] =
         [DatagramKind::Membership, DatagramKind::Leases, DatagramKind::Fenced, DatagramKind::ZoneReport];
 
-    /// Splits a datagram into its kind and payload. `None`: it is none of the cluster's.
+    /// Splits a datagram into its kind and payload. `None`: it is of no such kind.
     pub fn split(datagram: &[u8]) -> Option<(DatagramKind, &[u8])> {
         let (byte, payload) = datagram.split_first()?;
         let kind = DatagramKind::ALL.into_iter().find(|kind| *kind as u8 == *byte)?;
@@ -38,10 +38,10 @@
     }
 }
 
-/// What a datagram of the cluster is for.
+/// What is left to do with a datagram that [`Cluster::handle_message`](super::Cluster::handle_message) was given.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Received {
-    /// The cluster itself, which has handled it.
+    /// Nothing: it was for the cluster itself, or was rejected.
     Handled,
     /// Aggregated loads, from the aggregator.
     AggregatedLoads(String),
--- a/crates/daemon/src/net/cluster/mod.rs
+++ b/crates/daemon/src/net/cluster/mod.rs
@@ -1,5 +1,8 @@
-//! Membership and leases on sockets: the driver of the crates `membership` and `leases`. It carries out their commands,
-//! and hands them their datagrams.
+//! Membership and leases on sockets: the driver of the crates `membership` and `leases`. It executes their commands, and
+//! hands them their datagrams.
+//!
+//! **Invariants.** A message in a role is sent only under a role lease that is held at that moment, and accepted only if
+//! no later term of the role is known. A later epoch is stored before the next message of `leases` is sent.
 //!
 //! The clock is CLOCK_BOOTTIME, which counts the time that the process was stopped and that the machine slept. A pause
 //! between the check of a lease and an action makes the action late; receivers reject it by its term.
@@ -26,13 +29,13 @@
 use slog::Logger;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// A newer process of the same ordinal is gone if nothing was meant for it for so long. Longer than membership takes to
-/// find that out.
+/// A newer process of the same ordinal is taken for gone if no datagram addressed to it has arrived for so long. Longer
+/// than membership takes to declare it down.
 const SUPERSEDED_TIMEOUT: Micros = 15_000_000;
 
 /// Upper limit of the time until [`Cluster::handle_timeout`] is to be called again, in milliseconds.
 const MAX_TIMEOUT: Millis = 1_000.0;
-/// Its lower limit: what is due now was done now.
+/// Lower limit of that time. Nothing else is due at once, since one call does all that is due.
 const MIN_TIMEOUT: Millis = 1.0;
 
 /// Microseconds on a clock that goes on while the process is stopped or the machine sleeps.
@@ -59,15 +62,15 @@
     leases: LeaseManager,
     fencing_guard: FencingGuard,
     active_members: ActiveMemberEstimate,
-    /// The estimate as the engine was told it last.
+    /// The estimate that [`Cluster::take_active_member_change`] returned last.
     reported_active_members: usize,
     epoch_store: Option<EpochStore>,
-    /// The last write to it failed, and is in the log.
+    /// The last write to the store failed, and the failure is in the log.
     epoch_store_failing: bool,
     /// Aggregated loads that were computed here and not sent, since another process is the aggregator.
     withheld_aggregates: u64,
     malformed_datagrams: u64,
-    /// A newer process has this one's ordinal: when a datagram meant for it last arrived here.
+    /// Where a newer process has this one's ordinal: when a datagram addressed to it last arrived here.
     superseded_at: Option<Micros>,
     leaving: bool,
     ordinal: u32,
@@ -106,7 +109,8 @@
         if let Some(store) = &epoch_store {
             leases.restore_epoch(store.stored());
         }
-        // A process without a member list for this time counts the whole cluster, and a list is sent each heartbeat.
+        // Within this time each process has received the latest member list, which is sent with heartbeats, or has heard
+        // from no leader for so long that it counts the whole cluster.
         let settle_time = settings.bootstrap_timeout + settings.heartbeat_interval;
         Cluster {
             membership: Membership::new(millis(now), me, others, &swim_config, seed),
@@ -136,14 +140,14 @@
             withheld_aggregates: self.withheld_aggregates,
             malformed_datagrams: self.malformed_datagrams,
             fencing_guard: std::mem::take(&mut self.fencing_guard),
-            // The engine goes by this until it is told otherwise.
+            // What the engine uses until the next change is reported.
             reported_active_members: self.reported_active_members,
             ..fresh
         };
         events::process_rejoined(log);
     }
 
-    /// Handles a datagram of the scheduler `from`. `None`: it is none of the cluster's.
+    /// Handles a datagram of the scheduler `from`. `None`: its kind is not one of [`DatagramKind`].
     pub fn handle_message(&mut self, from: u16, datagram: &[u8]) -> Option<Received> {
         let (kind, payload) = DatagramKind::split(datagram)?;
         match kind {
@@ -200,57 +204,45 @@
             self.rejoin(log);
         }
         self.membership.handle_timeout(millis(now));
-        self.carry_out(socket, log);
+        self.execute_commands(socket, log);
         self.leases.handle_timeout(now);
-        self.carry_out(socket, log);
+        self.execute_commands(socket, log);
         let next = self.membership.next_timeout().min(millis(self.leases.next_timeout(now)));
         (next - millis(now)).clamp(MIN_TIMEOUT, MAX_TIMEOUT)
     }
 
-    /// Carries out the commands of membership and leases.
-    pub fn carry_out(&mut self, socket: &PeerSocket, log: &Logger) {
-        let mut changed = false;
+    /// Executes the commands of membership and leases.
+    pub fn execute_commands(&mut self, socket: &PeerSocket, log: &Logger) {
+        let mut members_changed = false;
         while let Some(command) = self.membership.poll_command() {
-            changed |= self.carry_out_membership(command, socket, log);
+            members_changed |=
+                matches!(command, MembershipCommand::MemberUp(_) | MembershipCommand::MemberDown(_));
+            self.execute_membership_command(command, socket, log);
         }
-        if changed {
+        if members_changed {
             self.leases.set_alive_members(self.membership.active_members());
         }
         while let Some(command) = self.leases.poll_command() {
-            self.carry_out_leases(command, socket, log);
+            self.execute_lease_command(command, socket, log);
         }
     }
 
-    /// Returns whether the live members have changed.
-    fn carry_out_membership(
-        &mut self,
-        command: MembershipCommand,
-        socket: &PeerSocket,
-        log: &Logger,
-    ) -> bool {
+    fn execute_membership_command(&mut self, command: MembershipCommand, socket: &PeerSocket, log: &Logger) {
         match command {
             MembershipCommand::Send { to, bytes } => {
                 DatagramKind::Membership.send(socket, Some(to), &bytes);
-                false
-            }
-            MembershipCommand::MemberUp(process) => {
-                events::member_up(log, process);
-                true
-            }
-            MembershipCommand::MemberDown(process) => {
-                events::member_down(log, process);
-                true
             }
+            MembershipCommand::MemberUp(process) => events::member_up(log, process),
+            MembershipCommand::MemberDown(process) => events::member_down(log, process),
             MembershipCommand::Superseded => {
                 events::process_superseded(log);
                 self.leases.leave(micros());
                 self.superseded_at = Some(micros());
-                false
             }
         }
     }
 
-    fn carry_out_leases(&mut self, command: Command, socket: &PeerSocket, log: &Logger) {
+    fn execute_lease_command(&mut self, command: Command, socket: &PeerSocket, log: &Logger) {
         match command {
             Command::Send { to, message } => self.send_lease_message(Some(to), &message, socket, log),
             Command::Broadcast(message) => self.send_lease_message(None, &message, socket, log),
@@ -270,8 +262,8 @@
         }
     }
 
-    /// Stores the latest epoch if there is a state directory. Returns whether messages may be sent: without its disk a
-    /// process takes no part in the cluster, and serves on.
+    /// Stores the latest epoch if there is a state directory. Returns whether lease messages may be sent: a process that
+    /// can't store its epoch takes no part in leases, and goes on serving jobs.
     fn store_epoch(&mut self, log: &Logger) -> bool {
         let Some(store) = &mut self.epoch_store else { return true };
         let stored = store.store(self.leases.latest_epoch());
@@ -285,8 +277,8 @@
         !failed
     }
 
-    /// Number of schedulers that share the workers, if it is another than was returned last.
-    pub fn active_members_changed(&mut self) -> Option<u32> {
+    /// Updates the number of schedulers that share the workers. Returns it if it differs from the one returned last.
+    pub fn take_active_member_change(&mut self) -> Option<u32> {
         let now = micros();
         let listed = if self.superseded_at.is_some() { None } else { self.leases.active_member_count(now) };
         let count = self.active_members.update(now, listed);
@@ -294,19 +286,20 @@
         (previous != count).then_some(count as u32)
     }
 
-    /// The process stops: it gives its leases back, and tells the others that it leaves.
+    /// Leaves the cluster at a graceful shutdown: gives all leases but the member lease back, and announces to the others
+    /// that this process leaves.
     pub fn leave(&mut self, socket: &PeerSocket, log: &Logger) {
         let now = micros();
         self.leaving = true;
         self.leases.leave(now);
         self.membership.leave(millis(now));
-        self.carry_out(socket, log);
+        self.execute_commands(socket, log);
     }
 
-    /// Gives the member lease back: nothing that this process does has to be waited for any more.
+    /// Gives the member lease back, once this process starts no attempts any more.
     pub fn release_member_lease(&mut self, socket: &PeerSocket, log: &Logger) {
         self.leases.release_member_lease();
-        self.carry_out(socket, log);
+        self.execute_commands(socket, log);
     }
 
     /// This process.
@@ -319,7 +312,7 @@
         self.leases.member_list()
     }
 
-    /// Until when this process may count on being in the member list.
+    /// When this process's member lease expires: until then it may count on being in the member list.
     pub fn member_lease(&self) -> Option<Micros> {
         self.leases.member_lease(micros())
     }
@@ -329,26 +322,26 @@
         self.leases.holds_lease(micros(), role)
     }
 
-    /// The holder of a role, as known last.
+    /// The holder of a role as far as this process knows.
     pub fn role_holder(&self, role: Role) -> Option<ProcessId> {
         let own = self.holds_lease(role).map(|_| self.me());
         own.or_else(|| self.leases.role_holder(role).map(|known| known.holder))
     }
 
-    /// Sends all other schedulers the aggregated loads, if this process is the aggregator at this moment.
+    /// Sends the aggregated loads to all other schedulers, if this process is the aggregator at this moment.
     pub fn broadcast_aggregated_loads(&mut self, socket: &PeerSocket, text: &str) {
         let Some(term) = self.holds_lease(roles::AGGREGATOR) else {
             self.withheld_aggregates += 1;
             return;
         };
-        // One byte tells the datagram's kind.
+        // One byte of the datagram states its kind.
         let max_length = MAX_DATAGRAM_LENGTH - 1 - FencingToken::MAX_ENCODED_LENGTH;
         for part in split_aggregated_loads(text, max_length) {
             self.broadcast_fenced(socket, roles::AGGREGATOR, term, part.as_bytes());
         }
     }
 
-    /// Sends all other schedulers a message in a role. `term`: under which the role was found held just now.
+    /// Sends a message in a role to all other schedulers. `term`: what [`Cluster::holds_lease`] has just returned.
     pub fn broadcast_fenced(&self, socket: &PeerSocket, role: Role, term: Term, payload: &[u8]) {
         let token = FencingToken { holder: self.me(), role, term };
         DatagramKind::Fenced.send(socket, None, &token.encode_message(payload));
--- a/crates/daemon/src/net/cluster/settings.rs
+++ b/crates/daemon/src/net/cluster/settings.rs
@@ -1,14 +1,15 @@
-//! The times of leases, from the operators' settings.
+//! Durations of leases, scaled to the operators' lease duration.
 
 use super::roles;
 use brackenledge_leases::{Micros, Settings};
 use brackenledge_protocol::operations::Operations;
 
-/// Length of a member lease at the default length of the leader's. Longer than a leader takes to be replaced (1.6 to
-/// 2.2 s), or failover would pause with each leader that is lost; the jobs of a lost scheduler wait for so long.
+/// Duration of a member lease at the default duration of the leader's lease. Longer than it takes to replace a leader (1.6
+/// to 2.2 s), or failover would pause with each lost leader; no longer than needed, since the jobs of a lost scheduler
+/// wait until its member lease has expired.
 const DEFAULT_MEMBER_LEASE: Micros = 2_300_000;
 
-/// The settings of a cluster of this size. All times keep their ratio to the length of the leader's lease.
+/// The settings of a cluster of this size. All durations keep their ratio to that of the leader's lease.
 pub fn lease_settings(cluster_size: u16, operations: &Operations) -> Settings {
     let default = Settings::new(cluster_size, roles::count(operations));
     let scaled = |time: Micros| {
--- a/crates/daemon/src/net/events.rs
+++ b/crates/daemon/src/net/events.rs
@@ -49,7 +49,7 @@
         let Some(peer) = &mut self.peer else { return };
         peer_dispatch::dispatch_datagrams(peer, cx);
         let Some(cluster) = cx.cluster.as_mut() else { return };
-        cluster.carry_out(peer, cx.log);
+        cluster.execute_commands(peer, cx.log);
         if let Some(job_failover) = cx.job_failover.as_mut() {
             job_failover.sync(cluster);
         }
@@ -108,7 +108,7 @@
         let cx = &mut context!(self);
         let (Some(cluster), Some(peer)) = (cx.cluster.as_mut(), &self.peer) else { return };
         let wait = cluster.handle_timeout(peer, cx.log);
-        if let Some(active_members) = cluster.active_members_changed() {
+        if let Some(active_members) = cluster.take_active_member_change() {
             cx.engine.set_active_schedulers(active_members);
         }
         if let Some(job_failover) = cx.job_failover.as_mut() {
