Admin endpoint and peer links accept by one function; links in short steps

Cause: which errors of accept are transient stood twice; accepting an admin client, the timeouts of peer links and the replacement of a peer's older connection were parts of longer functions with one-letter names; remove and drop_connection did not say which of them tells failover. The comment on descriptors said that the poll reports waiting connections again, which an edge-triggered poll does not. Change: listener::accept_next; add_client, replace_older_connection, close_obsolete, connect_missing; close (failover is told) and remove. Behaviour is the same.

--- a/crates/daemon/src/net/admin_endpoint.rs
+++ b/crates/daemon/src/net/admin_endpoint.rs
@@ -9,12 +9,12 @@
 use super::buffered_stream::BufferedStream;
 use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive};
+use super::listener::accept_next;
 use brackenledge_discovery::Availability;
 use brackenledge_engine::stats::{Gauges, render_lines};
 use brackenledge_protocol::control::{self, Call, LineError, Parsed};
-use mio::net::TcpListener;
+use mio::net::{TcpListener, TcpStream};
 use slab::Slab;
-use std::io::ErrorKind;
 use std::rc::Rc;
 
 /// A client that does not read its reply is closed this long, in milliseconds, after the timeout for its line.
@@ -29,9 +29,9 @@
 struct AdminClient {
     stream: BufferedStream,
     accepted_at: Millis,
-    /// Its place in the order of arrival: clients accepted in one turn have the same time.
+    /// Its place in the order of arrival, since clients accepted in one turn have the same `accepted_at`.
     serial: u64,
-    /// The reply is written: nothing more is read.
+    /// The reply is in the output buffer: further input is discarded.
     replied: bool,
     class_names: Rc<[String]>,
 }
@@ -43,26 +43,26 @@
     }
 
     /// The lines of `INFO`.
-    fn figures(&self, cx: &Context) -> Vec<String> {
+    fn info_lines(&self, cx: &Context) -> Vec<String> {
         let Availability { listed, ready } = cx.endpoints.availability();
         let gauges = Gauges {
             pending_jobs: cx.engine.pending_jobs(),
             endpoints: listed,
             unready_endpoints: listed - ready,
         };
-        let mut figures = render_lines(cx.engine.stats(), &self.class_names, &gauges);
+        let mut lines = render_lines(cx.engine.stats(), &self.class_names, &gauges);
         if let Some(job_failover) = cx.job_failover.as_ref() {
-            figures.extend(job_failover.figures(&self.class_names));
+            lines.extend(job_failover.figures(&self.class_names));
         }
-        figures
+        lines
     }
 
+    /// Executes a call and returns its reply.
     fn execute(&mut self, call: Call, cx: &mut Context) -> String {
         match call {
-            // Yes once discovery has sent a list, or the cached list names a ready endpoint.
             Call::Ping if cx.endpoints.can_serve() => "done yes\n".into(),
             Call::Ping => "done no\n".into(),
-            Call::Info => lines_reply(self.figures(cx)),
+            Call::Info => lines_reply(self.info_lines(cx)),
             Call::Members => match cx.cluster {
                 Some(cluster) => lines_reply(cluster.members_lines()),
                 None => CLUSTER_IS_OFF.into(),
@@ -112,14 +112,14 @@
             }
             // A second line after the reply gets no error: nothing follows a reply.
             Parsed::Rejected(_) if self.replied => {}
-            Parsed::Rejected(refusal) => self.reply(&control::error_reply(refusal)),
+            Parsed::Rejected(error) => self.reply(&control::error_reply(error)),
         }
         self.stream.buffer.consume(used);
         Flow::Keep
     }
 
-    /// A client that ends its sending ends its line: it gets its reply as far as the socket accepts it now, since
-    /// the connection closes after this.
+    /// The end of the input ends the line too. The reply is written as far as the socket accepts it now, since the
+    /// connection closes after this.
     fn on_end(&mut self, cx: &mut Context) {
         let input = self.stream.buffer.input();
         if self.replied || input.is_empty() {
@@ -127,7 +127,7 @@
         }
         let reply = match control::parse_line(input, true) {
             Parsed::Call(call) => self.execute(call, cx),
-            Parsed::Rejected(refusal) => control::error_reply(refusal),
+            Parsed::Rejected(error) => control::error_reply(error),
             Parsed::Partial => return,
         };
         let used = self.stream.buffer.input().len();
@@ -175,43 +175,44 @@
         &mut self.listener
     }
 
-    /// Accepts the clients that wait. Where all places are taken, the oldest client is closed.
+    /// Accepts the clients that wait.
     pub fn accept(&mut self, cx: &mut Context) {
         loop {
-            let stream = match self.listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {
-                    continue;
-                }
+            match accept_next(&self.listener) {
+                Ok(Some(stream)) => self.add_client(stream, cx),
+                Ok(None) => return,
                 // Out of descriptors: closing one makes room, and the next sweep accepts again.
                 Err(_) => {
                     self.close_oldest(cx);
                     return;
                 }
-            };
-            if self.clients.len() >= self.max_clients {
-                self.close_oldest(cx);
-            }
-            self.accepted += 1;
-            let entry = self.clients.vacant_entry();
-            let at = entry.key();
-            let client = entry.insert(AdminClient {
-                stream: BufferedStream::new(stream),
-                accepted_at: cx.now,
-                serial: self.accepted,
-                replied: false,
-                class_names: Rc::clone(&self.class_names),
-            });
-            if cx.event_loop.watch(&mut client.stream.socket, Owner::AdminClient(at)).is_err() {
-                self.clients.remove(at);
-                continue;
             }
-            // Input that came with the connection is answered in this turn.
-            self.on_ready(at, cx);
         }
     }
 
+    /// Adds a client. Where there are `max_clients` already, the oldest one is closed.
+    fn add_client(&mut self, stream: TcpStream, cx: &mut Context) {
+        if self.clients.len() >= self.max_clients {
+            self.close_oldest(cx);
+        }
+        self.accepted += 1;
+        let entry = self.clients.vacant_entry();
+        let at = entry.key();
+        let client = entry.insert(AdminClient {
+            stream: BufferedStream::new(stream),
+            accepted_at: cx.now,
+            serial: self.accepted,
+            replied: false,
+            class_names: Rc::clone(&self.class_names),
+        });
+        if cx.event_loop.watch(&mut client.stream.socket, Owner::AdminClient(at)).is_err() {
+            self.clients.remove(at);
+            return;
+        }
+        // Input that came with the connection is answered in this turn.
+        self.on_ready(at, cx);
+    }
+
     fn close_oldest(&mut self, cx: &mut Context) {
         let oldest = self.clients.iter().min_by_key(|(_, client)| client.serial).map(|(at, _)| at);
         if let Some(at) = oldest {
@@ -229,18 +230,19 @@
         }
     }
 
-    /// Closes the clients whose time is up: those without a whole line, and those that leave their reply unread.
+    /// Closes the clients that have not sent a whole line in time, and those that have not read their reply in time.
     pub fn sweep(&mut self, cx: &mut Context) {
-        let (now, line_timeout) = (cx.now, self.line_timeout);
-        let unread_timeout = line_timeout + UNREAD_REPLY_TIMEOUT;
-        let late: Vec<usize> = (self.clients.iter())
-            .filter(|(_, c)| now >= c.accepted_at + if c.replied { unread_timeout } else { line_timeout })
-            .map(|(at, _)| at)
-            .collect();
+        let line_timeout = self.line_timeout;
+        let is_late = |client: &AdminClient| {
+            let reply_timeout = if client.replied { UNREAD_REPLY_TIMEOUT } else { 0.0 };
+            cx.now >= client.accepted_at + (line_timeout + reply_timeout)
+        };
+        let late: Vec<usize> =
+            self.clients.iter().filter(|(_, client)| is_late(client)).map(|(at, _)| at).collect();
         for at in late {
             let client = &mut self.clients[at];
             if !client.replied {
-                // Written if the socket accepts it; either way the connection ends.
+                // Written as far as the socket accepts it now: the connection closes in any case.
                 client.reply(&control::error_reply(LineError::TooSlow));
                 let _ = client.stream.flush();
             }
--- a/crates/daemon/src/net/listener.rs
+++ b/crates/daemon/src/net/listener.rs
@@ -1,11 +1,11 @@
-//! TCP listeners.
+//! TCP listeners: how they are bound, and how connections are accepted on them.
 
-use mio::net::TcpListener;
+use mio::net::{TcpListener, TcpStream};
 use socket2::{Domain, Socket, Type};
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
-/// Connections that wait to be accepted: many new clients may come at once.
+/// Most connections that wait to be accepted: many new clients may come at once.
 const LISTEN_BACKLOG: i32 = 1_024;
 
 /// Whether another process may listen on the same address.
@@ -29,3 +29,17 @@
     socket.listen(LISTEN_BACKLOG)?;
     Ok(TcpListener::from_std(socket.into()))
 }
+
+/// Accepts the next connection that waits. `None`: none does. After an error, mostly for want of file descriptors, the
+/// connections go on waiting, and the poll does not report them again.
+pub fn accept_next(listener: &TcpListener) -> io::Result<Option<TcpStream>> {
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => return Ok(Some(stream)),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(None),
+            // The client closed the connection before it was accepted.
+            Err(error) if matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
--- a/crates/daemon/src/net/peer_links.rs
+++ b/crates/daemon/src/net/peer_links.rs
@@ -1,19 +1,19 @@
-//! Connections between schedulers, for what does not fit a datagram. Of two schedulers the one with the lower ordinal
-//! connects. A connection that is lost is made again, and the sessions of `brackenledge-failover` send again on it what
-//! had not arrived.
+//! Connections between schedulers, for messages that do not fit a datagram. Of two schedulers the one with the lower
+//! ordinal connects, and connects again after a connection was lost. The sessions of `brackenledge-failover` retransmit
+//! on the new connection what had not arrived.
 
 use super::Context;
 use super::buffered_stream::BufferedStream;
 use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive, push_out};
 use super::job_failover::{JobFailover, LinkError};
+use super::listener::accept_next;
 use brackenledge_failover::{Frame, MAX_FRAME_LEN, ProcessId};
 use mio::net::{TcpListener, TcpStream};
 use slab::Slab;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 
-/// Bytes of output beyond which no further frame is encoded: what a peer does not read waits in its session.
+/// Bytes of output beyond which no further frame is encoded. Frames that the peer has not room for wait in its session.
 const MAX_OUTPUT: usize = 256 * 1024;
 /// Room for input beyond one frame of the greatest length, in bytes.
 const INPUT_MARGIN: usize = 64 * 1024;
@@ -21,12 +21,12 @@
 const RECONNECT_INTERVAL: Millis = 200.0;
 /// A connection whose peer has not identified itself by then is closed.
 const IDENTIFICATION_TIMEOUT: Millis = 1_000.0;
-/// Most connections beside one for each scheduler: those whose peers have not identified themselves.
+/// Most connections beyond one for each scheduler, for peers that have not identified themselves yet.
 const MAX_UNIDENTIFIED: usize = 16;
-/// Ends each frame.
+/// The byte that ends each frame.
 const FRAME_END: u8 = 0;
 
-/// Why a connection is to be closed after a frame.
+/// Why a frame closes its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CloseReason {
     /// The frame violates the protocol.
@@ -48,12 +48,13 @@
 struct PeerConnection {
     stream: BufferedStream,
     connecting: bool,
-    since: Millis,
+    /// When it was dialed or accepted.
+    opened_at: Millis,
     /// The ordinal that we connected to; `None`: the peer connected.
     dialed: Option<u16>,
     /// The peer, once it has identified itself.
     peer: Option<ProcessId>,
-    /// Schedulers in the cluster.
+    /// Number of schedulers in the settings.
     cluster_size: usize,
     /// Our own identity when the connection was made.
     local: ProcessId,
@@ -83,7 +84,7 @@
         if !is_other || self.dialed.is_some_and(|dialed| dialed != from.ordinal) {
             return Err(CloseReason::ProtocolError);
         }
-        // Of two processes with one ordinal the older one is not accepted.
+        // Of two processes with one ordinal only the newer one is accepted.
         let resume = job_failover.accept_peer(from, zone).ok_or(CloseReason::Obsolete)?;
         self.peer = Some(from);
         self.send(&resume);
@@ -142,18 +143,17 @@
     listener: TcpListener,
     /// Where each scheduler listens, by ordinal.
     addresses: Vec<SocketAddr>,
-    /// Our ordinal.
-    local: u16,
+    local_ordinal: u16,
     connections: Slab<PeerConnection>,
     /// When each peer was last connected to, by ordinal.
     last_attempts: Vec<Millis>,
 }
 
 impl PeerLinks {
-    /// Links on a listener that is bound already; `addresses` by ordinal, of which ours is `local`.
-    pub fn new(listener: TcpListener, addresses: Vec<SocketAddr>, local: u16) -> PeerLinks {
+    /// Links on a listener that is bound already. `addresses`: where each scheduler listens, by ordinal.
+    pub fn new(listener: TcpListener, addresses: Vec<SocketAddr>, local_ordinal: u16) -> PeerLinks {
         let last_attempts = vec![f64::NEG_INFINITY; addresses.len()];
-        PeerLinks { listener, addresses, local, connections: Slab::new(), last_attempts }
+        PeerLinks { listener, addresses, local_ordinal, connections: Slab::new(), last_attempts }
     }
 
     /// The listener, for the poll.
@@ -163,28 +163,22 @@
 
     /// Accepts the connections that wait.
     pub fn accept(&mut self, cx: &mut Context) {
-        loop {
-            match self.listener.accept() {
-                Ok((stream, _)) => {
-                    if self.connections.len() < self.addresses.len() + MAX_UNIDENTIFIED {
-                        self.add(stream, None, cx);
-                    }
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                // Out of descriptors: the poll reports again while connections wait, and they are accepted then.
-                Err(_) => return,
+        // Out of descriptors, connections wait until the next one comes: a peer that gets no answer connects again.
+        while let Ok(Some(stream)) = accept_next(&self.listener) {
+            if self.connections.len() < self.addresses.len() + MAX_UNIDENTIFIED {
+                self.open(stream, None, cx);
             }
         }
     }
 
-    fn add(&mut self, stream: TcpStream, dialed: Option<u16>, cx: &mut Context) {
+    /// Opens a connection on a stream that was accepted, or dialed to the ordinal `dialed`.
+    fn open(&mut self, stream: TcpStream, dialed: Option<u16>, cx: &mut Context) {
         let Some(job_failover) = cx.job_failover else { return };
         let connecting = dialed.is_some();
         let mut connection = PeerConnection {
             stream: BufferedStream::new(stream),
             connecting,
-            since: cx.now,
+            opened_at: cx.now,
             dialed,
             peer: None,
             cluster_size: self.addresses.len(),
@@ -202,42 +196,60 @@
     /// The poll reports an event of a connection.
     pub fn on_ready(&mut self, at: usize, cx: &mut Context) {
         let Some(connection) = self.connections.get_mut(at) else { return };
-        let peer_before = connection.peer;
+        let was_identified = connection.peer.is_some();
         let flow = drive(connection, cx);
-        let peer = connection.peer;
-        if let (None, Some(peer)) = (peer_before, peer) {
-            // The newest connection of a peer counts: the one before is lost, whether that has been noticed or not.
-            let same = |c: &PeerConnection| c.peer.is_some_and(|other| other.ordinal == peer.ordinal);
-            let old = self.connections.iter().find(|(other, c)| *other != at && same(c)).map(|c| c.0);
-            if let Some(old) = old {
-                self.drop_connection(old, cx);
-            }
+        if let (false, Some(peer)) = (was_identified, connection.peer) {
+            self.replace_older_connection(peer, at, cx);
         }
         match flow {
             Flow::Keep => {}
             Flow::Again => cx.event_loop.call_again(Owner::PeerLink(at)),
-            Flow::Close => self.remove(at, cx),
+            Flow::Close => self.close(at, cx),
         }
     }
 
-    /// Makes connections that are missing, and closes those whose peers did not identify themselves.
+    /// A peer has identified itself on its newest connection: the one before, if any, is lost, noticed or not.
+    fn replace_older_connection(&mut self, peer: ProcessId, newest: usize, cx: &mut Context) {
+        let is_same_peer =
+            |connection: &PeerConnection| connection.peer.is_some_and(|other| other.ordinal == peer.ordinal);
+        let mut connections = self.connections.iter();
+        let older = connections.find(|(at, connection)| *at != newest && is_same_peer(connection));
+        if let Some((at, _)) = older {
+            self.remove(at, cx);
+        }
+    }
+
+    /// Closes connections that are of no use, and connects to peers that are not connected.
     pub fn handle_timeout(&mut self, cx: &mut Context) {
         let Some(local) = cx.job_failover.as_ref().map(JobFailover::local) else { return };
-        // And those that were made under another incarnation of ours.
-        let late = |c: &PeerConnection| {
-            c.peer.is_none() && cx.now >= c.since + IDENTIFICATION_TIMEOUT || c.local != local
+        self.close_obsolete(local, cx);
+        self.connect_missing(cx);
+    }
+
+    /// Closes connections whose peers did not identify themselves in time, and those that were opened under an earlier
+    /// incarnation of this process.
+    fn close_obsolete(&mut self, local: ProcessId, cx: &mut Context) {
+        let is_obsolete = |connection: &PeerConnection| {
+            let is_late = cx.now >= connection.opened_at + IDENTIFICATION_TIMEOUT;
+            (connection.peer.is_none() && is_late) || connection.local != local
         };
-        let late: Vec<usize> = self.connections.iter().filter(|(_, c)| late(c)).map(|(at, _)| at).collect();
-        late.into_iter().for_each(|at| self.remove(at, cx));
-        for other in (self.local + 1)..self.addresses.len() as u16 {
-            let connected = self.connections.iter().any(|(_, c)| c.dialed == Some(other));
-            let at = usize::from(other);
-            if connected || cx.now < self.last_attempts[at] + RECONNECT_INTERVAL {
+        let connections = self.connections.iter();
+        let obsolete: Vec<usize> =
+            connections.filter(|(_, connection)| is_obsolete(connection)).map(|(at, _)| at).collect();
+        obsolete.into_iter().for_each(|at| self.close(at, cx));
+    }
+
+    /// Connects to the schedulers of higher ordinals that are not connected.
+    fn connect_missing(&mut self, cx: &mut Context) {
+        for peer in (self.local_ordinal + 1)..self.addresses.len() as u16 {
+            let is_dialed = self.connections.iter().any(|(_, connection)| connection.dialed == Some(peer));
+            let index = usize::from(peer);
+            if is_dialed || cx.now < self.last_attempts[index] + RECONNECT_INTERVAL {
                 continue;
             }
-            self.last_attempts[at] = cx.now;
-            if let Ok(stream) = TcpStream::connect(self.addresses[at]) {
-                self.add(stream, Some(other), cx);
+            self.last_attempts[index] = cx.now;
+            if let Ok(stream) = TcpStream::connect(self.addresses[index]) {
+                self.open(stream, Some(peer), cx);
             }
         }
     }
@@ -259,22 +271,24 @@
                 closed.push(at);
             }
         }
-        closed.into_iter().for_each(|at| self.remove(at, cx));
+        closed.into_iter().for_each(|at| self.close(at, cx));
     }
 
     /// Whether all output is written.
     pub fn is_flushed(&self) -> bool {
-        self.connections.iter().all(|(_, c)| c.stream.buffer.output().is_empty())
+        self.connections.iter().all(|(_, connection)| connection.stream.buffer.output().is_empty())
     }
 
-    fn remove(&mut self, at: usize, cx: &mut Context) {
+    /// Closes a connection, and tells failover that the peer has no link.
+    fn close(&mut self, at: usize, cx: &mut Context) {
         if let (Some(peer), Some(job_failover)) = (self.connections[at].peer, cx.job_failover.as_mut()) {
             job_failover.link_closed(peer);
         }
-        self.drop_connection(at, cx);
+        self.remove(at, cx);
     }
 
-    fn drop_connection(&mut self, at: usize, cx: &mut Context) {
+    /// Closes a connection without telling failover, for which the peer's link goes on.
+    fn remove(&mut self, at: usize, cx: &mut Context) {
         let mut connection = self.connections.remove(at);
         deregister(&mut connection.stream, cx.event_loop);
     }
