Daemon: try_finish, one lookup of a prior attempt's worker, first sentences

Cause: is_finished also accepted connections and gave a lease back; an Option of an Option stood for a worker that is not known; the sender of a datagram was found in two steps; pages of the sockets and drivers began with what a stranger does not understand. Datagrams, requests and log events are the same.

--- a/crates/daemon/src/net/buffered_stream.rs
+++ b/crates/daemon/src/net/buffered_stream.rs
@@ -1,4 +1,4 @@
-//! A socket with its input and output buffers.
+//! A non-blocking TCP socket with its input and output buffers, as all connections of the event loop have it.
 
 use brackenledge_protocol::http::Buffer;
 use mio::net::TcpStream;
@@ -43,12 +43,12 @@
         StreamState::Open
     }
 
-    /// Whether nothing has arrived, not even the connection's end, which the poll may not have reported yet.
+    /// Whether neither bytes nor the connection's end have arrived, also if the poll has not reported them yet.
     pub fn has_nothing_to_read(&self) -> bool {
         matches!(self.socket.peek(&mut [0; 1]), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Writes as much output as the socket takes; whether that is all.
+    /// Writes as much output as the socket accepts. Returns whether that is all.
     pub fn flush(&mut self) -> io::Result<bool> {
         while !self.buffer.output().is_empty() {
             match self.socket.write(self.buffer.output()) {
--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -1,4 +1,4 @@
-//! Carries out the commands of the engine, discovery and failover.
+//! Executes the commands of the engine, discovery and failover.
 
 use super::backend::Attempt;
 use super::discovery;
@@ -15,7 +15,7 @@
 const ID_IN_USE_RETRY_AFTER_MS: u32 = 1_000;
 
 impl Scheduler<'_> {
-    /// Carries out the commands of all state machines until none is left, then flushes what is sent in batches.
+    /// Executes the commands of all state machines until none is left, then flushes what is sent in batches.
     pub(super) fn settle(&mut self) {
         loop {
             // Changes of endpoints go first: a job must not be sent by an outdated status.
@@ -92,17 +92,21 @@
     ) {
         let cx = &mut context!(self);
         let Some(job_failover) = cx.job_failover.as_mut() else { return };
-        let worker = prior.as_ref().map(|prior| cx.endpoints.find(&prior.worker));
-        // A retry may only go to the earlier attempt's worker, and that is not known here: there can be none.
-        if worker == Some(None) {
-            job_failover.job_not_admitted(&key, JobOutcome::Failed);
-            return;
-        }
-        let prior_attempt = worker.flatten().zip(prior).map(|(worker, prior)| (worker, prior.max_age));
+        let prior_attempt = match prior {
+            None => None,
+            Some(prior) => {
+                let Some(worker) = cx.endpoints.find(&prior.worker) else {
+                    // A retry may only go to the worker of the earlier attempt, which is not known here.
+                    job_failover.job_not_admitted(&key, JobOutcome::Failed);
+                    return;
+                };
+                Some((worker, prior.max_age))
+            }
+        };
         let submitted = submitted.map(|submitted| job_failover::with_prior_attempt(submitted, prior_attempt));
         match submitted.and_then(|submitted| cx.engine.submit_job(cx.now, submitted)) {
             Some(job) => job_failover.job_admitted(key, job),
-            // Its request's id is open here: it may be submitted again.
+            // Another open job has its request id; the client may submit it again.
             None => {
                 job_failover.job_not_admitted(&key, JobOutcome::Rejected(Some(ID_IN_USE_RETRY_AFTER_MS)));
             }
@@ -171,7 +175,7 @@
         }
     }
 
-    /// Sends a text to one scheduler, or to all. The aggregator's loads for all go fenced by its role's lease.
+    /// Sends a text to one scheduler, or to all others. Aggregated loads for all are sent as a fenced message.
     fn send_to_peers(&mut self, to: Option<u32>, text: &str) {
         let Some(peer) = &self.peer else { return };
         match &mut self.cluster {
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -1,4 +1,5 @@
-//! Requests to the discovery service on sockets, as the endpoint directory asks for them, and its events in the log.
+//! Endpoint discovery on sockets: the driver of the crate `discovery`. It opens the requests that the endpoint directory
+//! asks for, decodes their responses for it, and writes its events to the log.
 
 use super::Context;
 use super::buffered_stream::BufferedStream;
@@ -13,9 +14,9 @@
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
 
-/// A list is read as it comes, so that its size is bounded only against a response that never ends.
+/// Upper limit of a response's body. Lists are decoded as they arrive, so it bounds only a response that never ends.
 const MAX_LIST_BYTES: usize = 256 * 1024 * 1024;
-/// Input held before it is read on.
+/// Most input of a body that is buffered before it is decoded.
 const MAX_INPUT_BYTES: usize = 64 * 1024;
 const STATUS_OK: u16 = 200;
 /// The index of a zone or machine kind that the settings do not name.
@@ -50,7 +51,7 @@
     index.map_or(UNKNOWN_PLACEMENT, |index| index as u32)
 }
 
-/// The readiness that a status stands for. One that the protocol does not name is no leave to send work.
+/// The readiness that a status stands for. An endpoint whose status is unknown must get no new work.
 fn readiness(status: Option<&str>) -> Readiness {
     match status {
         None | Some("ready") => Readiness::Ready,
@@ -73,7 +74,7 @@
 }
 
 impl Request {
-    /// Ends the request this way.
+    /// Sets how the request ends, and closes its connection.
     fn close(&mut self, end: RequestEnd) -> Flow {
         self.end = end;
         Flow::Close
@@ -149,7 +150,7 @@
         self.read_body(cx)
     }
 
-    // What a list said before its connection ended has been read.
+    // All entries that arrived before the end have been decoded.
     fn on_end(&mut self, _: &mut Context) {}
 
     fn max_input(&self) -> usize {
@@ -161,7 +162,7 @@
 pub struct DiscoveryConnections {
     address: SocketAddr,
     requests: Slab<Request>,
-    /// When the alarm for the endpoint directory is set.
+    /// When the earliest alarm for the endpoint directory is due.
     armed_for: Millis,
 }
 
@@ -170,8 +171,8 @@
         DiscoveryConnections { address, requests: Slab::new(), armed_for: Millis::INFINITY }
     }
 
-    /// Discovery has a new address. The old one is about to end its requests, which would be no outage: the watch
-    /// goes on at the new one at once, from the revision that is held.
+    /// Discovery has a new address: a watch is opened there at once, from the revision that is held. The service at the old
+    /// address is expected to end its requests.
     pub fn set_address(&mut self, address: SocketAddr, cx: &mut Context) {
         self.address = address;
         cx.endpoints.handle_address_change(cx.now);
@@ -213,14 +214,14 @@
         Ok(())
     }
 
-    /// Closes a request that is not wanted any more.
+    /// Closes the connection of a request that is not wanted any more.
     pub fn cancel_request(&mut self, id: RequestId, cx: &mut Context) {
         if let Some(at) = self.requests.iter().find(|(_, request)| request.id == id).map(|(at, _)| at) {
             deregister(&mut self.requests.remove(at).stream, cx.event_loop);
         }
     }
 
-    /// The poll has something for a request.
+    /// The poll reports an event of a request's connection.
     pub fn on_ready(&mut self, at: usize, cx: &mut Context) {
         let Some(request) = self.requests.get_mut(at) else { return };
         match drive(request, cx) {
@@ -234,7 +235,7 @@
         }
     }
 
-    /// The endpoint directory's alarm has come due.
+    /// The endpoint directory's alarm is due.
     pub fn on_alarm(&mut self, cx: &mut Context) {
         if cx.now >= self.armed_for {
             self.armed_for = Millis::INFINITY;
@@ -242,7 +243,7 @@
         cx.endpoints.handle_timeout(cx.now);
     }
 
-    /// Keeps an alarm set for whatever the endpoint directory waits for.
+    /// Sets an alarm for the endpoint directory's next timeout, unless one is set for then or earlier.
     pub fn arm(&mut self, cx: &mut Context) {
         let next = cx.endpoints.next_timeout();
         if next < self.armed_for {
@@ -278,6 +279,6 @@
 
 /// Takes a socket off the poll before it is closed.
 pub fn deregister(stream: &mut BufferedStream, event_loop: &EventLoop) {
-    // A socket that the poll does not know any more is closed all the same.
+    // It fails only for a socket that is not on the poll.
     let _ = event_loop.registry().deregister(&mut stream.socket);
 }
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -6,7 +6,7 @@
 //! | `scheduler` | the parts of a scheduler, and the `Context` that callbacks get |
 //! | `event_loop`, `buffered_stream` | the poll, the clock, the alarms; what a connection is |
 //! | `events`, `signals` | hand socket events, alarms and signals to the parts |
-//! | `commands` | carries out the commands of the engine, discovery and failover |
+//! | `commands` | executes the commands of the engine, discovery and failover |
 //! | `counters` | the log's periodic counters |
 //! | `frontend`, `backend`, `discovery` | connections with clients, workers and discovery |
 //! | `admin_endpoint` | the operators' calls |
@@ -65,7 +65,7 @@
             scheduler.on_alarm(alarm);
             scheduler.settle();
         }
-        if scheduler.is_finished() {
+        if scheduler.try_finish() {
             scheduler.log_counters("shutdown_complete");
             return Ok(());
         }
--- a/crates/daemon/src/net/peer_dispatch.rs
+++ b/crates/daemon/src/net/peer_dispatch.rs
@@ -1,4 +1,4 @@
-//! Where the datagrams of other schedulers go: to the cluster, to zone routing, to discovery or to the engine.
+//! Hands the datagrams of other schedulers to the cluster, zone routing, discovery or the engine.
 
 use super::Context;
 use super::cluster::Received;
@@ -25,7 +25,7 @@
     }
 }
 
-/// Texts are discovery's gossip, or loads for the engine. What is no text is ignored.
+/// A text is gossip for discovery, or a load message for the engine. A datagram that is not UTF-8 is ignored.
 fn dispatch_text(from: u32, datagram: &[u8], cx: &mut Context) {
     let Ok(text) = std::str::from_utf8(datagram) else { return };
     if !cx.endpoints.handle_message(cx.now, from, text) {
--- a/crates/daemon/src/net/peer_socket.rs
+++ b/crates/daemon/src/net/peer_socket.rs
@@ -1,10 +1,11 @@
-//! Datagrams between schedulers, over UDP. They may be lost, late, repeated or out of order.
+//! The UDP socket for datagrams between schedulers, which may be lost, late, repeated or out of order.
 
 use brackenledge_protocol::config::PeerConfig;
 use mio::net::UdpSocket;
 use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
 
-/// Upper limit of a datagram in bytes. Longer ones are neither sent nor taken.
+/// Upper limit of a datagram in bytes. Longer ones are neither sent nor received.
 pub const MAX_DATAGRAM_LENGTH: usize = 256;
 
 /// The socket, and the addresses of the other schedulers.
@@ -16,7 +17,7 @@
 
 impl PeerSocket {
     /// Binds the address with SO_REUSEPORT: a process that replaces this one binds it while this one still runs.
-    /// Datagrams are then shared between the two, which the senders take as loss.
+    /// Each datagram then reaches only one of the two, which is a loss to the other.
     pub fn bind(config: PeerConfig, ordinal: u32) -> io::Result<Self> {
         use socket2::{Domain, Socket, Type};
         let socket = Socket::new(Domain::for_address(config.listen), Type::DGRAM, None)?;
@@ -36,7 +37,7 @@
         self.send(to, text.as_bytes());
     }
 
-    /// Sends bytes to one scheduler, or to all others. What the network does not take is lost.
+    /// Sends a datagram to one scheduler, or to all others. One that the socket does not accept is lost.
     pub fn send(&self, to: Option<u32>, bytes: &[u8]) {
         if bytes.len() > MAX_DATAGRAM_LENGTH {
             return;
@@ -45,8 +46,12 @@
             let _ = self.socket.send_to(bytes, address);
         };
         match (to, self.config.broadcast) {
-            (Some(to), _) => self.config.peers.get(to as usize).copied().into_iter().for_each(send),
-            (None, Some(all)) => send(all),
+            (Some(to), _) => {
+                if let Some(&address) = self.config.peers.get(to as usize) {
+                    send(address);
+                }
+            }
+            (None, Some(broadcast_address)) => send(broadcast_address),
             (None, None) => {
                 let peers = self.config.peers.iter().enumerate();
                 let others = peers.filter(|(ordinal, _)| *ordinal != self.ordinal as usize);
@@ -55,29 +60,34 @@
         }
     }
 
-    /// The next datagram of another scheduler, with its ordinal. Senders are known by their addresses: datagrams of
-    /// others are ignored, and so are those that are too long. `None`: nothing more to read.
+    /// The ordinal of the other scheduler that sends from this address.
+    fn peer_at(&self, address: SocketAddr) -> Option<u32> {
+        let ordinal = self.config.peers.iter().position(|&peer| peer == address)? as u32;
+        (ordinal != self.ordinal).then_some(ordinal)
+    }
+
+    /// The next datagram of another scheduler, and that scheduler's ordinal. Datagrams from addresses of no scheduler are
+    /// ignored, and so are those that are too long. `None`: nothing more to read.
     pub fn receive<'a>(&self, buffer: &'a mut ReceiveBuffer) -> Option<(u32, &'a [u8])> {
         loop {
             let (length, sender) = match self.socket.recv_from(&mut buffer.0) {
                 Ok(received) => received,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
-                // That an earlier datagram met a closed port ends one read, not the socket.
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {
+                // A read reports that an earlier datagram was sent to a closed port; the next one may succeed.
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) =>
+                {
                     continue;
                 }
                 Err(_) => return None,
             };
-            let from = self.config.peers.iter().position(|&peer| peer == sender);
-            let other = from.filter(|&from| from != self.ordinal as usize);
-            if let (Some(from), true) = (other, length <= MAX_DATAGRAM_LENGTH) {
-                return Some((from as u32, &buffer.0[..length]));
+            if let (Some(from), true) = (self.peer_at(sender), length <= MAX_DATAGRAM_LENGTH) {
+                return Some((from, &buffer.0[..length]));
             }
         }
     }
 }
 
-/// Room for one datagram, and a byte more: so one that is too long is found out.
+/// Room for the longest datagram and one byte more, which shows that a datagram is too long.
 pub struct ReceiveBuffer([u8; MAX_DATAGRAM_LENGTH + 1]);
 
 impl ReceiveBuffer {
--- a/crates/daemon/src/net/scheduler.rs
+++ b/crates/daemon/src/net/scheduler.rs
@@ -117,9 +117,9 @@
 pub(super) use context;
 
 impl Scheduler<'_> {
-    /// Whether the program may end: the graceful shutdown is far enough, no job is pending, and other schedulers have
-    /// got the last messages or the time for them is over.
-    pub(super) fn is_finished(&mut self) -> bool {
+    /// Ends the graceful shutdown if no job is pending, no connection waits to be accepted, and the last messages to other
+    /// schedulers are sent or their time is over. Returns whether the program may exit.
+    pub(super) fn try_finish(&mut self) -> bool {
         let Some(shutdown) = self.shutdown else { return false };
         if !shutdown.is_closing_connections(self.event_loop.now()) || self.has_pending_work() {
             return false;
--- a/crates/daemon/src/net/signals.rs
+++ b/crates/daemon/src/net/signals.rs
@@ -54,7 +54,7 @@
             self.reload_configuration();
         }
         if self.signals.shutdown.swap(false, Ordering::Relaxed) && self.shutdown.is_none() {
-            // Counted from the signal, and not from the end of a reload beside it.
+            // The time until SIGKILL counts from the signal, not from the end of a reload that came with it.
             self.start_shutdown(Shutdown::new(now, self.max_deadline));
         }
     }
--- a/crates/daemon/src/net/startup.rs
+++ b/crates/daemon/src/net/startup.rs
@@ -71,7 +71,7 @@
 }
 
 impl<'a> Scheduler<'a> {
-    /// Opens all sockets and carries out the first commands.
+    /// Opens all sockets and executes the first commands.
     pub(super) fn start(
         mut config: Config,
         operations: Operations,
