Discovery: what settles an override and what makes a watch work are said once

Cause: two rules that end a status override stood in two files under nearly the same name; three closures of the client, two of them called on_time, asked different things of a watch; a change for peers was put together in two places from tuples. Change: StatusOverride::is_settled_by_entry and is_settled_by_update beside each other, Request::is_unsuspected_watch and is_working_watch, Endpoint::listed_change; the reasons for one more watch have names. Behaviour is the same.

--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -213,10 +213,7 @@
     /// Cancels all watches but one: the one that was just updated, or the oldest that works where the update brought no
     /// new revision.
     fn keep_one_watch(&mut self, now: Millis, updated: RequestId, is_new_revision: bool) {
-        let works = |request: &&mut Request| {
-            request.is_watch() && request.proven && !request.late && !request.address_outdated
-        };
-        let kept = match self.requests.iter_mut().find(works) {
+        let kept = match self.requests.iter_mut().find(|request| request.is_working_watch()) {
             Some(oldest) if !is_new_revision => {
                 oldest.suspected = false;
                 oldest.id
@@ -272,11 +269,10 @@
     }
 
     pub(crate) fn freshness(&self, now: Millis) -> Freshness {
-        let on_time = |request: &Request| {
-            let trusted = request.proven && !request.late && !request.suspected;
-            request.is_watch() && trusted && now < request.late_at(&self.timing)
+        let is_fresh = |request: &Request| {
+            request.is_unsuspected_watch() && request.proven && now < request.late_at(&self.timing)
         };
-        if self.requests.iter().any(on_time) {
+        if self.requests.iter().any(is_fresh) {
             Freshness::Fresh
         } else if now < self.confirmed_at + STALE_AFTER {
             Freshness::Late
@@ -286,10 +282,10 @@
     }
 
     pub(crate) fn next_timeout(&self) -> Millis {
-        let limit = |request: &Request| {
+        let timeout = |request: &Request| {
             if request.late { request.give_up_at(&self.timing) } else { request.late_at(&self.timing) }
         };
-        let mut next = self.requests.iter().map(limit).fold(Millis::INFINITY, Millis::min);
+        let mut next = self.requests.iter().map(timeout).fold(Millis::INFINITY, Millis::min);
         let stale_at = self.confirmed_at + STALE_AFTER;
         if stale_at > self.budget.refilled_at() {
             next = next.min(stale_at);
@@ -310,10 +306,11 @@
     }
 
     fn wants_watch(&self) -> bool {
-        let on_time = |request: &&Request| request.is_watch() && !request.late && !request.suspected;
-        let (open, on_time) = (self.open_watches(), self.requests.iter().filter(on_time).count());
-        self.watching
-            && (open == 0 || on_time == 0 && open < MAX_WATCHES || self.second_watch_requested && open < 2)
+        let open = self.open_watches();
+        let replaces_suspects =
+            !self.requests.iter().any(Request::is_unsuspected_watch) && open < MAX_WATCHES;
+        let checks_the_first = self.second_watch_requested && open < 2;
+        self.watching && (open == 0 || replaces_suspects || checks_the_first)
     }
 
     /// Whether one more request is wanted, as soon as it may be made.
--- a/crates/discovery/src/client/request.rs
+++ b/crates/discovery/src/client/request.rs
@@ -77,6 +77,16 @@
         self.kind == RequestKind::Watch
     }
 
+    /// Whether it is a watch that is neither late nor suspected. It may not have brought anything yet.
+    pub(super) fn is_unsuspected_watch(&self) -> bool {
+        self.is_watch() && !self.late && !self.suspected
+    }
+
+    /// Whether it is a watch that has brought something, is not late, and goes to discovery's present address.
+    pub(super) fn is_working_watch(&self) -> bool {
+        self.is_watch() && self.proven && !self.late && !self.address_outdated
+    }
+
     pub(super) fn is_streaming(&self) -> bool {
         matches!(self.phase, RequestPhase::Streaming { .. })
     }
--- a/crates/discovery/src/endpoint.rs
+++ b/crates/discovery/src/endpoint.rs
@@ -1,7 +1,9 @@
 //! One endpoint: its entry in discovery's list, what overrides that entry, and the status that follows.
 
+use crate::gossip::{EndpointChange, name_tag};
 use crate::rollout::PlacementGroup;
 use crate::signals::{CLEAR_THRESHOLD, DrainEvidence, SUSPECT_THRESHOLD};
+use crate::table::ListUpdate;
 use brackenledge_policy::hashing::hash;
 use brackenledge_policy::{Millis, Readiness};
 use std::fmt;
@@ -87,10 +89,19 @@
 }
 
 impl StatusOverride {
-    /// Whether an entry of a list of this revision is newer than the override.
-    pub(crate) fn is_settled_by(&self, revision: u64) -> bool {
+    /// Whether it ends since a complete update of this revision names its endpoint, or leaves it out of a snapshot.
+    pub(crate) fn is_settled_by_entry(&self, revision: u64) -> bool {
         self.revision <= revision || self.revisions_restarted
     }
+
+    /// Whether it ends since a complete update has come, whatever that says of its endpoint: the list held is as new as
+    /// the override, or it is a snapshot that was requested after the override was received, and revisions have restarted
+    /// meanwhile. A snapshot that is merely older comes from a discovery replica that lags, and settles nothing.
+    pub(crate) fn is_settled_by_update(&self, update: &ListUpdate) -> bool {
+        let is_requested_later = self.received_at < update.requested_at;
+        self.revision <= update.revision
+            || (update.is_snapshot && self.revisions_restarted && is_requested_later)
+    }
 }
 
 /// All that is known of one endpoint.
@@ -172,7 +183,12 @@
         self.evidence.value(now) >= if self.suspected { CLEAR_THRESHOLD } else { SUSPECT_THRESHOLD }
     }
 
-    /// Where its machine stands.
+    /// Its readiness by the list of this revision, as a change for peers.
+    pub(crate) fn listed_change(&self, revision: u64) -> EndpointChange {
+        EndpointChange { tag: name_tag(self.name_hash), readiness: self.record.readiness, revision }
+    }
+
+    /// Its placement group: where its machine stands.
     pub(crate) fn group(&self) -> PlacementGroup {
         PlacementGroup { zone: self.record.zone, kind: self.record.kind }
     }
--- a/crates/discovery/src/table.rs
+++ b/crates/discovery/src/table.rs
@@ -78,8 +78,8 @@
     revision: Option<u64>,
     /// When the revision held arrived.
     revision_at: Millis,
-    /// Complete updates so far.
-    updates: u64,
+    /// Number of complete updates so far.
+    update_count: u64,
     /// Endpoints that are ready by the list.
     listed_ready: usize,
     rollout: RolloutEstimate,
@@ -165,7 +165,7 @@
         update: &ListUpdate,
         records: Vec<EndpointRecord>,
     ) -> Vec<EndpointChange> {
-        self.updates += 1;
+        self.update_count += 1;
         let mut changes: Vec<EndpointChange> =
             records.into_iter().filter_map(|record| self.apply_record(now, update, record)).collect();
         if update.is_snapshot {
@@ -191,13 +191,13 @@
             return None;
         }
         let id = known.unwrap_or_else(|| self.add(now, &record));
-        let updates = self.updates;
+        let update_count = self.update_count;
         let endpoint = self.get_mut(id)?;
-        endpoint.last_update = updates;
+        endpoint.last_update = update_count;
         (endpoint.revision, endpoint.source) = (update.revision, update.source);
         let status_before = endpoint.readiness();
         let override_settled =
-            endpoint.status_override.take_if(|report| report.is_settled_by(update.revision)).is_some();
+            endpoint.status_override.take_if(|report| report.is_settled_by_entry(update.revision)).is_some();
         let record = EndpointRecord { address: record.address.or(endpoint.record.address), ..record };
         if endpoint.record == record && !override_settled && endpoint.evidence.is_negligible(now) {
             return None;
@@ -205,15 +205,15 @@
         let listed_before = endpoint.record.readiness;
         self.replace_record(now, id, record);
         let endpoint = self.get(id)?;
-        let (listed, status, tag) =
-            (endpoint.record.readiness, endpoint.readiness(), name_tag(endpoint.name_hash));
+        let change = endpoint.listed_change(update.revision);
+        let status = endpoint.readiness();
         if known.is_some() {
             let source = StatusChangeSource::Reported(update.source);
             self.status_changes.record(id, status_before, status, source, update.revision);
             self.status_changes.confirm(id, source, update.revision);
         }
-        let changed = listed != listed_before || listed != status_before;
-        changed.then_some(EndpointChange { tag, readiness: listed, revision: update.revision })
+        let changed = change.readiness != listed_before || change.readiness != status_before;
+        changed.then_some(change)
     }
 
     /// Replaces the record of an endpoint. A confirmed list undoes whatever was inferred from signals.
@@ -287,17 +287,18 @@
     fn remove_unnamed(&mut self, now: Millis, update: &ListUpdate) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
         for id in 0..self.endpoints.len() {
-            let updates = self.updates;
+            let update_count = self.update_count;
             let Some(endpoint) = self.get_mut(id) else { continue };
             let listed_before = endpoint.record.readiness;
-            if endpoint.last_update == updates || listed_before == Readiness::Gone {
+            if endpoint.last_update == update_count || listed_before == Readiness::Gone {
                 continue;
             }
             let status_before = endpoint.readiness();
             endpoint.record.readiness = Readiness::Gone;
             (endpoint.listed_since, endpoint.revision) = (now, update.revision);
-            endpoint.status_override.take_if(|report| report.is_settled_by(update.revision));
-            let (group, tag) = (endpoint.group(), name_tag(endpoint.name_hash));
+            endpoint.status_override.take_if(|report| report.is_settled_by_entry(update.revision));
+            let group = endpoint.group();
+            changes.push(endpoint.listed_change(update.revision));
             if endpoint.status_override.is_none() {
                 self.under_review.remove(&id);
             }
@@ -305,7 +306,6 @@
             self.changed.insert(id);
             let source = StatusChangeSource::Reported(update.source);
             self.status_changes.record(id, status_before, Readiness::Gone, source, update.revision);
-            changes.push(EndpointChange { tag, readiness: Readiness::Gone, revision: update.revision });
         }
         changes
     }
--- a/crates/discovery/src/table/overrides.rs
+++ b/crates/discovery/src/table/overrides.rs
@@ -51,21 +51,14 @@
         before == Readiness::Ready
     }
 
-    /// Drops the overrides that a complete update has settled: the list held is as new as they are, or it is a snapshot
-    /// that was asked for after they were received, and revisions have restarted meanwhile. A snapshot that is merely
-    /// older comes from a discovery replica that lags, and settles nothing.
+    /// Drops the overrides that a complete update has settled.
     pub(super) fn settle_overrides(&mut self, update: &ListUpdate) {
-        let settled = |report: &mut StatusOverride| {
-            report.revision <= update.revision
-                || update.is_snapshot
-                    && report.revisions_restarted
-                    && report.received_at < update.requested_at
-        };
         let source = StatusChangeSource::Reported(update.source);
         for id in self.under_review.clone() {
             let Some(endpoint) = self.get_mut(id) else { continue };
             let before = endpoint.readiness();
-            if endpoint.status_override.take_if(settled).is_some() {
+            let settled = endpoint.status_override.take_if(|report| report.is_settled_by_update(update));
+            if settled.is_some() {
                 let after = endpoint.readiness();
                 self.changed.insert(id);
                 self.status_changes.record(id, before, after, source, update.revision);
