Gossip: one step a function, and rumours are no longer walked by index

Cause: handling a message learned, remembered, spread and scheduled a reply in one body; draft_pushes indexed the list of rumours five times, since it borrowed the rest of the state; splitting a draft was nested in the spending of the budget. Change: learn_changes, schedule_reply, encode_draft, is_pending; the rumours are taken out while they are sent. Messages and the order of random numbers are the same.

--- a/crates/discovery/src/gossip.rs
+++ b/crates/discovery/src/gossip.rs
@@ -88,7 +88,7 @@
     known_revision: u64,
     rumours: Vec<Rumour>,
     recent: VecDeque<RecentChange>,
-    /// Replies that are due, by receiver.
+    /// Replies that are due, by receiver: the purpose of the message that is replied to.
     replies: BTreeMap<u32, Purpose>,
     pulls_sent: usize,
     next_pull_at: Millis,
@@ -136,28 +136,40 @@
             return Err(MessageError::OwnMessage);
         }
         self.peer_revisions.insert(from, message.held_revision.max(message.known_revision));
-        let newest = message.changes.iter().map(|change| change.revision).max().unwrap_or(0);
-        if newest > self.known_revision {
-            let is_new = |change: &EndpointChange| change.revision > held_revision;
-            let new_changes: Vec<EndpointChange> = message.changes.iter().copied().filter(is_new).collect();
-            self.known_revision = newest;
-            self.remember(now, &new_changes);
-            if self.schedulers as usize > FANOUT + 1 {
-                self.spread(now, newest, &new_changes);
-            }
-        }
+        self.learn_changes(now, &message.changes, held_revision);
         // Any message ends the pulls after a start.
         self.pulls_sent = PULL_INTERVALS.len();
-        match message.purpose {
+        self.schedule_reply(from, message.purpose);
+        Ok(ReceivedGossip { changes: message.changes, held_revision: message.held_revision })
+    }
+
+    /// Remembers a peer's changes if one of them is newer than any known, and in a large cluster passes them on.
+    fn learn_changes(&mut self, now: Millis, changes: &[EndpointChange], held_revision: u64) {
+        let newest = changes.iter().map(|change| change.revision).max().unwrap_or(0);
+        if newest <= self.known_revision {
+            return;
+        }
+        let is_new = |change: &EndpointChange| change.revision > held_revision;
+        let new_changes: Vec<EndpointChange> = changes.iter().copied().filter(is_new).collect();
+        self.known_revision = newest;
+        self.remember(now, &new_changes);
+        if self.schedulers as usize > FANOUT + 1 {
+            self.spread(now, newest, &new_changes);
+        }
+    }
+
+    /// Schedules the reply that a message of this purpose asks for. The one to a pull, which brings the recent changes,
+    /// serves as the one to a push too.
+    fn schedule_reply(&mut self, to: u32, purpose: Purpose) {
+        match purpose {
             Purpose::Push => {
-                self.replies.entry(from).or_insert(Purpose::Reply);
+                self.replies.entry(to).or_insert(Purpose::Push);
             }
             Purpose::Pull => {
-                self.replies.insert(from, Purpose::Pull);
+                self.replies.insert(to, Purpose::Pull);
             }
             Purpose::Reply => {}
         }
-        Ok(ReceivedGossip { changes: message.changes, held_revision: message.held_revision })
     }
 
     pub(crate) fn next_timeout(&self) -> Millis {
@@ -221,8 +233,8 @@
     }
 
     fn draft_replies(&mut self, drafts: &mut BTreeMap<u32, Draft>) {
-        for (to, asked_by) in std::mem::take(&mut self.replies) {
-            if asked_by == Purpose::Pull {
+        for (to, received) in std::mem::take(&mut self.replies) {
+            if received == Purpose::Pull {
                 let recent = self.recent.iter().rev().map(|recent| recent.change);
                 add_draft(drafts, to, Purpose::Reply, recent);
             } else {
@@ -232,35 +244,28 @@
     }
 
     fn draft_pushes(&mut self, now: Millis, rng: &mut Rng, drafts: &mut BTreeMap<u32, Draft>) {
-        for at in 0..self.rumours.len() {
-            if now < self.rumours[at].next_send_at {
-                continue;
-            }
-            if self.rumours[at].times_sent == 0 {
-                self.rumours[at].receivers = self.random_peers(rng);
+        let mut rumours = std::mem::take(&mut self.rumours);
+        for rumour in rumours.iter_mut().filter(|rumour| now >= rumour.next_send_at) {
+            if rumour.times_sent == 0 {
+                rumour.receivers = self.random_peers(rng);
             }
-            let rumour = &mut self.rumours[at];
             rumour.next_send_at = match PUSH_RETRY_INTERVALS.get(rumour.times_sent) {
                 Some(pause) => now + pause * (1.0 - RETRY_JITTER + 2.0 * RETRY_JITTER * rng.f64()),
                 None => Millis::INFINITY,
             };
             rumour.times_sent += 1;
-            let rumour = &self.rumours[at];
             for &to in rumour.receivers.iter().filter(|&&to| self.lacks(to, rumour.revision)) {
                 add_draft(drafts, to, Purpose::Push, rumour.changes.iter().copied());
             }
         }
-        self.drop_spent_rumours();
+        rumours.retain(|rumour| self.is_pending(rumour));
+        self.rumours = rumours;
     }
 
-    /// Drops rumours that were sent for the last time, or that all their receivers know.
-    fn drop_spent_rumours(&mut self) {
-        let rumours = std::mem::take(&mut self.rumours);
-        let is_live = |rumour: &Rumour| {
-            let unconfirmed = || rumour.receivers.iter().any(|&to| self.lacks(to, rumour.revision));
-            rumour.next_send_at.is_finite() && (rumour.times_sent == 0 || unconfirmed())
-        };
-        self.rumours = rumours.into_iter().filter(is_live).collect();
+    /// Whether a rumour is to be sent again: it was not sent for the last time, and not all its receivers know it.
+    fn is_pending(&self, rumour: &Rumour) -> bool {
+        let is_unconfirmed = rumour.receivers.iter().any(|&to| self.lacks(to, rumour.revision));
+        rumour.next_send_at.is_finite() && (rumour.times_sent == 0 || is_unconfirmed)
     }
 
     /// Whether a peer is not known to have this revision.
@@ -275,24 +280,8 @@
         held_revision: u64,
     ) -> Vec<OutgoingMessage> {
         let mut messages = Vec::new();
-        for (to, mut draft) in drafts {
-            // If not all fit, those that take an endpoint out of use matter more, and of each kind the newest.
-            draft
-                .changes
-                .sort_by_key(|change| (change.readiness == Readiness::Ready, Reverse(change.revision)));
-            let parts: Vec<&[EndpointChange]> = if draft.changes.is_empty() {
-                vec![&[]]
-            } else {
-                draft.changes.chunks(MAX_CHANGES).collect()
-            };
-            for part in parts {
-                let message = Message {
-                    purpose: draft.purpose,
-                    held_revision,
-                    known_revision: self.known_revision,
-                    changes: part.to_vec(),
-                };
-                let text = message.encode();
+        for (to, draft) in drafts {
+            for text in self.encode_draft(draft, held_revision) {
                 let bytes = text.len() as f64;
                 if self.byte_budget.tokens() >= bytes {
                     self.byte_budget.take(bytes);
@@ -303,6 +292,20 @@
         messages
     }
 
+    /// Splits a draft into messages. Changes that take an endpoint out of use come first, and of each kind the newest,
+    /// since the byte budget may not pay for all messages.
+    fn encode_draft(&self, mut draft: Draft, held_revision: u64) -> Vec<String> {
+        draft.changes.sort_by_key(|change| (change.readiness == Readiness::Ready, Reverse(change.revision)));
+        let encode = |changes: &[EndpointChange]| {
+            let (purpose, known_revision) = (draft.purpose, self.known_revision);
+            Message { purpose, held_revision, known_revision, changes: changes.to_vec() }.encode()
+        };
+        if draft.changes.is_empty() {
+            return vec![encode(&[])];
+        }
+        draft.changes.chunks(MAX_CHANGES).map(encode).collect()
+    }
+
     /// All peers, or some of them at random where they are many.
     fn random_peers(&self, rng: &mut Rng) -> Vec<u32> {
         let mut peers: Vec<u32> = (0..self.schedulers).filter(|&peer| peer != self.ordinal).collect();
