Datagrams: send_to and broadcast in place of an Option for all

Cause: send(socket, None, ..) sent to all other schedulers, which an Option does not say, and send_to_peers decided on fencing by whether its receiver was None. Change: PeerSocket, DatagramKind and the scheduler have a function for one receiver and one for all others; the epoch is still stored before each message of leases. Datagrams and their order are the same.

--- a/crates/daemon/src/net/cluster/datagram.rs
+++ b/crates/daemon/src/net/cluster/datagram.rs
@@ -29,12 +29,21 @@
         Some((kind, payload))
     }
 
-    /// Sends a datagram of this kind to one scheduler, or to all others.
-    pub fn send(self, socket: &PeerSocket, to: Option<u16>, payload: &[u8]) {
+    /// Sends a datagram of this kind to the scheduler of this ordinal.
+    pub fn send_to(self, socket: &PeerSocket, ordinal: u16, payload: &[u8]) {
+        socket.send_to(u32::from(ordinal), &self.encode(payload));
+    }
+
+    /// Sends a datagram of this kind to all other schedulers.
+    pub fn broadcast(self, socket: &PeerSocket, payload: &[u8]) {
+        socket.broadcast(&self.encode(payload));
+    }
+
+    fn encode(self, payload: &[u8]) -> Vec<u8> {
         let mut datagram = Vec::with_capacity(payload.len() + 1);
         datagram.push(self as u8);
         datagram.extend_from_slice(payload);
-        socket.send(to.map(u32::from), &datagram);
+        datagram
     }
 }
 
--- a/crates/daemon/src/net/cluster/mod.rs
+++ b/crates/daemon/src/net/cluster/mod.rs
@@ -230,7 +230,7 @@
     fn execute_membership_command(&mut self, command: MembershipCommand, socket: &PeerSocket, log: &Logger) {
         match command {
             MembershipCommand::Send { to, bytes } => {
-                DatagramKind::Membership.send(socket, Some(to), &bytes);
+                DatagramKind::Membership.send_to(socket, to, &bytes);
             }
             MembershipCommand::MemberUp(process) => events::member_up(log, process),
             MembershipCommand::MemberDown(process) => events::member_down(log, process),
@@ -244,8 +244,16 @@
 
     fn execute_lease_command(&mut self, command: Command, socket: &PeerSocket, log: &Logger) {
         match command {
-            Command::Send { to, message } => self.send_lease_message(Some(to), &message, socket, log),
-            Command::Broadcast(message) => self.send_lease_message(None, &message, socket, log),
+            Command::Send { to, message } => {
+                if self.store_epoch(log) {
+                    DatagramKind::Leases.send_to(socket, to, &message.encode());
+                }
+            }
+            Command::Broadcast(message) => {
+                if self.store_epoch(log) {
+                    DatagramKind::Leases.broadcast(socket, &message.encode());
+                }
+            }
             Command::RoleLeaseChanged { role, term } => {
                 events::role_lease_changed(log, role, term);
                 if let Some(known) = self.leases.role_holder(role) {
@@ -256,12 +264,6 @@
         }
     }
 
-    fn send_lease_message(&mut self, to: Option<u16>, message: &Message, socket: &PeerSocket, log: &Logger) {
-        if self.store_epoch(log) {
-            DatagramKind::Leases.send(socket, to, &message.encode());
-        }
-    }
-
     /// Stores the latest epoch if there is a state directory. Returns whether lease messages may be sent: a process that
     /// can't store its epoch takes no part in leases, and goes on serving jobs.
     fn store_epoch(&mut self, log: &Logger) -> bool {
@@ -344,12 +346,12 @@
     /// Sends a message in a role to all other schedulers. `term`: what [`Cluster::holds_lease`] has just returned.
     pub fn broadcast_fenced(&self, socket: &PeerSocket, role: Role, term: Term, payload: &[u8]) {
         let token = FencingToken { holder: self.me(), role, term };
-        DatagramKind::Fenced.send(socket, None, &token.encode_message(payload));
+        DatagramKind::Fenced.broadcast(socket, &token.encode_message(payload));
     }
 
     /// Sends a zone load report to the zone planner.
     pub fn send_zone_report(&self, socket: &PeerSocket, planner: ProcessId, report: &[u8]) {
-        DatagramKind::ZoneReport.send(socket, Some(planner.ordinal), report);
+        DatagramKind::ZoneReport.send_to(socket, planner.ordinal, report);
     }
 }
 
--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -43,7 +43,7 @@
                 self.discovery.open_request(request, kind, since_revision, cx);
             }
             DiscoveryCommand::CancelRequest { request } => self.discovery.cancel_request(request, cx),
-            DiscoveryCommand::SendMessage { to, text } => self.send_to_peers(Some(to), &text),
+            DiscoveryCommand::SendMessage { to, text } => self.send_to_peer(to, &text),
             DiscoveryCommand::UpdateEndpoints { kind, entries } => {
                 cx.engine.update_workers(kind, entries.into_iter().map(|update| update.0).collect());
             }
@@ -154,7 +154,8 @@
             Command::WatchEndpoints { on } => cx.endpoints.set_watching(cx.now, on),
             Command::PollEndpoints => cx.endpoints.request_poll(cx.now),
             Command::HealthCheck { worker } => self.backend.check_health(worker, cx),
-            Command::SendMessage { to, text } => self.send_to_peers(to, &text),
+            Command::SendMessage { to: Some(to), text } => self.send_to_peer(to, &text),
+            Command::SendMessage { to: None, text } => self.broadcast_to_peers(&text),
             Command::CloseIdleConnections { worker } => self.backend.close_idle(worker, cx),
             Command::Log(text) => info!(self.log, "policy"; "message" => text),
         }
@@ -175,14 +176,20 @@
         }
     }
 
-    /// Sends a text to one scheduler, or to all others. Aggregated loads for all are sent as a fenced message.
-    fn send_to_peers(&mut self, to: Option<u32>, text: &str) {
+    fn send_to_peer(&self, to: u32, text: &str) {
+        if let Some(peer) = &self.peer {
+            peer.send_to(to, text.as_bytes());
+        }
+    }
+
+    /// Sends a text to all other schedulers: aggregated loads as a fenced message, where the cluster is on.
+    fn broadcast_to_peers(&mut self, text: &str) {
         let Some(peer) = &self.peer else { return };
         match &mut self.cluster {
-            Some(cluster) if to.is_none() && brackenledge_policy::is_aggregated_loads(text) => {
+            Some(cluster) if brackenledge_policy::is_aggregated_loads(text) => {
                 cluster.broadcast_aggregated_loads(peer, text);
             }
-            _ => peer.send_text(to, text),
+            _ => peer.broadcast(text.as_bytes()),
         }
     }
 }
--- a/crates/daemon/src/net/peer_socket.rs
+++ b/crates/daemon/src/net/peer_socket.rs
@@ -32,31 +32,28 @@
         self.config.peers.len()
     }
 
-    /// Sends a text to one scheduler, or to all others.
-    pub fn send_text(&self, to: Option<u32>, text: &str) {
-        self.send(to, text.as_bytes());
+    /// Sends a datagram to the scheduler of this ordinal.
+    pub fn send_to(&self, ordinal: u32, bytes: &[u8]) {
+        if let Some(&address) = self.config.peers.get(ordinal as usize) {
+            self.send(address, bytes);
+        }
     }
 
-    /// Sends a datagram to one scheduler, or to all others. One that the socket does not accept is lost.
-    pub fn send(&self, to: Option<u32>, bytes: &[u8]) {
-        if bytes.len() > MAX_DATAGRAM_LENGTH {
+    /// Sends a datagram to all other schedulers: by the broadcast address, where the configuration has one.
+    pub fn broadcast(&self, bytes: &[u8]) {
+        if let Some(address) = self.config.broadcast {
+            self.send(address, bytes);
             return;
         }
-        let send = |address| {
+        let peers = self.config.peers.iter().enumerate();
+        let others = peers.filter(|(ordinal, _)| *ordinal != self.ordinal as usize);
+        others.for_each(|(_, &address)| self.send(address, bytes));
+    }
+
+    /// A datagram that is too long is not sent; one that the socket does not accept is lost.
+    fn send(&self, address: SocketAddr, bytes: &[u8]) {
+        if bytes.len() <= MAX_DATAGRAM_LENGTH {
             let _ = self.socket.send_to(bytes, address);
-        };
-        match (to, self.config.broadcast) {
-            (Some(to), _) => {
-                if let Some(&address) = self.config.peers.get(to as usize) {
-                    send(address);
-                }
-            }
-            (None, Some(broadcast_address)) => send(broadcast_address),
-            (None, None) => {
-                let peers = self.config.peers.iter().enumerate();
-                let others = peers.filter(|(ordinal, _)| *ordinal != self.ordinal as usize);
-                others.map(|(_, &address)| address).for_each(send);
-            }
         }
     }
 
