--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -36,7 +36,7 @@
 }
 
 impl SwimConfig {
-    /// The times for a cluster of so many schedulers. The suspicion timeout grows with the [`gossip_rounds`]: a suspicion
+    /// The times for a cluster of so many schedulers. The suspicion timeout grows with the number of gossip rounds: a suspicion
     /// must reach the suspect, and its refutation all others, before it is declared down, and at 30% loss each round
     /// reaches half as many. Figures: docs/measurements/leases.md.
     pub fn for_cluster_size(schedulers: usize) -> SwimConfig {
