Leases: a campaign outlasts a slow round trip, and voters let a candidate finish

In the virtual cluster's trace of such an election candidates took votes from one another, round after round.

Cause, in election.rs: - A campaign ended after 300 ms and 75 ms for each voter of a lower ordinal; a round trip of 400 ms is longer, so that the first voter could not be elected, the second hardly. Each raised the ballot and ended another's. - A voter that had just promised a candidate began its own campaign at its own time, before that candidate could ask for the lease.

Change: a campaign lasts one heartbeat interval more. A voter that promises another candidate puts its own campaign off by two heartbeat intervals and its turn; only once between two campaigns of its own, since that candidate may receive no answers. The leader does not put anything off. No message changes, and votes are given as before, so safety does not depend on this.

--- a/crates/leases/src/dispatch.rs
+++ b/crates/leases/src/dispatch.rs
@@ -65,7 +65,11 @@
         let from = message.from();
         let vote = match message {
             Message::Prepare { epoch, ballot, .. } if self.may_vote(now, from, epoch) => {
-                self.vote_on_prepare(now, from, ballot)
+                let vote = self.vote_on_prepare(now, from, ballot);
+                if matches!(vote, Message::Promise { .. }) {
+                    self.defer_to_candidate(now);
+                }
+                vote
             }
             Message::LeaseRequest { epoch, ballot, requested_at, .. } if self.may_vote(now, from, epoch) => {
                 self.vote_on_lease(now, from, ballot, requested_at)
--- a/crates/leases/src/election.rs
+++ b/crates/leases/src/election.rs
@@ -8,6 +8,8 @@
 const REQUESTS_PER_HEARTBEAT: Micros = 6;
 /// Candidates and retries wait for their turn by so many parts of a heartbeat interval for each voter before them.
 const TURNS_PER_HEARTBEAT: Micros = 4;
+/// Heartbeat intervals that a candidate asks for promises, beside its turn. Round trips may take longer than one.
+const HEARTBEATS_PER_CAMPAIGN: Micros = 2;
 /// Heartbeats without a word of the leader after which a voter begins a campaign.
 pub(crate) const MISSED_HEARTBEATS: Micros = 2;
 
@@ -59,6 +61,17 @@
         true
     }
 
+    /// A voter that has promised another candidate gives it time to be elected and to ask for the lease. Once between two
+    /// campaigns of its own: that candidate may be one that receives no answers.
+    pub(crate) fn defer_to_candidate(&mut self, now: Micros) {
+        if self.is_leader(now) || std::mem::replace(&mut self.leadership.deferred, true) {
+            return;
+        }
+        self.leadership.campaign = None;
+        let patience = MISSED_HEARTBEATS * self.settings.heartbeat_interval + self.turn_delay();
+        self.leadership.next_step_at = self.leadership.next_step_at.max(now + patience);
+    }
+
     /// Candidates begin in turn, or each takes votes from the others.
     fn turn_delay(&self) -> Micros {
         self.rank() * self.settings.heartbeat_interval / TURNS_PER_HEARTBEAT
@@ -82,8 +95,9 @@
         };
         self.leadership.highest_counter = counter;
         let ballot = Ballot { counter, proposer: self.me.ordinal };
-        let deadline = now + self.settings.heartbeat_interval + self.turn_delay();
+        let deadline = now + HEARTBEATS_PER_CAMPAIGN * self.settings.heartbeat_interval + self.turn_delay();
         self.leadership.campaign = Some(Campaign::new(ballot, deadline));
+        self.leadership.deferred = false;
         self.leadership.next_step_at = self.retry_at(now);
         let own_vote = self.vote_on_prepare(now, self.me, ballot);
         self.send_to_voters(Message::Prepare { from: self.me, epoch: self.view.epoch, ballot });
--- a/crates/leases/src/leader.rs
+++ b/crates/leases/src/leader.rs
@@ -62,6 +62,8 @@
     pub(crate) lease: Option<LeaderLease>,
     /// The highest ballot counter known in this view.
     pub(crate) highest_counter: u32,
+    /// This process has given another candidate time since its own last campaign.
+    pub(crate) deferred: bool,
     /// When the campaign or the heartbeat goes on.
     pub(crate) next_step_at: Micros,
     /// As the leader: the next heartbeat. Before it, only a lease that is short is renewed.
--- a/crates/leases/tests/loss_and_delay.rs
+++ b/crates/leases/tests/loss_and_delay.rs
@@ -39,3 +39,17 @@
     assert_eq!(without[without.len() * 9 / 10], 0, "milliseconds without a leader: {without:?}");
     assert!(without[without.len() - 1] <= 1_500, "milliseconds without a leader: {without:?}");
 }
+
+#[test]
+fn a_dead_leader_is_replaced() {
+    let mut without = Vec::new();
+    for seed in 0..SEEDS {
+        let mut cluster = slow_cluster(seed);
+        cluster.kill(cluster.leader().expect("a leader"));
+        without.push(time_without_leader(&mut cluster, 12_000));
+    }
+    without.sort_unstable();
+    println!("replaced: {without:?}");
+    assert!(without[without.len() / 2] <= 5_000, "milliseconds without a leader: {without:?}");
+    assert!(without[without.len() - 1] <= 9_000, "milliseconds without a leader: {without:?}");
+}
