Test cluster: a cluster that does not come up says why

The message now says of each scheduler whether it serves, whether the front proxy sends to it and its failover figures, with the processes' log behind. Tried with a program one of whose six does not start.

--- a/crates/test-cluster/src/cluster/event_loop.rs
+++ b/crates/test-cluster/src/cluster/event_loop.rs
@@ -15,7 +15,7 @@
 use super::worker_stand_in::WorkerStandIn;
 use super::{LATE_TURN, Options, Outcome};
 use crate::scenario::{Node, Scenario};
-use crate::{ConnectionId, Error, Millis};
+use crate::{ConnectionId, Error, Millis, StartState};
 use mio::net::TcpStream;
 use mio::{Events, Poll};
 use std::io::ErrorKind;
@@ -30,6 +30,8 @@
 const MAX_EVENTS: usize = 1_024;
 /// What a scheduler's `INFO` says once its jobs are replicated.
 const REPLICATION_READY: &str = "handover.settled=1";
+/// The names of failover's figures begin with it.
+const FAILOVER_FIGURES: &str = "handover.";
 
 /// A cluster and all around it.
 pub struct Cluster<'a> {
@@ -236,14 +238,30 @@
 
     /// Fails the run unless all schedulers have come up.
     fn check_start(&mut self) {
-        let Context { scenario, runtime, supervisor, .. } = &mut self.context;
-        if !runtime.clock.has_traffic() {
-            let missing = (0..scenario.schedulers).filter(|&number| !supervisor.is_serving(number));
-            let missing = missing.collect();
-            runtime.fail(Error::StartTimeout { timeout_ms: START_TIMEOUT, missing });
+        if !self.context.runtime.clock.has_traffic() {
+            let schedulers = self.start_states();
+            let log = self.context.supervisor.log.clone();
+            self.context.runtime.fail(Error::StartTimeout { timeout_ms: START_TIMEOUT, schedulers, log });
         }
     }
 
+    fn start_states(&self) -> Vec<StartState> {
+        let Context { scenario, supervisor, front_proxy, .. } = &self.context;
+        let replies = supervisor.call_admin_endpoints("INFO");
+        let failover_figures = |number: usize| {
+            let reply = replies.iter().find(|reply| reply.scheduler == number)?;
+            let figures = reply.text.lines().filter(|line| line.contains(FAILOVER_FIGURES));
+            Some(figures.collect::<Vec<_>>().join(" "))
+        };
+        let state = |scheduler: usize| StartState {
+            scheduler,
+            is_serving: supervisor.is_serving(scheduler),
+            is_up: front_proxy.is_up(scheduler),
+            failover: failover_figures(scheduler),
+        };
+        (0..scenario.schedulers).map(state).collect()
+    }
+
     /// Hands what happened on connections to their stand-ins, until nothing more happens.
     pub fn dispatch_network_events(&mut self) {
         while let Some(event) = self.context.network.poll_event() {
--- a/crates/test-cluster/src/error.rs
+++ b/crates/test-cluster/src/error.rs
@@ -1,7 +1,7 @@
 //! Everything that can go wrong before or beside a run, apart from what the run is to show.
 
-use std::io;
 use std::path::PathBuf;
+use std::{fmt, io};
 
 /// Why a scenario can't be read or a run can't be made.
 #[derive(Debug, thiserror::Error)]
@@ -48,15 +48,14 @@
     #[error("before it was ready, {0}")]
     EndedBeforeReady(String),
     /// Schedulers did not come up.
-    #[error(
-        "the cluster is not up after {timeout_ms} ms; schedulers that never reported that they serve: {}",
-        numbers(.missing)
-    )]
+    #[error("the cluster is not up after {timeout_ms} ms:\n{}\n{}", lines(.schedulers), lines(.log))]
     StartTimeout {
         /// The time they had.
         timeout_ms: f64,
-        /// Their numbers.
-        missing: Vec<usize>,
+        /// What each of them lacks.
+        schedulers: Vec<StartState>,
+        /// What the processes have logged: there is no report of a run that did not begin.
+        log: Vec<String>,
     },
     /// A scheduler sent a worker a job of no client of this cluster.
     #[error("scheduler {scheduler} sent {request}, which no client asked for")]
@@ -89,6 +88,27 @@
     }
 }
 
-fn numbers(of: &[usize]) -> String {
-    of.iter().map(usize::to_string).collect::<Vec<_>>().join(", ")
+/// How far a scheduler of a cluster that is not up has come.
+#[derive(Debug)]
+pub struct StartState {
+    /// Its number.
+    pub scheduler: usize,
+    /// It has logged that it serves.
+    pub is_serving: bool,
+    /// The front proxy sends it clients.
+    pub is_up: bool,
+    /// Its failover figures at the admin endpoint; `None`: it does not answer.
+    pub failover: Option<String>,
+}
+
+impl fmt::Display for StartState {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let StartState { scheduler, is_serving, is_up, failover } = self;
+        let failover = failover.as_deref().unwrap_or("does not answer INFO");
+        write!(f, "scheduler {scheduler}: serving {is_serving}, up at the front proxy {is_up}; {failover}")
+    }
+}
+
+fn lines<T: ToString>(of: &[T]) -> String {
+    of.iter().map(T::to_string).collect::<Vec<_>>().join("\n")
 }
--- a/crates/test-cluster/src/lib.rs
+++ b/crates/test-cluster/src/lib.rs
@@ -32,7 +32,7 @@
 
 pub use checker::{Report, Verdict, check};
 pub use cluster::{Options, Outcome, run};
-pub use error::Error;
+pub use error::{Error, StartState};
 pub use scenario::Scenario;
 
 /// Milliseconds since the run's traffic began, by the machine's monotonic clock; before it, negative.
--- a/crates/test-cluster/src/stand_ins/front_proxy.rs
+++ b/crates/test-cluster/src/stand_ins/front_proxy.rs
@@ -44,6 +44,11 @@
         self.is_up.iter().all(|&up| up)
     }
 
+    /// Whether it believes a scheduler to be up.
+    pub fn is_up(&self, scheduler: usize) -> bool {
+        self.is_up.get(scheduler).is_some_and(|&up| up)
+    }
+
     /// Takes in the result of a health check.
     pub fn handle_health(&mut self, now: Millis, scheduler: usize, health: Health) {
         if health != Health::NoAnswer {
