Event loop: sockets are registered and deregistered in one place

Cause: deregister stood in net/discovery.rs, though the frontend, the backend, the links and the admin endpoint call it, and startup reached past EventLoop to mio's registry. Change: EventLoop::register (was watch, which is also what a request to discovery is called), register_readable and deregister stand side by side; the registry is private. What the poll reports is the same.

--- a/crates/daemon/src/net/admin_endpoint.rs
+++ b/crates/daemon/src/net/admin_endpoint.rs
@@ -7,7 +7,6 @@
 
 use super::Context;
 use super::buffered_stream::BufferedStream;
-use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive};
 use super::listener::accept_next;
 use brackenledge_discovery::Availability;
@@ -205,7 +204,7 @@
             replied: false,
             class_names: Rc::clone(&self.class_names),
         });
-        if cx.event_loop.watch(&mut client.stream.socket, Owner::AdminClient(at)).is_err() {
+        if cx.event_loop.register(&mut client.stream.socket, Owner::AdminClient(at)).is_err() {
             self.clients.remove(at);
             return;
         }
@@ -252,6 +251,6 @@
 
     fn remove(&mut self, at: usize, cx: &mut Context) {
         let mut client = self.clients.remove(at);
-        deregister(&mut client.stream, cx.event_loop);
+        cx.event_loop.deregister(&mut client.stream.socket);
     }
 }
--- a/crates/daemon/src/net/backend/pool.rs
+++ b/crates/daemon/src/net/backend/pool.rs
@@ -3,7 +3,6 @@
 use super::Backend;
 use super::connection::{Task, WorkerConnection};
 use crate::net::Context;
-use crate::net::discovery::deregister;
 use crate::net::event_loop::{Alarm, Millis, Owner};
 use brackenledge_policy::{Effect, WorkerId};
 use mio::net::TcpStream;
@@ -83,7 +82,7 @@
         let connection = WorkerConnection::new(stream, worker, address, serial, task, cx.now);
         let slot = self.connections.insert(connection);
         let socket = &mut self.connections[slot].stream.socket;
-        if cx.event_loop.watch(socket, Owner::Backend(slot)).is_err() {
+        if cx.event_loop.register(socket, Owner::Backend(slot)).is_err() {
             self.connections.remove(slot);
             return None;
         }
@@ -131,6 +130,6 @@
         if let Some(idle) = self.idle.get_mut(&connection.worker) {
             idle.retain(|&other| other != slot);
         }
-        deregister(&mut connection.stream, cx.event_loop);
+        cx.event_loop.deregister(&mut connection.stream.socket);
     }
 }
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -3,7 +3,7 @@
 
 use super::Context;
 use super::buffered_stream::BufferedStream;
-use super::event_loop::{Alarm, Connection, EventLoop, Flow, Millis, Owner, drive};
+use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive};
 use brackenledge_discovery::{EndpointRecord, Event, RequestEnd, RequestId, RequestKind, readiness_name};
 use brackenledge_policy::Readiness;
 use brackenledge_protocol::config::Endpoint;
@@ -201,7 +201,7 @@
             format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
         stream.buffer.push(head.as_bytes());
         let slot = self.requests.vacant_entry();
-        cx.event_loop.watch(&mut stream.socket, Owner::Discovery(slot.key()))?;
+        cx.event_loop.register(&mut stream.socket, Owner::Discovery(slot.key()))?;
         slot.insert(Request {
             stream,
             id,
@@ -217,7 +217,7 @@
     /// Closes the connection of a request that is not wanted any more.
     pub fn cancel_request(&mut self, id: RequestId, cx: &mut Context) {
         if let Some(at) = self.requests.iter().find(|(_, request)| request.id == id).map(|(at, _)| at) {
-            deregister(&mut self.requests.remove(at).stream, cx.event_loop);
+            cx.event_loop.deregister(&mut self.requests.remove(at).stream.socket);
         }
     }
 
@@ -229,7 +229,7 @@
             Flow::Again => cx.event_loop.call_again(Owner::Discovery(at)),
             Flow::Close => {
                 let mut request = self.requests.remove(at);
-                deregister(&mut request.stream, cx.event_loop);
+                cx.event_loop.deregister(&mut request.stream.socket);
                 cx.endpoints.handle_request_end(cx.now, request.id, request.end);
             }
         }
@@ -276,9 +276,3 @@
         }
     }
 }
-
-/// Takes a socket off the poll before it is closed.
-pub fn deregister(stream: &mut BufferedStream, event_loop: &EventLoop) {
-    // It fails only for a socket that is not on the poll.
-    let _ = event_loop.registry().deregister(&mut stream.socket);
-}
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -5,7 +5,7 @@
 
 use super::buffered_stream::{BufferedStream, StreamState};
 
-use mio::{Events, Interest, Poll, Registry, Token, event::Source};
+use mio::{Events, Interest, Poll, Token, event::Source};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io;
@@ -147,10 +147,6 @@
         self.clock.now()
     }
 
-    pub fn registry(&self) -> &Registry {
-        self.poll.registry()
-    }
-
     /// A number not given before.
     pub fn next_serial(&mut self) -> u64 {
         self.serial += 1;
@@ -158,8 +154,19 @@
     }
 
     /// Registers a source with the poll for reading and writing.
-    pub fn watch(&self, source: &mut impl Source, owner: Owner) -> io::Result<()> {
-        self.registry().register(source, owner.token(), Interest::READABLE | Interest::WRITABLE)
+    pub fn register(&self, source: &mut impl Source, owner: Owner) -> io::Result<()> {
+        self.poll.registry().register(source, owner.token(), Interest::READABLE | Interest::WRITABLE)
+    }
+
+    /// Registers a source that is only read with the poll.
+    pub fn register_readable(&self, source: &mut impl Source, owner: Owner) -> io::Result<()> {
+        self.poll.registry().register(source, owner.token(), Interest::READABLE)
+    }
+
+    /// Takes a source off the poll before it is closed.
+    pub fn deregister(&self, source: &mut impl Source) {
+        // It fails only for a source that is not registered.
+        let _ = self.poll.registry().deregister(source);
     }
 
     /// Sets an alarm at a point in time.
--- a/crates/daemon/src/net/frontend/accept.rs
+++ b/crates/daemon/src/net/frontend/accept.rs
@@ -53,7 +53,7 @@
         let entry = self.clients.vacant_entry();
         let id = entry.key();
         let client = entry.insert(ClientConnection::new(stream, id, Rc::clone(&self.rules), cx.now));
-        if cx.event_loop.watch(&mut client.stream.socket, Owner::Frontend(id)).is_err() {
+        if cx.event_loop.register(&mut client.stream.socket, Owner::Frontend(id)).is_err() {
             self.clients.remove(id);
         }
     }
--- a/crates/daemon/src/net/frontend/mod.rs
+++ b/crates/daemon/src/net/frontend/mod.rs
@@ -25,7 +25,6 @@
 
 use self::connection::{ClientConnection, State};
 use super::Context;
-use super::discovery::deregister;
 use super::event_loop::{Flow, Millis, Owner, drive};
 use brackenledge_engine::{Answer, ClientId};
 use brackenledge_failover::Waiter;
@@ -119,7 +118,7 @@
     fn remove(&mut self, slot: usize, cx: &mut Context) {
         let mut client = self.clients.remove(slot);
         client.abandon_job(cx);
-        deregister(&mut client.stream, cx.event_loop);
+        cx.event_loop.deregister(&mut client.stream.socket);
     }
 }
 
--- a/crates/daemon/src/net/peer_links.rs
+++ b/crates/daemon/src/net/peer_links.rs
@@ -4,7 +4,6 @@
 
 use super::Context;
 use super::buffered_stream::BufferedStream;
-use super::discovery::deregister;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive, push_out};
 use super::job_failover::{JobFailover, LinkError};
 use super::listener::accept_next;
@@ -188,7 +187,7 @@
             connection.send(&job_failover.hello());
         }
         let at = self.connections.insert(connection);
-        if cx.event_loop.watch(&mut self.connections[at].stream.socket, Owner::PeerLink(at)).is_err() {
+        if cx.event_loop.register(&mut self.connections[at].stream.socket, Owner::PeerLink(at)).is_err() {
             self.connections.remove(at);
         }
     }
@@ -290,6 +289,6 @@
     /// Closes a connection without telling failover, for which the peer's link goes on.
     fn remove(&mut self, at: usize, cx: &mut Context) {
         let mut connection = self.connections.remove(at);
-        deregister(&mut connection.stream, cx.event_loop);
+        cx.event_loop.deregister(&mut connection.stream.socket);
     }
 }
--- a/crates/daemon/src/net/startup.rs
+++ b/crates/daemon/src/net/startup.rs
@@ -21,7 +21,6 @@
 use brackenledge_policy::Settings;
 use brackenledge_protocol::config::{Config, DEFAULT_IDLE_TIMEOUT, EndpointList, PeerConfig};
 use brackenledge_protocol::operations::Operations;
-use mio::Interest;
 use mio::event::Source;
 use mio::net::TcpListener;
 use slog::{Logger, info};
@@ -146,8 +145,8 @@
 ) -> Result<LocalParts, StartError> {
     let mut listener = bind_listener(BoundSocket::Clients, config.listen, Sharing::Shared)?;
     let mut signals = Signals::install().map_err(StartError::Signals)?;
-    register(event_loop, &mut signals.pipe, Owner::Signal)?;
-    register(event_loop, &mut listener, Owner::Listener)?;
+    register_readable(event_loop, &mut signals.pipe, Owner::Signal)?;
+    register_readable(event_loop, &mut listener, Owner::Listener)?;
     let admin = open_admin_endpoint(config, operations, event_loop)?;
     Ok(LocalParts { listener, signals, admin })
 }
@@ -160,9 +159,12 @@
     listen(address, sharing).map_err(|source| StartError::Bind { socket, address, source })
 }
 
-/// Has the poll report what can be read from a source.
-fn register(event_loop: &EventLoop, source: &mut impl Source, owner: Owner) -> Result<(), StartError> {
-    event_loop.registry().register(source, owner.token(), Interest::READABLE).map_err(StartError::Register)
+fn register_readable(
+    event_loop: &EventLoop,
+    source: &mut impl Source,
+    owner: Owner,
+) -> Result<(), StartError> {
+    event_loop.register_readable(source, owner).map_err(StartError::Register)
 }
 
 fn open_admin_endpoint(
@@ -177,7 +179,7 @@
         operations.control.max_clients,
         operations.control.line_timeout,
     );
-    register(event_loop, admin.listener(), Owner::AdminListener)?;
+    register_readable(event_loop, admin.listener(), Owner::AdminListener)?;
     Ok(Some(admin))
 }
 
@@ -212,7 +214,7 @@
         address,
         source,
     })?;
-    register(event_loop, &mut peer.socket, Owner::Peer)?;
+    register_readable(event_loop, &mut peer.socket, Owner::Peer)?;
     Ok(Some(peer))
 }
 
@@ -261,7 +263,7 @@
     let own = addresses.get(settings.ordinal as usize).copied().ok_or(StartError::NoLinkAddress)?;
     let listener = bind_listener(BoundSocket::PeerLinks, own, Sharing::Shared)?;
     let mut links = PeerLinks::new(listener, addresses, settings.ordinal as u16);
-    register(event_loop, links.listener(), Owner::PeerLinkListener)?;
+    register_readable(event_loop, links.listener(), Owner::PeerLinkListener)?;
     let effects = settings.classes.iter().map(|class| class.effect);
     let classes: Vec<_> = config.settings.class_names().into_iter().zip(effects).collect();
     let job_failover = JobFailover::new(&operations.failover, cluster.me(), settings.zone, &classes);
