Event loop: ScheduledAlarm, and what a connection's callbacks promise

Cause: the heap of alarms held (u64, u64, Alarm), whose units and order one had to find out; a Connection was 'an object that is called back'; push_out, taken and held told little, and one trait method was connecting where the field beside it was is_connecting. Change: ScheduledAlarm states unit and order; pop_due_alarm says that it removes; time_to_next_alarm is split from wait; flush_output; the callbacks' comments say when each is called. A peer link is replaced by replace_connection. Order of alarms and timeouts are the same.

--- a/crates/daemon/src/net/backend/connection.rs
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -169,7 +169,7 @@
         &mut self.stream
     }
 
-    fn connecting(&self) -> bool {
+    fn is_connecting(&self) -> bool {
         self.is_connecting
     }
 
--- a/crates/daemon/src/net/backend/mod.rs
+++ b/crates/daemon/src/net/backend/mod.rs
@@ -19,7 +19,7 @@
 
 use self::connection::{Task, WorkerConnection};
 use super::Context;
-use super::event_loop::{Alarm, Flow, Millis, Owner, drive, push_out};
+use super::event_loop::{Alarm, Flow, Millis, Owner, drive, flush_output};
 use brackenledge_engine::{AttemptDeadlines, AttemptId, Request};
 use brackenledge_policy::{Outcome, WorkerId};
 use slab::Slab;
@@ -130,7 +130,7 @@
             return;
         }
         let attempt_before = connection.attempt();
-        let flow = push_out(connection, cx);
+        let flow = flush_output(connection, cx);
         self.after_callback(slot, attempt_before, flow, cx);
     }
 
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -65,7 +65,7 @@
     stream: BufferedStream,
     id: RequestId,
     kind: RequestKind,
-    connecting: bool,
+    is_connecting: bool,
     /// The response's head, once it has come.
     head: Option<ResponseHead>,
     reader: ListReader,
@@ -130,12 +130,12 @@
         &mut self.stream
     }
 
-    fn connecting(&self) -> bool {
-        self.connecting
+    fn is_connecting(&self) -> bool {
+        self.is_connecting
     }
 
     fn on_open(&mut self, cx: &mut Context) -> Flow {
-        self.connecting = false;
+        self.is_connecting = false;
         self.end = RequestEnd::Closed;
         cx.endpoints.handle_connected(cx.now, self.id);
         Flow::Keep
@@ -206,7 +206,7 @@
             stream,
             id,
             kind,
-            connecting: true,
+            is_connecting: true,
             head: None,
             reader: ListReader::new(kind == RequestKind::Watch),
             end: RequestEnd::NoConnection,
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -19,17 +19,18 @@
 /// and a Unix time that others report (a worker's start) is a point on it.
 pub struct Clock {
     origin: Instant,
-    unix: Millis,
+    /// Unix time at `origin`.
+    unix_origin: Millis,
 }
 
 impl Clock {
     pub fn new() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { origin: Instant::now(), unix: unix.as_secs_f64() * 1_000.0 }
+        Clock { origin: Instant::now(), unix_origin: unix.as_secs_f64() * 1_000.0 }
     }
 
     pub fn now(&self) -> Millis {
-        self.unix + self.origin.elapsed().as_secs_f64() * 1_000.0
+        self.unix_origin + self.origin.elapsed().as_secs_f64() * 1_000.0
     }
 }
 
@@ -122,14 +123,23 @@
 /// starve all other connections and the timers.
 const MAX_BYTES_PER_TURN: usize = 64 * 1024;
 
+/// An alarm in the queue. The earliest one comes first, and of those due at one time the one that was set first: the
+/// order of the fields.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ScheduledAlarm {
+    due_at_micros: u64,
+    serial: u64,
+    alarm: Alarm,
+}
+
 /// The poll, the clock and the timers.
 pub struct EventLoop {
     poll: Poll,
     /// Owners with more to read than one turn allows: the poll is edge-triggered and does not report them again.
     again: Vec<Owner>,
     clock: Clock,
-    alarms: BinaryHeap<Reverse<(u64, u64, Alarm)>>,
-    serial: u64,
+    alarms: BinaryHeap<Reverse<ScheduledAlarm>>,
+    last_serial: u64,
 }
 
 impl EventLoop {
@@ -139,7 +149,7 @@
             again: Vec::new(),
             clock: Clock::new(),
             alarms: BinaryHeap::new(),
-            serial: 0,
+            last_serial: 0,
         })
     }
 
@@ -147,10 +157,10 @@
         self.clock.now()
     }
 
-    /// A number not given before.
+    /// A number that was not given out before.
     pub fn next_serial(&mut self) -> u64 {
-        self.serial += 1;
-        self.serial
+        self.last_serial += 1;
+        self.last_serial
     }
 
     /// Registers a source with the poll for reading and writing.
@@ -171,19 +181,21 @@
 
     /// Sets an alarm at a point in time.
     pub fn set_alarm(&mut self, at: Millis, alarm: Alarm) {
+        let due_at_micros = (at * 1_000.0).ceil().max(0.0) as u64;
         let serial = self.next_serial();
-        self.alarms.push(Reverse(((at * 1_000.0).ceil().max(0.0) as u64, serial, alarm)));
+        self.alarms.push(Reverse(ScheduledAlarm { due_at_micros, serial, alarm }));
     }
 
-    /// The next alarm that was due at `then`, in the order of their times. `then` is when the poll last returned: an
-    /// event that came in time is handled before its timeout, however long a turn takes. Alarms that are set and come
-    /// due meanwhile wait for the next turn, so that they never starve the poll.
-    pub fn due_alarm(&mut self, then: Millis) -> Option<Alarm> {
-        let &Reverse((at, _, alarm)) = self.alarms.peek()?;
-        (at as f64 <= then * 1_000.0).then(|| {
-            self.alarms.pop();
-            alarm
-        })
+    /// Removes the next alarm that was due when the poll last returned, at `polled_at`. So an event that came in time is
+    /// handled before its timeout, however long a turn takes, and alarms that come due meanwhile wait for the next turn:
+    /// they never starve the poll.
+    pub fn pop_due_alarm(&mut self, polled_at: Millis) -> Option<Alarm> {
+        let &Reverse(next) = self.alarms.peek()?;
+        if next.due_at_micros as f64 > polled_at * 1_000.0 {
+            return None;
+        }
+        self.alarms.pop();
+        Some(next.alarm)
     }
 
     /// Calls this owner in the next turn, whatever the poll reports. If it is closed by then, another may have its
@@ -197,11 +209,16 @@
         std::mem::take(&mut self.again)
     }
 
+    /// The time until the earliest alarm; `None`: none is set.
+    fn time_to_next_alarm(&self) -> Option<Duration> {
+        let &Reverse(next) = self.alarms.peek()?;
+        let left = next.due_at_micros as f64 / 1_000.0 - self.now();
+        Some(Duration::from_secs_f64(left.max(0.0) / 1_000.0))
+    }
+
     /// Waits for events, until the next alarm at most.
     pub fn wait(&mut self, events: &mut Events) -> io::Result<()> {
-        let until = self.alarms.peek().map(|&Reverse((at, _, _))| at as f64 / 1_000.0 - self.now());
-        let until = if self.again.is_empty() { until } else { Some(0.0) };
-        let timeout = until.map(|left| Duration::from_secs_f64(left.max(0.0) / 1_000.0));
+        let timeout = if self.again.is_empty() { self.time_to_next_alarm() } else { Some(Duration::ZERO) };
         let poll = &mut self.poll;
         poll_to_the_end(timeout, |timeout| {
             poll.poll(events, timeout)?;
@@ -231,7 +248,7 @@
     polled.map(drop)
 }
 
-/// What becomes of a connection after a callback.
+/// What is done with a connection after a callback.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Flow {
     Keep,
@@ -240,12 +257,13 @@
     Close,
 }
 
-/// A connection: an object that is called back. What it hands on goes through `C`.
+/// A connection's protocol: the callbacks that [`drive`] makes when the poll reports its socket. A callback reaches the rest
+/// of the scheduler through its context, `C`.
 pub trait Connection<C> {
     /// Its socket with its buffers.
     fn stream(&mut self) -> &mut BufferedStream;
-    /// Whether it waits to be connected.
-    fn connecting(&self) -> bool {
+    /// Whether it is being opened: [`Connection::on_open`] has not been called.
+    fn is_connecting(&self) -> bool {
         false
     }
     /// It is connected.
@@ -256,17 +274,19 @@
     fn on_written(&mut self, _context: &mut C) -> Flow {
         Flow::Keep
     }
-    /// Input came.
+    /// There is new input in the buffer.
     fn on_input(&mut self, context: &mut C) -> Flow;
-    /// The other side ended its sending, or the connection broke. Input that came before was shown.
+    /// The peer has closed its sending half, or the connection is broken. Input that was read before has been passed to
+    /// `on_input`; the connection is closed after this.
     fn on_end(&mut self, context: &mut C);
-    /// The number of bytes up to which input is buffered before `on_input` takes it.
+    /// Most bytes of input that are buffered before `on_input` consumes some.
     fn max_input(&self) -> usize;
 }
 
-/// Calls a connection back for all that has happened to it.
+/// Opens a connection if it is ready to be, then writes its output and reads its input, and makes the callbacks for that:
+/// until the socket is drained, the input buffer is full, or the turn's share of bytes is read.
 pub fn drive<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
-    if connection.connecting() {
+    if connection.is_connecting() {
         let socket = &connection.stream().socket;
         if socket.take_error().ok().flatten().is_some() {
             connection.on_end(context);
@@ -279,25 +299,25 @@
             return Flow::Close;
         }
     }
-    // A failed write does not mean that there is no input: an answer may wait to be read.
+    // A failed write does not mean that there is no input: a response may wait to be read.
     let broken = connection.stream().flush().is_err();
-    let mut taken = 0;
+    let mut bytes_read = 0;
     loop {
         let before = connection.stream().buffer.input().len();
-        let max_length = connection.max_input().min(before + MAX_BYTES_PER_TURN - taken);
+        let max_length = connection.max_input().min(before + MAX_BYTES_PER_TURN - bytes_read);
         let state = connection.stream().fill(max_length);
-        let held = connection.stream().buffer.input().len();
-        if held > before && connection.on_input(context) == Flow::Close {
+        let after = connection.stream().buffer.input().len();
+        if after > before && connection.on_input(context) == Flow::Close {
             return Flow::Close;
         }
-        let drained = held < max_length;
+        let drained = after < max_length;
         let mut full = connection.stream().buffer.input().len() >= connection.max_input();
         if state != StreamState::Open || broken && (drained || full) {
             connection.on_end(context);
             return Flow::Close;
         }
         if !broken {
-            if push_out(connection, context) == Flow::Close {
+            if flush_output(connection, context) == Flow::Close {
                 return Flow::Close;
             }
             full = connection.stream().buffer.input().len() >= connection.max_input();
@@ -306,15 +326,16 @@
         if drained || full {
             return Flow::Keep;
         }
-        taken += held.saturating_sub(before);
-        if taken >= MAX_BYTES_PER_TURN {
+        bytes_read += after.saturating_sub(before);
+        if bytes_read >= MAX_BYTES_PER_TURN {
             return Flow::Again;
         }
     }
 }
 
-/// Flushes a connection's output and notifies it when all is written; it may add output then.
-pub fn push_out<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
+/// Writes a connection's output as far as the socket accepts it. When all is written it is called back, and what it adds is
+/// written too.
+pub fn flush_output<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
     loop {
         match connection.stream().flush() {
             Ok(true) if connection.on_written(context) == Flow::Close => return Flow::Close,
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -61,7 +61,7 @@
             scheduler.on_event(owner);
             scheduler.settle();
         }
-        while let Some(alarm) = scheduler.event_loop.due_alarm(polled_at) {
+        while let Some(alarm) = scheduler.event_loop.pop_due_alarm(polled_at) {
             scheduler.on_alarm(alarm);
             scheduler.settle();
         }
--- a/crates/daemon/src/net/peer_links.rs
+++ b/crates/daemon/src/net/peer_links.rs
@@ -4,7 +4,7 @@
 
 use super::Context;
 use super::buffered_stream::BufferedStream;
-use super::event_loop::{Connection, Flow, Millis, Owner, drive, push_out};
+use super::event_loop::{Connection, Flow, Millis, Owner, drive, flush_output};
 use super::job_failover::{JobFailover, LinkError};
 use super::listener::accept_next;
 use brackenledge_failover::{Frame, MAX_FRAME_LEN, ProcessId};
@@ -46,7 +46,7 @@
 /// A connection with another scheduler.
 struct PeerConnection {
     stream: BufferedStream,
-    connecting: bool,
+    is_connecting: bool,
     /// When it was dialed or accepted.
     opened_at: Millis,
     /// The ordinal that we connected to; `None`: the peer connected.
@@ -105,12 +105,12 @@
         &mut self.stream
     }
 
-    fn connecting(&self) -> bool {
-        self.connecting
+    fn is_connecting(&self) -> bool {
+        self.is_connecting
     }
 
     fn on_open(&mut self, cx: &mut Context) -> Flow {
-        self.connecting = false;
+        self.is_connecting = false;
         if let Some(job_failover) = cx.job_failover {
             let hello = job_failover.hello();
             self.send(&hello);
@@ -173,17 +173,17 @@
     /// Opens a connection on a stream that was accepted, or dialed to the ordinal `dialed`.
     fn open(&mut self, stream: TcpStream, dialed: Option<u16>, cx: &mut Context) {
         let Some(job_failover) = cx.job_failover else { return };
-        let connecting = dialed.is_some();
+        let is_connecting = dialed.is_some();
         let mut connection = PeerConnection {
             stream: BufferedStream::new(stream),
-            connecting,
+            is_connecting,
             opened_at: cx.now,
             dialed,
             peer: None,
             cluster_size: self.addresses.len(),
             local: job_failover.local(),
         };
-        if !connecting {
+        if !is_connecting {
             connection.send(&job_failover.hello());
         }
         let at = self.connections.insert(connection);
@@ -198,7 +198,7 @@
         let was_identified = connection.peer.is_some();
         let flow = drive(connection, cx);
         if let (false, Some(peer)) = (was_identified, connection.peer) {
-            self.replace_older_connection(peer, at, cx);
+            self.replace_connection(peer, at, cx);
         }
         match flow {
             Flow::Keep => {}
@@ -208,12 +208,12 @@
     }
 
     /// A peer has identified itself on its newest connection: the one before, if any, is lost, noticed or not.
-    fn replace_older_connection(&mut self, peer: ProcessId, newest: usize, cx: &mut Context) {
+    fn replace_connection(&mut self, peer: ProcessId, newest: usize, cx: &mut Context) {
         let is_same_peer =
             |connection: &PeerConnection| connection.peer.is_some_and(|other| other.ordinal == peer.ordinal);
         let mut connections = self.connections.iter();
-        let older = connections.find(|(at, connection)| *at != newest && is_same_peer(connection));
-        if let Some((at, _)) = older {
+        let replaced = connections.find(|(at, connection)| *at != newest && is_same_peer(connection));
+        if let Some((at, _)) = replaced {
             self.remove(at, cx);
         }
     }
@@ -266,7 +266,7 @@
                 connection.send(&frame);
                 written = true;
             }
-            if written && push_out(connection, cx) == Flow::Close {
+            if written && flush_output(connection, cx) == Flow::Close {
                 closed.push(at);
             }
         }
