Frontend and backend: accept_next, lost connections and lingering in one place each

Cause: accept.rs repeated which errors of accept are transient, which listener::accept_next holds; on_connection_lost set the distrust of pooled connections and left its two callers to end the task; is_request_late also meant a closing connection that had lingered; three alarms searched by serial, each in its own way. Change: accept_next and on_accept_error; on_connection_lost ends the task; has_lingered; find_by_serial. Behaviour is the same.

--- a/crates/daemon/src/net/backend/connection.rs
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -155,12 +155,13 @@
         }
     }
 
-    /// What a connection that is lost now means for its request: before the last byte is out it can't have run.
-    fn on_connection_lost(&self, cx: &mut Context) -> Outcome {
+    /// Ends its task, if it still has one, with the connection. A request whose last byte was not out can't have run.
+    fn on_connection_lost(&mut self, cx: &mut Context) {
         if self.task.is_some() && self.response_head.is_none() && self.is_reused {
             *cx.distrust_until = cx.now + DISTRUST_DURATION;
         }
-        if self.is_request_written() { Outcome::Reset } else { Outcome::ConnectFailed }
+        let outcome = if self.is_request_written() { Outcome::Reset } else { Outcome::ConnectFailed };
+        self.end_task(outcome, None, cx);
     }
 }
 
@@ -195,8 +196,7 @@
         let flow = self.read_response(cx);
         if flow == Flow::Close {
             // A malformed response ends the exchange as a lost connection does.
-            let outcome = self.on_connection_lost(cx);
-            self.end_task(outcome, None, cx);
+            self.on_connection_lost(cx);
         }
         flow
     }
@@ -205,8 +205,7 @@
         if self.response_head.as_ref().is_some_and(|head| head.body.until_end()) {
             self.on_response_complete(cx);
         }
-        let outcome = self.on_connection_lost(cx);
-        self.end_task(outcome, None, cx);
+        self.on_connection_lost(cx);
     }
 
     fn max_input(&self) -> usize {
--- a/crates/daemon/src/net/backend/timeouts.rs
+++ b/crates/daemon/src/net/backend/timeouts.rs
@@ -17,6 +17,11 @@
         cx.event_loop.set_alarm(cx.now + HEALTH_CHECK_TIMEOUT, Alarm::HealthCheck(serial));
     }
 
+    /// The connection that an alarm is for, with its slot; `None`: it has been closed.
+    fn find_by_serial(&mut self, serial: u64) -> Option<(usize, &mut WorkerConnection)> {
+        self.connections.iter_mut().find(|(_, connection)| connection.serial == serial)
+    }
+
     /// An attempt has waited as long as it may.
     pub fn on_response_deadline(&mut self, id: AttemptId, cx: &mut Context) {
         self.cancel(id, Outcome::Timeout, cx);
@@ -24,8 +29,9 @@
 
     /// A connection should be open by now.
     pub fn on_connect_alarm(&mut self, serial: u64, cx: &mut Context) {
-        let is_late = |c: &WorkerConnection| c.serial == serial && c.is_connecting;
-        if let Some((slot, connection)) = self.connections.iter_mut().find(|(_, c)| is_late(c)) {
+        if let Some((slot, connection)) = self.find_by_serial(serial)
+            && connection.is_connecting
+        {
             connection.end_task(Outcome::ConnectFailed, None, cx);
             self.remove(slot, cx);
         }
@@ -33,9 +39,7 @@
 
     /// The last byte of a request has been withheld long enough.
     pub fn on_last_byte_alarm(&mut self, serial: u64, cx: &mut Context) {
-        let Some((slot, connection)) = self.connections.iter_mut().find(|(_, c)| c.serial == serial) else {
-            return;
-        };
+        let Some((slot, connection)) = self.find_by_serial(serial) else { return };
         let Some(last) = connection.withheld_byte.take() else { return };
         connection.stream.buffer.push(&[last]);
         self.flush(slot, cx);
@@ -43,8 +47,9 @@
 
     /// A health check should have its response by now.
     pub fn on_health_check_alarm(&mut self, serial: u64, cx: &mut Context) {
-        let is_late = |c: &WorkerConnection| c.serial == serial && matches!(c.task, Some(Task::HealthCheck));
-        if let Some((slot, connection)) = self.connections.iter_mut().find(|(_, c)| is_late(c)) {
+        if let Some((slot, connection)) = self.find_by_serial(serial)
+            && matches!(connection.task, Some(Task::HealthCheck))
+        {
             connection.end_task(Outcome::Timeout, None, cx);
             self.remove(slot, cx);
         }
--- a/crates/daemon/src/net/frontend/accept.rs
+++ b/crates/daemon/src/net/frontend/accept.rs
@@ -5,11 +5,12 @@
 use crate::net::Context;
 use crate::net::buffered_stream::BufferedStream;
 use crate::net::event_loop::{Alarm, Millis, Owner};
+use crate::net::listener::accept_next;
 use slog::warn;
-use std::io::ErrorKind;
+use std::io;
 use std::rc::Rc;
 
-/// After an accept failed for want of file descriptors, the next one is tried this much later.
+/// Time until accepting is tried again, after it failed or while no connection may be evicted for a new one.
 const ACCEPT_RETRY_DELAY: Millis = 20.0;
 
 impl Frontend {
@@ -21,35 +22,36 @@
                 self.schedule_accept_retry(cx);
                 return;
             }
-            match self.listener.accept() {
-                Ok((stream, _)) => {
+            match accept_next(&self.listener) {
+                Ok(Some(stream)) => {
                     self.is_accept_failing = false;
-                    self.register(BufferedStream::new(stream), cx);
+                    self.add_client(BufferedStream::new(stream), cx);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                // The client closed the connection before it was accepted.
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                Err(e) => {
-                    // Mostly for want of file descriptors. The poll won't report the connections that wait again, and
-                    // trying at once would spin.
-                    if !std::mem::replace(&mut self.is_accept_failing, true) {
-                        warn!(cx.log, "accept_failed"; "error" => %e);
-                    }
-                    self.make_room(cx);
-                    self.schedule_accept_retry(cx);
+                Ok(None) => return,
+                Err(error) => {
+                    self.on_accept_error(&error, cx);
                     return;
                 }
             }
         }
     }
 
+    /// Makes room and schedules a retry: trying at once would spin. Of errors in a row the first one is logged.
+    fn on_accept_error(&mut self, error: &io::Error, cx: &mut Context) {
+        if !std::mem::replace(&mut self.is_accept_failing, true) {
+            warn!(cx.log, "accept_failed"; "error" => %error);
+        }
+        self.make_room(cx);
+        self.schedule_accept_retry(cx);
+    }
+
     fn schedule_accept_retry(&mut self, cx: &mut Context) {
         if !std::mem::replace(&mut self.is_retry_scheduled, true) {
             cx.event_loop.set_alarm(cx.now + ACCEPT_RETRY_DELAY, Alarm::Accept);
         }
     }
 
-    fn register(&mut self, stream: BufferedStream, cx: &mut Context) {
+    fn add_client(&mut self, stream: BufferedStream, cx: &mut Context) {
         let entry = self.clients.vacant_entry();
         let id = entry.key();
         let client = entry.insert(ClientConnection::new(stream, id, Rc::clone(&self.rules), cx.now));
--- a/crates/daemon/src/net/frontend/request_reader.rs
+++ b/crates/daemon/src/net/frontend/request_reader.rs
@@ -12,7 +12,7 @@
 /// What the head of a request says.
 struct ReceivedHead {
     kind: RequestKind,
-    /// An error in it counts after those in what `kind` is read from.
+    /// The body's framing. An error in it is reported only where `kind` could be read: errors there take precedence.
     body: Result<Body, RequestError>,
     keep_alive: bool,
     expects_continue: bool,
--- a/crates/daemon/src/net/frontend/responses.rs
+++ b/crates/daemon/src/net/frontend/responses.rs
@@ -33,7 +33,7 @@
         self.write_response(&response, cx);
     }
 
-    /// Whether this scheduler can serve jobs.
+    /// Writes the response to `GET /up`: 200 while this scheduler is in rotation and knows where to send jobs.
     pub(super) fn respond_to_health_check(&mut self, cx: &Context) {
         let (status, body): (u16, &[u8]) = if cx.shutdown.is_some() {
             (503, b"stopping\n")
--- a/crates/daemon/src/net/frontend/timeouts.rs
+++ b/crates/daemon/src/net/frontend/timeouts.rs
@@ -21,10 +21,7 @@
 
     fn is_request_late(&self, now: Millis) -> bool {
         match self.state {
-            State::AwaitingJob(_) | State::AwaitingReplicatedJob(_) => false,
-            State::Closing => {
-                now >= self.last_response_at + LINGER_TIMEOUT && self.stream.buffer.output().is_empty()
-            }
+            State::AwaitingJob(_) | State::AwaitingReplicatedJob(_) | State::Closing => false,
             _ if self.has_sent_request => {
                 self.request_began_at.is_some_and(|began_at| now >= began_at + REQUEST_TIMEOUT)
             }
@@ -32,8 +29,14 @@
         }
     }
 
+    fn has_lingered(&self, now: Millis) -> bool {
+        matches!(self.state, State::Closing)
+            && self.stream.buffer.output().is_empty()
+            && now >= self.last_response_at + LINGER_TIMEOUT
+    }
+
     fn has_timed_out(&self, now: Millis) -> bool {
-        self.is_request_late(now) || self.is_output_unread(now)
+        self.is_request_late(now) || self.has_lingered(now) || self.is_output_unread(now)
     }
 }
 
