Engine: Command::Broadcast, and a job's prior execution without a pair

Cause: SendMessage { to: None } meant all other schedulers; with_prior_attempt took an Option of a pair only to set a field; comments such as 'no other order can be written' and 'once too often' had to be puzzled out. Change: SendMessage has a receiver and Broadcast none; job_failover::prior_execution converts, and commands.rs says for both reasons why a job is not admitted; the engine's comments name InFlight, Retry-After and the write deadline.

--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -92,7 +92,7 @@
     ) {
         let cx = &mut context!(self);
         let Some(job_failover) = cx.job_failover.as_mut() else { return };
-        let prior_attempt = match prior {
+        let prior_execution = match prior {
             None => None,
             Some(prior) => {
                 let Some(worker) = cx.endpoints.find(&prior.worker) else {
@@ -100,13 +100,16 @@
                     job_failover.job_not_admitted(&key, JobOutcome::Failed);
                     return;
                 };
-                Some((worker, prior.max_age))
+                Some(job_failover::prior_execution(worker, prior.max_age))
             }
         };
-        let submitted = submitted.map(|submitted| job_failover::with_prior_attempt(submitted, prior_attempt));
-        match submitted.and_then(|submitted| cx.engine.submit_job(cx.now, submitted)) {
+        let admitted = submitted.and_then(|mut submitted| {
+            submitted.job.prior_execution = prior_execution;
+            cx.engine.submit_job(cx.now, submitted)
+        });
+        match admitted {
             Some(job) => job_failover.job_admitted(key, job),
-            // Another open job has its request id; the client may submit it again.
+            // Its payload can't be decoded, or another open job has its request id; the client may submit it again.
             None => {
                 job_failover.job_not_admitted(&key, JobOutcome::Rejected(Some(ID_IN_USE_RETRY_AFTER_MS)));
             }
@@ -154,8 +157,8 @@
             Command::WatchEndpoints { on } => cx.endpoints.set_watching(cx.now, on),
             Command::PollEndpoints => cx.endpoints.request_poll(cx.now),
             Command::HealthCheck { worker } => self.backend.check_health(worker, cx),
-            Command::SendMessage { to: Some(to), text } => self.send_to_peer(to, &text),
-            Command::SendMessage { to: None, text } => self.broadcast_to_peers(&text),
+            Command::SendMessage { to, text } => self.send_to_peer(to, &text),
+            Command::Broadcast { text } => self.broadcast_to_peers(&text),
             Command::CloseIdleConnections { worker } => self.backend.close_idle(worker, cx),
             Command::Log(text) => info!(self.log, "policy"; "message" => text),
         }
--- a/crates/daemon/src/net/job_failover/mod.rs
+++ b/crates/daemon/src/net/job_failover/mod.rs
@@ -240,11 +240,9 @@
     }
 }
 
-/// Adds the attempt of an earlier owner to a job that the engine takes: its worker, and its greatest age.
-pub fn with_prior_attempt(mut submitted: JobRequest, prior: Option<(WorkerId, Micros)>) -> JobRequest {
-    submitted.job.prior_execution =
-        prior.map(|(worker, max_age)| PriorExecution { worker, age: to_millis(max_age) });
-    submitted
+/// An earlier owner's attempt as the engine takes it: as old as it can be, so that a retry is not written too late.
+pub fn prior_execution(worker: WorkerId, max_age: Micros) -> PriorExecution {
+    PriorExecution { worker, age: to_millis(max_age) }
 }
 
 /// The engine's answer to a client.
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use brackenledge_policy::{JobId, Millis};
 
-/// Names an attempt.
+/// Identifies an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId {
     /// Its job.
@@ -50,7 +50,7 @@
         Attempt { started_at, state: AttemptState::Ended { may_have_run: true } }
     }
 
-    /// The attempt, for a transition; `None` once it has ended, for then there is none.
+    /// Access to its transitions; `None` once it has ended, since an ended attempt has none.
     pub(crate) fn in_flight(&mut self) -> Option<InFlight<'_>> {
         self.is_in_flight().then_some(InFlight(&mut self.state))
     }
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -66,10 +66,15 @@
         /// The worker.
         worker: WorkerId,
     },
-    /// [`Action::SendMessage`].
+    /// [`Action::SendMessage`] to one scheduler.
     SendMessage {
-        /// The receiver's number; `None`: all.
-        to: Option<u32>,
+        /// The receiver's number.
+        to: u32,
+        /// The text.
+        text: String,
+    },
+    /// [`Action::SendMessage`] to all other schedulers.
+    Broadcast {
         /// The text.
         text: String,
     },
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -29,7 +29,7 @@
     actions: Vec<Action>,
 }
 
-/// Whom a job that has just ended belongs to.
+/// The client and the class of a job that has just ended.
 struct EndedJob {
     client: ClientId,
     class: usize,
@@ -119,8 +119,8 @@
         }
     }
 
-    /// Answers every pending job, since the process is about to end. One that no worker can have completely is rejected
-    /// with this time to wait, and its unsent attempts are withdrawn; any other fails.
+    /// Answers every pending job, since the process is about to end, and withdraws its unsent attempts. A job whose request
+    /// no worker can have received completely is rejected with this `Retry-After`; any other fails.
     pub fn fail_pending(&mut self, retry_after: Option<Millis>) {
         let pending = self.jobs.iter().filter(|(_, job)| job.is_pending());
         let mut ids: Vec<JobId> = pending.map(|(&id, _)| id).collect();
@@ -247,7 +247,8 @@
             Action::WatchEndpoints { on } => Command::WatchEndpoints { on },
             Action::PollEndpoints => Command::PollEndpoints,
             Action::HealthCheck { worker } => Command::HealthCheck { worker },
-            Action::SendMessage { to, text } => Command::SendMessage { to, text },
+            Action::SendMessage { to: Some(to), text } => Command::SendMessage { to, text },
+            Action::SendMessage { to: None, text } => Command::Broadcast { text },
             Action::CloseIdleConnections { worker } => Command::CloseIdleConnections { worker },
             Action::Log(text) => Command::Log(text),
         };
@@ -256,14 +257,14 @@
 
     /// Starts an attempt, or ends it at once as never sent: its job is answered, it would be written too late, or the job
     /// has had all its attempts. Either way the decision module gets one result for it.
-    fn start_attempt(&mut self, now: Millis, id: JobId, worker: WorkerId, timeout: Option<Millis>) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+    fn start_attempt(&mut self, now: Millis, job_id: JobId, worker: WorkerId, timeout: Option<Millis>) {
+        let Some(job) = self.jobs.get_mut(&job_id) else { return };
         let NewAttempt { number, deadlines } = job.start_attempt(now, timeout, self.retry_windows[job.class]);
         let is_too_late = now >= deadlines.write_deadline;
-        let is_useless = !job.is_pending() || is_too_late || number >= self.max_attempts;
+        let must_not_run = !job.is_pending() || is_too_late || number >= self.max_attempts;
         let request = Rc::clone(&job.request);
-        let id = AttemptId { job: id, attempt: number };
-        if is_useless {
+        let id = AttemptId { job: job_id, attempt: number };
+        if must_not_run {
             self.attempt_ended(id, Outcome::NeverSent, None);
             return;
         }
@@ -274,8 +275,8 @@
         self.jobs.get_mut(&id.job)?.attempt_in_flight(id.attempt)
     }
 
-    /// Answers a job without a result. The decision module does not know which attempts have been sent: a job that no
-    /// worker can have completely is rejected even where the module says that it failed.
+    /// Answers a job without a result. The decision module does not know which attempts have been sent: a job whose request
+    /// no worker can have received completely is rejected even where the module says that it failed.
     fn answer(&mut self, id: JobId, answer: Answer) {
         let never_ran =
             self.jobs.get(&id).is_some_and(|job| !job.request.reports_attempts && job.never_ran());
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -9,7 +9,7 @@
 //! | --- | --- | --- | --- |
 //! | (none) | `submit_job` | job pending | |
 //! | job pending | the decision module starts an attempt | attempt connecting | `StartAttempt` |
-//! | job pending | the same, but too late, or once too often | attempt ended, and never ran | |
+//! | job pending | the same, past the write deadline or beyond the most attempts | attempt ended, and never ran | |
 //! | attempt connecting | `attempt_sent` | attempt sent | |
 //! | attempt connecting or sent | `attempt_ended` | attempt ended | |
 //! | attempt connecting or sent | `attempt_served` | attempt ended; job answered | `Answer`, `WithdrawAttempt` of the others |
@@ -18,8 +18,8 @@
 //! | job answered | the decision module starts an attempt | attempt ended, and never ran | |
 //! | job answered | its last attempt in flight has ended | forgotten | |
 //!
-//! No other order can be written: the client is kept in `Pending` and given away with it, so that there is one answer, and
-//! an attempt that has ended offers no transition. An input for what is gone does nothing.
+//! The types rule out any other order: a client is taken out of `Pending` with its answer, so that it gets one, and only an
+//! attempt in flight ([`InFlight`]) has transitions. An input for a job or an attempt that is gone does nothing.
 
 use crate::attempt::{Attempt, AttemptDeadlines, InFlight};
 use crate::stats::JobEnd;
@@ -126,7 +126,7 @@
         matches!(self.state, JobState::Pending(_))
     }
 
-    /// Ends the wait of its client, and returns that; `None`: it was not pending.
+    /// Marks it as answered and returns the client that waited; `None`: it was not pending.
     pub(crate) fn take_client(&mut self) -> Option<ClientId> {
         match std::mem::replace(&mut self.state, JobState::Answered) {
             JobState::Pending(client) => Some(client),
@@ -168,8 +168,8 @@
         attempts.filter(|(_, attempt)| attempt.is_in_flight()).map(|(number, _)| number)
     }
 
-    /// Whether no worker can have its complete request. A job that reports its attempts counts as one that may run as
-    /// soon as one is in flight: whoever is told of them may know of more than is known here.
+    /// Whether no worker can have received its complete request. A job that reports its attempts counts as one that may run
+    /// as soon as one is in flight: their receiver may know of an execution that is not known here.
     pub(crate) fn never_ran(&self) -> bool {
         let may_have_run = self.attempts.iter().any(Attempt::may_have_run);
         !(may_have_run || self.request.reports_attempts && self.has_attempt_in_flight())
