Protocol and adapter: the buffer's invariant, and comments that said too little

Cause: Buffer's three offsets had no invariant; 'after no error it may' read as its opposite; 'held' stood for in flight; the adapter did not say which list events need a slot. Change: the invariant and the fields' meaning; is_entries_array in place of names_entries; plain comments. No code but two names is touched.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -32,7 +32,7 @@
         }
     }
 
-    /// A worker's id; it is assigned with the first mention.
+    /// A worker's id, which is assigned when it is first named.
     fn worker_id(&mut self, worker: &str) -> WorkerId {
         if let Some(&id) = self.worker_ids.get(worker) {
             return id;
@@ -47,7 +47,7 @@
         directory.iter().map(|entry| entry.worker_entry(self.worker_id(&entry.worker))).collect()
     }
 
-    /// The event for the decision module; `None` if it has none for it.
+    /// The decision module's event for an event of the wire; `None`: the module has none.
     fn event(&mut self, directories: &Directories, event: WireEvent) -> Result<Option<Event>, BatchError> {
         Ok(Some(match event {
             WireEvent::BackendsChanged { kind, slot, .. } => self.list_event(directories, kind, slot)?,
--- a/crates/adapter/src/wire/event.rs
+++ b/crates/adapter/src/wire/event.rs
@@ -24,7 +24,7 @@
     },
     /// An instance is killed.
     Kill { dispatcher: String },
-    /// The worker list changed, or a request for it failed.
+    /// The worker list changed, or a request for it failed. All kinds but `Failed` need a slot.
     BackendsChanged { dispatcher: String, kind: WireListKind, slot: Option<usize> },
     /// A job arrived.
     Ask(WireJob),
@@ -60,7 +60,7 @@
         #[serde(rename = "telemetry")]
         report: Option<WireLoadReport>,
     },
-    /// A job's client waits no more.
+    /// A job's client has disconnected: it stopped waiting.
     TimedOutClient {
         dispatcher: String,
         #[serde(rename = "op-id")]
@@ -135,6 +135,7 @@
     is_retry: bool,
 }
 
+/// The slots of a job, or the weight of a worker, that the wire leaves out.
 fn one() -> f64 {
     1.0
 }
--- a/crates/protocol/src/http/buffer.rs
+++ b/crates/protocol/src/http/buffer.rs
@@ -9,11 +9,15 @@
 
 /// A connection's only buffer: output not yet written, then input not yet consumed. What was written or
 /// consumed leaves gaps, which are closed in place when room is needed.
+///
+/// Invariant: `written <= output_end <= input_start <= data.len()`.
 #[derive(Default)]
 pub struct Buffer {
     data: Vec<u8>,
+    /// Where output begins: what stands before it is written.
     written: usize,
     output_end: usize,
+    /// Where input begins, up to the end of `data`. What stands between output and input is consumed.
     input_start: usize,
 }
 
@@ -72,10 +76,10 @@
     /// Reads once into the room behind the input.
     pub fn read_from(&mut self, source: &mut impl Read) -> io::Result<usize> {
         self.compact();
-        let held = self.data.len();
-        self.data.resize(held + READ_CHUNK_BYTES, 0);
-        let read = source.read(&mut self.data[held..]);
-        self.data.truncate(held + read.as_ref().copied().unwrap_or(0));
+        let length = self.data.len();
+        self.data.resize(length + READ_CHUNK_BYTES, 0);
+        let read = source.read(&mut self.data[length..]);
+        self.data.truncate(length + read.as_ref().copied().unwrap_or(0));
         read
     }
 }
--- a/crates/protocol/src/http/request_error.rs
+++ b/crates/protocol/src/http/request_error.rs
@@ -82,8 +82,8 @@
         }
     }
 
-    /// Whether the connection may carry a further request. After no error it may: where the next request would begin is
-    /// unknown, and a request hidden behind a malformed one must not pass.
+    /// Whether the connection may carry a further request. After these errors it never may: where the next request would
+    /// begin is unknown, and a request hidden behind a malformed one must not pass.
     pub fn keeps_connection(self) -> bool {
         false
     }
--- a/crates/protocol/src/job_head.rs
+++ b/crates/protocol/src/job_head.rs
@@ -70,7 +70,7 @@
 }
 
 impl<'input> JobHead<'input> {
-    /// Decodes the job that a request's head describes. Of several faults, the first in this order is told.
+    /// Decodes the job that a request's head describes. Of several errors the first in this order is reported.
     pub fn decode(head: &RequestHead<'input>, rules: &JobRules) -> Result<Self, RequestError> {
         check_request_line(head)?;
         let class = decode_class(head, rules)?;
--- a/crates/protocol/src/list_stream.rs
+++ b/crates/protocol/src/list_stream.rs
@@ -188,7 +188,7 @@
     fn open(&mut self, byte: u8) -> Result<(), ListError> {
         self.depth += 1;
         if byte == b'[' && self.depth == ENTRIES_DEPTH {
-            self.in_entries = self.names_entries();
+            self.in_entries = self.is_entries_array();
         }
         if self.depth > MAX_DEPTH {
             return Err(ListError::TooDeep(MAX_DEPTH));
@@ -197,7 +197,7 @@
     }
 
     /// Whether the array that has just been opened is the one of the entries.
-    fn names_entries(&self) -> bool {
+    fn is_entries_array(&self) -> bool {
         let head = self.envelope.strip_suffix(b"[").unwrap_or_default().trim_ascii_end();
         let name = head.strip_suffix(b":").unwrap_or_default().trim_ascii_end();
         name.ends_with(b"\"endpoints\"")
--- a/crates/protocol/src/operations/drain.rs
+++ b/crates/protocol/src/operations/drain.rs
@@ -18,7 +18,7 @@
 }
 
 pub(super) const KEYS: &[Key<DrainOptions>] = &[
-    // 4 s after the call no job younger than 2 s may be held.
+    // 4 s after the call no job younger than 2 s may be in flight.
     Key {
         name: "takes_work_for_ms",
         remedy: "milliseconds, 0 to 1900",
