Daemon: Scheduler::execute_commands in place of settle

Cause: settle names no known step of a sans-I/O driver, while cluster.execute_commands beside it does the same for its own state machine; errors were called e and message. Change: the rename, in the invariant of Scheduler too, and error in buffered_stream.rs and main.rs.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -158,8 +158,8 @@
 fn main() -> ExitCode {
     match run(Arguments::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("brackenledge: {message}");
+        Err(error) => {
+            eprintln!("brackenledge: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/daemon/src/net/buffered_stream.rs
+++ b/crates/daemon/src/net/buffered_stream.rs
@@ -35,8 +35,8 @@
             match self.buffer.read_from(&mut self.socket) {
                 Ok(0) => return StreamState::ReadClosed,
                 Ok(_) => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return StreamState::Broken,
             }
         }
@@ -45,7 +45,7 @@
 
     /// Whether neither bytes nor the connection's end have arrived, also if the poll has not reported them yet.
     pub fn has_nothing_to_read(&self) -> bool {
-        matches!(self.socket.peek(&mut [0; 1]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        matches!(self.socket.peek(&mut [0; 1]), Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
 
     /// Writes as much output as the socket accepts. Returns whether that is all.
@@ -54,9 +54,9 @@
             match self.socket.write(self.buffer.output()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => self.buffer.wrote(count),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
             }
         }
         Ok(true)
--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -16,7 +16,7 @@
 
 impl Scheduler<'_> {
     /// Executes the commands of all state machines until none is left, then flushes what is sent in batches.
-    pub(super) fn settle(&mut self) {
+    pub(super) fn execute_commands(&mut self) {
         loop {
             // Changes of endpoints go first: a job must not be sent by an outdated status.
             if let Some(command) = self.endpoints.poll_command() {
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -59,11 +59,11 @@
         let again = scheduler.event_loop.take_again();
         for owner in events.iter().map(|event| Owner::of(event.token())).chain(again) {
             scheduler.on_event(owner);
-            scheduler.settle();
+            scheduler.execute_commands();
         }
         while let Some(alarm) = scheduler.event_loop.pop_due_alarm(polled_at) {
             scheduler.on_alarm(alarm);
-            scheduler.settle();
+            scheduler.execute_commands();
         }
         if scheduler.try_finish() {
             scheduler.log_counters("shutdown_complete");
--- a/crates/daemon/src/net/scheduler.rs
+++ b/crates/daemon/src/net/scheduler.rs
@@ -62,7 +62,7 @@
 
 /// One scheduler: its state machines, its connections and its event loop.
 ///
-/// Invariant: after each event and alarm, `settle` has carried out all commands of the state machines.
+/// Invariant: after each event and alarm, `execute_commands` has executed all commands of the state machines.
 pub(super) struct Scheduler<'a> {
     pub(super) event_loop: EventLoop,
     pub(super) engine: Engine,
@@ -128,7 +128,7 @@
         let cx = &mut context!(self);
         self.frontend.accept(cx);
         self.frontend.close_all_idle(cx);
-        self.settle();
+        self.execute_commands();
         if self.has_pending_work() {
             return false;
         }
--- a/crates/daemon/src/net/startup.rs
+++ b/crates/daemon/src/net/startup.rs
@@ -133,7 +133,7 @@
         }
         self.endpoints.handle_timeout(now);
         self.engine.handle_timeout();
-        self.settle();
+        self.execute_commands();
     }
 }
 
