Queued jobs wait by their own hinted running time, and so does the start delay

Seen on the second deployment: jobs were rejected after a fifth of the class's latency objective, 24 ms there, and without start reports the start delay was the time of the attempt over the deadline, which never reaches the bound at which the budget is cut. The design asks for the completion time less the hinted running time. Faulty lines: MAX_QUEUE_TIME in queues.rs, estimated_start_delay in attempts.rs.

--- a/crates/policy/src/dispatcher/attempts.rs
+++ b/crates/policy/src/dispatcher/attempts.rs
@@ -44,8 +44,8 @@
         let zone = self.zones.entry(worker.zone).or_default();
         let delay = now - attempt.sent_at - zone.record_start_latency(now - attempt.sent_at);
         worker.start_wait = DecayingSum::new(now, delay);
-        let (lane, class) = (job.lane, job.class);
-        self.record_start_delay(now, lane, delay / self.slack(class));
+        let job = &self.jobs[&id];
+        self.record_start_delay(now, job.lane, delay / self.slack(job));
     }
 
     pub(super) fn on_attempt_ended(&mut self, now: Millis, end: AttemptResult, actions: &mut Vec<Action>) {
@@ -83,7 +83,7 @@
                 worker.recent_fulls = worker.recent_fulls.saturating_sub(1);
                 self.learn_run_time(now, class, slots, attempt);
                 if attempt.started_at.is_none() {
-                    let delay = self.estimated_start_delay(now, class, attempt);
+                    let delay = self.estimated_start_delay(now, &self.jobs[&id], attempt);
                     self.record_start_delay(now, lane, delay);
                 }
             }
@@ -120,16 +120,9 @@
         self.run_times[class].observe(run_time, RUN_TIME_WEIGHT, SHORTEST_RUN_TIME_RISE);
     }
 
-    /// Where workers do not report starts: the wait that a load report implies, in latency objectives, or
-    /// else the time that the attempt took, as a fraction of the deadline.
-    fn estimated_start_delay(&self, now: Millis, class: usize, attempt: Attempt) -> f64 {
-        let worker = &self.workers[attempt.worker];
-        let Class { latency_objective, deadline, .. } = self.settings.classes[class];
-        let slots = worker.reported_slots.0.max(1.0);
-        match self.free_slots(now, attempt.worker, worker) {
-            Some(free) => (-free).max(0.0) / slots * self.mean_run_time() / latency_objective.max(1.0),
-            None => (now - attempt.sent_at) / deadline.max(1.0),
-        }
+    /// Where workers do not report starts: the time that the attempt took beyond the running time.
+    fn estimated_start_delay(&self, now: Millis, job: &Job, attempt: Attempt) -> f64 {
+        (now - attempt.sent_at - job.run_time).max(0.0) / self.slack(job)
     }
 
     /// Where a job may be sent, given what became of its earlier attempts.
--- a/crates/policy/src/dispatcher/mod.rs
+++ b/crates/policy/src/dispatcher/mod.rs
@@ -165,10 +165,9 @@
         sum / self.run_times.len().max(1) as f64
     }
 
-    /// How long a typical job of a class can wait and still be in time. The latency objective grows with a
-    /// job's own running time.
-    fn slack(&self, class: usize) -> Millis {
-        let Class { latency_objective, stretch, .. } = self.settings.classes[class];
-        (latency_objective + (stretch - 1.0).max(0.0) * self.run_times[class].typical).max(1.0)
+    /// How long a job can wait and still be in time. The latency objective grows with its own running time.
+    fn slack(&self, job: &Job) -> Millis {
+        let Class { latency_objective, stretch, .. } = self.settings.classes[job.class];
+        (latency_objective + (stretch - 1.0).max(0.0) * job.run_time).max(1.0)
     }
 }
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -57,7 +57,7 @@
     /// not.
     fn admits_wait(&self, now: Millis, worker: WorkerId, job: &Job) -> bool {
         let is_known = self.peer_loads.has_aggregated(now);
-        let max_wait = if is_known { ADMITTED_WAIT * self.slack(job.class) } else { f64::INFINITY };
+        let max_wait = if is_known { ADMITTED_WAIT * self.slack(job) } else { f64::INFINITY };
         self.expected_wait(now, worker, job) <= max_wait
     }
 
@@ -91,7 +91,7 @@
         let distance = self.settings.cross_zone_cost(worker.zone) * objective;
         let fetch = job.key.map_or(0.0, |key| self.fetch_cost(worker, key, job.key_popularity, typical));
         let slower = worker.slowness.value_at(now, SLOWNESS_DECAY_TIME) * typical;
-        let late = (slower - SLOWNESS_SLACK * self.slack(job.class)).max(0.0);
+        let late = (slower - SLOWNESS_SLACK * self.slack(job)).max(0.0);
         let slower = SLOWNESS_WEIGHT * slower + LATENESS_WEIGHT * late;
         let risk = (FAULT_COST * fault_rate + DRAIN_COST * worker.drain_probability) * objective;
         self.expected_wait(now, id, job) + slower + risk + distance + fetch
--- a/crates/policy/src/dispatcher/queues.rs
+++ b/crates/policy/src/dispatcher/queues.rs
@@ -2,7 +2,7 @@
 //! of its tenant, and has no attempt in flight.
 use super::*;
 
-const MAX_QUEUE_TIME: f64 = 0.2; // latency objectives: a job that waits longer starts too late to be in time
+const MAX_QUEUE_TIME: f64 = 0.2; // fraction of the slack: a job that waits longer starts too late to be in time
 const CAPACITY_RETRY_INTERVAL: Millis = 5.0; // before jobs that no worker could take are tried again
 const MAX_SKIPPED_JOBS: usize = 4; // of a tenant, that no worker can take now, in one turn
 const MAX_IDLE_ROUNDS: usize = 8; // rounds of all tenants without a start
@@ -29,21 +29,22 @@
         let fits = !is_full || displaced.is_some();
         let key = new.affinity_key.as_deref().map(hash);
         let deadline = now + new.time_left;
-        let queue_deadline = now + MAX_QUEUE_TIME * self.settings.classes[class].latency_objective;
         let prior = new.prior_execution.map(|prior| Attempt::of_earlier_scheduler(now, prior));
-        let job = Job {
+        let mut job = Job {
             class,
             tenant,
             lane,
             key,
             key_popularity: key.map_or(0.0, |key| self.key_popularity.record(now, key)),
             deadline,
-            queue_deadline: queue_deadline.min(deadline - DEADLINE_MARGIN),
             slots: new.slots.max(1.0),
+            run_time: new.expected_run_time.unwrap_or(self.run_times[class].typical),
             queued: fits,
             attempts: prior.into_iter().collect(),
             ..Job::default()
         };
+        let queue_deadline = now + MAX_QUEUE_TIME * self.slack(&job);
+        job.queue_deadline = queue_deadline.min(deadline - DEADLINE_MARGIN);
         self.job_timers.push(job.queue_deadline, new.id);
         if lane == WITHIN_QUOTA {
             self.record_quota_work(now, self.run_times[class].shortest * job.slots);
--- a/crates/policy/src/job.rs
+++ b/crates/policy/src/job.rs
@@ -51,6 +51,8 @@
     /// Until when it may wait for an attempt.
     pub(crate) queue_deadline: Millis,
     pub(crate) slots: f64,
+    /// Its expected running time on a standard core: its client's hint, or else what is typical of its class.
+    pub(crate) run_time: Millis,
     pub(crate) queued: bool,
     pub(crate) answered: bool,
     /// Its streamed answer has begun.
