Serve jobs in time first, slow start by capacity, retries by their first objective

Traced with the budget, the workers' load and each rejection printed:

- Slow start allowed a multiple of what workers are served on average.
In a jam that falls to nothing, and so does what new workers are sent (workers.rs, slow_start_rate).
Now by the worker's slots and its kind's speed, in a token bucket without overdraft; a job larger than the bucket, which alone pushed a worker over, does not go there.
- Clients' retries counted as new: by the wire a class's deadline spans all tries, so what a retry has left tells its age.
Most served in a jam were late by their first request.
Now they keep its objective (queues.rs, enqueue_job).
- Running times: a worker's speed was judged by the class's mean, without the hint, the kind of machine and its warming up.
Now by the hinted time; a new worker starts with what its kind has shown (attempts.rs, placement.rs).
- Where late answers are worth nothing, a job is sent only where it can be in time, and no worker's queue grows beyond what the most urgent class there can bear; the classes of the greatest weight go first over all tenants.
- Slots were not known, for load reports come by health checks alone there: each worker is now asked every 2 s.

--- a/crates/policy/src/dispatcher/answers.rs
+++ b/crates/policy/src/dispatcher/answers.rs
@@ -12,7 +12,7 @@
         if self.may_reject(job) {
             let spread = 0.5 + self.rng.f64();
             let objective = self.settings.classes[job.class].latency_objective;
-            let pause = if job.lane == WITHIN_QUOTA { objective } else { f64::INFINITY };
+            let pause = if job.is_within_quota { objective } else { f64::INFINITY };
             let pause = (spread * pause).min(self.settings.max_retry_after);
             let retry_after = (self.settings.retry_after && pause > 0.0).then_some(pause);
             actions.push(Action::Reject { job: id, retry_after });
@@ -84,16 +84,14 @@
     /// Attempts that take far longer than usual count against their workers before they end, but only once.
     pub(super) fn record_overdue_attempts(&mut self, now: Millis) {
         for job in self.jobs.values_mut() {
-            let typical = self.run_times[job.class].typical;
             let in_flight = job.attempts.iter_mut().filter(|attempt| attempt.in_flight);
             for attempt in in_flight.filter(|attempt| !attempt.is_overdue) {
-                let ratio = (now - attempt.started_at.unwrap_or(attempt.sent_at)) / typical;
+                let ratio = (now - attempt.started_at.unwrap_or(attempt.sent_at)) / attempt.expected_duration;
                 let slowness = &mut self.workers[attempt.worker].slowness;
-                let expected = (1.0 + slowness.value_at(now, SLOWNESS_DECAY_TIME)).max(1.0);
+                let expected = (1.0 + slowness.value_at(now)).max(1.0);
                 if ratio > OVERDUE_RATIO * expected {
                     attempt.is_overdue = true;
-                    let ratio = ratio.min(MAX_RUN_TIME_RATIO);
-                    slowness.observe(now, SLOWNESS_DECAY_TIME, OBSERVATION_WEIGHT, ratio);
+                    slowness.observe(now, OBSERVATION_WEIGHT, RunTimeRatio::overdue(ratio));
                 }
             }
         }
--- a/crates/policy/src/dispatcher/attempts.rs
+++ b/crates/policy/src/dispatcher/attempts.rs
@@ -5,7 +5,8 @@
 const MAX_CACHED_KEYS: usize = 4; // of the jobs last sent to a worker: it is assumed to have their data
 const MESSAGES_PER_ATTEMPT: f64 = 1.0; // load messages, counted by receiver, that an attempt pays for
 const SHORTEST_RUN_TIME_RISE: f64 = 1.0005; // a factor for each result
-const RUN_TIME_WEIGHT: f64 = OBSERVATION_WEIGHT / 5.0; // of one more running time of a class
+pub(super) const RUN_TIME_WEIGHT: f64 = OBSERVATION_WEIGHT / 5.0; // of one more running time of a class
+const KIND_WEIGHT: f64 = OBSERVATION_WEIGHT / 5.0; // of one more observation of a machine kind
 const FULL_DELAY: f64 = 2.0; // latency objectives that a full worker counts for as a delay
 const FULL_BACKOFF: f64 = 0.25; // running times, before the first doubling
 const MAX_FULL_DOUBLINGS: u32 = 4;
@@ -14,8 +15,14 @@
 
 impl Dispatcher {
     pub(super) fn start_attempt(&mut self, now: Millis, id: JobId, to: WorkerId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        // Where workers report starts, running times are known without the wait.
+        let is_guessed = !self.settings.reports_job_start;
+        let expected_wait = if is_guessed { self.expected_wait(now, to, job).max(0.0) } else { 0.0 };
+        let capacity = self.workers[to].capacity_fraction(now, &self.settings);
+        let expected_duration = job.run_time / capacity + expected_wait;
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.attempts.push(Attempt::start(now, to));
+        job.attempts.push(Attempt { expected_wait, expected_duration, ..Attempt::start(now, to) });
         job.queued = false;
         let worker = &mut self.workers[to];
         if let Some(key) = job.key {
@@ -23,7 +30,7 @@
         }
         worker.occupy(job.slots);
         worker.freed_at = 0.0;
-        worker.allowance -= self.run_times[job.class].typical * job.slots;
+        worker.allowance.take(job.run_time * job.slots);
         self.message_credit += MESSAGES_PER_ATTEMPT;
         self.budget.used_slots += job.slots;
         self.slots_changed = true;
@@ -38,14 +45,12 @@
         attempt.started_at = Some(now);
         let attempt = *attempt;
         let worker = &mut self.workers[attempt.worker];
-        worker.last_started_sent_at = worker.last_started_sent_at.max(attempt.sent_at);
-        worker.recent_fulls = worker.recent_fulls.saturating_sub(1);
-        worker.mark_started(job.slots);
+        worker.on_job_started(attempt.sent_at, job.slots);
         let zone = self.zones.entry(worker.zone).or_default();
         let delay = now - attempt.sent_at - zone.record_start_latency(now - attempt.sent_at);
         worker.start_wait = DecayingSum::new(now, delay);
         let job = &self.jobs[&id];
-        self.record_start_delay(now, job.lane, delay / self.slack(job));
+        self.record_start_delay(now, job.is_discounted(), delay / self.slack(job));
     }
 
     pub(super) fn on_attempt_ended(&mut self, now: Millis, end: AttemptResult, actions: &mut Vec<Action>) {
@@ -74,17 +79,19 @@
     /// What an outcome says about the worker, the class and the budget.
     fn learn_from_outcome(&mut self, now: Millis, id: JobId, attempt: Attempt, outcome: Outcome) {
         let job = &self.jobs[&id];
-        let (lane, class, slots) = (job.lane, job.class, job.slots);
+        let (is_discounted, class, work) = (job.is_discounted(), job.class, job.run_time * job.slots);
         let worker = &mut self.workers[attempt.worker];
         match outcome {
             Outcome::Served => {
                 worker.faults.record(now, false);
                 worker.freed_at = now;
                 worker.recent_fulls = worker.recent_fulls.saturating_sub(1);
-                self.learn_run_time(now, class, slots, attempt);
+                self.learn_run_time(now, class, work, attempt);
+                // Where workers do not report starts, it is what the attempt took beyond the running time.
                 if attempt.started_at.is_none() {
-                    let delay = self.estimated_start_delay(now, &self.jobs[&id], attempt);
-                    self.record_start_delay(now, lane, delay);
+                    let job = &self.jobs[&id];
+                    let delay = (now - attempt.sent_at - job.run_time).max(0.0);
+                    self.record_start_delay(now, is_discounted, delay / self.slack(job));
                 }
             }
             Outcome::Full => {
@@ -95,7 +102,7 @@
                 worker.backoff_until = now + pause;
                 let objective = self.settings.classes[class].latency_objective.max(1.0);
                 worker.start_wait = DecayingSum::new(now, objective);
-                self.record_start_delay(now, lane, FULL_DELAY);
+                self.record_start_delay(now, is_discounted, FULL_DELAY);
             }
             Outcome::WorkerError | Outcome::ConnectFailed | Outcome::Reset => {
                 // One failure among many is the network's or the job's, not the worker's.
@@ -109,35 +116,23 @@
         }
     }
 
-    fn learn_run_time(&mut self, now: Millis, class: usize, slots: f64, attempt: Attempt) {
+    fn learn_run_time(&mut self, now: Millis, class: usize, work: f64, attempt: Attempt) {
         let typical = self.run_times[class].typical;
         let run_time = now - attempt.started_at.unwrap_or(attempt.sent_at);
-        let ratio = (run_time / typical).min(MAX_RUN_TIME_RATIO);
-        let slowness = &mut self.workers[attempt.worker].slowness;
-        slowness.observe(now, SLOWNESS_DECAY_TIME, OBSERVATION_WEIGHT, ratio);
+        let observed = RunTimeRatio::new(run_time, attempt.expected_duration, typical);
+        let worker = &mut self.workers[attempt.worker];
+        worker.slowness.observe(now, OBSERVATION_WEIGHT, observed);
+        if attempt.expected_wait == 0.0 {
+            self.kinds.entry(worker.kind).or_default().observe_run_time(KIND_WEIGHT, observed);
+        }
         // Served work alone counts: rejected attempts would raise what workers are sent in slow start.
-        self.served_work.add(now, RATE_DECAY_TIME, typical * slots);
+        self.served_work.add(now, RATE_DECAY_TIME, work);
         self.run_times[class].observe(run_time, RUN_TIME_WEIGHT, SHORTEST_RUN_TIME_RISE);
     }
 
-    /// Where workers do not report starts: the time that the attempt took beyond the running time.
-    fn estimated_start_delay(&self, now: Millis, job: &Job, attempt: Attempt) -> f64 {
-        (now - attempt.sent_at - job.run_time).max(0.0) / self.slack(job)
-    }
-
     /// Where a job may be sent, given what became of its earlier attempts.
     pub(super) fn retry_scope(&self, now: Millis, job: &Job) -> RetryScope {
-        let class = &self.settings.classes[job.class];
-        let Some(first) = job.first_possible_run() else { return RetryScope::Anywhere };
-        let is_past_window = now >= first.sent_at + class.deduplication_window;
-        match (class.effect, class.deduplication_scope) {
-            (Effect::Repeatable, _) => RetryScope::Anywhere,
-            (Effect::NonIdempotent, _) => RetryScope::Nowhere,
-            (Effect::Idempotent, _) if is_past_window => RetryScope::Nowhere,
-            (Effect::Idempotent, DeduplicationScope::All) => RetryScope::Anywhere,
-            (Effect::Idempotent, DeduplicationScope::Zone) => RetryScope::ZoneOf(first.worker),
-            (Effect::Idempotent, DeduplicationScope::Cell) => RetryScope::CellOf(first.worker),
-        }
+        RetryScope::after(now, &self.settings.classes[job.class], job.first_possible_run())
     }
 
     /// Retries a job that has no attempt in flight and no answer, or answers it.
@@ -156,25 +151,3 @@
         }
     }
 }
-
-/// The workers to which a job may be sent.
-#[derive(Clone, Copy, PartialEq)]
-pub(super) enum RetryScope {
-    Anywhere,
-    /// The workers in this one's zone; none if it is not known.
-    ZoneOf(WorkerId),
-    /// The workers in this one's cell; none if it is not known.
-    CellOf(WorkerId),
-    Nowhere,
-}
-
-impl RetryScope {
-    pub(super) fn allows(self, worker: &Worker, workers: &[Worker]) -> bool {
-        match self {
-            RetryScope::Anywhere => true,
-            RetryScope::ZoneOf(first) => workers.get(first).is_some_and(|first| first.zone == worker.zone),
-            RetryScope::CellOf(first) => workers.get(first).is_some_and(|first| first.cell == worker.cell),
-            RetryScope::Nowhere => false,
-        }
-    }
-}
--- a/crates/policy/src/dispatcher/budget.rs
+++ b/crates/policy/src/dispatcher/budget.rs
@@ -34,15 +34,16 @@
 }
 
 impl Dispatcher {
-    pub(super) fn budget_admits(&self, lane: usize, slots: f64) -> bool {
+    /// Whether an attempt fits into the budget; one of a discounted job, into the part for those.
+    pub(super) fn budget_admits(&self, slots: f64, is_discounted: bool) -> bool {
         let SlotBudget { used_slots, floor, over_quota_fraction, .. } = self.budget;
         let total = self.budget.slots_per_worker * self.ready.ids.len() as f64;
-        let limit = if lane == WITHIN_QUOTA { total.max(floor) } else { over_quota_fraction * total };
-        used_slots == 0.0 && lane == WITHIN_QUOTA || used_slots + slots <= limit
+        let limit = if is_discounted { over_quota_fraction * total } else { total.max(floor) };
+        used_slots == 0.0 && !is_discounted || used_slots + slots <= limit
     }
 
-    pub(super) fn record_start_delay(&mut self, now: Millis, lane: usize, objectives: f64) {
-        if lane == WITHIN_QUOTA && objectives.is_finite() {
+    pub(super) fn record_start_delay(&mut self, now: Millis, is_discounted: bool, objectives: f64) {
+        if !is_discounted && objectives.is_finite() {
             self.budget.delays.push(now, objectives);
         }
     }
--- a/crates/policy/src/dispatcher/loads.rs
+++ b/crates/policy/src/dispatcher/loads.rs
@@ -1,22 +1,17 @@
 //! The slots of workers, as far as load reports and the messages of other schedulers state them.
 use super::*;
 
+const HEALTH_CHECK_INTERVAL: Millis = 2_000.0; // of one worker
 const REPORT_TTL: Millis = 3_000.0; // a load report older than this counts for nothing
 const PEER_LOAD_TTL: Millis = 1_500.0; // what another scheduler stated counts for this long
 const AGGREGATED_LOAD_AGE: Millis = 300.0; // that aggregated loads reach; what was sent since is on its way
 
 impl Dispatcher {
     pub(super) fn on_peer_message(&mut self, now: Millis, from: u32, text: &str) {
-        let own = |id: WorkerId| Self::stated_slots(now, &self.workers[id]).slots;
+        let own = |id: WorkerId| self.workers[id].stated_slots(now).slots;
         self.peer_loads.handle_message(now, from, text, own);
     }
 
-    /// The slots in flight at a worker as others are told; faults count too.
-    fn stated_slots(now: Millis, worker: &Worker) -> SlotsByHash {
-        let slots = worker.in_flight_slots + worker.faults.equivalent_slots(now);
-        SlotsByHash { name_hash: worker.name_hash, slots }
-    }
-
     pub(super) fn exchange_loads(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.peer_loads.expire(now - PEER_LOAD_TTL);
         if !self.peer_loads.is_direct() {
@@ -26,7 +21,7 @@
                 WorkerLoad { occupied, slots: self.known_slots(worker) }
             };
             let loads: Vec<WorkerLoad> = self.ready.ids.iter().map(load).collect();
-            let run_times = AGGREGATED_LOAD_AGE / self.mean_run_time();
+            let run_times = AGGREGATED_LOAD_AGE / self.expected_run_times.typical;
             self.peer_loads.update_expected_level(&loads, run_times);
         } else if self.settings.peer_messages {
             self.broadcast_loads(actions);
@@ -51,44 +46,70 @@
         let changed = std::mem::take(&mut self.slots_changed);
         if self.settings.peer_messages {
             let ready = self.ready.ids.iter().map(|&id| &self.workers[id]);
-            let own = ready.map(|worker| Self::stated_slots(now, worker));
+            let own = ready.map(|worker| worker.stated_slots(now));
             let messages = self.peer_loads.poll_messages(now, changed, own).into_iter();
             actions.extend(messages.map(|OutgoingMessage { to, text }| Action::SendMessage { to, text }));
         }
     }
 
     /// Free slots, as far as other schedulers' messages or a fresh load report state them; negative: jobs
-    /// queue.
+    /// queue. Where schedulers send no messages and reports don't tell either, each of the others is taken to
+    /// occupy as much as this one.
     pub(super) fn free_slots(&self, now: Millis, id: WorkerId, worker: &Worker) -> Option<f64> {
         // What all other schedulers state of themselves is newer than a report, and exact.
         let is_complete = self.peer_loads.is_complete(now, self.settings.schedulers);
         let in_flight = worker.in_flight_slots;
         let stated = || self.peer_loads.expected_remote_slots(now, id, worker.name_hash, in_flight);
-        let remote = if is_complete { stated() } else { worker.remote_slots };
+        let others = f64::from(self.settings.schedulers) - 1.0;
+        let is_fresh = now - worker.reported_at < REPORT_TTL;
+        let remote = match worker.remote_slots {
+            _ if is_complete => stated(),
+            Some(remote) if is_fresh => remote,
+            None if !self.settings.peer_messages => in_flight * others,
+            _ => return None,
+        };
         let slots = self.known_slots(worker);
-        let is_known = slots > 0.0 && (is_complete || now - worker.reported_at < REPORT_TTL);
-        is_known.then_some(slots - remote - in_flight)
+        (slots > 0.0).then_some(slots - remote - in_flight)
     }
 
     /// A worker's slots as reported, or else, in a large cluster, those of its kind; 0: not known.
     pub(super) fn known_slots(&self, worker: &Worker) -> f64 {
         let is_reported = worker.reported_slots.0 > 0.0 || self.peer_loads.is_direct();
-        let of_kind = || self.kind_slots.get(&worker.kind).copied().unwrap_or_default();
-        if is_reported { worker.reported_slots.0 } else { of_kind().0 }
+        if is_reported { worker.reported_slots.0 } else { self.kind(worker.kind).slots.0 }
+    }
+
+    pub(super) fn kind(&self, kind: u32) -> MachineKind {
+        self.kinds.get(&kind).copied().unwrap_or_default()
+    }
+
+    /// Asks workers for load reports where those come no other way.
+    pub(super) fn check_health(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let is_needed = self.settings.report_source == ReportSource::HealthChecks;
+        let ready = self.ready.ids.iter().filter(|_| self.settings.health_checks && is_needed);
+        for &id in ready {
+            let worker = &mut self.workers[id];
+            if now - worker.health_checked_at >= HEALTH_CHECK_INTERVAL {
+                worker.health_checked_at = now;
+                actions.push(Action::HealthCheck { worker: id });
+            }
+        }
     }
 
     pub(super) fn on_load_report(&mut self, now: Millis, id: WorkerId, report: Option<LoadReport>) {
         let (Some(worker), Some(report)) = (self.workers.get_mut(id), report) else { return };
-        let (Some(free), in_flight) = (report.free_slots, report.in_flight.unwrap_or(0.0)) else { return };
-        if !(free.is_finite() && in_flight.is_finite()) {
-            return;
-        }
-        if free >= 0.5 {
-            worker.reported_slots.observe(free, in_flight);
-            self.kind_slots.entry(worker.kind).or_default().observe(free, in_flight);
+        let Some(free) = report.free_slots.filter(|free| free.is_finite()) else { return };
+        let kind = self.kinds.entry(worker.kind).or_default();
+        if let Some(in_flight) = report.in_flight.filter(|in_flight| in_flight.is_finite()) {
+            if free >= 0.5 {
+                worker.reported_slots.observe(free, in_flight);
+                kind.slots.observe(free, in_flight);
+            }
+            let occupied = in_flight.max(worker.reported_slots.0 - free);
+            worker.remote_slots = Some((occupied - worker.in_flight_slots).max(0.0));
+        } else {
+            kind.slots.observe_free(free);
+            worker.reported_slots = kind.slots;
         }
-        let occupied = in_flight.max(worker.reported_slots.0 - free);
-        worker.remote_slots = (occupied - worker.in_flight_slots).max(0.0);
         worker.reported_at = now;
     }
 }
--- a/crates/policy/src/dispatcher/mod.rs
+++ b/crates/policy/src/dispatcher/mod.rs
@@ -17,28 +17,29 @@
 use crate::hashing::{hash, rendezvous_distance};
 use crate::job::{Attempt, Job};
 use crate::key_popularity::KeyPopularity;
-use crate::measure::{DecayingSum, FaultScore, RunTimeEstimate, SlotEstimate, SlownessEstimate, quantiles};
+use crate::measure::{DecayingSum, FaultScore, RunTimeEstimate, RunTimeRatio, SlownessEstimate, quantiles};
 use crate::peers::{OutgoingMessage, PeerLoads, SlotsByHash, WorkerLoad, turn_position};
 use crate::ready_workers::ReadyWorkers;
+use crate::request_ages::RequestAges;
+use crate::retry_scope::RetryScope;
 use crate::slot_budget::SlotBudget;
-use crate::tenant_queues::{LANES, LaneTurn, OVER_QUOTA, TenantQueue, WITHIN_QUOTA, tenant_queues};
+use crate::tenant_queues::{LaneTurn, PriorityLanes, TenantQueue, tenant_queues};
 use crate::tenant_quotas::{RATE_DECAY_TIME, TenantQuotas};
 use crate::timer_queue::TimerQueue;
-use crate::worker::{Worker, Zone};
+use crate::worker::{MachineKind, Worker, Zone};
 use crate::{
     Action, AttemptResult, Class, DeduplicationScope, Effect, Event, JobId, ListKind, LoadReport, Millis,
-    NewJob, Outcome, Readiness, Settings, Tenant, Weights, WorkerEntry, WorkerId,
+    NewJob, Outcome, Readiness, ReportSource, Settings, Weights, WorkerEntry, WorkerId,
 };
-use attempts::RetryScope;
+use attempts::RUN_TIME_WEIGHT;
 use fastrand::Rng;
 use std::collections::BTreeMap;
 
 const SWEEP_INTERVAL: Millis = 200.0; // between looks at late attempts, and load messages of a small cluster
 const CLOCK_RESOLUTION: Millis = 0.01; // a driver's clock may be rounded by as much
 const POLL_SPREAD: f64 = 0.2; // of the longest interval: when the first poll, or one after a failure, is made
-const SLOWNESS_DECAY_TIME: Millis = 6_000.0; // of slowness that is not observed any more
 const OBSERVATION_WEIGHT: f64 = 0.15; // of one more observation of a worker
-const MAX_RUN_TIME_RATIO: f64 = 10.0; // typical running times that a job counts for at most
+const LEAST_RUN_TIME: f64 = 0.5; // fraction of the expected running time that fast workers need at least
 const DEADLINE_MARGIN: Millis = 1.0; // queued jobs end this long before clients stop waiting
 
 /// A dispatcher. See the crate's page for how to drive it.
@@ -50,7 +51,8 @@
     zones: BTreeMap<u32, Zone>,
     tenant_queues: Vec<TenantQueue>,
     quotas: TenantQuotas,
-    turns: [LaneTurn; LANES],
+    lanes: PriorityLanes,
+    turns: Vec<LaneTurn>,
     budget: SlotBudget,
     run_times: Vec<RunTimeEstimate>, // by class
     served_work: DecayingSum,        // in slot-milliseconds
@@ -62,19 +64,20 @@
     no_capacity_until: Millis, // no worker had capacity a moment ago: queued jobs wait until then
     peer_loads: PeerLoads,
     key_popularity: KeyPopularity,
-    message_credit: f64,                     // load messages that attempts have paid for
-    slots_changed: bool,                     // those in flight, since they were last stated to others
-    kind_slots: BTreeMap<u32, SlotEstimate>, // of a worker, by machine kind
+    message_credit: f64, // load messages that attempts have paid for
+    slots_changed: bool, // those in flight, since they were last stated to others
+    kinds: BTreeMap<u32, MachineKind>,
+    request_ages: RequestAges,
+    expected_run_times: RunTimeEstimate, // of all jobs, before they run
 }
 
 impl Dispatcher {
     /// A dispatcher that knows nothing yet.
     pub fn new(now: Millis, settings: Settings, seed: u64) -> Self {
-        let mut settings = Settings { schedulers: settings.schedulers.max(1), ..settings };
-        if settings.tenants.is_empty() {
-            settings.tenants.push(Tenant { quota_fraction: 1.0, quota_per_second: 0.0 });
-        }
+        let settings = settings.complete();
         let run_time = |class: &Class| RunTimeEstimate::assume(class.latency_objective.max(1.0));
+        let lanes = PriorityLanes::new(&settings);
+        let objectives: Millis = settings.classes.iter().map(|class| class.latency_objective).sum();
         let mut rng = Rng::with_seed(seed);
         let poll_delay = POLL_SPREAD * settings.max_poll_interval * rng.f64();
         Dispatcher {
@@ -82,9 +85,10 @@
             workers: Vec::new(),
             ready: ReadyWorkers::default(),
             zones: BTreeMap::new(),
-            tenant_queues: tenant_queues(&settings),
+            tenant_queues: tenant_queues(&settings, lanes.count()),
             quotas: TenantQuotas::new(now, &settings),
-            turns: [LaneTurn::default(); LANES],
+            turns: vec![LaneTurn::default(); lanes.count()],
+            lanes,
             budget: budget::initial_budget(now, &settings),
             run_times: settings.classes.iter().map(run_time).collect(),
             served_work: DecayingSum::default(),
@@ -98,7 +102,9 @@
             key_popularity: KeyPopularity::default(),
             message_credit: 0.0,
             slots_changed: false,
-            kind_slots: BTreeMap::new(),
+            kinds: BTreeMap::new(),
+            request_ages: RequestAges::new(settings.classes.len()),
+            expected_run_times: RunTimeEstimate::assume(objectives / settings.classes.len().max(1) as f64),
             settings,
         }
     }
@@ -142,6 +148,7 @@
             self.record_overdue_attempts(now);
             self.cancel_overtaken_attempts(actions);
             self.exchange_loads(now, actions);
+            self.check_health(now, actions);
         }
         if now >= self.poll_at {
             self.poll_at = f64::INFINITY;
@@ -160,14 +167,8 @@
         }
     }
 
-    fn mean_run_time(&self) -> Millis {
-        let sum = self.run_times.iter().map(|run_time| run_time.typical).sum::<f64>();
-        sum / self.run_times.len().max(1) as f64
-    }
-
-    /// How long a job can wait and still be in time. The latency objective grows with its own running time.
+    /// How long a job can wait and still be in time.
     fn slack(&self, job: &Job) -> Millis {
-        let Class { latency_objective, stretch, .. } = self.settings.classes[job.class];
-        (latency_objective + (stretch - 1.0).max(0.0) * job.run_time).max(1.0)
+        self.settings.classes[job.class].slack(job.run_time)
     }
 }
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -11,6 +11,7 @@
 const SLOWNESS_WEIGHT: f64 = 0.1; // of the extra running time at a slow worker
 const LATENESS_WEIGHT: f64 = 2.0; // of the part of it that makes a job late
 const SLOWNESS_SLACK: f64 = 0.5; // fraction of the slack that extra running time may take
+const MAX_WAIT: f64 = 0.6; // fraction of the least slack, of the classes that may run at a worker
 const FAULT_COST: f64 = 10.0; // latency objectives that a worker sure to fail counts for
 const DRAIN_COST: f64 = 1.0; // latency objectives that a worker sure to be draining unlisted counts for
 const FETCH_COST: f64 = 2.5; // running times that fetching a key's data counts for: it occupies a slot
@@ -25,14 +26,14 @@
         if scope == RetryScope::Nowhere || job.attempts.len() >= self.settings.max_attempts {
             return None;
         }
-        let work = self.run_times[job.class].typical * job.slots;
+        let work = job.run_time * job.slots;
         let key = job.key;
         let count = self.ready.ids.len();
         let rank = |key: u64, hash: u64| rendezvous_distance(key, hash) * count as f64;
         let is_near = |hash: u64| key.is_some_and(|key| rank(key, hash) < SCANNED_NEAR_KEY);
         let start = if count == 0 { 0 } else { self.rng.usize(..count) };
         let scanned = if key.is_some() { count } else { count.min(MAX_SCANNED_WORKERS) };
-        let mut best: Option<(f64, WorkerId)> = None;
+        let mut best: Option<(f64, Millis, WorkerId)> = None;
         for step in 0..scanned {
             let index = (start + step) % count;
             if step >= MAX_SCANNED_WORKERS && !is_near(self.ready.name_hashes[index]) {
@@ -44,30 +45,51 @@
             if !is_suitable || !scope.allows(worker, &self.workers) {
                 continue;
             }
-            let cost = self.placement_cost(now, worker_id, &self.jobs[&id]);
-            let is_better = best.is_none_or(|(least, _)| cost < least);
+            let job = &self.jobs[&id];
+            let wait = self.expected_wait(now, worker_id, job);
+            if !self.admits_wait(now, worker, job, wait) {
+                continue;
+            }
+            let cost = wait + self.placement_cost(now, worker, job);
+            let is_better = best.is_none_or(|(least, ..)| cost < least);
             if is_better && self.slow_start_admits(now, worker_id, work) {
-                best = Some((cost, worker_id));
+                best = Some((cost, wait, worker_id));
             }
         }
-        best.map(|(_, worker)| worker).filter(|&worker| self.admits_wait(now, worker, &self.jobs[&id]))
+        // Where the slots of all schedulers are known, a job that would wait too long lets others pass.
+        let is_known = self.peer_loads.has_aggregated(now);
+        let max_wait = if is_known { ADMITTED_WAIT * self.slack(&self.jobs[&id]) } else { f64::INFINITY };
+        best.filter(|&(_, wait, _)| wait <= max_wait).map(|(_, _, worker)| worker)
     }
 
-    /// Where the slots of all schedulers are known, a job that would wait too long lets those pass that need
-    /// not.
-    fn admits_wait(&self, now: Millis, worker: WorkerId, job: &Job) -> bool {
-        let is_known = self.peer_loads.has_aggregated(now);
-        let max_wait = if is_known { ADMITTED_WAIT * self.slack(job) } else { f64::INFINITY };
-        self.expected_wait(now, worker, job) <= max_wait
+    /// Whether a job may be sent to a worker where it is expected to wait so long. Where late answers are
+    /// worth nothing and the worker's slots are known, it must be in time, and let others be.
+    fn admits_wait(&self, now: Millis, worker: &Worker, job: &Job, wait: Millis) -> bool {
+        let is_known = self.known_slots(worker) > 0.0 && !self.peer_loads.has_aggregated(now);
+        let end = now + wait + self.expected_run_time(now, worker, job);
+        match self.settings.classes[job.class].late_weight {
+            late_weight if late_weight > 0.0 || !is_known => true,
+            _ if job.is_late => wait <= 0.0,
+            _ => end <= job.objective_at && wait <= self.max_wait(worker),
+        }
+    }
+
+    /// How long any job may wait at a worker, so that those of the most urgent class can be in time there.
+    fn max_wait(&self, worker: &Worker) -> Millis {
+        let run_time = LEAST_RUN_TIME * self.expected_run_times.typical;
+        let runs_here = |class: &&Class| class.kind.is_none_or(|kind| kind == worker.kind);
+        let slacks = self.settings.classes.iter().filter(runs_here).map(|class| class.slack(run_time));
+        MAX_WAIT * slacks.fold(f64::INFINITY, f64::min)
     }
 
     /// How long a job is expected to wait at a worker; negative at one with free slots.
-    fn expected_wait(&self, now: Millis, id: WorkerId, job: &Job) -> f64 {
+    pub(super) fn expected_wait(&self, now: Millis, id: WorkerId, job: &Job) -> f64 {
         let worker = &self.workers[id];
         let typical = self.run_times[job.class].typical;
+        let mean_run_time = self.expected_run_times.typical * worker.relative_run_time(now, &self.settings);
         let queue = match self.free_slots(now, id, worker) {
             Some(free) if free >= job.slots => -FREE_SLOT_GAIN * free * typical,
-            Some(free) => (job.slots - free) / self.known_slots(worker).max(1.0) * self.mean_run_time(),
+            Some(free) => (job.slots - free) / self.known_slots(worker).max(1.0) * mean_run_time,
             None => {
                 let age = now - worker.freed_at;
                 let freshness = FRESHLY_FREED_GAIN * typical * (1.0 - age / typical).max(0.0);
@@ -80,9 +102,13 @@
         queue + waits
     }
 
-    /// What sending a job to a worker is expected to cost it.
-    fn placement_cost(&self, now: Millis, id: WorkerId, job: &Job) -> f64 {
-        let worker = &self.workers[id];
+    /// How long a job is expected to run at a worker.
+    pub(super) fn expected_run_time(&self, now: Millis, worker: &Worker, job: &Job) -> Millis {
+        job.run_time * worker.relative_run_time(now, &self.settings)
+    }
+
+    /// What sending a job to a worker is expected to cost it, beside the wait.
+    fn placement_cost(&self, now: Millis, worker: &Worker, job: &Job) -> f64 {
         let typical = self.run_times[job.class].typical;
         let objective = self.settings.classes[job.class].latency_objective;
         let zone = self.zones.get(&worker.zone);
@@ -90,11 +116,11 @@
         let fault_rate = worker.faults.failure_rate(now) + zone_faults;
         let distance = self.settings.cross_zone_cost(worker.zone) * objective;
         let fetch = job.key.map_or(0.0, |key| self.fetch_cost(worker, key, job.key_popularity, typical));
-        let slower = worker.slowness.value_at(now, SLOWNESS_DECAY_TIME) * typical;
+        let slower = self.expected_run_time(now, worker, job) - job.run_time;
         let late = (slower - SLOWNESS_SLACK * self.slack(job)).max(0.0);
         let slower = SLOWNESS_WEIGHT * slower + LATENESS_WEIGHT * late;
         let risk = (FAULT_COST * fault_rate + DRAIN_COST * worker.drain_probability) * objective;
-        self.expected_wait(now, id, job) + slower + risk + distance + fetch
+        slower + risk + distance + fetch
     }
 
     /// What fetching the data of a key costs at a worker: nothing at its preferred workers, of which a
--- a/crates/policy/src/job.rs
+++ b/crates/policy/src/job.rs
@@ -10,6 +10,9 @@
     pub(crate) sent_at: Millis,
     /// When its worker reported that it started to run.
     pub(crate) started_at: Option<Millis>,
+    /// How long it was expected to wait there, and to take on a standard core with the worker's present capacity.
+    pub(crate) expected_wait: Millis,
+    pub(crate) expected_duration: Millis,
     pub(crate) in_flight: bool,
     /// It ended, and may have run.
     pub(crate) may_have_run: bool,
@@ -43,10 +46,15 @@
     pub(crate) tenant: usize,
     /// The queue of its tenant that it belongs to.
     pub(crate) lane: usize,
+    pub(crate) is_within_quota: bool,
+    /// It can't be answered by its objective any more.
+    pub(crate) is_late: bool,
     /// The hash of its affinity key.
     pub(crate) key: Option<u64>,
     /// The fraction of all jobs that have this key.
     pub(crate) key_popularity: f64,
+    /// An answer until then earns the full weight.
+    pub(crate) objective_at: Millis,
     pub(crate) deadline: Millis,
     /// Until when it may wait for an attempt.
     pub(crate) queue_deadline: Millis,
@@ -77,6 +85,11 @@
         self.queue_deadline = queue_deadline;
     }
 
+    /// Whether its answer earns less than the full weight.
+    pub(crate) fn is_discounted(&self) -> bool {
+        !self.is_within_quota || self.is_late
+    }
+
     /// Whether an attempt of it is in flight.
     pub(crate) fn has_attempt_in_flight(&self) -> bool {
         self.in_flight().next().is_some()
--- a/crates/policy/src/measure.rs
+++ b/crates/policy/src/measure.rs
@@ -111,21 +111,61 @@
     }
 }
 
-/// How much slower than usual a worker runs jobs: their running time over the typical one, less 1.
+/// A running time that was observed, as a multiple of the one that was expected.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RunTimeRatio {
+    ratio: f64,
+    /// Short jobs say less of a worker's speed: much of their time is not their own.
+    weight: f64,
+}
+
+impl RunTimeRatio {
+    /// Typical running times that an observation counts for: at least and at most.
+    const WEIGHTS: (f64, f64) = (0.1, 2.0);
+    /// An observation counts as at most this many expected running times.
+    const MAX_RATIO: f64 = 10.0;
+
+    /// Of a job whose class has this typical running time.
+    pub(crate) fn new(observed: Millis, expected: Millis, typical: Millis) -> Self {
+        let (least, most) = Self::WEIGHTS;
+        let ratio = (observed / expected).min(Self::MAX_RATIO);
+        RunTimeRatio { ratio, weight: (expected / typical).clamp(least, most) }
+    }
+
+    /// A job that has not ended after so many times its expected running time.
+    pub(crate) fn overdue(ratio: f64) -> Self {
+        RunTimeRatio { ratio: ratio.min(Self::MAX_RATIO), weight: 1.0 }
+    }
+
+    /// Moves an average of such ratios towards this one.
+    pub(crate) fn update(self, average: f64, weight: f64) -> f64 {
+        average + weight * self.weight * (self.ratio - average)
+    }
+}
+
+/// How much slower a worker runs jobs than a standard core of its present capacity: their running time over the one that
+/// was expected, less 1.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct SlownessEstimate(DecayingSum);
 
 impl SlownessEstimate {
+    /// Slowness that is not observed any more decays to 1/e in this time.
+    const DECAY_TIME: Millis = 6_000.0;
+
+    /// A worker is expected to run jobs in this multiple of their expected running time.
+    pub(crate) fn assume(now: Millis, ratio: f64) -> Self {
+        SlownessEstimate(DecayingSum::new(now, ratio - 1.0))
+    }
+
     /// The slowness now. Slowness decays while it is not observed, or a worker that was slow once would never be used
-    /// again; a worker that is faster than usual keeps its value.
-    pub(crate) fn value_at(&self, now: Millis, decay_time: Millis) -> f64 {
-        if self.0.value > 0.0 { self.0.value_at(now, decay_time) } else { self.0.value }
+    /// again; a worker that is faster than expected keeps its value.
+    pub(crate) fn value_at(&self, now: Millis) -> f64 {
+        if self.0.value > 0.0 { self.0.value_at(now, Self::DECAY_TIME) } else { self.0.value }
     }
 
-    /// Takes in a running time, as a multiple of the typical one, with this weight.
-    pub(crate) fn observe(&mut self, now: Millis, decay_time: Millis, weight: f64, ratio: f64) {
-        let slowness = self.value_at(now, decay_time);
-        self.0 = DecayingSum::new(now, slowness + weight * (ratio - 1.0 - slowness));
+    /// Takes in a running time with this weight.
+    pub(crate) fn observe(&mut self, now: Millis, weight: f64, observed: RunTimeRatio) {
+        *self = Self::assume(now, observed.update(1.0 + self.value_at(now), weight));
     }
 }
 
@@ -138,6 +178,11 @@
     /// A report between a job's end and the next one's start counts the queue too: none changes the estimate by more.
     const MAX_STEP: f64 = 1.0;
 
+    /// Takes in a worker's free slots, where the requests in flight are not known: it has at least as many.
+    pub(crate) fn observe_free(&mut self, free: f64) {
+        self.0 = self.0.max(free.round()).min(Self::MAX_SLOTS);
+    }
+
     /// Takes in a worker's free slots and requests in flight.
     pub(crate) fn observe(&mut self, free: f64, in_flight: f64) {
         let reported = (free + in_flight).round().clamp(1.0, Self::MAX_SLOTS);
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -54,6 +54,13 @@
     pub priority: i64,
 }
 
+impl Class {
+    /// How long a job of this running time can wait and still be in time. The latency objective grows with it.
+    pub(crate) fn slack(&self, run_time: Millis) -> Millis {
+        (self.latency_objective + (self.stretch - 1.0).max(0.0) * run_time).max(1.0)
+    }
+}
+
 /// One tenant.
 #[derive(Clone, Debug)]
 pub struct Tenant {
@@ -156,6 +163,30 @@
 const CROSS_ZONE_COST: f64 = 0.05;
 
 impl Settings {
+    /// The same with at least one scheduler and one tenant, which has no quota.
+    pub(crate) fn complete(mut self) -> Self {
+        self.schedulers = self.schedulers.max(1);
+        if self.tenants.is_empty() {
+            self.tenants.push(Tenant { quota_fraction: 1.0, quota_per_second: 0.0 });
+        }
+        self
+    }
+
+    /// What an answer to a job of this class is worth.
+    pub(crate) fn weight(&self, class: usize, is_within_quota: bool, is_late: bool) -> f64 {
+        let Class { priority_weight, late_weight, .. } = self.classes[class];
+        let of_quota = if is_within_quota { 1.0 } else { self.over_quota_weight };
+        let of_lateness = if is_late { late_weight } else { 1.0 };
+        priority_weight * of_quota * of_lateness
+    }
+
+    /// The fraction of its capacity that a worker has for certain this long after its start; 1 once it has warmed up.
+    pub(crate) fn capacity_fraction(&self, age: Millis) -> f64 {
+        let warmed_up = (age / self.warm_up_duration.max(1.0)).clamp(0.0, 1.0);
+        let initial = self.initial_capacity_fraction;
+        initial + (1.0 - initial) * warmed_up
+    }
+
     /// What a worker of this zone costs for its zone, in latency objectives.
     pub fn cross_zone_cost(&self, zone: u32) -> f64 {
         let unplanned = if zone == self.zone { 0.0 } else { CROSS_ZONE_COST };
--- a/crates/policy/src/tenant_queues.rs
+++ b/crates/policy/src/tenant_queues.rs
@@ -1,24 +1,45 @@
 //! The tenants' queues of jobs that wait for an attempt.
 
-use crate::settings::{Settings, Tenant};
+use crate::settings::{Class, Settings, Tenant};
 use crate::units::JobId;
 use std::collections::VecDeque;
 
-/// The lane of jobs within their tenant's quota.
-pub(crate) const WITHIN_QUOTA: usize = 0;
-/// The lane of jobs beyond their tenant's quota.
-pub(crate) const OVER_QUOTA: usize = 1;
-/// How many lanes a tenant has.
-pub(crate) const LANES: usize = 2;
-
-/// Most jobs in a lane of a tenant whose quota is above the median.
+/// Most queued jobs of a tenant whose quota is above the median.
 const MAX_DEPTH_LARGE_TENANT: usize = 32;
-/// Most jobs in a lane of any other tenant.
+/// Most queued jobs of any other tenant.
 const MAX_DEPTH_SMALL_TENANT: usize = 16;
 /// No tenant weighs less in the round-robin.
 const MIN_WEIGHT: f64 = 0.01;
 
-/// One tenant's jobs within its quota or beyond it.
+/// The lanes of every tenant, one for each priority weight that a job can have, the greatest first.
+pub(crate) struct PriorityLanes(Vec<f64>);
+
+impl PriorityLanes {
+    /// Those of the settings' classes, within quotas and beyond them, in time and late.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let over_quota = settings.over_quota_weight;
+        let of_class = |class: &Class| {
+            let Class { priority_weight: weight, late_weight: late, .. } = *class;
+            [weight, weight * late, weight * over_quota, weight * late * over_quota]
+        };
+        let mut weights: Vec<f64> = settings.classes.iter().flat_map(of_class).collect();
+        weights.sort_by(|a, b| b.total_cmp(a));
+        weights.dedup();
+        PriorityLanes(weights)
+    }
+
+    /// How many there are.
+    pub(crate) fn count(&self) -> usize {
+        self.0.len()
+    }
+
+    /// The lane of jobs of this weight.
+    pub(crate) fn lane(&self, weight: f64) -> usize {
+        self.0.iter().take_while(|&&other| other > weight).count().min(self.0.len() - 1)
+    }
+}
+
+/// One tenant's jobs of one lane.
 #[derive(Default)]
 pub(crate) struct Lane {
     pub(crate) jobs: VecDeque<JobId>,
@@ -30,12 +51,22 @@
 pub(crate) struct TenantQueue {
     /// Its weight in the round-robin.
     pub(crate) weight: f64,
-    /// Most jobs in a lane.
+    /// Most jobs in all lanes.
     pub(crate) max_depth: usize,
-    pub(crate) lanes: [Lane; LANES],
+    pub(crate) lanes: Vec<Lane>,
 }
 
 impl TenantQueue {
+    /// How many jobs are queued.
+    pub(crate) fn depth(&self) -> usize {
+        self.lanes.iter().map(|lane| lane.jobs.len()).sum()
+    }
+
+    /// The last job of the last lane that has any, if that comes after this one.
+    pub(crate) fn last_below(&self, lane: usize) -> Option<JobId> {
+        self.lanes[lane + 1..].iter().rev().find_map(|lane| lane.jobs.back().copied())
+    }
+
     /// Whether any job is queued.
     pub(crate) fn has_jobs(&self) -> bool {
         self.lanes.iter().any(|lane| !lane.jobs.is_empty())
@@ -49,8 +80,8 @@
     pub(crate) is_credited: bool,
 }
 
-/// Empty queues for the settings' tenants.
-pub(crate) fn tenant_queues(settings: &Settings) -> Vec<TenantQueue> {
+/// Empty queues for the settings' tenants, with this many lanes each.
+pub(crate) fn tenant_queues(settings: &Settings, lanes: usize) -> Vec<TenantQueue> {
     let tenants = &settings.tenants;
     let mut fractions: Vec<f64> = tenants.iter().map(|tenant| tenant.quota_fraction).collect();
     fractions.sort_by(f64::total_cmp);
@@ -62,7 +93,7 @@
         } else {
             MAX_DEPTH_SMALL_TENANT
         },
-        lanes: [Lane::default(), Lane::default()],
+        lanes: (0..lanes).map(|_| Lane::default()).collect(),
     };
     tenants.iter().map(queue).collect()
 }
--- a/crates/policy/src/tenant_quotas.rs
+++ b/crates/policy/src/tenant_quotas.rs
@@ -5,6 +5,7 @@
 
 use crate::measure::DecayingSum;
 use crate::settings::{Settings, Tenant};
+use crate::token_bucket::TokenBucket;
 use crate::units::Millis;
 
 /// Counts of jobs and work decay to 1/e in this time.
@@ -21,8 +22,7 @@
 /// One tenant's token bucket, and its measured traffic.
 struct TenantMeter {
     quota_per_second: f64,
-    tokens: f64,
-    refilled_at: Millis,
+    bucket: TokenBucket,
     arrivals: DecayingSum,
 }
 
@@ -39,8 +39,7 @@
     pub(crate) fn new(now: Millis, settings: &Settings) -> Self {
         let meter = |tenant: &Tenant| TenantMeter {
             quota_per_second: tenant.quota_per_second,
-            tokens: f64::INFINITY,
-            refilled_at: now,
+            bucket: TokenBucket::full(now),
             arrivals: DecayingSum::default(),
         };
         TenantQuotas {
@@ -60,10 +59,10 @@
         }
         let rate = meter.quota_per_second * fraction / 1_000.0;
         let bucket_size = (rate * BURST_DURATION).max(MIN_BUCKET_SIZE);
-        meter.tokens = (meter.tokens + rate * (now - meter.refilled_at)).min(bucket_size);
-        meter.refilled_at = now;
-        let within_quota = meter.tokens >= 1.0;
-        meter.tokens -= f64::from(u8::from(within_quota));
+        let within_quota = meter.bucket.refill(now, rate, bucket_size) >= 1.0;
+        if within_quota {
+            meter.bucket.take(1.0);
+        }
         within_quota
     }
 
--- a/crates/policy/src/worker.rs
+++ b/crates/policy/src/worker.rs
@@ -1,10 +1,20 @@
 //! What a dispatcher knows of the workers and their zones. Nothing is decided here.
 
-use crate::measure::{DecayingSum, FaultScore, SlotEstimate, SlownessEstimate};
+use crate::measure::{DecayingSum, FaultScore, RunTimeRatio, SlotEstimate, SlownessEstimate};
+use crate::peers::SlotsByHash;
+use crate::settings::Settings;
+use crate::token_bucket::TokenBucket;
 use crate::units::Millis;
 use crate::worker_list::{Readiness, WorkerEntry};
 use std::collections::VecDeque;
 
+/// The fraction of the capacity that a worker is not certain to have which it most likely has.
+const LIKELY_CAPACITY: f64 = 0.4;
+/// No worker is taken for faster than ten standard cores.
+const MIN_RELATIVE_RUN_TIME: f64 = 0.1;
+/// No worker is taken to have less than this part of its capacity.
+const MIN_CAPACITY_FRACTION: f64 = 0.05;
+
 /// A worker.
 #[derive(Default)]
 pub(crate) struct Worker {
@@ -32,15 +42,16 @@
     pub(crate) backoff_until: Millis,
     /// How often it was full of late; each start and result takes one off.
     pub(crate) recent_fulls: u32,
-    /// All its slots, and those that other schedulers occupied, as last reported.
+    /// All its slots, and those that other schedulers occupied, as last reported; `None`: reports don't tell.
     pub(crate) reported_slots: SlotEstimate,
-    pub(crate) remote_slots: f64,
+    pub(crate) remote_slots: Option<f64>,
     pub(crate) reported_at: Millis,
+    /// When it was last asked for a load report.
+    pub(crate) health_checked_at: Millis,
     /// Affinity keys of the last jobs sent here, the latest first: their data is most likely cached.
     pub(crate) recent_keys: VecDeque<u64>,
-    /// Work that it may still be sent while it is warming up, and when that was last refilled.
-    pub(crate) allowance: f64,
-    pub(crate) allowance_updated_at: Millis,
+    /// Work that it may still be sent while it is warming up.
+    pub(crate) allowance: TokenBucket,
 }
 
 impl Worker {
@@ -49,6 +60,20 @@
         Worker { readiness: Readiness::Gone, size: 1.0, ..Worker::default() }
     }
 
+    /// Its process has started anew: what was observed of the earlier one says nothing.
+    pub(crate) fn restart(&mut self, now: Millis, slowness: SlownessEstimate) {
+        self.allowance = TokenBucket::empty(now);
+        self.slowness = slowness;
+        self.faults = FaultScore::default();
+        self.reported_at = 0.0;
+        self.recent_keys.clear();
+    }
+
+    /// Its id has passed on to another worker.
+    pub(crate) fn replace(&mut self, name_hash: u64, slowness: SlownessEstimate) {
+        *self = Worker { name_hash, slowness, allowance: self.allowance, ..Worker::unlisted() };
+    }
+
     /// Takes over what the list says of it, but for its weight.
     pub(crate) fn update(&mut self, entry: &WorkerEntry) {
         self.zone = entry.zone;
@@ -59,6 +84,19 @@
         self.drain_probability = entry.drain_probability;
     }
 
+    /// The fraction of its capacity that it has for certain, at least [`MIN_CAPACITY_FRACTION`]; 1 once it is warm.
+    pub(crate) fn capacity_fraction(&self, now: Millis, settings: &Settings) -> f64 {
+        let fraction = self.started_at.map_or(1.0, |started_at| settings.capacity_fraction(now - started_at));
+        fraction.max(MIN_CAPACITY_FRACTION)
+    }
+
+    /// How long it runs a job now, in comparison with a standard core.
+    pub(crate) fn relative_run_time(&self, now: Millis, settings: &Settings) -> f64 {
+        let when_warm = (1.0 + self.slowness.value_at(now)).max(MIN_RELATIVE_RUN_TIME);
+        let certain = self.capacity_fraction(now, settings);
+        when_warm / (certain + LIKELY_CAPACITY * (1.0 - certain))
+    }
+
     /// A job of this key was sent here.
     pub(crate) fn remember_key(&mut self, key: u64, max_keys: usize) {
         self.recent_keys.retain(|&known| known != key);
@@ -66,12 +104,25 @@
         self.recent_keys.truncate(max_keys);
     }
 
+    /// The slots in flight here as other schedulers are told; faults count too.
+    pub(crate) fn stated_slots(&self, now: Millis) -> SlotsByHash {
+        let slots = self.in_flight_slots + self.faults.equivalent_slots(now);
+        SlotsByHash { name_hash: self.name_hash, slots }
+    }
+
     /// An attempt that occupies slots has started here.
     pub(crate) fn occupy(&mut self, slots: f64) {
         self.in_flight_slots += slots;
         self.unstarted_slots += slots;
     }
 
+    /// The job of an attempt that was sent then has started.
+    pub(crate) fn on_job_started(&mut self, sent_at: Millis, slots: f64) {
+        self.last_started_sent_at = self.last_started_sent_at.max(sent_at);
+        self.recent_fulls = self.recent_fulls.saturating_sub(1);
+        self.mark_started(slots);
+    }
+
     /// An attempt's job has started.
     pub(crate) fn mark_started(&mut self, slots: f64) {
         self.unstarted_slots = (self.unstarted_slots - slots).max(0.0);
@@ -86,6 +137,33 @@
     }
 }
 
+/// A kind of machine.
+#[derive(Clone, Copy)]
+pub(crate) struct MachineKind {
+    /// The slots of its workers.
+    pub(crate) slots: SlotEstimate,
+    /// How long its workers run a job, in comparison with a standard core.
+    pub(crate) relative_run_time: f64,
+}
+
+impl MachineKind {
+    /// Work that its workers do in a unit of time once they have warmed up; 0: not known.
+    pub(crate) fn capacity(&self) -> f64 {
+        self.slots.0 / self.relative_run_time.max(MIN_RELATIVE_RUN_TIME)
+    }
+
+    /// Takes in the running time of a job that did not wait.
+    pub(crate) fn observe_run_time(&mut self, weight: f64, observed: RunTimeRatio) {
+        self.relative_run_time = observed.update(self.relative_run_time, weight);
+    }
+}
+
+impl Default for MachineKind {
+    fn default() -> Self {
+        MachineKind { slots: SlotEstimate::default(), relative_run_time: 1.0 }
+    }
+}
+
 /// A zone.
 #[derive(Default)]
 pub(crate) struct Zone {
