Test cluster: a port for datagrams is reserved for one scheduler only

Cause: a port was reserved by a bind to port 0 with SO_REUSEPORT. For UDP, Linux then chooses also among ports that other sockets of the same user with this option have, so that schedulers of two clusters that ran side by side could get one port.

Change: the option is set after the port was chosen.

--- a/crates/test-cluster/src/cluster/listener.rs
+++ b/crates/test-cluster/src/cluster/listener.rs
@@ -32,12 +32,13 @@
 }
 
 impl ReservedPort {
-    /// Reserves a port for streams or datagrams.
+    /// Reserves a port for streams or datagrams that no other socket has.
     pub fn new(kind: Type) -> io::Result<ReservedPort> {
         let socket = Socket::new(Domain::IPV4, kind, None)?;
         socket.set_reuse_address(kind == Type::STREAM)?;
-        socket.set_reuse_port(true)?;
         socket.bind(&any_loopback_port().into())?;
+        // Only now: among ports for datagrams the system would choose also those of other sockets with this option.
+        socket.set_reuse_port(true)?;
         if kind == Type::DGRAM {
             // Connected to itself: datagrams of others are for whoever else binds the port.
             socket.connect(&socket.local_addr()?)?;
--- a/crates/test-cluster/src/cluster/listener/tests.rs
+++ b/crates/test-cluster/src/cluster/listener/tests.rs
@@ -1,9 +1,10 @@
 use super::*;
+use std::collections::HashSet;
 use std::net::TcpStream as StdStream;
 
 /// Whether a socket of somebody else's, who asks for just this port, gets it.
-fn can_be_bound_by_others(address: SocketAddr) -> bool {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+fn can_be_bound_by_others(kind: Type, address: SocketAddr) -> bool {
+    let socket = Socket::new(Domain::IPV4, kind, None).expect("a socket");
     socket.bind(&address.into()).is_ok()
 }
 
@@ -12,9 +13,9 @@
     for _ in 0..20 {
         let mut listener = Listener::new().expect("a listener");
         let address = listener.address();
-        assert!(!can_be_bound_by_others(address), "while it is open");
+        assert!(!can_be_bound_by_others(Type::STREAM, address), "while it is open");
         listener.set_state(ListenerState::Refusing).expect("it refuses");
-        assert!(!can_be_bound_by_others(address), "while it refuses");
+        assert!(!can_be_bound_by_others(Type::STREAM, address), "while it refuses");
         assert!(StdStream::connect(address).is_err());
         listener.set_state(ListenerState::Open).expect("it is open again");
         let client = StdStream::connect(address).expect("at the address that schedulers know");
@@ -23,3 +24,31 @@
         assert_eq!(accepted[0].peer_addr().unwrap(), client.local_addr().unwrap());
     }
 }
+
+/// Two test clusters whose schedulers share a port for datagrams each lose a part of their messages to the other.
+#[test]
+fn no_port_is_reserved_twice() {
+    // Chosen at random among some 28000 ports, that many would have about 11 pairs.
+    const PORTS: usize = 800;
+    let reserve = |_| ReservedPort::new(Type::DGRAM).expect("a port");
+    let reserved: Vec<ReservedPort> = (0..PORTS).map(reserve).collect();
+    let distinct: HashSet<SocketAddr> = reserved.iter().map(|one| one.address).collect();
+    assert_eq!(distinct.len(), PORTS);
+}
+
+#[test]
+fn processes_that_share_ports_bind_a_reserved_one() {
+    for kind in [Type::DGRAM, Type::STREAM] {
+        let reserved = ReservedPort::new(kind).expect("a port");
+        let bind = |_| {
+            let socket = Socket::new(Domain::IPV4, kind, None).expect("a socket");
+            socket.set_reuse_address(kind == Type::STREAM).expect("set_reuse_address");
+            socket.set_reuse_port(true).expect("set_reuse_port");
+            socket.bind(&reserved.address.into()).expect("the reserved port");
+            socket
+        };
+        // A process and its duplicate.
+        let _sockets: Vec<Socket> = (0..2).map(bind).collect();
+        assert!(!can_be_bound_by_others(kind, reserved.address));
+    }
+}
