Scheduler: a datagram port that the system chooses is no other scheduler's

Cause: with SO_REUSEPORT set, a bind to port 0 may choose a UDP port that another socket of the same user with this option has. Schedulers that are configured with port 0, as in the tests of the daemon, could so lose datagrams to one another. A port that the configuration names is not affected.

Change: for port 0 the option is set after the bind.

Not seen as a failure of a test yet.

--- a/crates/daemon/src/net/peer_socket.rs
+++ b/crates/daemon/src/net/peer_socket.rs
@@ -5,6 +5,9 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
+#[cfg(test)]
+mod tests;
+
 /// Upper limit of a datagram in bytes. Longer ones are neither sent nor received.
 pub const MAX_DATAGRAM_LENGTH: usize = 256;
 
@@ -21,9 +24,11 @@
     pub fn bind(config: PeerConfig, ordinal: u32) -> io::Result<Self> {
         use socket2::{Domain, Socket, Type};
         let socket = Socket::new(Domain::for_address(config.listen), Type::DGRAM, None)?;
-        socket.set_reuse_port(true)?;
+        // With the option, a port that the system chooses (port 0) could be one that another such socket has.
+        socket.set_reuse_port(config.listen.port() != 0)?;
         socket.set_nonblocking(true)?;
         socket.bind(&config.listen.into())?;
+        socket.set_reuse_port(true)?;
         Ok(PeerSocket { socket: UdpSocket::from_std(socket.into()), config, ordinal })
     }
 
