Test cluster: the text of an error begins with what is wrong

Change: the tests print the error's own text with the scenario's name. That of a cluster that is not up has first a short line for each scheduler (serving, up at the front proxy, answers INFO, replicating), then figures, then logs.

--- a/crates/daemon/tests/cluster.rs
+++ b/crates/daemon/tests/cluster.rs
@@ -33,10 +33,16 @@
     value.and_then(|figure| figure.parse().ok()).unwrap_or(0)
 }
 
+/// Plays a scenario, which the test cluster must be able to.
+fn outcome_of(scenario: &Scenario) -> Outcome {
+    // As text, whose first lines say what is wrong.
+    run(scenario, &options()).unwrap_or_else(|error| panic!("{} did not run: {error}", scenario.name))
+}
+
 /// Plays a scenario's file and requires what it expects.
 fn plays(name: &str) {
     let scenario = Scenario::load(&folder().join(format!("{name}.toml"))).expect("a scenario");
-    let outcome = run(&scenario, &options()).expect("the cluster runs");
+    let outcome = outcome_of(&scenario);
     let checked = check(&outcome.history, &scenario);
     let verdict = checked.verdict(&scenario);
     let summary = report::summary(&scenario, &checked, &verdict);
@@ -174,7 +180,7 @@
 /// The number of active schedulers that each process still running at the end reports.
 fn reported_active_members(text: &str) -> Vec<String> {
     let scenario = Scenario::parse(Path::new("active.toml"), text).expect("a scenario");
-    let outcome = run(&scenario, &options()).expect("the cluster runs");
+    let outcome = outcome_of(&scenario);
     let active = |reply: &AdminReply| {
         let mut fields = reply.text.split_whitespace();
         let value = fields.find_map(|field| field.strip_prefix("living="));
@@ -205,7 +211,7 @@
     let text = "name = \"back\"\nwhy = \"x\"\n[cluster]\nschedulers = 2\n[workers]\ncount = 2\n[traffic]\nseconds = 8\n\
                 per-second = 20\n[[fault]]\nkind = \"kill\"\nat = 1.0\nuntil = 2.0\ntargets = [\"worker 0\"]\n";
     let scenario = Scenario::parse(Path::new("back.toml"), text).expect("a scenario");
-    let outcome = run(&scenario, &options()).expect("the cluster runs");
+    let outcome = outcome_of(&scenario);
     let is_sent = |event: &&HistoryEvent| matches!(event, HistoryEvent::AttemptReceived { at, worker: 0, .. } if *at > BACK_AT);
     let attempts = outcome.history.iter().filter(is_sent).count();
     assert!(attempts > 10, "{attempts} attempts in 6 s");
--- a/crates/test-cluster/src/cluster/event_loop.rs
+++ b/crates/test-cluster/src/cluster/event_loop.rs
@@ -248,15 +248,20 @@
     fn start_states(&self) -> Vec<StartState> {
         let Context { scenario, supervisor, front_proxy, .. } = &self.context;
         let replies = supervisor.call_admin_endpoints("INFO");
+        let reply_of = |number: usize| replies.iter().find(|reply| reply.scheduler == number);
         let failover_figures = |number: usize| {
-            let reply = replies.iter().find(|reply| reply.scheduler == number)?;
-            let figures = reply.text.lines().filter(|line| line.contains(FAILOVER_FIGURES));
+            let figures = reply_of(number)?.text.lines().filter(|line| line.contains(FAILOVER_FIGURES));
             Some(figures.collect::<Vec<_>>().join(" "))
         };
+        let is_replicating = |number: usize| {
+            scenario.failover.is_none()
+                || reply_of(number).is_some_and(|reply| reply.text.contains(REPLICATION_READY))
+        };
         let state = |scheduler: usize| StartState {
             scheduler,
             is_serving: supervisor.is_serving(scheduler),
             is_up: front_proxy.is_up(scheduler),
+            is_replicating: is_replicating(scheduler),
             failover: failover_figures(scheduler),
         };
         (0..scenario.schedulers).map(state).collect()
--- a/crates/test-cluster/src/error.rs
+++ b/crates/test-cluster/src/error.rs
@@ -48,7 +48,10 @@
     #[error("before it was ready, {0}")]
     EndedBeforeReady(String),
     /// Schedulers did not come up.
-    #[error("the cluster is not up after {timeout_ms} ms:\n{}\n{}", lines(.schedulers), lines(.log))]
+    #[error(
+        "the cluster is not up after {timeout_ms} ms:\n{}\n{}\n{}",
+        lines(.schedulers), figures(.schedulers), lines(.log)
+    )]
     StartTimeout {
         /// The time they had.
         timeout_ms: f64,
@@ -97,18 +100,31 @@
     pub is_serving: bool,
     /// The front proxy sends it clients.
     pub is_up: bool,
+    /// Its jobs are replicated, or the scenario asks for no replicas.
+    pub is_replicating: bool,
     /// Its failover figures at the admin endpoint; `None`: it does not answer.
     pub failover: Option<String>,
 }
 
 impl fmt::Display for StartState {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let StartState { scheduler, is_serving, is_up, failover } = self;
-        let failover = failover.as_deref().unwrap_or("does not answer INFO");
-        write!(f, "scheduler {scheduler}: serving {is_serving}, up at the front proxy {is_up}; {failover}")
+        let StartState { scheduler, is_serving, is_up, is_replicating, failover } = self;
+        let answers = failover.is_some();
+        write!(
+            f,
+            "scheduler {scheduler}: serving {is_serving}, up at the front proxy {is_up}, answers INFO {answers}, \
+             replicating {is_replicating}"
+        )
     }
 }
 
+/// The schedulers' failover figures: long, so they stand behind the short lines that say what is missing.
+fn figures(schedulers: &[StartState]) -> String {
+    let line =
+        |state: &StartState| Some(format!("scheduler {}: {}", state.scheduler, state.failover.as_ref()?));
+    schedulers.iter().filter_map(line).collect::<Vec<_>>().join("\n")
+}
+
 fn lines<T: ToString>(of: &[T]) -> String {
     of.iter().map(T::to_string).collect::<Vec<_>>().join("\n")
 }
