The test of TCP_NODELAY does not depend on how fast it is

Cause: `connections_to_clients_and_workers_have_tcp_nodelay_set` had an idle connection to the worker and expected that its next job opens a second one. That holds only within 20 ms of the last response, after which the scheduler may use the idle one again. On a slow machine the test waited 20 s for a connection that nobody opened. It also had 1500 ms, the job's deadline, to look at the sockets.

Change: the job that stays in flight is submitted first, so that the worker's first connection is in use when the other one opens a second; the deadline is 4 s. As strict as before, and stricter: before SIGTERM both connections to the worker must be there, all with the option. Messages say which connection is missing, and `accept` of the tests names the address and the line of its caller.

--- a/crates/daemon/tests/connection_limits.rs
+++ b/crates/daemon/tests/connection_limits.rs
@@ -10,7 +10,7 @@
 use support::{
     HEALTH_REQUEST, Scheduler, TEST_TIMEOUT, accept, address_of, bind_loopback, closing_job, is_closed,
     job_request, ms, read_message, scheduler_with_one_worker, send, served_response, settings,
-    settings_with_deadline, start_scheduler,
+    start_scheduler,
 };
 
 #[test]
@@ -162,18 +162,24 @@
 #[test]
 fn connections_to_clients_and_workers_have_tcp_nodelay_set() {
     let worker = bind_loopback();
-    let mut scheduler = start_scheduler(settings_with_deadline(1_500.0), &worker);
+    let mut scheduler = start_scheduler(settings(), &worker);
     scheduler.wait_until_ready();
-    let _idle = scheduler.assert_serves(&worker, "s0");
-    let client = scheduler.send_request(&closing_job("sale", "s1", 1_500));
+    let client = scheduler.send_request(&closing_job("sale", "s1", 4_000));
     let mut attempt = accept(&worker);
     read_message(&mut attempt);
+    // The worker's first connection is in use, however long this takes: the job goes on a second, which is idle then.
+    let _idle = scheduler.assert_serves(&worker, "s0");
+    let before = open_connections(&scheduler);
+    let to_worker = before.iter().filter(|&&(peer, _)| peer == address_of(&worker));
+    assert!(to_worker.count() >= 2, "before SIGTERM: {before:?}");
+    assert!(before.iter().all(|&(_, no_delay)| no_delay), "before SIGTERM: {before:?}");
     scheduler.terminate();
     let open = open_connections(&scheduler);
     let is_connected = |at: SocketAddr| open.iter().any(|&(peer, _)| peer == at);
-    assert!(is_connected(client.local_addr().expect("local_addr")), "{open:?}");
-    assert!(is_connected(address_of(&worker)), "{open:?}");
-    assert!(open.iter().all(|&(_, no_delay)| no_delay), "{open:?}");
+    let client_address = client.local_addr().expect("local_addr");
+    assert!(is_connected(client_address), "not to the client at {client_address}: {open:?}");
+    assert!(is_connected(address_of(&worker)), "not to the worker at {}: {open:?}", address_of(&worker));
+    assert!(open.iter().all(|&(_, no_delay)| no_delay), "after SIGTERM: {open:?}");
     send(&mut attempt, &served_response("s1", "yes"));
     drop((client, attempt));
     assert!(scheduler.wait_for_exit().success());
--- a/crates/daemon/tests/support/sockets.rs
+++ b/crates/daemon/tests/support/sockets.rs
@@ -18,7 +18,8 @@
     listener.local_addr().expect("local_addr")
 }
 
-/// The next connection to a scripted peer.
+/// The next connection to a scripted peer. A failure names the line of the test that waits for it.
+#[track_caller]
 pub fn accept(listener: &TcpListener) -> TcpStream {
     // A scheduler that has died connects no more, and a test must fail then, not wait.
     listener.set_nonblocking(true).expect("set_nonblocking");
@@ -26,7 +27,10 @@
     let stream = loop {
         match listener.accept() {
             Ok((stream, _)) => break stream,
-            Err(e) => assert!(e.kind() == ErrorKind::WouldBlock && since.elapsed() < TEST_TIMEOUT, "{e}"),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                assert!(since.elapsed() < TEST_TIMEOUT, "nobody has connected to {}", address_of(listener));
+            }
+            Err(e) => panic!("accept on {}: {e}", address_of(listener)),
         }
         std::thread::sleep(Duration::from_millis(1));
     };
