Sockets have TCP_NODELAY before they are connected, not a moment later

Cause: the option was set on a connection after `accept` or `connect` had returned.

Change: listeners have the option, which Linux hands on to what they accept, and the new module `connector` sets it on outgoing sockets before they connect. `BufferedStream::new` sets nothing any more.

--- a/crates/daemon/src/net/backend/pool.rs
+++ b/crates/daemon/src/net/backend/pool.rs
@@ -3,9 +3,9 @@
 use super::Backend;
 use super::connection::{Task, WorkerConnection};
 use crate::net::Context;
+use crate::net::connector::connect;
 use crate::net::event_loop::{Alarm, Millis, Owner};
 use brackenledge_policy::{Effect, WorkerId};
-use mio::net::TcpStream;
 use std::net::SocketAddr;
 
 /// Idle connections are closed after this fraction of the time for which workers keep them open, and at least
@@ -77,7 +77,7 @@
     }
 
     fn open(&mut self, task: Task, worker: WorkerId, address: SocketAddr, cx: &mut Context) -> Option<usize> {
-        let stream = TcpStream::connect(address).ok()?;
+        let stream = connect(address).ok()?;
         let serial = cx.event_loop.next_serial();
         let connection = WorkerConnection::new(stream, worker, address, serial, task, cx.now);
         let slot = self.connections.insert(connection);
--- a/crates/daemon/src/net/buffered_stream.rs
+++ b/crates/daemon/src/net/buffered_stream.rs
@@ -23,8 +23,6 @@
 
 impl BufferedStream {
     pub fn new(socket: TcpStream) -> Self {
-        // Small messages must not wait for one another; a socket without the option still works.
-        let _ = socket.set_nodelay(true);
         BufferedStream { socket, buffer: Buffer::default() }
     }
 
--- /dev/null
+++ b/crates/daemon/src/net/connector.rs
@@ -0,0 +1,22 @@
+//! Outgoing TCP connections: how they are opened.
+
+use mio::net::TcpStream;
+use rustix::io::Errno;
+use socket2::{Domain, Socket, Type};
+use std::io;
+use std::net::SocketAddr;
+
+#[cfg(test)]
+mod tests;
+
+/// Opens a connection that does not block. It may still be in progress: the poll reports when it is open.
+pub fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    // Small messages must not wait for one another. It is set before anything can be connected.
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(error) if error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => Err(error),
+        _ => Ok(TcpStream::from_std(socket.into())),
+    }
+}
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -3,13 +3,13 @@
 
 use super::Context;
 use super::buffered_stream::BufferedStream;
+use super::connector::connect;
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive};
 use brackenledge_discovery::{EndpointRecord, Event, RequestEnd, RequestId, RequestKind, readiness_name};
 use brackenledge_policy::Readiness;
 use brackenledge_protocol::config::Endpoint;
 use brackenledge_protocol::http::{MAX_HEAD_BYTES, ResponseHead};
 use brackenledge_protocol::list_stream::{ListItem, ListReader};
-use mio::net::TcpStream;
 use slab::Slab;
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
@@ -192,7 +192,7 @@
         since_revision: u64,
         cx: &mut Context,
     ) -> std::io::Result<()> {
-        let mut stream = BufferedStream::new(TcpStream::connect(self.address)?);
+        let mut stream = BufferedStream::new(connect(self.address)?);
         let target = match kind {
             RequestKind::Watch => format!("/discovery/hosts?follow=1&since={since_revision}"),
             RequestKind::Poll => "/discovery/hosts".to_owned(),
--- a/crates/daemon/src/net/listener.rs
+++ b/crates/daemon/src/net/listener.rs
@@ -5,6 +5,9 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
+#[cfg(test)]
+mod tests;
+
 /// Most connections that wait to be accepted: many new clients may come at once.
 const LISTEN_BACKLOG: i32 = 1_024;
 
@@ -25,6 +28,8 @@
         socket.set_reuse_port(true)?;
     }
     socket.set_nonblocking(true)?;
+    // Small messages must not wait for one another. Connections inherit it, so that none is without it for a moment.
+    socket.set_tcp_nodelay(true)?;
     socket.bind(&address.into())?;
     socket.listen(LISTEN_BACKLOG)?;
     Ok(TcpListener::from_std(socket.into()))
--- /dev/null
+++ b/crates/daemon/src/net/listener/tests.rs
@@ -0,0 +1,13 @@
+use super::*;
+
+/// The kernel may hold a connection open for a while before it is accepted, and this program before it is handled.
+#[test]
+fn an_accepted_connection_has_tcp_nodelay_set_from_the_first() {
+    for sharing in [Sharing::Exclusive, Sharing::Shared] {
+        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)), sharing).expect("a port");
+        let _client =
+            std::net::TcpStream::connect(listener.local_addr().expect("local_addr")).expect("connected");
+        let accepted = accept_next(&listener).expect("no error").expect("a connection");
+        assert!(accepted.nodelay().expect("the option"), "{sharing:?}");
+    }
+}
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -3,6 +3,7 @@
 //! | module | job |
 //! | --- | --- |
 //! | `startup`, `listener`, `start_error` | opens the sockets and builds the scheduler |
+//! | `connector` | opens outgoing connections |
 //! | `scheduler` | the parts of a scheduler, and the `Context` that callbacks get |
 //! | `event_loop`, `buffered_stream` | the poll, the clock, the alarms; what a connection is |
 //! | `events`, `signals` | hand socket events, alarms and signals to the parts |
@@ -18,6 +19,7 @@
 mod buffered_stream;
 mod cluster;
 mod commands;
+mod connector;
 mod counters;
 mod discovery;
 mod epoch_store;
--- a/crates/daemon/src/net/peer_links.rs
+++ b/crates/daemon/src/net/peer_links.rs
@@ -4,6 +4,7 @@
 
 use super::Context;
 use super::buffered_stream::BufferedStream;
+use super::connector::connect;
 use super::event_loop::{Connection, Flow, Millis, Owner, drive, flush_output};
 use super::job_failover::{JobFailover, LinkError};
 use super::listener::accept_next;
@@ -247,7 +248,7 @@
                 continue;
             }
             self.last_attempts[index] = cx.now;
-            if let Ok(stream) = TcpStream::connect(self.addresses[index]) {
+            if let Ok(stream) = connect(self.addresses[index]) {
                 self.open(stream, Some(peer), cx);
             }
         }
