--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -33,6 +33,7 @@
     pub failed: Vec<JobId>,
     pub watches: usize,
     pub cancelled: Vec<(JobId, usize)>,
+    pub health_checks: Vec<(Millis, WorkerId)>,
     next_id: JobId,
 }
 
@@ -103,6 +104,7 @@
             failed: Vec::new(),
             watches: 0,
             cancelled: Vec::new(),
+            health_checks: Vec::new(),
             next_id: 1,
         }
     }
@@ -264,6 +266,7 @@
                 self.timers.push(now + after);
             }
             Action::WatchEndpoints { .. } => self.watches += 1,
+            Action::HealthCheck { worker } => self.health_checks.push((now, worker)),
             Action::CancelAttempt { job, attempt } => {
                 assert!(self.settings.cancellation, "cancelling is not allowed");
                 assert!(self.jobs[&job].attempts.len() > attempt, "cancelled what was never sent");
