Leases: a vote is a type, and each message is matched once

Cause: `handle_voter_request`, `handle_vote` and `handle_role_lease_message` matched `Message` a second time, with arms that cannot occur, and a voter's own vote was a `Message` that nobody sends. Change: `Vote` with `into_message`; `Voter` answers by itself, `count_vote` counts votes of others and of this process, and `dispatch` names a handler for each variant.

--- a/crates/leases/src/dispatch.rs
+++ b/crates/leases/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Incoming messages: what every one is checked for, and which handler takes it.
 
-use crate::{Ballot, Epoch, LeaseManager, Message, Micros, ProcessId};
+use crate::voter::Vote;
+use crate::{Ballot, Epoch, LeaseManager, Message, Micros, ProcessId, View};
 
 /// The previous leader's release lets voters begin campaigns in turn, by so many parts of a heartbeat interval.
 const RELEASE_TURNS_PER_HEARTBEAT: Micros = 8;
@@ -15,27 +16,49 @@
             self.dropped_messages += 1;
             return;
         }
+        self.dispatch(now, message);
+    }
+
+    fn dispatch(&mut self, now: Micros, message: Message) {
         match message {
             Message::JoinRequest { from, latest_epoch } => self.handle_join_request(now, from, latest_epoch),
-            Message::Prepare { .. } | Message::LeaseRequest { .. } | Message::Accept { .. } => {
-                self.handle_voter_request(now, message);
+            Message::Prepare { from, epoch, ballot } => self.handle_prepare(now, from, epoch, ballot),
+            Message::LeaseRequest { from, epoch, ballot, requested_at } => {
+                self.handle_lease_request(now, from, epoch, ballot, requested_at);
+            }
+            Message::Accept { from, epoch, ballot, next_view } => {
+                self.handle_accept(now, from, epoch, ballot, next_view);
             }
             Message::LeaseRelease { from, epoch, ballot } => {
                 self.handle_lease_release(now, from, epoch, ballot);
             }
-            Message::Promise { .. }
-            | Message::Reject { .. }
-            | Message::LeaseGrant { .. }
-            | Message::Accepted { .. } => self.handle_vote(now, message),
+            Message::Promise { from, epoch, ballot, accepted } => {
+                self.handle_vote(now, from, epoch, Vote::Promise { ballot, accepted });
+            }
+            Message::Reject { from, epoch, promised, lease_remaining } => {
+                self.handle_vote(now, from, epoch, Vote::Reject { promised, lease_remaining });
+            }
+            Message::LeaseGrant { from, epoch, ballot, requested_at } => {
+                self.handle_vote(now, from, epoch, Vote::LeaseGrant { ballot, requested_at });
+            }
+            Message::Accepted { from, epoch, ballot } => {
+                self.handle_vote(now, from, epoch, Vote::Accepted { ballot });
+            }
             Message::ViewUpdate { from, view, leader, ballot, role_grants } => {
                 self.handle_view_update(now, from, view, leader, ballot, role_grants);
             }
             Message::MemberListPart { from, term, part, parts, members } => {
                 self.handle_member_list_part(from, term, part, parts, members);
             }
-            Message::RoleLeaseRequest { .. }
-            | Message::RoleLeaseGrant { .. }
-            | Message::RoleLeaseRelease { .. } => self.handle_role_lease_message(now, message),
+            Message::RoleLeaseRequest { from, role, requested_at } => {
+                self.handle_role_lease_request(now, from, role, requested_at);
+            }
+            Message::RoleLeaseGrant { from, role, term, requested_at, duration } => {
+                self.handle_role_lease_grant(now, from, role, term, requested_at, duration);
+            }
+            Message::RoleLeaseRelease { from, role, term } => {
+                self.handle_role_lease_release(now, from, role, term);
+            }
             Message::MemberLeaseRequest { from, requested_at } => {
                 self.handle_member_lease_request(now, from, requested_at);
             }
@@ -60,26 +83,43 @@
         }
     }
 
-    /// As a voter: answers a candidate or a leader.
-    fn handle_voter_request(&mut self, now: Micros, message: Message) {
-        let from = message.from();
-        let vote = match message {
-            Message::Prepare { epoch, ballot, .. } if self.may_vote(now, from, epoch) => {
-                let vote = self.vote_on_prepare(now, from, ballot);
-                if matches!(vote, Message::Promise { .. }) {
-                    self.defer_to_candidate(now);
-                }
-                vote
-            }
-            Message::LeaseRequest { epoch, ballot, requested_at, .. } if self.may_vote(now, from, epoch) => {
-                self.vote_on_lease(now, from, ballot, requested_at)
-            }
-            Message::Accept { epoch, ballot, next_view, .. } if self.may_vote(now, from, epoch) => {
-                self.vote_on_view(from, ballot, next_view)
-            }
-            _ => return,
-        };
-        self.send(from, vote);
+    /// As a voter: answers a candidate that asks for a promise.
+    fn handle_prepare(&mut self, now: Micros, from: ProcessId, epoch: Epoch, ballot: Ballot) {
+        if !self.may_vote(now, from, epoch) {
+            return;
+        }
+        let vote = self.voter.vote_on_prepare(now, from, ballot);
+        if matches!(vote, Vote::Promise { .. }) {
+            self.defer_to_candidate(now);
+        }
+        self.send_vote(from, vote);
+    }
+
+    /// As a voter: answers a candidate or leader that asks for the lease.
+    fn handle_lease_request(
+        &mut self,
+        now: Micros,
+        from: ProcessId,
+        epoch: Epoch,
+        ballot: Ballot,
+        requested_at: Micros,
+    ) {
+        if self.may_vote(now, from, epoch) {
+            let vote = self.voter.vote_on_lease(now, from, ballot, requested_at, &self.settings);
+            self.send_vote(from, vote);
+        }
+    }
+
+    /// As a voter: answers a leader that proposes the next view.
+    fn handle_accept(&mut self, now: Micros, from: ProcessId, epoch: Epoch, ballot: Ballot, next_view: View) {
+        if self.may_vote(now, from, epoch) {
+            let vote = self.voter.vote_on_view(from, ballot, next_view);
+            self.send_vote(from, vote);
+        }
+    }
+
+    fn send_vote(&mut self, to: ProcessId, vote: Vote) {
+        self.send(to, vote.into_message(self.me, self.view.epoch));
     }
 
     /// Whether this process votes in the view in which another one asks. A process that is behind is told of the view,
@@ -106,41 +146,10 @@
         }
     }
 
-    /// As a candidate or leader: counts a voter's answer.
-    fn handle_vote(&mut self, now: Micros, message: Message) {
-        match message {
-            Message::Promise { from, epoch, ballot, accepted } if self.counts_vote(from, epoch) => {
-                self.handle_promise(now, from, ballot, accepted);
-            }
-            Message::Reject { from, epoch, promised, lease_remaining } if self.counts_vote(from, epoch) => {
-                self.handle_reject(now, promised, lease_remaining);
-            }
-            Message::LeaseGrant { from, epoch, ballot, requested_at } if self.counts_vote(from, epoch) => {
-                self.handle_lease_grant(now, from, ballot, requested_at);
-            }
-            Message::Accepted { from, epoch, ballot } if self.counts_vote(from, epoch) => {
-                self.handle_accepted(now, from, ballot);
-            }
-            _ => {}
-        }
-    }
-
-    fn counts_vote(&self, from: ProcessId, epoch: Epoch) -> bool {
-        epoch == self.view.epoch && self.is_voter(from)
-    }
-
-    fn handle_role_lease_message(&mut self, now: Micros, message: Message) {
-        match message {
-            Message::RoleLeaseRequest { from, role, requested_at } => {
-                self.handle_role_lease_request(now, from, role, requested_at);
-            }
-            Message::RoleLeaseGrant { from, role, term, requested_at, duration } => {
-                self.handle_role_lease_grant(now, from, role, term, requested_at, duration);
-            }
-            Message::RoleLeaseRelease { from, role, term } => {
-                self.handle_role_lease_release(now, from, role, term);
-            }
-            _ => {}
+    /// As a candidate or leader: counts a vote of the view's voters.
+    fn handle_vote(&mut self, now: Micros, from: ProcessId, epoch: Epoch, vote: Vote) {
+        if epoch == self.view.epoch && self.is_voter(from) {
+            self.count_vote(now, from, vote);
         }
     }
 }
--- a/crates/leases/src/election.rs
+++ b/crates/leases/src/election.rs
@@ -2,6 +2,7 @@
 //! leader's lease, and renews it while it lives.
 
 use crate::leader::{Campaign, LeaderLease, Proposal};
+use crate::voter::Vote;
 use crate::{AcceptedView, Ballot, Event, LeadershipLoss, LeaseManager, Message, Micros, ProcessId, View};
 
 /// Requests of a candidate in one heartbeat interval: at 30% loss every second one stays without an answer.
@@ -113,15 +114,9 @@
         self.leadership.campaign = Some(Campaign::new(ballot, deadline));
         self.leadership.deferred = false;
         self.leadership.next_step_at = self.retry_at(now);
-        let own_vote = self.vote_on_prepare(now, self.me, ballot);
+        let own_vote = self.voter.vote_on_prepare(now, self.me, ballot);
         self.send_prepare(now, ballot);
-        match own_vote {
-            Message::Promise { accepted, .. } => self.handle_promise(now, self.me, ballot, accepted),
-            Message::Reject { promised, lease_remaining, .. } => {
-                self.handle_reject(now, promised, lease_remaining);
-            }
-            _ => {}
-        }
+        self.count_vote(now, self.me, own_vote);
     }
 
     /// Renews the lease, and does what only a leader does.
@@ -159,7 +154,21 @@
         expires_at.saturating_sub(self.settings.lease_duration / 2)
     }
 
-    pub(crate) fn handle_promise(
+    /// As a candidate or leader: counts a vote, which may be this process's own.
+    pub(crate) fn count_vote(&mut self, now: Micros, from: ProcessId, vote: Vote) {
+        match vote {
+            Vote::Promise { ballot, accepted } => self.handle_promise(now, from, ballot, accepted),
+            Vote::LeaseGrant { ballot, requested_at } => {
+                self.handle_lease_grant(now, from, ballot, requested_at);
+            }
+            Vote::Accepted { ballot } => self.handle_accepted(now, from, ballot),
+            Vote::Reject { promised, lease_remaining } => {
+                self.handle_reject(now, promised, lease_remaining);
+            }
+        }
+    }
+
+    fn handle_promise(
         &mut self,
         now: Micros,
         from: ProcessId,
@@ -196,7 +205,7 @@
         self.renew_lease(now);
     }
 
-    pub(crate) fn handle_reject(&mut self, now: Micros, promised: Ballot, lease_remaining: Micros) {
+    fn handle_reject(&mut self, now: Micros, promised: Ballot, lease_remaining: Micros) {
         let leading = self.is_leader(now);
         let turn_delay = self.turn_delay();
         let (settings, leader) = (&self.settings, &mut self.leadership);
@@ -222,18 +231,14 @@
             return;
         }
         self.send_lease_request(now, ballot);
-        if let Message::LeaseGrant { .. } = self.vote_on_lease(now, self.me, ballot, now) {
-            self.handle_lease_grant(now, self.me, ballot, now);
+        let own_vote = self.voter.vote_on_lease(now, self.me, ballot, now, &self.settings);
+        // Its own rejection is not counted: the other voters may still be a majority.
+        if matches!(own_vote, Vote::LeaseGrant { .. }) {
+            self.count_vote(now, self.me, own_vote);
         }
     }
 
-    pub(crate) fn handle_lease_grant(
-        &mut self,
-        now: Micros,
-        from: ProcessId,
-        ballot: Ballot,
-        requested_at: Micros,
-    ) {
+    fn handle_lease_grant(&mut self, now: Micros, from: ProcessId, ballot: Ballot, requested_at: Micros) {
         let (quorum, epoch) = (self.quorum(), self.view.epoch);
         let previous = self.leadership.lease(now);
         let campaign = self.leadership.campaign.as_mut().filter(|campaign| campaign.ballot == ballot);
--- a/crates/leases/src/view_change.rs
+++ b/crates/leases/src/view_change.rs
@@ -1,7 +1,8 @@
 //! Changes of the view: the first one, the next one by Paxos, and one that is abandoned.
 
 use crate::leader::Proposal;
-use crate::{Ballot, Epoch, Event, LeaseManager, Message, Micros, ProcessId, View, voter::Voter};
+use crate::voter::{Vote, Voter};
+use crate::{Ballot, Epoch, Event, LeaseManager, Message, Micros, ProcessId, View};
 
 /// A view of a cluster that is large enough keeps at least so many voters.
 const MIN_VOTERS: usize = 3;
@@ -125,8 +126,10 @@
         }
         let (from, epoch, next_view) = (self.me, self.view.epoch, view.clone());
         self.send_to_voters(Message::Accept { from, epoch, ballot, next_view });
-        if let Message::Accepted { .. } = self.vote_on_view(self.me, ballot, view) {
-            self.handle_accepted(now, self.me, ballot);
+        let own_vote = self.voter.vote_on_view(self.me, ballot, view);
+        // Its own rejection is not counted: the other voters may still be a majority.
+        if matches!(own_vote, Vote::Accepted { .. }) {
+            self.count_vote(now, self.me, own_vote);
         }
     }
 
--- a/crates/leases/src/voter.rs
+++ b/crates/leases/src/voter.rs
@@ -1,6 +1,39 @@
 //! A voter of a view: an acceptor of Paxos for the next view, and the grantor of the leader's lease.
 
-use crate::{Ballot, LeaseManager, Message, Micros, ProcessId, View, message::AcceptedView};
+use crate::{AcceptedView, Ballot, Epoch, Message, Micros, ProcessId, Settings, View};
+
+/// A voter's answer to a candidate or leader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Vote {
+    /// To `Prepare`: the lease is free, and lower ballots are rejected from now on.
+    Promise {
+        ballot: Ballot,
+        /// The next view that the voter has accepted, if any.
+        accepted: Option<AcceptedView>,
+    },
+    /// To `LeaseRequest`: the lease is granted.
+    LeaseGrant { ballot: Ballot, requested_at: Micros },
+    /// To `Accept`: the next view is accepted.
+    Accepted { ballot: Ballot },
+    /// To any of them: the lease is taken for so long, or a later ballot has been promised.
+    Reject { promised: Ballot, lease_remaining: Micros },
+}
+
+impl Vote {
+    /// The vote as a message from a voter of the view of this epoch.
+    pub(crate) fn into_message(self, from: ProcessId, epoch: Epoch) -> Message {
+        match self {
+            Vote::Promise { ballot, accepted } => Message::Promise { from, epoch, ballot, accepted },
+            Vote::LeaseGrant { ballot, requested_at } => {
+                Message::LeaseGrant { from, epoch, ballot, requested_at }
+            }
+            Vote::Accepted { ballot } => Message::Accepted { from, epoch, ballot },
+            Vote::Reject { promised, lease_remaining } => {
+                Message::Reject { from, epoch, promised, lease_remaining }
+            }
+        }
+    }
+}
 
 /// A voter's memory in one view: what it has promised, accepted and granted. It ends with the process and with the view.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -51,47 +84,47 @@
     fn must_reject(&self, from: ProcessId, ballot: Ballot) -> bool {
         ballot < self.promised || ballot.proposer != from.ordinal
     }
-}
 
-impl LeaseManager {
-    fn reject(&self, lease_remaining: Micros) -> Message {
-        let (epoch, promised) = (self.view.epoch, self.voter.promised);
-        Message::Reject { from: self.me, epoch, promised, lease_remaining }
+    fn reject(&self, lease_remaining: Micros) -> Vote {
+        Vote::Reject { promised: self.promised, lease_remaining }
     }
 
-    pub(crate) fn vote_on_prepare(&mut self, now: Micros, from: ProcessId, ballot: Ballot) -> Message {
-        let remaining = self.voter.lease_remaining(now, from);
-        if self.voter.must_reject(from, ballot) || remaining > 0 {
-            return self.reject(remaining);
+    /// Answers a candidate that asks for a promise.
+    pub(crate) fn vote_on_prepare(&mut self, now: Micros, from: ProcessId, ballot: Ballot) -> Vote {
+        let lease_remaining = self.lease_remaining(now, from);
+        if self.must_reject(from, ballot) || lease_remaining > 0 {
+            return self.reject(lease_remaining);
         }
-        self.voter.promised = ballot;
-        let accepted = self.voter.accepted.clone();
-        Message::Promise { from: self.me, epoch: self.view.epoch, ballot, accepted }
+        self.promised = ballot;
+        Vote::Promise { ballot, accepted: self.accepted.clone() }
     }
 
+    /// Answers a candidate or leader that asks for the lease.
     pub(crate) fn vote_on_lease(
         &mut self,
         now: Micros,
         from: ProcessId,
         ballot: Ballot,
         requested_at: Micros,
-    ) -> Message {
-        let remaining = self.voter.lease_remaining(now, from);
-        if self.voter.must_reject(from, ballot) || remaining > 0 {
-            return self.reject(remaining);
+        settings: &Settings,
+    ) -> Vote {
+        let lease_remaining = self.lease_remaining(now, from);
+        if self.must_reject(from, ballot) || lease_remaining > 0 {
+            return self.reject(lease_remaining);
         }
-        let expires_at = now + self.settings.grantor_duration(self.settings.lease_duration);
-        self.voter.promised = ballot;
-        self.voter.grant = Some(LeaseGrant { holder: Some(from), ballot, expires_at });
-        Message::LeaseGrant { from: self.me, epoch: self.view.epoch, ballot, requested_at }
+        let expires_at = now + settings.grantor_duration(settings.lease_duration);
+        self.promised = ballot;
+        self.grant = Some(LeaseGrant { holder: Some(from), ballot, expires_at });
+        Vote::LeaseGrant { ballot, requested_at }
     }
 
-    pub(crate) fn vote_on_view(&mut self, from: ProcessId, ballot: Ballot, view: View) -> Message {
-        if self.voter.must_reject(from, ballot) {
+    /// Answers a leader that proposes the next view.
+    pub(crate) fn vote_on_view(&mut self, from: ProcessId, ballot: Ballot, view: View) -> Vote {
+        if self.must_reject(from, ballot) {
             return self.reject(0);
         }
-        self.voter.promised = ballot;
-        self.voter.accepted = Some(AcceptedView { ballot, view });
-        Message::Accepted { from: self.me, epoch: self.view.epoch, ballot }
+        self.promised = ballot;
+        self.accepted = Some(AcceptedView { ballot, view });
+        Vote::Accepted { ballot }
     }
 }
