Leases: members, candidate, member leases and view updates are types of their own

Cause: `Leader` held the campaign, the lease, the broadcast of the member list and the member leases; members were a bare `BTreeMap<u16, u64>` in four places and in `failover`; `handle_view_update` and `handle_role_lease_grant` took seven arguments. Change: `Members`, also in `failover`; `Candidate` beside `Leader`, which keeps `MemberListBroadcast` and `MemberLeases` as parts with private fields; `ViewUpdate` and `RoleLeaseGrant` as the handlers' inputs.

--- a/crates/daemon/src/net/cluster/admin.rs
+++ b/crates/daemon/src/net/cluster/admin.rs
@@ -17,7 +17,7 @@
             .collect();
         members.sort();
         lines.extend(members.into_iter().map(|(process, state)| {
-            let listed = status.member_list.contains(process);
+            let listed = status.member_list.members.contains(process);
             let (ordinal, incarnation) = (process.ordinal, process.incarnation);
             let own = if process == me { "yes" } else { "no" };
             format!("member={ordinal} boot={incarnation} standing={state} on_roll={listed} self={own}")
--- a/crates/failover/src/coordinator/replication.rs
+++ b/crates/failover/src/coordinator/replication.rs
@@ -87,9 +87,8 @@
     /// Forwards an owner's message to the further replicas of a record.
     pub(super) fn forward(&mut self, key: &JobKey, message: &Message, urgent: bool) {
         let Some(replica) = self.replicas.get(key) else { return };
-        let process =
-            |ordinal: &u16| Some(ProcessId { ordinal: *ordinal, incarnation: *self.members.get(ordinal)? });
-        let replicas: Vec<ProcessId> = replica.acked_versions.keys().filter_map(process).collect();
+        let ordinals = replica.acked_versions.keys();
+        let replicas: Vec<ProcessId> = ordinals.filter_map(|&ordinal| self.members.get(ordinal)).collect();
         for other in replicas {
             self.send_with(other, message.clone(), urgent);
         }
--- a/crates/failover/src/job_key.rs
+++ b/crates/failover/src/job_key.rs
@@ -1,8 +1,7 @@
 //! The identity of a job, and the members that its key selects.
 
-use brackenledge_leases::ProcessId;
+use brackenledge_leases::{Members, ProcessId};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -19,19 +18,16 @@
 
 impl JobKey {
     /// The members by their rank for this key (rendezvous hashing; D. Thaler, C. Ravishankar, 1998).
-    pub(crate) fn members_by_rank(&self, members: &BTreeMap<u16, u64>) -> Vec<ProcessId> {
-        let mut ranked: Vec<(u64, ProcessId)> = members
-            .iter()
-            .map(|(&ordinal, &incarnation)| (self.rank(ordinal), ProcessId { ordinal, incarnation }))
-            .collect();
+    pub(crate) fn members_by_rank(&self, members: &Members) -> Vec<ProcessId> {
+        let mut ranked: Vec<(u64, ProcessId)> =
+            members.iter().map(|member| (self.rank(member.ordinal), member)).collect();
         ranked.sort_unstable();
         ranked.into_iter().map(|(_, member)| member).collect()
     }
 
     /// The member that decides who owns the job: the first by rank.
-    pub(crate) fn coordinator(&self, members: &BTreeMap<u16, u64>) -> Option<ProcessId> {
-        let first = members.iter().min_by_key(|(ordinal, _)| (self.rank(**ordinal), **ordinal));
-        first.map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation })
+    pub(crate) fn coordinator(&self, members: &Members) -> Option<ProcessId> {
+        members.iter().min_by_key(|member| (self.rank(member.ordinal), member.ordinal))
     }
 
     fn rank(&self, ordinal: u16) -> u64 {
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -66,7 +66,7 @@
 mod session;
 mod settings;
 
-pub use brackenledge_leases::{Micros, ProcessId, Term};
+pub use brackenledge_leases::{Members, Micros, ProcessId, Term};
 pub use command::{Command, Event, JobSubmission, Waiter};
 pub use counters::{Counters, RecordCounts};
 pub use frame::{Frame, FrameError, MAX_FRAME_LEN};
@@ -112,8 +112,8 @@
     zones: BTreeMap<u16, u32>,
     /// The term of the member list in force.
     term: Term,
-    /// Incarnations of its members, by ordinal.
-    members: BTreeMap<u16, u64>,
+    /// Its members.
+    members: Members,
     /// Members whose reports under this list are complete.
     reported: BTreeSet<u16>,
     /// All members' reports are complete.
@@ -158,7 +158,7 @@
             settings,
             zones: BTreeMap::from([(local.ordinal, zone)]),
             term: Term::default(),
-            members: BTreeMap::new(),
+            members: Members::default(),
             reported: BTreeSet::new(),
             all_reported: false,
             lease_expiry: 0,
--- a/crates/failover/src/member_list.rs
+++ b/crates/failover/src/member_list.rs
@@ -4,8 +4,7 @@
 use crate::command::Event;
 use crate::job_key::JobKey;
 use crate::replica::ReplicaRecord;
-use crate::{Failover, Message, Micros, ProcessId, Term};
-use std::collections::BTreeMap;
+use crate::{Failover, Members, Message, Micros, ProcessId, Term};
 
 impl Failover {
     /// The term of the member list in force.
@@ -18,8 +17,8 @@
         self.all_reported && self.holds_lease(now)
     }
 
-    /// Applies a member list, unless one as new is in force. `members`: incarnations by ordinal.
-    pub fn apply_member_list(&mut self, now: Micros, term: Term, members: &BTreeMap<u16, u64>) {
+    /// Applies a member list, unless one as new is in force.
+    pub fn apply_member_list(&mut self, now: Micros, term: Term, members: &Members) {
         if term <= self.term {
             return;
         }
@@ -30,8 +29,7 @@
             self.report_all_discarded();
             self.report_all_owned(now);
             self.report_all_orphaned(now);
-            for (&ordinal, &incarnation) in &self.members.clone() {
-                let member = ProcessId { ordinal, incarnation };
+            for member in members.iter() {
                 self.send(member, Message::ReportComplete { term });
             }
         } else {
@@ -100,7 +98,7 @@
 
     /// Whether a process is on the member list.
     pub(crate) fn lists(&self, process: ProcessId) -> bool {
-        self.members.get(&process.ordinal) == Some(&process.incarnation)
+        self.members.contains(process)
     }
 
     /// We are not on the member list: others take over the jobs that we owned.
@@ -156,7 +154,7 @@
 
     pub(crate) fn handle_report_complete(&mut self, now: Micros, from: ProcessId) {
         self.reported.insert(from.ordinal);
-        if self.all_reported || !self.members.keys().all(|ordinal| self.reported.contains(ordinal)) {
+        if self.all_reported || !self.members.ordinals().all(|ordinal| self.reported.contains(&ordinal)) {
             return;
         }
         self.all_reported = true;
--- a/crates/failover/tests/model/cluster.rs
+++ b/crates/failover/tests/model/cluster.rs
@@ -1,7 +1,7 @@
 //! The cluster as a model: processes with their records, what drives each, the network between them, and one client.
 
 use brackenledge_failover::{
-    Command, Failover, JobKey, JobOutcome, JobSubmission, Message, ProcessId, Term, Waiter,
+    Command, Failover, JobKey, JobOutcome, JobSubmission, Members, Message, ProcessId, Term, Waiter,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -114,8 +114,8 @@
     Term { step: member_list as u32 + 1, ..Term::default() }
 }
 
-pub fn members(member_list: &BTreeSet<u16>) -> BTreeMap<u16, u64> {
-    member_list.iter().map(|&node| (node, 1)).collect()
+pub fn members(member_list: &BTreeSet<u16>) -> Members {
+    member_list.iter().map(|&node| process(node)).collect()
 }
 
 impl Cluster {
--- a/crates/failover/tests/virtual_cluster/mod.rs
+++ b/crates/failover/tests/virtual_cluster/mod.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs, dead_code)]
 
 use brackenledge_failover::{
-    Command, Failover, JobKey, JobOutcome, JobSubmission, Message, ProcessId, Settings, Term,
+    Command, Failover, JobKey, JobOutcome, JobSubmission, Members, Message, ProcessId, Settings, Term,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -78,7 +78,8 @@
     pub fn apply_member_list(&mut self, members: Vec<u16>) {
         self.list_number += 1;
         let term = Term { step: self.list_number, ..Term::default() };
-        let all: BTreeMap<u16, u64> = members.iter().map(|&node| (node, self.incarnation(node))).collect();
+        let process = |&ordinal: &u16| ProcessId { ordinal, incarnation: self.incarnation(ordinal) };
+        let all: Members = members.iter().map(process).collect();
         for node in members {
             let one = self.nodes[usize::from(node)].as_mut().expect("it lives");
             one.set_member_lease(self.now, u64::MAX);
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -115,7 +115,7 @@
 pub fn failover(input: &[u8]) {
     let mut session = Session::new(process(1));
     let mut failover = Failover::new(process(0), 0, brackenledge_failover::Settings::default());
-    let members = (0..3).map(|ordinal| (ordinal, 1)).collect();
+    let members = (0..3).map(process).collect();
     let term = brackenledge_leases::Term { epoch: Epoch { era: 1, number: 1 }, ..Default::default() };
     failover.set_member_lease(1_000_000, 3_000_000);
     failover.apply_member_list(1_000_000, term, &members);
--- a/crates/leases/src/dispatch.rs
+++ b/crates/leases/src/dispatch.rs
@@ -1,7 +1,9 @@
 //! Incoming messages: what every one is checked for, and which handler takes it.
 
+use crate::heartbeat::ViewUpdate;
+use crate::role_leases::RoleLeaseGrant;
 use crate::voter::Vote;
-use crate::{Ballot, Epoch, LeaseManager, Message, Micros, ProcessId, View};
+use crate::{Ballot, Epoch, KnownLeader, LeaseManager, Message, Micros, ProcessId, View};
 
 /// The previous leader's release lets voters begin campaigns in turn, by so many parts of a heartbeat interval.
 const RELEASE_TURNS_PER_HEARTBEAT: Micros = 8;
@@ -45,7 +47,8 @@
                 self.handle_vote(now, from, epoch, Vote::Accepted { ballot });
             }
             Message::ViewUpdate { from, view, leader, ballot, role_grants } => {
-                self.handle_view_update(now, from, view, leader, ballot, role_grants);
+                let leader = leader.map(|process| KnownLeader { process, ballot });
+                self.handle_view_update(now, from, ViewUpdate { view, leader, role_grants });
             }
             Message::MemberListPart { from, term, part, parts, members } => {
                 self.handle_member_list_part(from, term, part, parts, members);
@@ -54,7 +57,8 @@
                 self.handle_role_lease_request(now, from, role, requested_at);
             }
             Message::RoleLeaseGrant { from, role, term, requested_at, duration } => {
-                self.handle_role_lease_grant(now, from, role, term, requested_at, duration);
+                let grant = RoleLeaseGrant { role, term, requested_at, duration };
+                self.handle_role_lease_grant(now, from, grant);
             }
             Message::RoleLeaseRelease { from, role, term } => {
                 self.handle_role_lease_release(now, from, role, term);
@@ -65,7 +69,7 @@
             Message::MemberLeaseGrant { from, requested_at, duration } => {
                 self.handle_member_lease_grant(now, from, requested_at, duration);
             }
-            Message::MemberLeaseRelease { from } => self.leadership.release_member(from),
+            Message::MemberLeaseRelease { from } => self.leadership.member_leases.release(from),
         }
     }
 
@@ -142,7 +146,7 @@
     fn handle_lease_release(&mut self, now: Micros, from: ProcessId, epoch: Epoch, ballot: Ballot) {
         if epoch == self.view.epoch && self.voter.release_lease(from, ballot) {
             let delay = self.rank() * self.settings.heartbeat_interval / RELEASE_TURNS_PER_HEARTBEAT;
-            self.leadership.schedule_campaign(now, delay);
+            self.candidate.schedule_campaign(now, delay);
         }
     }
 
--- a/crates/leases/src/election.rs
+++ b/crates/leases/src/election.rs
@@ -1,7 +1,8 @@
 //! Leader election: a candidate is promised by a majority of the view's voters (Paxos phase 1), then asks them for the
 //! leader's lease, and renews it while it lives.
 
-use crate::leader::{Campaign, LeaderLease, Proposal};
+use crate::candidate::{Campaign, Proposal};
+use crate::leader::LeaderLease;
 use crate::voter::Vote;
 use crate::{AcceptedView, Ballot, Event, LeadershipLoss, LeaseManager, Message, Micros, ProcessId, View};
 
@@ -21,16 +22,16 @@
         if !leading && self.leadership.lease.take().is_some() {
             self.lose_leadership(now);
         }
-        if leading && self.leadership.member_leases.values().any(|lease| now >= lease.expires_at) {
+        if leading && self.leadership.member_leases.next_expiry().is_some_and(|at| now >= at) {
             self.heartbeat(now);
         }
-        if now < self.leadership.next_step_at || !self.is_voter(self.me) || self.too_early_to_bootstrap(now) {
+        if now < self.candidate.next_step_at || !self.is_voter(self.me) || self.too_early_to_bootstrap(now) {
             return;
         }
         if !leading && self.defer_to_leader(now) {
             return;
         }
-        match &self.leadership.campaign {
+        match &self.candidate.campaign {
             Some(campaign) if campaign.elected => self.continue_leadership(now, leading),
             // Votes may have been lost.
             Some(campaign) if now < campaign.deadline => self.repeat_prepare(now, campaign.ballot),
@@ -41,8 +42,8 @@
 
     fn lose_leadership(&mut self, now: Micros) {
         self.role_leases.clear_grants();
-        self.leadership.campaign = None;
-        self.leadership.next_step_at = now + self.settings.heartbeat_interval;
+        self.candidate.campaign = None;
+        self.candidate.next_step_at = now + self.settings.heartbeat_interval;
         self.emit(Event::LeadershipLost(LeadershipLoss::LeaseExpired));
     }
 
@@ -58,19 +59,19 @@
         if self.view.is_bootstrap() || self.known_leader.is_none() || now >= patient_until {
             return false;
         }
-        self.leadership.next_step_at = patient_until + self.turn_delay();
+        self.candidate.next_step_at = patient_until + self.turn_delay();
         true
     }
 
     /// A voter that has promised another candidate gives it time to be elected and to ask for the lease. Once between two
     /// campaigns of its own: that candidate may be one that receives no answers.
     pub(crate) fn defer_to_candidate(&mut self, now: Micros) {
-        if self.is_leader(now) || std::mem::replace(&mut self.leadership.deferred, true) {
+        if self.is_leader(now) || std::mem::replace(&mut self.candidate.deferred, true) {
             return;
         }
-        self.leadership.campaign = None;
+        self.candidate.campaign = None;
         let patience = MISSED_HEARTBEATS * self.settings.heartbeat_interval + self.turn_delay();
-        self.leadership.next_step_at = self.leadership.next_step_at.max(now + patience);
+        self.candidate.next_step_at = self.candidate.next_step_at.max(now + patience);
     }
 
     /// Candidates begin in turn, or each takes votes from the others.
@@ -84,7 +85,7 @@
     }
 
     fn repeat_prepare(&mut self, now: Micros, ballot: Ballot) {
-        self.leadership.next_step_at = self.retry_at(now);
+        self.candidate.next_step_at = self.retry_at(now);
         self.send_prepare(now, ballot);
     }
 
@@ -104,16 +105,16 @@
 
     fn begin_campaign(&mut self, now: Micros) {
         // Counters come from others' messages. Without a higher one there is no campaign until the view changes.
-        let Some(counter) = self.leadership.highest_counter.checked_add(1) else {
-            self.leadership.next_step_at = now + self.settings.heartbeat_interval;
+        let Some(counter) = self.candidate.highest_counter.checked_add(1) else {
+            self.candidate.next_step_at = now + self.settings.heartbeat_interval;
             return;
         };
-        self.leadership.highest_counter = counter;
+        self.candidate.highest_counter = counter;
         let ballot = Ballot { counter, proposer: self.me.ordinal };
         let deadline = now + HEARTBEATS_PER_CAMPAIGN * self.settings.heartbeat_interval + self.turn_delay();
-        self.leadership.campaign = Some(Campaign::new(ballot, deadline));
-        self.leadership.deferred = false;
-        self.leadership.next_step_at = self.retry_at(now);
+        self.candidate.campaign = Some(Campaign::new(ballot, deadline));
+        self.candidate.deferred = false;
+        self.candidate.next_step_at = self.retry_at(now);
         let own_vote = self.voter.vote_on_prepare(now, self.me, ballot);
         self.send_prepare(now, ballot);
         self.count_vote(now, self.me, own_vote);
@@ -127,7 +128,7 @@
         }
         self.leadership.next_heartbeat_at = now + self.settings.heartbeat_interval;
         // A candidate asks for the lease as often as it asked for promises.
-        self.leadership.next_step_at = if leading { self.next_leader_step(now) } else { self.retry_at(now) };
+        self.candidate.next_step_at = if leading { self.next_leader_step(now) } else { self.retry_at(now) };
         self.renew_lease(now);
         self.propose_next_view(now);
         if self.is_leader(now) {
@@ -140,7 +141,7 @@
         if now >= self.lease_is_short_at() {
             self.renew_lease(now);
         }
-        self.leadership.next_step_at = self.next_leader_step(now);
+        self.candidate.next_step_at = self.next_leader_step(now);
     }
 
     /// The leader's next heartbeat, or an earlier request if its lease is short by then.
@@ -176,7 +177,7 @@
         accepted: Option<AcceptedView>,
     ) {
         let quorum = self.quorum();
-        let campaign = self.leadership.campaign.as_mut().filter(|campaign| campaign.ballot == ballot);
+        let campaign = self.candidate.campaign.as_mut().filter(|campaign| campaign.ballot == ballot);
         let Some(campaign) = campaign else { return };
         // An ordinal votes once, whichever process has it.
         campaign.promises.retain(|voter, _| voter.ordinal != from.ordinal || *voter == from);
@@ -198,7 +199,7 @@
             self.propose(now, view);
             return;
         }
-        if let (Some(view), Some(campaign)) = (accepted, &mut self.leadership.campaign) {
+        if let (Some(view), Some(campaign)) = (accepted, &mut self.candidate.campaign) {
             campaign.proposal = Some(Proposal { view, accepted_by: Vec::new() });
         }
         // The lease comes first.
@@ -208,25 +209,25 @@
     fn handle_reject(&mut self, now: Micros, promised: Ballot, lease_remaining: Micros) {
         let leading = self.is_leader(now);
         let turn_delay = self.turn_delay();
-        let (settings, leader) = (&self.settings, &mut self.leadership);
-        leader.highest_counter = leader.highest_counter.max(promised.counter);
-        let Some(campaign) = &leader.campaign else { return };
+        let (settings, candidate) = (&self.settings, &mut self.candidate);
+        candidate.highest_counter = candidate.highest_counter.max(promised.counter);
+        let Some(campaign) = &candidate.campaign else { return };
         if promised > campaign.ballot {
             // Again with a higher ballot; at once by the leader, which must renew its lease.
             let pause = settings.heartbeat_interval / TURNS_PER_HEARTBEAT;
             let delay = if leading { 0 } else { lease_remaining.min(settings.lease_duration) + pause };
-            leader.campaign = None;
-            leader.next_step_at = now + delay;
+            candidate.campaign = None;
+            candidate.next_step_at = now + delay;
         } else if !campaign.elected && lease_remaining > 0 {
             // All hear at about the same time that the lease is free.
-            leader.campaign = None;
-            leader.next_step_at = now + lease_remaining.min(2 * settings.lease_duration) + turn_delay;
+            candidate.campaign = None;
+            candidate.next_step_at = now + lease_remaining.min(2 * settings.lease_duration) + turn_delay;
         }
     }
 
     /// Asks all voters for the lease, from now on.
     fn renew_lease(&mut self, now: Micros) {
-        let Some(ballot) = self.leadership.elected_campaign().map(|campaign| campaign.ballot) else { return };
+        let Some(ballot) = self.candidate.elected_campaign().map(|campaign| campaign.ballot) else { return };
         if self.view.is_bootstrap() {
             return;
         }
@@ -241,7 +242,7 @@
     fn handle_lease_grant(&mut self, now: Micros, from: ProcessId, ballot: Ballot, requested_at: Micros) {
         let (quorum, epoch) = (self.quorum(), self.view.epoch);
         let previous = self.leadership.lease(now);
-        let campaign = self.leadership.campaign.as_mut().filter(|campaign| campaign.ballot == ballot);
+        let campaign = self.candidate.campaign.as_mut().filter(|campaign| campaign.ballot == ballot);
         let Some(campaign) = campaign else { return };
         // A request in the future is not ours.
         if requested_at > now {
@@ -276,7 +277,7 @@
         }
         self.known_leader = Some(crate::KnownLeader { process: self.me, ballot });
         self.last_leader_contact = now;
-        self.schedule_member_list(now);
+        self.leadership.member_list_broadcast.restart(now);
         self.propose_next_view(now);
         self.heartbeat(now);
         self.request_role_leases(now);
--- a/crates/leases/src/heartbeat.rs
+++ b/crates/leases/src/heartbeat.rs
@@ -2,9 +2,28 @@
 
 use crate::election::MISSED_HEARTBEATS;
 use crate::message::MAX_ROLE_GRANTS;
-use crate::{
-    Ballot, Event, KnownLeader, LeadershipLoss, LeaseManager, Message, Micros, ProcessId, RoleGrant, View,
-};
+use crate::{Event, KnownLeader, LeadershipLoss, LeaseManager, Message, Micros, ProcessId, RoleGrant, View};
+
+/// What a process tells of its view.
+pub(crate) struct ViewUpdate {
+    pub(crate) view: View,
+    /// The view's leader, if the sender knows one.
+    pub(crate) leader: Option<KnownLeader>,
+    /// By the leader itself: who holds which role.
+    pub(crate) role_grants: Vec<RoleGrant>,
+}
+
+impl ViewUpdate {
+    pub(crate) fn into_message(self, from: ProcessId) -> Message {
+        Message::ViewUpdate {
+            from,
+            view: self.view,
+            leader: self.leader.map(|leader| leader.process),
+            ballot: self.leader.map(|leader| leader.ballot).unwrap_or_default(),
+            role_grants: self.role_grants,
+        }
+    }
+}
 
 impl LeaseManager {
     /// Sends all that the view has a leader, who holds which role, and now and then who is a member.
@@ -14,37 +33,24 @@
             return;
         }
         self.last_leader_contact = now;
-        self.broadcast(Message::ViewUpdate {
-            from: self.me,
+        let update = ViewUpdate {
             view: self.view.clone(),
-            leader: Some(self.me),
-            ballot: lease.ballot,
+            leader: Some(KnownLeader { process: self.me, ballot: lease.ballot }),
             role_grants: self.role_leases.grants(now).take(MAX_ROLE_GRANTS).collect(),
-        });
+        };
+        self.broadcast(update.into_message(self.me));
         self.update_member_list(now, lease);
     }
 
     /// Tells a process that is behind of the view.
     pub(crate) fn send_view(&mut self, to: ProcessId) {
-        let update = Message::ViewUpdate {
-            from: self.me,
-            view: self.view.clone(),
-            leader: self.known_leader.map(|leader| leader.process),
-            ballot: self.known_leader.map(|leader| leader.ballot).unwrap_or_default(),
-            role_grants: Vec::new(),
-        };
-        self.send(to, update);
+        let update =
+            ViewUpdate { view: self.view.clone(), leader: self.known_leader, role_grants: Vec::new() };
+        self.send(to, update.into_message(self.me));
     }
 
-    pub(crate) fn handle_view_update(
-        &mut self,
-        now: Micros,
-        from: ProcessId,
-        view: View,
-        leader: Option<ProcessId>,
-        ballot: Ballot,
-        role_grants: Vec<RoleGrant>,
-    ) {
+    pub(crate) fn handle_view_update(&mut self, now: Micros, from: ProcessId, update: ViewUpdate) {
+        let ViewUpdate { view, leader, role_grants } = update;
         if view.is_bootstrap() {
             self.dropped_messages += 1;
             return;
@@ -55,13 +61,14 @@
             return;
         }
         let epoch = view.epoch;
-        self.follow_view(now, view, leader);
+        self.follow_view(now, view, leader.map(|leader| leader.process));
         // Only the leader itself says that it is one.
-        let by_leader = epoch == self.view.epoch && leader == Some(from);
-        if !by_leader || self.known_leader.is_some_and(|known| ballot < known.ballot) {
+        let sender = leader.filter(|leader| leader.process == from && epoch == self.view.epoch);
+        let Some(leader) = sender else { return };
+        if self.known_leader.is_some_and(|known| leader.ballot < known.ballot) {
             return;
         }
-        self.follow_leader(now, KnownLeader { process: from, ballot });
+        self.follow_leader(now, leader);
         self.role_leases.observe(now, role_grants);
     }
 
@@ -69,7 +76,7 @@
         // Two hold the lease only if a clock has gone wrong. The majority of the later ballot is the later one.
         let lease = self.leadership.lease(now);
         if lease.is_some_and(|lease| lease.epoch == self.view.epoch && lease.ballot < leader.ballot) {
-            self.leadership.resign(now);
+            self.resign(now);
             self.emit(Event::LeadershipLost(LeadershipLoss::LaterBallot(leader.process)));
         }
         if self.known_leader.is_none_or(|known| known.process != leader.process) {
@@ -79,7 +86,7 @@
         self.last_leader_contact = now;
         if !self.is_leader(now) {
             let patience = MISSED_HEARTBEATS * self.settings.heartbeat_interval;
-            self.leadership.schedule_campaign(now, patience);
+            self.candidate.schedule_campaign(now, patience);
         }
     }
 }
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -44,6 +44,7 @@
 //! their addresses. No I/O, no clock, no randomness.
 
 mod active_members;
+mod candidate;
 mod command;
 mod dispatch;
 mod election;
@@ -52,6 +53,7 @@
 mod leader;
 mod member_lease;
 mod member_list;
+mod members;
 mod message;
 mod role_leases;
 mod settings;
@@ -65,15 +67,17 @@
 pub use command::{Command, Event, LeadershipLoss};
 pub use fencing::{FencingError, FencingGuard, FencingToken, RoleHolder};
 pub use member_list::MemberList;
+pub use members::Members;
 pub use message::{AcceptedView, DecodeError, MAX_MESSAGE_LENGTH, Message, RoleGrant};
 pub use settings::Settings;
 pub use status::{RoleStatus, Status, ViewStatus};
 pub use view::{Ballot, Epoch, Term, View};
 
+use candidate::Candidate;
 use leader::Leader;
 use member_list::PartialMemberList;
 use role_leases::RoleLeases;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use voter::Voter;
 
 /// Microseconds on the caller's clock, which goes on while the process is stopped.
@@ -99,8 +103,8 @@
     /// For the era of a cluster that bootstraps.
     started_unix_seconds: u32,
     started_at: Micros,
-    /// Live members by membership, this process included: incarnations by ordinal.
-    alive_members: BTreeMap<u16, u64>,
+    /// Live members by membership, this process included.
+    alive_members: Members,
     view: View,
     /// The latest epoch known. A cluster that bootstraps begins a later one.
     latest_epoch: Epoch,
@@ -109,6 +113,7 @@
     last_leader_contact: Micros,
     known_leader: Option<KnownLeader>,
     voter: Voter,
+    candidate: Candidate,
     leadership: Leader,
     role_leases: RoleLeases,
     member_list: MemberList,
@@ -131,13 +136,14 @@
             settings,
             started_unix_seconds: unix_seconds,
             started_at: now,
-            alive_members: BTreeMap::new(),
+            alive_members: Members::default(),
             view: View::default(),
             latest_epoch: Epoch::default(),
             abandoned_epoch: Epoch::default(),
             last_leader_contact: now,
             known_leader: None,
             voter: Voter::default(),
+            candidate: Candidate::default(),
             leadership: Leader::default(),
             role_leases: RoleLeases::new(now, settings.roles),
             member_list: MemberList::default(),
@@ -177,9 +183,8 @@
 
     /// Sets the live members, as membership knows them.
     pub fn set_alive_members(&mut self, members: impl IntoIterator<Item = ProcessId>) {
-        self.alive_members =
-            members.into_iter().map(|process| (process.ordinal, process.incarnation)).collect();
-        self.alive_members.insert(self.me.ordinal, self.me.incarnation);
+        self.alive_members = members.into_iter().collect();
+        self.alive_members.insert(self.me);
     }
 
     /// The term under which this process holds a role at this moment, if it does. To be checked before each action.
@@ -202,7 +207,7 @@
     /// Length of the member list, if this process is on it and heard from its leader lately.
     pub fn active_member_count(&self, now: Micros) -> Option<usize> {
         let recent = now < self.last_leader_contact + self.settings.bootstrap_timeout;
-        let listed = self.member_list.contains(self.me) && !self.view.is_bootstrap();
+        let listed = self.member_list.members.contains(self.me) && !self.view.is_bootstrap();
         let leader_known = recent || self.is_leader(now);
         (leader_known && listed).then_some(self.member_list.members.len())
     }
@@ -227,7 +232,7 @@
         let abandon_at = self.last_leader_contact + self.settings.view_abandon_timeout;
         let timeouts = [
             self.next_join_request_at,
-            self.leadership.next_timeout(),
+            self.next_election_timeout(),
             self.role_leases.next_timeout(),
             abandon_at,
         ];
@@ -268,7 +273,7 @@
             }
             self.commands.push_back(Command::RoleLeaseChanged { role, term: None });
         }
-        if let Some(ballot) = self.leadership.resign(now) {
+        if let Some(ballot) = self.resign(now) {
             let epoch = self.view.epoch;
             // Twice: a lost release costs the others a lease.
             self.broadcast(Message::LeaseRelease { from: self.me, epoch, ballot });
@@ -307,7 +312,7 @@
     fn rank(&self) -> u64 {
         let before = |ordinal: u16| ordinal < self.me.ordinal;
         let count = if self.view.is_bootstrap() {
-            self.alive_members.keys().filter(|&&ordinal| before(ordinal)).count()
+            self.alive_members.ordinals().filter(|&ordinal| before(ordinal)).count()
         } else {
             self.view.voters.iter().filter(|voter| before(voter.ordinal)).count()
         };
--- a/crates/leases/src/member_lease.rs
+++ b/crates/leases/src/member_lease.rs
@@ -3,13 +3,67 @@
 //! A new leader does not know what the one before it granted, so it treats all members of the last list as if they held
 //! a lease from now on, except for the previous leader, whose member lease is its leader's lease.
 
-use crate::leader::MemberLease;
-use crate::{Ballot, LeaseManager, Message, Micros, ProcessId};
+use crate::{Ballot, LeaseManager, Members, Message, Micros, ProcessId};
 use std::collections::BTreeMap;
 
 /// Requests of a member in one heartbeat interval: at 30% loss one lease in 10^8 passes without one that arrives.
 const REQUESTS_PER_HEARTBEAT: Micros = 2;
 
+/// A member's lease on its place in the member list, as the leader counts it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct MemberLease {
+    member: ProcessId,
+    expires_at: Micros,
+}
+
+/// Member leases that the leader has granted, and those that were not renewed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct MemberLeases {
+    /// By the member's ordinal.
+    leases: BTreeMap<u16, MemberLease>,
+    /// Members that did not renew in time. They are left out of the member list until they ask again, even if membership
+    /// believes them alive.
+    expired: Members,
+}
+
+impl MemberLeases {
+    /// When the first lease is over.
+    pub(crate) fn next_expiry(&self) -> Option<Micros> {
+        self.leases.values().map(|lease| lease.expires_at).min()
+    }
+
+    /// A member leaves and gives its lease back.
+    pub(crate) fn release(&mut self, member: ProcessId) {
+        if self.leases.get(&member.ordinal).is_some_and(|lease| lease.member == member) {
+            self.leases.remove(&member.ordinal);
+        }
+    }
+
+    fn grant(&mut self, member: ProcessId, expires_at: Micros) {
+        self.leases.insert(member.ordinal, MemberLease { member, expires_at });
+    }
+
+    /// Grants a lease to a member whose ordinal has none.
+    fn grant_first(&mut self, member: ProcessId, expires_at: Micros) {
+        self.leases.entry(member.ordinal).or_insert(MemberLease { member, expires_at });
+    }
+
+    /// Ends the leases that were not renewed in time.
+    fn expire(&mut self, now: Micros) {
+        let expired = self.leases.values().filter(|lease| now >= lease.expires_at);
+        self.expired.extend(expired.map(|lease| lease.member));
+        self.leases.retain(|_, lease| now < lease.expires_at);
+    }
+
+    /// Of these live processes all whose lease has not expired, and all that hold a lease.
+    fn listed_members(&self, alive: &Members) -> Members {
+        let mut members = alive.clone();
+        members.retain(|process| !self.expired.contains(process));
+        members.extend(self.leases.values().map(|lease| lease.member));
+        members
+    }
+}
+
 impl LeaseManager {
     fn member_leases_enabled(&self) -> bool {
         self.settings.member_lease_duration > 0
@@ -22,8 +76,7 @@
 
     /// As a new leader: assumes that all members of the last list hold a lease.
     pub(crate) fn inherit_member_leases(&mut self, now: Micros, ballot: Ballot) {
-        self.leadership.member_leases = BTreeMap::new();
-        self.leadership.expired_members = BTreeMap::new();
+        self.leadership.member_leases = MemberLeases::default();
         if !self.member_leases_enabled() {
             return;
         }
@@ -32,14 +85,12 @@
             self.known_leader.filter(|leader| leader.ballot.counter.checked_add(1) == Some(ballot.counter));
         let previous_leader = directly_before.map(|leader| leader.process);
         let expires_at = self.member_lease_end(now);
-        for (&ordinal, &incarnation) in &self.member_list.members {
-            if ordinal == self.me.ordinal {
-                continue;
-            }
-            if previous_leader == Some(ProcessId { ordinal, incarnation }) {
-                self.leadership.expired_members.insert(ordinal, incarnation);
+        let member_leases = &mut self.leadership.member_leases;
+        for member in self.member_list.members.iter().filter(|member| member.ordinal != self.me.ordinal) {
+            if previous_leader == Some(member) {
+                member_leases.expired.insert(member);
             } else {
-                self.leadership.member_leases.insert(ordinal, MemberLease { incarnation, expires_at });
+                member_leases.grant(member, expires_at);
             }
         }
     }
@@ -49,14 +100,12 @@
         if epoch != Some(self.view.epoch) || !self.member_leases_enabled() {
             return;
         }
-        if self.leadership.expired_members.get(&from.ordinal) == Some(&from.incarnation) {
-            self.leadership.expired_members.remove(&from.ordinal);
-        }
-        if !self.member_list.contains(from) {
+        self.leadership.member_leases.expired.remove(from);
+        if !self.member_list.members.contains(from) {
             return;
         }
-        let lease = MemberLease { incarnation: from.incarnation, expires_at: self.member_lease_end(now) };
-        self.leadership.member_leases.insert(from.ordinal, lease);
+        let expires_at = self.member_lease_end(now);
+        self.leadership.member_leases.grant(from, expires_at);
         let duration = self.settings.member_lease_duration;
         self.send(from, Message::MemberLeaseGrant { from: self.me, requested_at, duration });
     }
@@ -91,22 +140,16 @@
 
     /// As the leader: who is to be in the list. All live processes except those whose lease expired, and all that hold a
     /// lease.
-    pub(crate) fn target_members(&mut self, now: Micros) -> BTreeMap<u16, u64> {
+    pub(crate) fn target_members(&mut self, now: Micros) -> Members {
         let expires_at = self.member_lease_end(now);
         let enabled = self.member_leases_enabled();
-        let leader = &mut self.leadership;
-        let expired = leader.member_leases.iter().filter(|(_, lease)| now >= lease.expires_at);
-        leader.expired_members.extend(expired.map(|(&ordinal, lease)| (ordinal, lease.incarnation)));
-        leader.member_leases.retain(|_, lease| now < lease.expires_at);
-        let mut members = self.alive_members.clone();
-        members.retain(|ordinal, incarnation| leader.expired_members.get(ordinal) != Some(incarnation));
-        members.extend(leader.member_leases.iter().map(|(&ordinal, lease)| (ordinal, lease.incarnation)));
+        let member_leases = &mut self.leadership.member_leases;
+        member_leases.expire(now);
+        let members = member_leases.listed_members(&self.alive_members);
         if enabled {
             // A new member has as long to ask as one that has asked.
-            let others = members.iter().filter(|(ordinal, _)| **ordinal != self.me.ordinal);
-            for (&ordinal, &incarnation) in others {
-                leader.member_leases.entry(ordinal).or_insert(MemberLease { incarnation, expires_at });
-            }
+            let others = members.iter().filter(|member| member.ordinal != self.me.ordinal);
+            others.for_each(|member| member_leases.grant_first(member, expires_at));
         }
         members
     }
--- a/crates/leases/src/member_list.rs
+++ b/crates/leases/src/member_list.rs
@@ -2,7 +2,7 @@
 
 use crate::leader::LeaderLease;
 use crate::message::MAX_MEMBERS_PER_PART;
-use crate::{LeaseManager, Message, Micros, ProcessId, Term};
+use crate::{LeaseManager, Members, Message, Micros, ProcessId, Term};
 use std::collections::BTreeMap;
 
 /// A changed list is sent with so many heartbeats in a row, since a part may be lost.
@@ -15,20 +15,8 @@
 pub struct MemberList {
     /// Under which the leader made the list: a later list has a higher term.
     pub term: Term,
-    /// Incarnations by ordinal.
-    pub members: BTreeMap<u16, u64>,
-}
-
-impl MemberList {
-    /// Whether this very process is on the list.
-    pub fn contains(&self, process: ProcessId) -> bool {
-        self.members.get(&process.ordinal) == Some(&process.incarnation)
-    }
-
-    fn processes(&self) -> Vec<ProcessId> {
-        let members = self.members.iter();
-        members.map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation }).collect()
-    }
+    /// The members.
+    pub members: Members,
 }
 
 /// Parts of a list that has not arrived completely.
@@ -38,29 +26,42 @@
     parts: BTreeMap<u8, Vec<ProcessId>>,
 }
 
-impl LeaseManager {
+/// When the leader sends its list again.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct MemberListBroadcast {
+    next_at: Micros,
+    /// How many more heartbeats send the list, since parts may be lost.
+    repeats: u8,
+}
+
+impl MemberListBroadcast {
     /// A new leader sends its list at once, and again with the next heartbeats.
-    pub(crate) fn schedule_member_list(&mut self, now: Micros) {
-        self.leadership.next_member_list_at = now;
-        self.leadership.member_list_repeats = REPEATS_OF_CHANGED_LIST;
+    pub(crate) fn restart(&mut self, now: Micros) {
+        self.next_at = now;
+        self.repeats = REPEATS_OF_CHANGED_LIST;
+    }
+
+    /// The list is sent now: schedules the next time.
+    fn reschedule(&mut self, now: Micros, changed: bool, heartbeat_interval: Micros) {
+        self.repeats = if changed { REPEATS_OF_CHANGED_LIST } else { self.repeats.saturating_sub(1) };
+        let heartbeats = if self.repeats > 0 { 1 } else { HEARTBEATS_PER_UNCHANGED_LIST };
+        self.next_at = now + heartbeats * heartbeat_interval;
     }
+}
 
+impl LeaseManager {
     /// As the leader: sends the list if it has changed or is due again.
     pub(crate) fn update_member_list(&mut self, now: Micros, lease: LeaderLease) {
         let members = self.target_members(now);
         let changed = members != self.member_list.members;
-        if !changed && now < self.leadership.next_member_list_at {
+        let broadcast = &mut self.leadership.member_list_broadcast;
+        if !changed && now < broadcast.next_at {
             return;
         }
-        let leader = &mut self.leadership;
-        leader.member_list_repeats =
-            if changed { REPEATS_OF_CHANGED_LIST } else { leader.member_list_repeats.saturating_sub(1) };
-        let heartbeats = if leader.member_list_repeats > 0 { 1 } else { HEARTBEATS_PER_UNCHANGED_LIST };
-        leader.next_member_list_at = now + heartbeats * self.settings.heartbeat_interval;
+        broadcast.reschedule(now, changed, self.settings.heartbeat_interval);
         let Term { epoch, ballot, .. } = self.member_list.term;
         if changed || (epoch, ballot) != (lease.epoch, lease.ballot) {
-            leader.last_step += 1;
-            let term = Term { epoch: lease.epoch, ballot: lease.ballot, step: leader.last_step };
+            let term = self.leadership.next_term(lease);
             self.member_list = MemberList { term, members };
         }
         self.broadcast_member_list();
@@ -68,7 +69,7 @@
 
     fn broadcast_member_list(&mut self) {
         let (from, term) = (self.me, self.member_list.term);
-        let members = self.member_list.processes();
+        let members: Vec<ProcessId> = self.member_list.members.iter().collect();
         let chunks = members.chunks(MAX_MEMBERS_PER_PART);
         let parts = chunks.len() as u8;
         for (part, members) in chunks.enumerate() {
@@ -95,8 +96,7 @@
         }
         partial.parts.insert(part, members);
         if partial.parts.len() == usize::from(parts) {
-            let processes = std::mem::take(&mut partial.parts).into_values().flatten();
-            let members = processes.map(|process| (process.ordinal, process.incarnation)).collect();
+            let members = std::mem::take(&mut partial.parts).into_values().flatten().collect();
             self.member_list = MemberList { term, members };
         }
     }
--- a/crates/leases/src/role_leases.rs
+++ b/crates/leases/src/role_leases.rs
@@ -25,6 +25,17 @@
     expires_at: Micros,
 }
 
+/// The leader's answer to a request for a role lease.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RoleLeaseGrant {
+    pub(crate) role: Role,
+    pub(crate) term: Term,
+    /// When it was requested, by the holder's clock.
+    pub(crate) requested_at: Micros,
+    /// From the request on.
+    pub(crate) duration: Micros,
+}
+
 /// The holder of a role by the leader's last update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct ObservedHolder {
@@ -135,8 +146,8 @@
     /// Members of the list that may request a role before this process.
     fn members_before(&self, role: Role) -> u64 {
         let own = rendezvous_rank(role, self.me.ordinal);
-        let members = self.member_list.members.keys();
-        members.filter(|&&ordinal| rendezvous_rank(role, ordinal) < own).count() as u64
+        let members = self.member_list.members.ordinals();
+        members.filter(|&ordinal| rendezvous_rank(role, ordinal) < own).count() as u64
     }
 
     /// Requests roles that this process holds, to renew them, and those that nobody holds if it is its turn.
@@ -184,7 +195,7 @@
         role: Role,
         requested_at: Micros,
     ) {
-        let replaced = self.alive_members.get(&from.ordinal).is_some_and(|&alive| alive != from.incarnation);
+        let replaced = self.alive_members.get(from.ordinal).is_some_and(|alive| alive != from);
         if role >= self.role_leases.role_count || replaced {
             self.dropped_messages += 1;
             return;
@@ -194,13 +205,15 @@
 
     /// As the leader: grants a role lease if the role is free or held by who requests it.
     fn grant_role_lease(&mut self, now: Micros, to: ProcessId, role: Role, requested_at: Micros) {
-        let Some(duration) = self.role_lease_duration(now) else { return };
+        let Some(leader_lease) = self.leadership.lease(now) else { return };
         let current = self.role_leases.granted.get(&role).copied();
         let current = current.filter(|lease| now < lease.expires_at);
         if current.is_some_and(|lease| lease.holder != to) {
             return;
         }
-        let Some(term) = current.map(|lease| lease.term).or_else(|| self.next_term(now)) else { return };
+        let term = current.map_or_else(|| self.leadership.next_term(leader_lease), |lease| lease.term);
+        // No longer than the leader's own lease.
+        let duration = (leader_lease.expires_at - now).min(self.settings.lease_duration);
         let expires_at = now + self.settings.grantor_duration(duration);
         self.role_leases.granted.insert(role, GrantedLease { holder: to, term, expires_at });
         if current.is_none() {
@@ -209,20 +222,14 @@
         if to == self.me {
             let holder = RoleHolder { term, holder: to };
             self.role_leases.observed.insert(role, ObservedHolder { holder, observed_at: now });
-            self.acquire_role_lease(now, role, term, requested_at, duration);
+            self.acquire_role_lease(now, RoleLeaseGrant { role, term, requested_at, duration });
         } else {
             self.send(to, Message::RoleLeaseGrant { from: self.me, role, term, requested_at, duration });
         }
     }
 
-    fn acquire_role_lease(
-        &mut self,
-        now: Micros,
-        role: Role,
-        term: Term,
-        requested_at: Micros,
-        duration: Micros,
-    ) {
+    fn acquire_role_lease(&mut self, now: Micros, grant: RoleLeaseGrant) {
+        let RoleLeaseGrant { role, term, requested_at, duration } = grant;
         let duration = duration.min(self.settings.lease_duration);
         let mut expires_at = requested_at + self.settings.holder_duration(duration);
         let previous = self.role_leases.held.get(&role).copied();
@@ -240,23 +247,15 @@
         }
     }
 
-    pub(crate) fn handle_role_lease_grant(
-        &mut self,
-        now: Micros,
-        from: ProcessId,
-        role: Role,
-        term: Term,
-        requested_at: Micros,
-        duration: Micros,
-    ) {
+    pub(crate) fn handle_role_lease_grant(&mut self, now: Micros, from: ProcessId, grant: RoleLeaseGrant) {
         let by_leader = self.known_leader.is_some_and(|leader| leader.process == from);
-        let requested = (self.role_leases.started_at..=now).contains(&requested_at);
-        let known_role = role < self.role_leases.role_count;
-        if !by_leader || !requested || !known_role || term.epoch < self.abandoned_epoch {
+        let requested = (self.role_leases.started_at..=now).contains(&grant.requested_at);
+        let known_role = grant.role < self.role_leases.role_count;
+        if !by_leader || !requested || !known_role || grant.term.epoch < self.abandoned_epoch {
             self.dropped_messages += 1;
             return;
         }
-        self.acquire_role_lease(now, role, term, requested_at, duration);
+        self.acquire_role_lease(now, grant);
     }
 
     pub(crate) fn handle_role_lease_release(&mut self, now: Micros, from: ProcessId, role: Role, term: Term) {
@@ -266,7 +265,7 @@
             self.emit(Event::RoleLeaseReleased { role, holder: from });
             // Others learn of it from the next heartbeat, which is due now.
             self.role_leases.observed.remove(&role);
-            self.leadership.schedule_campaign(now, 0);
+            self.candidate.schedule_campaign(now, 0);
         }
     }
 
--- a/crates/leases/src/view_change.rs
+++ b/crates/leases/src/view_change.rs
@@ -1,8 +1,9 @@
 //! Changes of the view: the first one, the next one by Paxos, and one that is abandoned.
 
-use crate::leader::Proposal;
+use crate::candidate::Proposal;
+use crate::heartbeat::ViewUpdate;
 use crate::voter::{Vote, Voter};
-use crate::{Ballot, Epoch, Event, LeaseManager, Message, Micros, ProcessId, View};
+use crate::{Ballot, Epoch, Event, KnownLeader, LeaseManager, Message, Micros, ProcessId, View};
 
 /// A view of a cluster that is large enough keeps at least so many voters.
 const MIN_VOTERS: usize = 3;
@@ -19,7 +20,8 @@
         if self.view.is_bootstrap() || now < silent_until || self.is_leader(now) {
             return;
         }
-        let live_voters = self.view.voters.iter().filter(|voter| self.is_alive(**voter)).count();
+        let live_voters =
+            self.view.voters.iter().filter(|voter| self.alive_members.contains(**voter)).count();
         if live_voters >= self.quorum() {
             return;
         }
@@ -32,10 +34,6 @@
         self.next_join_request_at = now;
     }
 
-    fn is_alive(&self, process: ProcessId) -> bool {
-        self.alive_members.get(&process.ordinal) == Some(&process.incarnation)
-    }
-
     /// Enters a view, with nothing promised in it.
     fn enter_view(&mut self, now: Micros, view: View) {
         self.view = view;
@@ -43,7 +41,9 @@
         self.last_leader_contact = now;
         self.latest_epoch = self.latest_epoch.max(self.view.epoch);
         self.known_leader = None;
-        self.leadership.enter_view(now, self.settings.heartbeat_interval);
+        // A lease of the view before goes on for what is left of it, and is to be renewed in this one.
+        let pause = if self.is_leader(now) { 0 } else { self.settings.heartbeat_interval };
+        self.candidate.enter_view(now + pause);
     }
 
     /// Follows another process into a later view.
@@ -78,7 +78,7 @@
 
     /// Proposes the next view if one is needed, or goes on proposing.
     pub(crate) fn propose_next_view(&mut self, now: Micros) {
-        let proposal = self.leadership.campaign.as_ref().and_then(|campaign| campaign.proposal.as_ref());
+        let proposal = self.candidate.campaign.as_ref().and_then(|campaign| campaign.proposal.as_ref());
         let proposed = proposal.map(|proposal| proposal.view.clone());
         if self.view.is_bootstrap() {
             if let Some(view) = proposed {
@@ -100,10 +100,9 @@
     fn target_view(&self) -> Option<View> {
         let current = &self.view.voters;
         let mut voters: Vec<ProcessId> =
-            current.iter().copied().filter(|voter| self.is_alive(*voter)).collect();
-        let alive = self.alive_members.iter();
-        let alive = alive.map(|(&ordinal, &incarnation)| ProcessId { ordinal, incarnation });
-        let mut spare: Vec<ProcessId> = alive.filter(|process| !voters.contains(process)).collect();
+            current.iter().copied().filter(|voter| self.alive_members.contains(*voter)).collect();
+        let mut spare: Vec<ProcessId> =
+            self.alive_members.iter().filter(|process| !voters.contains(process)).collect();
         let count = odd(self.settings.voters.min(self.alive_members.len()));
         if count < current.len().min(MIN_VOTERS) {
             // Too few are left to replace the dead, which remain voters.
@@ -119,7 +118,7 @@
     }
 
     pub(crate) fn propose(&mut self, now: Micros, view: View) {
-        let Some(campaign) = self.leadership.elected_campaign() else { return };
+        let Some(campaign) = self.candidate.elected_campaign() else { return };
         let ballot = campaign.ballot;
         if campaign.proposal.as_ref().is_none_or(|proposal| proposal.view != view) {
             campaign.proposal = Some(Proposal { view: view.clone(), accepted_by: Vec::new() });
@@ -135,7 +134,7 @@
 
     pub(crate) fn handle_accepted(&mut self, now: Micros, from: ProcessId, ballot: Ballot) {
         let quorum = self.quorum();
-        let Some(campaign) = self.leadership.elected_campaign().filter(|campaign| campaign.ballot == ballot)
+        let Some(campaign) = self.candidate.elected_campaign().filter(|campaign| campaign.ballot == ballot)
         else {
             return;
         };
@@ -156,14 +155,11 @@
         if self.is_leader(now) {
             self.refuse_lease_grants(now, Some(self.me));
         }
-        self.broadcast(Message::ViewUpdate {
-            from: self.me,
-            view: self.view.clone(),
-            leader: Some(self.me),
-            ballot: Ballot::default(),
-            role_grants: Vec::new(),
-        });
+        // It is no leader in this view yet, so under no ballot.
+        let leader = KnownLeader { process: self.me, ballot: Ballot::default() };
+        let update = ViewUpdate { view: self.view.clone(), leader: Some(leader), role_grants: Vec::new() };
+        self.broadcast(update.into_message(self.me));
         // Elected again, in the new view, as soon as the others may know of it.
-        self.leadership.next_step_at = now + 1;
+        self.candidate.next_step_at = now + 1;
     }
 }
--- a/crates/leases/tests/virtual_cluster/mod.rs
+++ b/crates/leases/tests/virtual_cluster/mod.rs
@@ -231,7 +231,7 @@
         for (at, node) in nodes().filter(|(at, node)| holds_lease(*at, node)) {
             for (other, leader) in nodes().filter(|(other, node)| node.is_leader(self.clock(*other))) {
                 let (term, members) = (leader.member_list().term, &leader.member_list().members);
-                let on = members.get(&(at as u16)) == Some(&node.me().incarnation);
+                let on = members.contains(node.me());
                 assert!(
                     on || term <= node.member_list().term,
                     "{other} leaves {at} out at {}: {members:?}",
