Protocol: enums and functions of their own in place of bools and a catch-all arm

Cause: `RequestError::keeps_connection` was always false; `ListReader::new` and `control::parse_line` took a bool whose meaning the call did not show; `WorkerError` named a decode error and an outcome; `Operations::set` read the last table by a catch-all arm. Change: the daemon closes the connection on each rejection by itself; `ListFraming`; `parse_last_line`, which can't be partial; `worker::DecodeError`; an enum of the file's tables. Tests: `no_rejection_leaves_the_connection_open` asked the function that is gone; in its place a scheduler is sent every rejected head of the table, and must answer once with that status and reason, say `Connection: close` and close.

--- a/crates/daemon/src/net/admin_endpoint.rs
+++ b/crates/daemon/src/net/admin_endpoint.rs
@@ -97,11 +97,8 @@
 
     fn on_input(&mut self, cx: &mut Context) -> Flow {
         let input = self.stream.buffer.input();
-        let parsed = if self.replied {
-            Parsed::Rejected(LineError::SecondLine)
-        } else {
-            control::parse_line(input, false)
-        };
+        let parsed =
+            if self.replied { Parsed::Rejected(LineError::SecondLine) } else { control::parse_line(input) };
         let used = input.len();
         match parsed {
             Parsed::Partial => return Flow::Keep,
@@ -124,10 +121,9 @@
         if self.replied || input.is_empty() {
             return;
         }
-        let reply = match control::parse_line(input, true) {
-            Parsed::Call(call) => self.execute(call, cx),
-            Parsed::Rejected(error) => control::error_reply(error),
-            Parsed::Partial => return,
+        let reply = match control::parse_last_line(input) {
+            Ok(call) => self.execute(call, cx),
+            Err(error) => control::error_reply(error),
         };
         let used = self.stream.buffer.input().len();
         self.stream.buffer.consume(used);
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -9,7 +9,7 @@
 use brackenledge_policy::Readiness;
 use brackenledge_protocol::config::Endpoint;
 use brackenledge_protocol::http::{MAX_HEAD_BYTES, ResponseHead};
-use brackenledge_protocol::list_stream::{ListItem, ListReader};
+use brackenledge_protocol::list_stream::{ListFraming, ListItem, ListReader};
 use slab::Slab;
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
@@ -193,9 +193,11 @@
         cx: &mut Context,
     ) -> std::io::Result<()> {
         let mut stream = BufferedStream::new(connect(self.address)?);
-        let target = match kind {
-            RequestKind::Watch => format!("/discovery/hosts?follow=1&since={since_revision}"),
-            RequestKind::Poll => "/discovery/hosts".to_owned(),
+        let (target, framing) = match kind {
+            RequestKind::Watch => {
+                (format!("/discovery/hosts?follow=1&since={since_revision}"), ListFraming::ListPerLine)
+            }
+            RequestKind::Poll => ("/discovery/hosts".to_owned(), ListFraming::SingleList),
         };
         let head =
             format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
@@ -208,7 +210,7 @@
             kind,
             is_connecting: true,
             head: None,
-            reader: ListReader::new(kind == RequestKind::Watch),
+            reader: ListReader::new(framing),
             end: RequestEnd::NoConnection,
         });
         Ok(())
--- a/crates/daemon/src/net/frontend/responses.rs
+++ b/crates/daemon/src/net/frontend/responses.rs
@@ -47,9 +47,10 @@
         self.write_response(&Response::new(status, body), cx);
     }
 
-    /// Rejects a request that can't be read or served.
+    /// Rejects a request that can't be read or served, and closes the connection: where the next request would begin is
+    /// unknown, and a request hidden behind a malformed one must not pass.
     pub(super) fn reject(&mut self, error: RequestError, cx: &Context) {
-        self.keep_alive &= error.keeps_connection();
+        self.keep_alive = false;
         let body = format!("{error}\n");
         let response = Response::new(error.status(), body.as_bytes());
         self.write_response(&Response { content_type: Some("text/plain"), ..response }, cx);
--- a/crates/daemon/tests/client_requests.rs
+++ b/crates/daemon/tests/client_requests.rs
@@ -1,9 +1,12 @@
 //! Requests of clients: malformed, chunked, and pipelined behind another.
 #![allow(missing_docs)]
 
+#[path = "../../protocol/tests/common/request_heads.rs"]
+#[allow(dead_code)] // Only the heads and their statuses are used here.
+mod request_heads;
 mod support;
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -57,6 +60,25 @@
     scheduler.assert_serves(&worker, "b3");
 }
 
+#[test]
+fn no_rejected_head_leaves_the_connection_open() {
+    let (scheduler, worker) = scheduler_with_one_worker();
+    let is_rejected = |case: &request_heads::Case| case.outcome.starts_with('4');
+    let rejected: Vec<_> = request_heads::cases().into_iter().filter(is_rejected).collect();
+    assert!(rejected.len() > 80, "{}", rejected.len());
+    for case in rejected {
+        let mut client = scheduler.connect();
+        client.write_all(&case.head).expect("the head is sent");
+        let (text, clean) = read_to_close(&mut client);
+        let head = String::from_utf8_lossy(&case.head);
+        assert!(clean && count_responses(&text) == 1, "{head:.300}\n{text}");
+        assert!(text.starts_with(&format!("HTTP/1.1 {} ", &case.outcome[..3])), "{head:.300}\n{text}");
+        assert!(text.contains("\r\nConnection: close\r\n"), "{head:.300}\n{text}");
+        assert!(text.ends_with(&format!("{}\n", &case.outcome[4..])), "{head:.300}\n{text}");
+    }
+    scheduler.assert_serves(&worker, "after");
+}
+
 #[test]
 fn nothing_smuggled_behind_a_malformed_request_reaches_a_worker() {
     let (scheduler, worker) = scheduler_with_one_worker();
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -15,7 +15,7 @@
 use brackenledge_policy::{Dispatcher, Event, ListKind, Readiness, Settings, WorkerEntry};
 use brackenledge_protocol::http::{Buffer, MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestHead, ResponseHead};
 use brackenledge_protocol::job_head::{ClassRule, JobHead, JobRules, MAX_TRACE_ID_LEN};
-use brackenledge_protocol::list_stream::{ListItem, ListReader};
+use brackenledge_protocol::list_stream::{ListFraming, ListItem, ListReader};
 use brackenledge_protocol::{control, operations::Operations, worker};
 use std::path::Path;
 
@@ -290,8 +290,8 @@
 
 /// Discovery's lists, in pieces of any size: the same is read from them however they are cut.
 pub fn endpoint_lists(input: &[u8]) {
-    let read = |pieces: &mut dyn Iterator<Item = &[u8]>, lines: bool| {
-        let mut reader = ListReader::new(lines);
+    let read = |pieces: &mut dyn Iterator<Item = &[u8]>, framing: ListFraming| {
+        let mut reader = ListReader::new(framing);
         let mut seen = Vec::new();
         for piece in pieces {
             let fed = reader.feed(piece, |piece| {
@@ -307,16 +307,16 @@
         }
         Some(seen)
     };
-    for lines in [true, false] {
-        let whole = read(&mut std::iter::once(input), lines);
-        let cut = read(&mut input.chunks(1), lines);
+    for framing in [ListFraming::ListPerLine, ListFraming::SingleList] {
+        let whole = read(&mut std::iter::once(input), framing);
+        let cut = read(&mut input.chunks(1), framing);
         assert_eq!(whole, cut);
     }
 }
 
 /// Calls at the admin endpoint, and the operators' file.
 pub fn operator_input(input: &[u8]) {
-    let _ = (control::parse_line(input, false), control::parse_line(input, true));
+    let _ = (control::parse_line(input), control::parse_last_line(input));
     if let Ok(text) = std::str::from_utf8(input) {
         let _ = Operations::parse(Path::new("operations.toml"), text);
     }
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -60,40 +60,49 @@
     Rejected(LineError),
 }
 
-/// Parses what has arrived on a connection so far. A line ends in LF, with or without CR before it; with `ended`, the
-/// client has closed its side, which ends a line too.
-pub fn parse_line(input: &[u8], ended: bool) -> Parsed {
+/// Parses what has arrived on an open connection so far. A line ends in LF, with or without CR before it.
+pub fn parse_line(input: &[u8]) -> Parsed {
+    if !input.contains(&b'\n') && input.len() < MAX_LINE_BYTES {
+        return Parsed::Partial;
+    }
+    match parse_last_line(input) {
+        Ok(call) => Parsed::Call(call),
+        Err(error) => Parsed::Rejected(error),
+    }
+}
+
+/// Parses all that has arrived on a connection whose client has closed its side, which ends a line too.
+pub fn parse_last_line(input: &[u8]) -> Result<Call, LineError> {
     let end = input.iter().position(|&byte| byte == b'\n');
-    let line = match end {
-        Some(at) => &input[..at],
-        None if input.len() >= MAX_LINE_BYTES => return Parsed::Rejected(LineError::TooLong),
-        None if ended => input,
-        None => return Parsed::Partial,
-    };
+    let line = &input[..end.unwrap_or(input.len())];
     if line.len() >= MAX_LINE_BYTES {
-        return Parsed::Rejected(LineError::TooLong);
+        return Err(LineError::TooLong);
     }
     if end.is_some_and(|at| input.len() > at + 1) {
-        return Parsed::Rejected(LineError::SecondLine);
+        return Err(LineError::SecondLine);
     }
-    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    parse_call(line.strip_suffix(b"\r").unwrap_or(line))
+}
+
+/// Parses a line without its end.
+fn parse_call(line: &[u8]) -> Result<Call, LineError> {
     if !line.iter().all(|&byte| byte == b' ' || byte == b'\t' || byte.is_ascii_graphic()) {
-        return Parsed::Rejected(LineError::NotText);
+        return Err(LineError::NotText);
     }
     // Checked to be ASCII just now.
     let text = std::str::from_utf8(line).unwrap_or_default().trim();
     if text.is_empty() {
-        return Parsed::Rejected(LineError::Empty);
+        return Err(LineError::Empty);
     }
     match text.to_ascii_uppercase().as_str() {
-        "PING" => Parsed::Call(Call::Ping),
-        "INFO" => Parsed::Call(Call::Info),
-        "LAMEDUCK" => Parsed::Call(Call::LameDuck),
-        "REJOIN" => Parsed::Call(Call::Rejoin),
-        "MEMBERS" => Parsed::Call(Call::Members),
-        "DUTIES" => Parsed::Call(Call::Duties),
-        "ZONES" => Parsed::Call(Call::Zones),
-        _ => Parsed::Rejected(LineError::Unknown),
+        "PING" => Ok(Call::Ping),
+        "INFO" => Ok(Call::Info),
+        "LAMEDUCK" => Ok(Call::LameDuck),
+        "REJOIN" => Ok(Call::Rejoin),
+        "MEMBERS" => Ok(Call::Members),
+        "DUTIES" => Ok(Call::Duties),
+        "ZONES" => Ok(Call::Zones),
+        _ => Err(LineError::Unknown),
     }
 }
 
--- a/crates/protocol/src/http/request_error.rs
+++ b/crates/protocol/src/http/request_error.rs
@@ -81,12 +81,6 @@
             | RequestError::ClassMismatch => 400,
         }
     }
-
-    /// Whether the connection may carry a further request. After these errors it never may: where the next request would
-    /// begin is unknown, and a request hidden behind a malformed one must not pass.
-    pub fn keeps_connection(self) -> bool {
-        false
-    }
 }
 
 impl From<Malformed> for RequestError {
--- a/crates/protocol/src/list_stream.rs
+++ b/crates/protocol/src/list_stream.rs
@@ -18,6 +18,16 @@
 /// Depth inside the array of entries.
 const ENTRIES_DEPTH: usize = 2;
 
+/// Where lists begin and end in a stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ListFraming {
+    /// One list, whose line ends are blanks: the response to a poll.
+    #[default]
+    SingleList,
+    /// One list a line, between empty lines that keep the connection alive: a watch.
+    ListPerLine,
+}
+
 /// A part of the stream that is complete.
 #[derive(Debug)]
 pub enum ListItem {
@@ -78,8 +88,7 @@
 /// A parser of one stream of lists. After an error it can't be used any more.
 #[derive(Default)]
 pub struct ListReader {
-    /// Each list is one line; else line ends are blanks.
-    lines: bool,
+    framing: ListFraming,
     envelope: Vec<u8>,
     entry: Vec<u8>,
     depth: usize,
@@ -91,9 +100,13 @@
 }
 
 impl ListReader {
-    /// A reader of one list, or of one list a line.
-    pub fn new(lines: bool) -> Self {
-        ListReader { lines, ..ListReader::default() }
+    /// A reader of a stream with such framing.
+    pub fn new(framing: ListFraming) -> Self {
+        ListReader { framing, ..ListReader::default() }
+    }
+
+    fn ends_lists_with_lines(&self) -> bool {
+        self.framing == ListFraming::ListPerLine
     }
 
     /// Whether the text so far ends within a list.
@@ -117,10 +130,10 @@
         match byte {
             b'\n' => {
                 let line_was_empty = !std::mem::take(&mut self.line_has_list);
-                Ok((line_was_empty && self.lines).then_some(ListItem::KeepAlive))
+                Ok((line_was_empty && self.ends_lists_with_lines()).then_some(ListItem::KeepAlive))
             }
             b'\r' | b' ' | b'\t' => Ok(None),
-            b'{' if !self.line_has_list || !self.lines => {
+            b'{' if !self.line_has_list || !self.ends_lists_with_lines() => {
                 self.line_has_list = true;
                 self.depth = LIST_DEPTH;
                 self.envelope.push(byte);
@@ -132,7 +145,7 @@
 
     /// Parses a byte of a list.
     fn step(&mut self, byte: u8) -> Result<Option<ListItem>, ListError> {
-        if byte == b'\n' && self.lines {
+        if byte == b'\n' && self.ends_lists_with_lines() {
             return Err(ListError::IncompleteLine);
         }
         self.store(byte)?;
--- a/crates/protocol/src/list_stream/tests.rs
+++ b/crates/protocol/src/list_stream/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-fn read(text: &[u8], lines: bool, step: usize) -> Result<Vec<String>, Box<dyn std::error::Error>> {
-    let mut reader = ListReader::new(lines);
+fn read(text: &[u8], framing: ListFraming, step: usize) -> Result<Vec<String>, Box<dyn std::error::Error>> {
+    let mut reader = ListReader::new(framing);
     let mut pieces = Vec::new();
     for part in text.chunks(step) {
         reader.feed(part, |piece| {
@@ -23,10 +23,13 @@
 #[test]
 fn entries_and_lists_come_out_however_the_text_is_cut() {
     for step in [1, 2, 3, 7, 1_000] {
-        assert_eq!(read(TWO.as_bytes(), false, step).expect("a list"), ["a\"{", "b", "4 true"]);
+        assert_eq!(
+            read(TWO.as_bytes(), ListFraming::SingleList, step).expect("a list"),
+            ["a\"{", "b", "4 true"]
+        );
         let line = TWO.replace('\n', " ");
         let lines = format!("\n{line}\n\r\n{{\"index\":5,\"snapshot\":false,\"endpoints\":[]}}\n");
-        let read = read(lines.as_bytes(), true, step).expect("lines");
+        let read = read(lines.as_bytes(), ListFraming::ListPerLine, step).expect("lines");
         assert_eq!(read, ["beat", "a\"{", "b", "4 true", "beat", "5 false"]);
     }
 }
@@ -42,10 +45,17 @@
         ("{\"index\":1,\"snapshot\":false,\"endpoints\":[]} {}", "where a list"),
     ];
     for (text, why) in cases {
-        let error = read(text.as_bytes(), true, 5).expect_err(text).to_string();
+        let error = read(text.as_bytes(), ListFraming::ListPerLine, 5).expect_err(text).to_string();
         assert!(error.contains(why), "{text}: {error}");
     }
     let long = format!("{{\"index\":1,\"endpoints\":[{{\"name\":\"{}", "x".repeat(MAX_ENTRY_BYTES));
-    assert!(read(long.as_bytes(), true, 512).expect_err("long").to_string().contains("more than"));
-    assert!(read("[".repeat(50).as_bytes(), false, 9).is_err() && read(&[b'{'; 50], false, 9).is_err());
+    assert!(
+        read(long.as_bytes(), ListFraming::ListPerLine, 512)
+            .expect_err("long")
+            .to_string()
+            .contains("more than")
+    );
+    for deep in ["[".repeat(50), "{".repeat(50)] {
+        assert!(read(deep.as_bytes(), ListFraming::SingleList, 9).is_err());
+    }
 }
--- a/crates/protocol/src/operations/mod.rs
+++ b/crates/protocol/src/operations/mod.rs
@@ -54,7 +54,31 @@
     pub schedulers: usize,
 }
 
-const TABLES: [&str; 5] = ["control", "drain", "tier", "zones", "handover"];
+/// A table of the file.
+#[derive(Clone, Copy)]
+enum Table {
+    Control,
+    Drain,
+    /// The cluster.
+    Tier,
+    /// Zone routing.
+    Zones,
+    /// Failover.
+    Handover,
+}
+
+impl Table {
+    fn from_name(name: &str) -> Option<Table> {
+        match name {
+            "control" => Some(Table::Control),
+            "drain" => Some(Table::Drain),
+            "tier" => Some(Table::Tier),
+            "zones" => Some(Table::Zones),
+            "handover" => Some(Table::Handover),
+            _ => None,
+        }
+    }
+}
 
 impl Operations {
     /// Parses the text of the file at `path`.
@@ -68,12 +92,12 @@
             let DeValue::Table(entries) = value.get_ref() else {
                 return Err(ConfigError::NotATable { file, line, key: table.to_owned() });
             };
-            if !TABLES.contains(&table) {
+            let Some(section) = Table::from_name(table) else {
                 return Err(ConfigError::UnknownTable { file, line, table: table.to_owned() });
-            }
+            };
             for (key, value) in entries {
                 let (key, key_offset) = (key.get_ref().as_ref(), key.span().start);
-                operations.set(&Entry { source, table, key, key_offset, value })?;
+                operations.set(section, &Entry { source, table, key, key_offset, value })?;
             }
         }
         let cluster_enabled = operations.cluster.enabled;
@@ -82,14 +106,14 @@
         Ok(operations)
     }
 
-    /// Sets the field of an entry of one of [`TABLES`].
-    fn set(&mut self, entry: &Entry) -> Result<(), ConfigError> {
-        match entry.table {
-            "control" => set_field(&mut self.control, control::KEYS, entry),
-            "drain" => set_field(&mut self.drain, drain::KEYS, entry),
-            "tier" => set_field(&mut self.cluster, cluster::KEYS, entry),
-            "zones" => set_field(&mut self.zones, zone_routing::KEYS, entry),
-            _ => set_field(&mut self.failover, failover::KEYS, entry),
+    /// Sets the field of an entry of this table.
+    fn set(&mut self, table: Table, entry: &Entry) -> Result<(), ConfigError> {
+        match table {
+            Table::Control => set_field(&mut self.control, control::KEYS, entry),
+            Table::Drain => set_field(&mut self.drain, drain::KEYS, entry),
+            Table::Tier => set_field(&mut self.cluster, cluster::KEYS, entry),
+            Table::Zones => set_field(&mut self.zones, zone_routing::KEYS, entry),
+            Table::Handover => set_field(&mut self.failover, failover::KEYS, entry),
         }
     }
 
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -5,7 +5,7 @@
 
 /// Why bytes that a worker sent can't be decoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum WorkerError {
+pub enum DecodeError {
     /// They are not text.
     #[error("not UTF-8")]
     NotUtf8,
@@ -107,20 +107,20 @@
 }
 
 /// Decodes one line of a worker's response.
-pub fn decode_line(line: &[u8]) -> Result<Line, WorkerError> {
+pub fn decode_line(line: &[u8]) -> Result<Line, DecodeError> {
     decode_json::<LineDocument>(line).map(Line::from)
 }
 
 /// Decodes a load report: the body of the response to a health check.
-pub fn decode_load(body: &[u8]) -> Result<LoadReport, WorkerError> {
+pub fn decode_load(body: &[u8]) -> Result<LoadReport, DecodeError> {
     decode_json::<LoadDocument>(body).map(LoadReport::from)
 }
 
-fn decode_json<T: miniserde::Deserialize>(bytes: &[u8]) -> Result<T, WorkerError> {
-    let text = std::str::from_utf8(bytes).map_err(|_| WorkerError::NotUtf8)?;
+fn decode_json<T: miniserde::Deserialize>(bytes: &[u8]) -> Result<T, DecodeError> {
+    let text = std::str::from_utf8(bytes).map_err(|_| DecodeError::NotUtf8)?;
     json::from_str(text).map_err(|_| match json::from_str::<json::Value>(text) {
-        Ok(_) => WorkerError::InvalidFields,
-        Err(_) => WorkerError::NotJson,
+        Ok(_) => DecodeError::InvalidFields,
+        Err(_) => DecodeError::NotJson,
     })
 }
 
--- a/crates/protocol/tests/request_heads.rs
+++ b/crates/protocol/tests/request_heads.rs
@@ -6,7 +6,7 @@
 
 use brackenledge_protocol::http::{RequestError, RequestHead, Version};
 use brackenledge_protocol::job_head::{JobHead, JobRules};
-use request_heads::{JobValues, cases, check, job_rules, outcome};
+use request_heads::{JobValues, check, job_rules};
 
 /// What a request asks for.
 fn describe(head: &RequestHead) -> Result<String, RequestError> {
@@ -36,15 +36,6 @@
     check(describe);
 }
 
-#[test]
-fn no_rejection_leaves_the_connection_open() {
-    let cases = cases();
-    let rejections = cases.iter().filter_map(|case| outcome(&case.head, describe).err());
-    let rejections: Vec<RequestError> = rejections.collect();
-    assert!(rejections.len() > 80, "{}", rejections.len());
-    assert!(!rejections.iter().any(|error| error.keeps_connection()));
-}
-
 #[test]
 fn a_head_is_its_method_target_version_and_headers() {
     let head = RequestHead::decode(b"PUT /a/b?c=d HTTP/1.0\r\nX-One: 1\r\nX-One: 2\r\n\r\n");
--- a/crates/protocol/tests/worker.rs
+++ b/crates/protocol/tests/worker.rs
@@ -2,9 +2,9 @@
 #![allow(missing_docs)]
 
 use brackenledge_policy::LoadReport;
-use brackenledge_protocol::worker::{LineState, WorkerError, decode_line, decode_load, decode_load_header};
+use brackenledge_protocol::worker::{DecodeError, LineState, decode_line, decode_load, decode_load_header};
 
-fn state(text: &str) -> Result<LineState, WorkerError> {
+fn state(text: &str) -> Result<LineState, DecodeError> {
     decode_line(text.as_bytes()).map(|line| line.state)
 }
 
@@ -43,18 +43,18 @@
 
 #[test]
 fn what_is_no_line_says_why() {
-    let cases: &[(&[u8], WorkerError)] = &[
-        (b"\xff{}", WorkerError::NotUtf8),
-        (b"", WorkerError::NotJson),
-        (b"not a line", WorkerError::NotJson),
-        (br#"{"state":"started""#, WorkerError::NotJson),
-        (br#"{"state":"started"} {}"#, WorkerError::NotJson),
-        (b"{}", WorkerError::InvalidFields),
-        (b"[]", WorkerError::InvalidFields),
-        (br#"{"state":null}"#, WorkerError::InvalidFields),
-        (br#"{"state":7}"#, WorkerError::InvalidFields),
-        (br#"{"state":"running","share":"half"}"#, WorkerError::InvalidFields),
-        (br#"{"state":"started","load":3}"#, WorkerError::InvalidFields),
+    let cases: &[(&[u8], DecodeError)] = &[
+        (b"\xff{}", DecodeError::NotUtf8),
+        (b"", DecodeError::NotJson),
+        (b"not a line", DecodeError::NotJson),
+        (br#"{"state":"started""#, DecodeError::NotJson),
+        (br#"{"state":"started"} {}"#, DecodeError::NotJson),
+        (b"{}", DecodeError::InvalidFields),
+        (b"[]", DecodeError::InvalidFields),
+        (br#"{"state":null}"#, DecodeError::InvalidFields),
+        (br#"{"state":7}"#, DecodeError::InvalidFields),
+        (br#"{"state":"running","share":"half"}"#, DecodeError::InvalidFields),
+        (br#"{"state":"started","load":3}"#, DecodeError::InvalidFields),
     ];
     for (bytes, expected) in cases {
         assert_eq!(decode_line(bytes).err(), Some(*expected), "{:?}", String::from_utf8_lossy(bytes));
@@ -80,8 +80,8 @@
     let header = "TEXT inflight=1, queue=2, util=0.5, x0=3, x1=4, eps=5";
     assert_eq!(values(decode_load_header(header)), expected);
     assert_eq!(decode_load(b"{}").map(values), Ok([None; 6]));
-    assert_eq!(decode_load(br#"{"util":"high"}"#).map(values), Err(WorkerError::InvalidFields));
-    assert_eq!(decode_load(b"up").map(values), Err(WorkerError::NotJson));
+    assert_eq!(decode_load(br#"{"util":"high"}"#).map(values), Err(DecodeError::InvalidFields));
+    assert_eq!(decode_load(b"up").map(values), Err(DecodeError::NotJson));
 }
 
 #[test]
