Daemon: driving a connection in short steps, typed polls, ordinals of 16 bits

Cause: `event_loop::drive` was one loop of 45 lines with three flags; the closure of `poll_to_the_end` returned a bool that meant "nothing"; ordinals were u32 in the peer socket and u16 in the cluster, with lossy casts between; `ZoneRouting` and its leader cast milliseconds nine times. Change: `event_loop/connection.rs` has the trait of connections and `drive`, which goes by `finish_connecting` and `read_and_write`; `Polled`; the daemon's ordinals are u16 from the start-up on, converted only where engine and discovery are called; `whole_millis`.

--- a/crates/daemon/src/net/cluster/datagram.rs
+++ b/crates/daemon/src/net/cluster/datagram.rs
@@ -31,7 +31,7 @@
 
     /// Sends a datagram of this kind to the scheduler of this ordinal.
     pub fn send_to(self, socket: &PeerSocket, ordinal: u16, payload: &[u8]) {
-        socket.send_to(u32::from(ordinal), &self.encode(payload));
+        socket.send_to(ordinal, &self.encode(payload));
     }
 
     /// Sends a datagram of this kind to all other schedulers.
--- a/crates/daemon/src/net/cluster/mod.rs
+++ b/crates/daemon/src/net/cluster/mod.rs
@@ -73,7 +73,7 @@
     /// Where a newer process has this one's ordinal: when a datagram addressed to it last arrived here.
     superseded_at: Option<Micros>,
     leaving: bool,
-    ordinal: u32,
+    ordinal: u16,
     cluster_size: usize,
     operations: Operations,
     seed: u64,
@@ -82,7 +82,7 @@
 impl Cluster {
     /// A process that has just started. `seed`: for membership's random choices.
     pub fn new(
-        ordinal: u32,
+        ordinal: u16,
         cluster_size: usize,
         operations: &Operations,
         seed: u64,
@@ -94,13 +94,13 @@
 
     fn with_epoch_store(
         epoch_store: Option<EpochStore>,
-        ordinal: u32,
+        ordinal: u16,
         cluster_size: usize,
         operations: &Operations,
         seed: u64,
     ) -> Cluster {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let me = ProcessId { ordinal: ordinal as u16, incarnation: unix.as_millis() as u64 };
+        let me = ProcessId { ordinal, incarnation: unix.as_millis() as u64 };
         let others = (0..cluster_size as u16).filter(|&other| other != me.ordinal).collect();
         let swim_config = SwimConfig::for_cluster_size(cluster_size);
         let now = micros();
--- a/crates/daemon/src/net/epoch_store.rs
+++ b/crates/daemon/src/net/epoch_store.rs
@@ -33,7 +33,7 @@
 
 impl EpochStore {
     /// Reads the file of this ordinal. Creates the directory if it is missing.
-    pub fn open(directory: &Path, ordinal: u32) -> Result<EpochStore, EpochStoreError> {
+    pub fn open(directory: &Path, ordinal: u16) -> Result<EpochStore, EpochStoreError> {
         std::fs::create_dir_all(directory)
             .map_err(|source| EpochStoreError::CreateDirectory { path: directory.to_owned(), source })?;
         let file = directory.join(format!("tier-{ordinal}.json"));
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -1,9 +1,10 @@
-//! The event loop's parts: the poll, the clock, the timers, and the trait of all connections.
+//! The event loop's parts: the poll, the clock and the timers; in a module of their own, the connections that it drives.
 
+mod connection;
 #[cfg(test)]
 mod tests;
 
-use super::buffered_stream::{BufferedStream, StreamState};
+pub use self::connection::{Connection, Flow, drive, flush_output};
 
 use mio::{Events, Interest, Poll, Token, event::Source};
 use std::cmp::Reverse;
@@ -119,9 +120,6 @@
 
 /// A poll that ends so long after its timeout was suspended on its way; the system rounds timeouts up to a millisecond.
 const MAX_POLL_OVERRUN: Duration = Duration::from_millis(2);
-/// Bytes read from one connection in one turn of the loop. A peer that sends as fast as it is read would otherwise
-/// starve all other connections and the timers.
-const MAX_BYTES_PER_TURN: usize = 64 * 1024;
 
 /// An alarm in the queue. The earliest one comes first, and of those due at one time the one that was set first: the
 /// order of the fields.
@@ -222,24 +220,31 @@
         let poll = &mut self.poll;
         poll_to_the_end(timeout, |timeout| {
             poll.poll(events, timeout)?;
-            Ok(events.is_empty())
+            Ok(if events.is_empty() { Polled::Nothing } else { Polled::Events })
         })
     }
 }
 
+/// What a poll has reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Polled {
+    Events,
+    Nothing,
+}
+
 /// Polls until the timeout, so that whatever has come before it returns is reported: the alarms that are due are handled
-/// next. `poll` returns whether it has reported nothing.
+/// next.
 ///
 /// A signal, or SIGCONT after a stop, interrupts a poll, which then reports nothing. A stop at the very moment of the
 /// timeout does not interrupt it, but it returns long after.
 fn poll_to_the_end(
     timeout: Option<Duration>,
-    mut poll: impl FnMut(Option<Duration>) -> io::Result<bool>,
+    mut poll: impl FnMut(Option<Duration>) -> io::Result<Polled>,
 ) -> io::Result<()> {
     let began_at = Instant::now();
     let mut polled = poll(timeout);
     let was_suspended = timeout.is_some_and(|timeout| began_at.elapsed() > timeout + MAX_POLL_OVERRUN);
-    if was_suspended && matches!(polled, Ok(true)) {
+    if was_suspended && matches!(polled, Ok(Polled::Nothing)) {
         polled = poll(Some(Duration::ZERO));
     }
     while matches!(&polled, Err(error) if error.kind() == io::ErrorKind::Interrupted) {
@@ -247,104 +252,3 @@
     }
     polled.map(drop)
 }
-
-/// What is done with a connection after a callback.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Flow {
-    Keep,
-    /// Keep it, and drive it again in the next turn: more may wait to be read.
-    Again,
-    Close,
-}
-
-/// A connection's protocol: the callbacks that [`drive`] makes when the poll reports its socket. A callback reaches the rest
-/// of the scheduler through its context, `C`.
-pub trait Connection<C> {
-    /// Its socket with its buffers.
-    fn stream(&mut self) -> &mut BufferedStream;
-    /// Whether it is being opened: [`Connection::on_open`] has not been called.
-    fn is_connecting(&self) -> bool {
-        false
-    }
-    /// It is connected.
-    fn on_open(&mut self, _context: &mut C) -> Flow {
-        Flow::Keep
-    }
-    /// All output has been handed to the system.
-    fn on_written(&mut self, _context: &mut C) -> Flow {
-        Flow::Keep
-    }
-    /// There is new input in the buffer.
-    fn on_input(&mut self, context: &mut C) -> Flow;
-    /// The peer has closed its sending half, or the connection is broken. Input that was read before has been passed to
-    /// `on_input`; the connection is closed after this.
-    fn on_end(&mut self, context: &mut C);
-    /// Most bytes of input that are buffered before `on_input` consumes some.
-    fn max_input(&self) -> usize;
-}
-
-/// Opens a connection if it is ready to be, then writes its output and reads its input, and makes the callbacks for that:
-/// until the socket is drained, the input buffer is full, or the turn's share of bytes is read.
-pub fn drive<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
-    if connection.is_connecting() {
-        let socket = &connection.stream().socket;
-        if socket.take_error().ok().flatten().is_some() {
-            connection.on_end(context);
-            return Flow::Close;
-        }
-        if socket.peer_addr().is_err() {
-            return Flow::Keep;
-        }
-        if connection.on_open(context) == Flow::Close {
-            return Flow::Close;
-        }
-    }
-    // A failed write does not mean that there is no input: a response may wait to be read.
-    let broken = connection.stream().flush().is_err();
-    let mut bytes_read = 0;
-    loop {
-        let before = connection.stream().buffer.input().len();
-        let max_length = connection.max_input().min(before + MAX_BYTES_PER_TURN - bytes_read);
-        let state = connection.stream().fill(max_length);
-        let after = connection.stream().buffer.input().len();
-        if after > before && connection.on_input(context) == Flow::Close {
-            return Flow::Close;
-        }
-        let drained = after < max_length;
-        let mut full = connection.stream().buffer.input().len() >= connection.max_input();
-        if state != StreamState::Open || broken && (drained || full) {
-            connection.on_end(context);
-            return Flow::Close;
-        }
-        if !broken {
-            if flush_output(connection, context) == Flow::Close {
-                return Flow::Close;
-            }
-            full = connection.stream().buffer.input().len() >= connection.max_input();
-        }
-        // Where it was not drained, the poll does not report what is left: go on if reading or writing made room.
-        if drained || full {
-            return Flow::Keep;
-        }
-        bytes_read += after.saturating_sub(before);
-        if bytes_read >= MAX_BYTES_PER_TURN {
-            return Flow::Again;
-        }
-    }
-}
-
-/// Writes a connection's output as far as the socket accepts it. When all is written it is called back, and what it adds is
-/// written too.
-pub fn flush_output<C>(connection: &mut dyn Connection<C>, context: &mut C) -> Flow {
-    loop {
-        match connection.stream().flush() {
-            Ok(true) if connection.on_written(context) == Flow::Close => return Flow::Close,
-            Ok(true) if !connection.stream().buffer.output().is_empty() => {}
-            Ok(_) => return Flow::Keep,
-            Err(_) => {
-                connection.on_end(context);
-                return Flow::Close;
-            }
-        }
-    }
-}
--- a/crates/daemon/src/net/peer_dispatch.rs
+++ b/crates/daemon/src/net/peer_dispatch.rs
@@ -8,7 +8,7 @@
 pub fn dispatch_datagrams(socket: &PeerSocket, cx: &mut Context) {
     let mut buffer = ReceiveBuffer::new();
     while let Some((from, datagram)) = socket.receive(&mut buffer) {
-        let received = cx.cluster.as_mut().and_then(|cluster| cluster.handle_message(from as u16, datagram));
+        let received = cx.cluster.as_mut().and_then(|cluster| cluster.handle_message(from, datagram));
         match received {
             Some(received) => dispatch_cluster_payload(from, received, cx),
             None => dispatch_text(from, datagram, cx),
@@ -16,18 +16,19 @@
     }
 }
 
-fn dispatch_cluster_payload(from: u32, received: Received, cx: &mut Context) {
+fn dispatch_cluster_payload(from: u16, received: Received, cx: &mut Context) {
     match (received, &mut *cx.zones) {
-        (Received::AggregatedLoads(text), _) => cx.engine.handle_message(from, text),
+        (Received::AggregatedLoads(text), _) => cx.engine.handle_message(u32::from(from), text),
         (Received::ZonePlan(bytes), Some(zones)) => zones.handle_plan(cx.now, &bytes),
-        (Received::ZoneReport(bytes), Some(zones)) => zones.handle_report(cx.now, from as u16, &bytes),
+        (Received::ZoneReport(bytes), Some(zones)) => zones.handle_report(cx.now, from, &bytes),
         _ => {}
     }
 }
 
 /// A text is gossip for discovery, or a load message for the engine. A datagram that is not UTF-8 is ignored.
-fn dispatch_text(from: u32, datagram: &[u8], cx: &mut Context) {
+fn dispatch_text(from: u16, datagram: &[u8], cx: &mut Context) {
     let Ok(text) = std::str::from_utf8(datagram) else { return };
+    let from = u32::from(from);
     if !cx.endpoints.handle_message(cx.now, from, text) {
         cx.engine.handle_message(from, text.to_owned());
     }
--- a/crates/daemon/src/net/peer_socket.rs
+++ b/crates/daemon/src/net/peer_socket.rs
@@ -15,13 +15,13 @@
 pub struct PeerSocket {
     pub socket: UdpSocket,
     config: PeerConfig,
-    ordinal: u32,
+    ordinal: u16,
 }
 
 impl PeerSocket {
     /// Binds the address with SO_REUSEPORT: a process that replaces this one binds it while this one still runs.
     /// Each datagram then reaches only one of the two, which is a loss to the other.
-    pub fn bind(config: PeerConfig, ordinal: u32) -> io::Result<Self> {
+    pub fn bind(config: PeerConfig, ordinal: u16) -> io::Result<Self> {
         use socket2::{Domain, Socket, Type};
         let socket = Socket::new(Domain::for_address(config.listen), Type::DGRAM, None)?;
         // With the option, a port that the system chooses (port 0) could be one that another such socket has.
@@ -38,8 +38,8 @@
     }
 
     /// Sends a datagram to the scheduler of this ordinal.
-    pub fn send_to(&self, ordinal: u32, bytes: &[u8]) {
-        if let Some(&address) = self.config.peers.get(ordinal as usize) {
+    pub fn send_to(&self, ordinal: u16, bytes: &[u8]) {
+        if let Some(&address) = self.config.peers.get(usize::from(ordinal)) {
             self.send(address, bytes);
         }
     }
@@ -51,7 +51,7 @@
             return;
         }
         let peers = self.config.peers.iter().enumerate();
-        let others = peers.filter(|(ordinal, _)| *ordinal != self.ordinal as usize);
+        let others = peers.filter(|(ordinal, _)| *ordinal != usize::from(self.ordinal));
         others.for_each(|(_, &address)| self.send(address, bytes));
     }
 
@@ -63,14 +63,15 @@
     }
 
     /// The ordinal of the other scheduler that sends from this address.
-    fn peer_at(&self, address: SocketAddr) -> Option<u32> {
-        let ordinal = self.config.peers.iter().position(|&peer| peer == address)? as u32;
+    fn peer_at(&self, address: SocketAddr) -> Option<u16> {
+        let position = self.config.peers.iter().position(|&peer| peer == address)?;
+        let ordinal = u16::try_from(position).ok()?;
         (ordinal != self.ordinal).then_some(ordinal)
     }
 
     /// The next datagram of another scheduler, and that scheduler's ordinal. Datagrams from addresses of no scheduler are
     /// ignored, and so are those that are too long. `None`: nothing more to read.
-    pub fn receive<'a>(&self, buffer: &'a mut ReceiveBuffer) -> Option<(u32, &'a [u8])> {
+    pub fn receive<'a>(&self, buffer: &'a mut ReceiveBuffer) -> Option<(u16, &'a [u8])> {
         loop {
             let (length, sender) = match self.socket.recv_from(&mut buffer.0) {
                 Ok(received) => received,
--- a/crates/daemon/src/net/startup.rs
+++ b/crates/daemon/src/net/startup.rs
@@ -201,6 +201,12 @@
     Ok(ClusterParts { peer, cluster, zones, failover })
 }
 
+/// This scheduler's ordinal, in the 16 bits that messages between schedulers have for one. A larger one in the settings
+/// is that of no scheduler, as there are no such addresses.
+fn local_ordinal(settings: &Settings) -> u16 {
+    u16::try_from(settings.ordinal).unwrap_or(u16::MAX)
+}
+
 /// Binds the socket for datagrams, where the settings allow messages between schedulers.
 fn open_peer_socket(
     config: Option<PeerConfig>,
@@ -209,7 +215,7 @@
 ) -> Result<Option<PeerSocket>, StartError> {
     let Some(config) = config.filter(|_| settings.peer_messages) else { return Ok(None) };
     let address = config.listen;
-    let mut peer = PeerSocket::bind(config, settings.ordinal).map_err(|source| StartError::Bind {
+    let mut peer = PeerSocket::bind(config, local_ordinal(settings)).map_err(|source| StartError::Bind {
         socket: BoundSocket::Peer,
         address,
         source,
@@ -229,7 +235,7 @@
     let Some(peer) = peer.filter(|peer| operations.cluster.enabled && peer.cluster_size() > 1) else {
         return Ok(None);
     };
-    let cluster = Cluster::new(settings.ordinal, peer.cluster_size(), operations, seed)?;
+    let cluster = Cluster::new(local_ordinal(settings), peer.cluster_size(), operations, seed)?;
     event_loop.set_alarm(event_loop.now(), Alarm::Cluster);
     Ok(Some(cluster))
 }
@@ -260,9 +266,10 @@
         return Ok(None);
     }
     let addresses = operations.failover.links.clone();
-    let own = addresses.get(settings.ordinal as usize).copied().ok_or(StartError::NoLinkAddress)?;
+    let ordinal = local_ordinal(settings);
+    let own = addresses.get(usize::from(ordinal)).copied().ok_or(StartError::NoLinkAddress)?;
     let listener = bind_listener(BoundSocket::PeerLinks, own, Sharing::Shared)?;
-    let mut links = PeerLinks::new(listener, addresses, settings.ordinal as u16);
+    let mut links = PeerLinks::new(listener, addresses, ordinal);
     register_readable(event_loop, links.listener(), Owner::PeerLinkListener)?;
     let effects = settings.classes.iter().map(|class| class.effect);
     let classes: Vec<_> = config.settings.class_names().into_iter().zip(effects).collect();
--- a/crates/daemon/src/net/zone_routing.rs
+++ b/crates/daemon/src/net/zone_routing.rs
@@ -25,7 +25,9 @@
 use brackenledge_leases::Term;
 use brackenledge_policy::{LoadReport, Outcome, WorkerId};
 use brackenledge_protocol::operations::ZoneOptions;
-use brackenledge_zone_routing::{Plan, PlanFollower, PlannerTerm, RouteCostModel, RoutingMode, Settings};
+use brackenledge_zone_routing::{
+    Millis as WholeMillis, Plan, PlanFollower, PlannerTerm, RouteCostModel, RoutingMode, Settings,
+};
 use slog::{Logger, info};
 
 /// Time between two calls of [`ZoneRouting::handle_timeout`]: a new plan is published, and new route costs take effect,
@@ -34,7 +36,12 @@
 /// Time between two reports of observed load.
 const REPORT_INTERVAL: Millis = 1_000.0;
 /// How long a plan that is not received again stays in effect: longer than it takes to elect another leader.
-const PLAN_TTL: u64 = 8_000;
+const PLAN_TTL: WholeMillis = 8_000;
+
+/// The time in the whole milliseconds that the crate `zone-routing` counts.
+fn whole_millis(now: Millis) -> WholeMillis {
+    now as WholeMillis
+}
 
 /// What this scheduler routes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -128,7 +135,7 @@
     pub fn handle_plan(&mut self, now: Millis, bytes: &[u8]) {
         match Plan::decode(bytes) {
             Ok(plan) if plan.zone_count() == self.zone_names.len() => {
-                let stale = self.follower.handle_plan(now as u64, plan).is_err();
+                let stale = self.follower.handle_plan(whole_millis(now), plan).is_err();
                 self.counts.stale_plans += u64::from(stale);
             }
             _ => self.counts.malformed += 1,
@@ -149,7 +156,7 @@
             self.report(now, cluster, peer, engine, endpoints);
         }
         self.lead(now, cluster, peer, log);
-        let route_costs = self.update_route_costs(now, log);
+        let route_costs = self.update_route_costs(whole_millis(now), log);
         if route_costs == self.route_costs {
             return None;
         }
@@ -182,7 +189,8 @@
             self.leader.step_down();
             return;
         };
-        self.leader.ensure_planner(now, &self.settings, planner_term(term), &mut self.follower);
+        let plan_time = whole_millis(now);
+        self.leader.ensure_planner(plan_time, &self.settings, planner_term(term), &mut self.follower);
         let replan = self.leader.replan(now, self.zone_names.len());
         if let Some(replan) = &replan {
             self.counts.plans_made += 1;
@@ -195,13 +203,13 @@
             cluster.broadcast_fenced(peer, ZONE_PLANNER, term, &plan.encode());
         }
         // A leader's own plan is never stale: its term is newer than that of any plan it knows.
-        let _ = self.follower.handle_plan(now as u64, plan);
+        let _ = self.follower.handle_plan(plan_time, plan);
     }
 
     /// The costs of the routes to all zones now. Empty: the policy applies its own cost of a crossing.
-    fn update_route_costs(&mut self, now: Millis, log: &Logger) -> Vec<f64> {
-        let (source, route_costs) = match self.follower.routing_mode(now as u64) {
-            RoutingMode::Planned(shares) => (RoutingSource::Plan, self.cost_model.costs(now as u64, &shares)),
+    fn update_route_costs(&mut self, now: WholeMillis, log: &Logger) -> Vec<f64> {
+        let (source, route_costs) = match self.follower.routing_mode(now) {
+            RoutingMode::Planned(shares) => (RoutingSource::Plan, self.cost_model.costs(now, &shares)),
             RoutingMode::LocalFallback { .. } => (RoutingSource::OwnObservations, Vec::new()),
         };
         if self.source != source {
@@ -215,7 +223,7 @@
     pub fn status_lines(&mut self, now: Millis) -> Vec<String> {
         let summary = status::summary_line(self.source, self.follower.newest_version(), &self.counts);
         let mut lines = vec![summary];
-        if let Some(plan) = self.follower.active_plan(now as u64) {
+        if let Some(plan) = self.follower.active_plan(whole_millis(now)) {
             lines.extend(status::zone_lines(plan, &self.zone_names, &self.route_costs));
         }
         lines
--- a/crates/daemon/src/net/zone_routing/plan_leader.rs
+++ b/crates/daemon/src/net/zone_routing/plan_leader.rs
@@ -1,9 +1,11 @@
 //! The leader's part: sums up the schedulers' reports, plans, and decides when the plan is published.
 
 use super::report::ZoneReport;
+use super::whole_millis;
 use crate::net::event_loop::Millis;
 use brackenledge_zone_routing::{
-    ClusterLoad, Plan, PlanFollower, Planner, PlannerTerm, Replan, Settings, ZoneLoadReport,
+    ClusterLoad, Millis as WholeMillis, Plan, PlanFollower, Planner, PlannerTerm, Replan, Settings,
+    ZoneLoadReport,
 };
 use std::collections::BTreeMap;
 
@@ -41,33 +43,34 @@
     /// The role lease is held under this term; a new planner goes on from the plan in effect.
     pub fn ensure_planner(
         &mut self,
-        now: Millis,
+        now: WholeMillis,
         settings: &Settings,
         term: PlannerTerm,
         follower: &mut PlanFollower,
     ) {
         if self.planner.as_ref().is_none_or(|planner| planner.term() != term) {
-            let known_plan = follower.active_plan(now as u64).cloned();
-            self.planner = Some(Planner::new(now as u64, settings.clone(), term, known_plan));
+            let known_plan = follower.active_plan(now).cloned();
+            self.planner = Some(Planner::new(now, settings.clone(), term, known_plan));
         }
     }
 
     /// A new plan, if there is reason for one.
     pub fn replan(&mut self, now: Millis, zone_count: usize) -> Option<Replan> {
         self.reports.retain(|_, report| now < report.received_at + REPORT_TTL);
+        let now = whole_millis(now);
         let load = self.cluster_load(now, zone_count);
         // Without a report there is no load to plan for.
-        if self.reports.is_empty() { None } else { self.planner.as_mut()?.replan(now as u64, &load) }
+        if self.reports.is_empty() { None } else { self.planner.as_mut()?.replan(now, &load) }
     }
 
-    fn cluster_load(&self, now: Millis, zone_count: usize) -> ClusterLoad {
+    fn cluster_load(&self, now: WholeMillis, zone_count: usize) -> ClusterLoad {
         let mut zones = vec![ZoneLoadReport::default(); zone_count];
         for ReceivedReport { report, .. } in self.reports.values() {
             zones[usize::from(report.zone)].add(&report.observed);
         }
         let mut load = ClusterLoad::new(zone_count);
         for (zone, report) in zones.into_iter().enumerate().filter(|(_, report)| report.scheduler_count > 0) {
-            load.handle_report(now as u64, zone, report);
+            load.handle_report(now, zone, report);
         }
         load
     }
