Discovery, engine: ordinals of 16 bits, as in the cluster

Change: both take and give u16; the engine converts where it calls `policy`, whose settings, events and actions keep u32. Tests and the example change the integer type of their ordinals, and nothing else.

--- a/crates/daemon/src/net/commands.rs
+++ b/crates/daemon/src/net/commands.rs
@@ -179,10 +179,9 @@
         }
     }
 
-    /// Sends a text to the scheduler of this ordinal, which the engine and discovery count in 32 bits.
-    fn send_to_peer(&self, to: u32, text: &str) {
-        if let (Some(peer), Ok(ordinal)) = (&self.peer, u16::try_from(to)) {
-            peer.send_to(ordinal, text.as_bytes());
+    fn send_to_peer(&self, to: u16, text: &str) {
+        if let Some(peer) = &self.peer {
+            peer.send_to(to, text.as_bytes());
         }
     }
 
--- a/crates/daemon/src/net/peer_dispatch.rs
+++ b/crates/daemon/src/net/peer_dispatch.rs
@@ -18,7 +18,7 @@
 
 fn dispatch_cluster_payload(from: u16, received: Received, cx: &mut Context) {
     match (received, &mut *cx.zones) {
-        (Received::AggregatedLoads(text), _) => cx.engine.handle_message(u32::from(from), text),
+        (Received::AggregatedLoads(text), _) => cx.engine.handle_message(from, text),
         (Received::ZonePlan(bytes), Some(zones)) => zones.handle_plan(cx.now, &bytes),
         (Received::ZoneReport(bytes), Some(zones)) => zones.handle_report(cx.now, from, &bytes),
         _ => {}
@@ -28,7 +28,6 @@
 /// A text is gossip for discovery, or a load message for the engine. A datagram that is not UTF-8 is ignored.
 fn dispatch_text(from: u16, datagram: &[u8], cx: &mut Context) {
     let Ok(text) = std::str::from_utf8(datagram) else { return };
-    let from = u32::from(from);
     if !cx.endpoints.handle_message(cx.now, from, text) {
         cx.engine.handle_message(from, text.to_owned());
     }
--- a/crates/daemon/src/net/startup.rs
+++ b/crates/daemon/src/net/startup.rs
@@ -280,8 +280,8 @@
 
 fn discovery_settings(settings: &Settings, has_peer_socket: bool, seed: u64) -> DiscoverySettings {
     DiscoverySettings {
-        ordinal: settings.ordinal,
-        schedulers: settings.schedulers,
+        ordinal: local_ordinal(settings),
+        schedulers: u16::try_from(settings.schedulers).unwrap_or(u16::MAX),
         gossip: has_peer_socket,
         push_mode: !settings.list_on_request,
         max_list_age: settings.max_poll_interval,
--- a/crates/discovery/examples/discovery_load/earlier_rules.rs
+++ b/crates/discovery/examples/discovery_load/earlier_rules.rs
@@ -166,7 +166,7 @@
         self.requests.retain(|known| known.id != request);
         self.on_failure(now);
     }
-    fn message(&mut self, _: Millis, _: u32, _: &str) {}
+    fn message(&mut self, _: Millis, _: u16, _: &str) {}
     fn handle_timeout(&mut self, now: Millis) {
         if now >= self.retry_at {
             self.retry_at = f64::INFINITY;
--- a/crates/discovery/examples/discovery_load/main.rs
+++ b/crates/discovery/examples/discovery_load/main.rs
@@ -13,19 +13,19 @@
 use measurement::{CHANGING_ENDPOINT, Conditions, Load, measure};
 use simulated_discovery::directory;
 
-fn measure_earlier_rules(scheduler_count: u32, conditions: Conditions) -> Load {
+fn measure_earlier_rules(scheduler_count: u16, conditions: Conditions) -> Load {
     let nodes = (0..scheduler_count).map(|ordinal| EarlierRules::new(u64::from(ordinal))).collect();
     measure(nodes, conditions, |node: &EarlierRules, revision| node.revision < revision)
 }
 
-fn measure_directory(scheduler_count: u32, conditions: Conditions) -> Load {
+fn measure_directory(scheduler_count: u16, conditions: Conditions) -> Load {
     let nodes = (0..scheduler_count).map(|ordinal| directory(0.0, ordinal, scheduler_count, true)).collect();
     let is_unaware =
         |node: &EndpointDirectory, _| node.find(CHANGING_ENDPOINT).is_some_and(|id| node.is_ready(id));
     measure(nodes, conditions, is_unaware)
 }
 
-fn print_row(conditions: Conditions, scheduler_count: u32, rules: &str, load: &Load) {
+fn print_row(conditions: Conditions, scheduler_count: u16, rules: &str, load: &Load) {
     let Load { requests_per_second, max_requests_in_one_second, mean_unaware } = load;
     let name = format!("{conditions:?}").to_lowercase();
     let unaware = mean_unaware.map_or("-".to_owned(), |mean| format!("{mean:.0}"));
--- a/crates/discovery/src/command.rs
+++ b/crates/discovery/src/command.rs
@@ -24,7 +24,7 @@
     /// Send a gossip message of 256 bytes at most to one scheduler.
     SendMessage {
         /// The receiver's ordinal.
-        to: u32,
+        to: u16,
         /// The message.
         text: String,
     },
--- a/crates/discovery/src/directory.rs
+++ b/crates/discovery/src/directory.rs
@@ -264,7 +264,7 @@
 
     /// Handles a message of another scheduler. Returns whether it is gossip on endpoints; gossip that does not decode is
     /// ignored.
-    pub fn handle_message(&mut self, now: Millis, from: u32, text: &str) -> bool {
+    pub fn handle_message(&mut self, now: Millis, from: u16, text: &str) -> bool {
         if !is_gossip(text) {
             return false;
         }
@@ -282,7 +282,7 @@
         true
     }
 
-    fn apply_gossip(&mut self, now: Millis, from: u32, change: EndpointChange) {
+    fn apply_gossip(&mut self, now: Millis, from: u16, change: EndpointChange) {
         let Some(id) = self.table.find_by_tag(change.tag) else { return };
         let source = StatusSource::Peer(from);
         if self.table.set_override(now, id, change.readiness, change.revision, source) {
--- a/crates/discovery/src/endpoint.rs
+++ b/crates/discovery/src/endpoint.rs
@@ -42,7 +42,7 @@
     /// An update of a watch or a poll that is not complete.
     PartialUpdate,
     /// Another scheduler, by its ordinal.
-    Peer(u32),
+    Peer(u16),
     /// The endpoint's own signals.
     Signals,
 }
--- a/crates/discovery/src/gossip.rs
+++ b/crates/discovery/src/gossip.rs
@@ -53,7 +53,7 @@
 
 /// A message to send.
 pub(crate) struct OutgoingMessage {
-    pub(crate) to: u32,
+    pub(crate) to: u16,
     pub(crate) text: String,
 }
 
@@ -63,7 +63,7 @@
     changes: Vec<EndpointChange>,
     times_sent: usize,
     next_send_at: Millis,
-    receivers: Vec<u32>,
+    receivers: Vec<u16>,
 }
 
 /// A change that is still given to a scheduler that has just started.
@@ -80,23 +80,23 @@
 
 /// One scheduler's part in the gossip.
 pub(crate) struct Gossip {
-    ordinal: u32,
-    schedulers: u32,
+    ordinal: u16,
+    schedulers: u16,
     /// The newest revision that each peer is known to have, from its list or by gossip.
-    peer_revisions: BTreeMap<u32, u64>,
+    peer_revisions: BTreeMap<u16, u64>,
     /// The newest revision known here, from the list or by gossip.
     known_revision: u64,
     rumours: Vec<Rumour>,
     recent: VecDeque<RecentChange>,
     /// Replies that are due, by receiver: the purpose of the message that is replied to.
-    replies: BTreeMap<u32, Purpose>,
+    replies: BTreeMap<u16, Purpose>,
     pulls_sent: usize,
     next_pull_at: Millis,
     byte_budget: TokenBucket,
 }
 
 impl Gossip {
-    pub(crate) fn new(now: Millis, ordinal: u32, schedulers: u32) -> Self {
+    pub(crate) fn new(now: Millis, ordinal: u16, schedulers: u16) -> Self {
         Gossip {
             ordinal,
             schedulers,
@@ -127,7 +127,7 @@
     pub(crate) fn handle_message(
         &mut self,
         now: Millis,
-        from: u32,
+        from: u16,
         text: &str,
         held_revision: u64,
     ) -> Result<ReceivedGossip, MessageError> {
@@ -160,7 +160,7 @@
 
     /// Schedules the reply that a message of this purpose asks for. The one to a pull, which brings the recent changes,
     /// serves as the one to a push too.
-    fn schedule_reply(&mut self, to: u32, purpose: Purpose) {
+    fn schedule_reply(&mut self, to: u16, purpose: Purpose) {
         match purpose {
             Purpose::Push => {
                 self.replies.entry(to).or_insert(Purpose::Push);
@@ -186,7 +186,7 @@
         rng: &mut Rng,
     ) -> Vec<OutgoingMessage> {
         self.byte_budget.refill(now);
-        let mut drafts: BTreeMap<u32, Draft> = BTreeMap::new();
+        let mut drafts: BTreeMap<u16, Draft> = BTreeMap::new();
         self.draft_pulls(now, rng, &mut drafts);
         self.draft_replies(&mut drafts);
         self.draft_pushes(now, rng, &mut drafts);
@@ -221,7 +221,7 @@
         });
     }
 
-    fn draft_pulls(&mut self, now: Millis, rng: &mut Rng, drafts: &mut BTreeMap<u32, Draft>) {
+    fn draft_pulls(&mut self, now: Millis, rng: &mut Rng, drafts: &mut BTreeMap<u16, Draft>) {
         if self.pulls_sent >= PULL_INTERVALS.len() || now < self.next_pull_at {
             return;
         }
@@ -232,7 +232,7 @@
         }
     }
 
-    fn draft_replies(&mut self, drafts: &mut BTreeMap<u32, Draft>) {
+    fn draft_replies(&mut self, drafts: &mut BTreeMap<u16, Draft>) {
         for (to, received) in std::mem::take(&mut self.replies) {
             if received == Purpose::Pull {
                 let recent = self.recent.iter().rev().map(|recent| recent.change);
@@ -243,7 +243,7 @@
         }
     }
 
-    fn draft_pushes(&mut self, now: Millis, rng: &mut Rng, drafts: &mut BTreeMap<u32, Draft>) {
+    fn draft_pushes(&mut self, now: Millis, rng: &mut Rng, drafts: &mut BTreeMap<u16, Draft>) {
         let mut rumours = std::mem::take(&mut self.rumours);
         for rumour in rumours.iter_mut().filter(|rumour| now >= rumour.next_send_at) {
             if rumour.times_sent == 0 {
@@ -269,14 +269,14 @@
     }
 
     /// Whether a peer is not known to have this revision.
-    fn lacks(&self, peer: u32, revision: u64) -> bool {
+    fn lacks(&self, peer: u16, revision: u64) -> bool {
         self.peer_revisions.get(&peer).is_none_or(|&known| known < revision)
     }
 
     /// Encodes as many of the drafts as the byte budget pays for.
     fn encode_within_budget(
         &mut self,
-        drafts: BTreeMap<u32, Draft>,
+        drafts: BTreeMap<u16, Draft>,
         held_revision: u64,
     ) -> Vec<OutgoingMessage> {
         let mut messages = Vec::new();
@@ -307,8 +307,8 @@
     }
 
     /// All peers, or some of them at random where they are many.
-    fn random_peers(&self, rng: &mut Rng) -> Vec<u32> {
-        let mut peers: Vec<u32> = (0..self.schedulers).filter(|&peer| peer != self.ordinal).collect();
+    fn random_peers(&self, rng: &mut Rng) -> Vec<u16> {
+        let mut peers: Vec<u16> = (0..self.schedulers).filter(|&peer| peer != self.ordinal).collect();
         if peers.len() > FANOUT {
             rng.shuffle(&mut peers);
             peers.truncate(FANOUT);
@@ -319,8 +319,8 @@
 
 /// Adds to what goes to one receiver. A purpose that asks for an answer takes precedence over a reply.
 fn add_draft(
-    drafts: &mut BTreeMap<u32, Draft>,
-    to: u32,
+    drafts: &mut BTreeMap<u16, Draft>,
+    to: u16,
     purpose: Purpose,
     changes: impl IntoIterator<Item = EndpointChange>,
 ) {
--- a/crates/discovery/src/gossip/tests.rs
+++ b/crates/discovery/src/gossip/tests.rs
@@ -37,7 +37,7 @@
     let replies = other.due_messages(11.0, 3, &mut rng);
     let reply = replies.iter().find(|message| message.to == 0).expect("a reply");
     gossip.handle_message(12.0, 1, &reply.text, 7).expect("a message");
-    let mut later: Vec<u32> = Vec::new();
+    let mut later: Vec<u16> = Vec::new();
     while gossip.next_timeout().is_finite() {
         let due = gossip.due_messages(gossip.next_timeout(), 7, &mut rng);
         later.extend(due.into_iter().map(|message| message.to));
--- a/crates/discovery/src/revision_gap.rs
+++ b/crates/discovery/src/revision_gap.rs
@@ -25,7 +25,7 @@
 }
 
 impl RevisionGap {
-    pub(crate) fn new(schedulers: u32) -> Self {
+    pub(crate) fn new(schedulers: u16) -> Self {
         RevisionGap {
             arrival_timeout: MIN_ARRIVAL_TIMEOUT.max(ARRIVAL_TIMEOUT_PER_SCHEDULER * f64::from(schedulers)),
             expected: None,
--- a/crates/discovery/src/settings.rs
+++ b/crates/discovery/src/settings.rs
@@ -5,10 +5,10 @@
 /// The settings of an [`EndpointDirectory`](crate::EndpointDirectory), fixed at its start.
 #[derive(Clone, Debug)]
 pub struct DiscoverySettings {
-    /// This scheduler's number, 0-based.
-    pub ordinal: u32,
+    /// This scheduler's ordinal.
+    pub ordinal: u16,
     /// How many schedulers share discovery and the endpoints.
-    pub schedulers: u32,
+    pub schedulers: u16,
     /// Schedulers may send one another messages.
     pub gossip: bool,
     /// Changes arrive without the policy's asking for them: the directory opens its watch by itself, from a service that
--- a/crates/discovery/tests/connection_faults.rs
+++ b/crates/discovery/tests/connection_faults.rs
@@ -111,7 +111,7 @@
 }
 
 /// One scheduler of a cluster of this size has four faults, during each of which an endpoint begins to drain.
-fn assert_drains_are_known_in_time(count: u32, first: ConnectionFault, second: ConnectionFault) {
+fn assert_drains_are_known_in_time(count: u16, first: ConnectionFault, second: ConnectionFault) {
     let mut world = World::new(vec![directory(0.0, 0, count, false)], 7);
     world.change(endpoint("a", Readiness::Ready));
     world.change(endpoint("b", Readiness::Ready));
--- a/crates/discovery/tests/golden.rs
+++ b/crates/discovery/tests/golden.rs
@@ -22,7 +22,7 @@
 }
 
 /// One of two schedulers, which holds revision 7 of a list with `s-a` and `s-b`, both ready, and `s-c`.
-fn directory(ordinal: u32, third: Readiness) -> EndpointDirectory {
+fn directory(ordinal: u16, third: Readiness) -> EndpointDirectory {
     let settings = DiscoverySettings {
         ordinal,
         schedulers: 2,
--- a/crates/discovery/tests/random_histories.rs
+++ b/crates/discovery/tests/random_histories.rs
@@ -31,7 +31,7 @@
             8 => world.message_loss = [0.0, 0.3, 0.8][rng.usize(..3)],
             _ => {
                 let node = rng.usize(..3);
-                let fresh = directory(world.now, node as u32, 3, true);
+                let fresh = directory(world.now, node as u16, 3, true);
                 world.restart(node, fresh);
                 known_names[node].clear();
             }
--- a/crates/discovery/tests/support/scenarios.rs
+++ b/crates/discovery/tests/support/scenarios.rs
@@ -6,7 +6,7 @@
 use brackenledge_policy::Readiness;
 
 /// A world whose schedulers all know these endpoints, by working watches.
-pub fn settled(count: u32, names: &[&str], messages: bool) -> World<EndpointDirectory> {
+pub fn settled(count: u16, names: &[&str], messages: bool) -> World<EndpointDirectory> {
     let mut world = World::new((0..count).map(|n| directory(0.0, n, count, messages)).collect(), 3);
     for name in names {
         world.change(endpoint(name, Readiness::Ready));
--- a/crates/discovery/tests/support/simulated_discovery/mod.rs
+++ b/crates/discovery/tests/support/simulated_discovery/mod.rs
@@ -33,7 +33,7 @@
     Update(usize, RequestId),
     KeepAlive(usize, RequestId),
     Ended(usize, RequestId),
-    Message(usize, u32, String),
+    Message(usize, u16, String),
     Timeout(usize),
 }
 
@@ -227,7 +227,7 @@
                     self.messages_sent += 1;
                     if self.rng.f64() >= self.message_loss {
                         let delay = 3.2 + 18.8 * self.rng.f64();
-                        self.schedule(delay, Event::Message(to as usize, node as u32, text));
+                        self.schedule(delay, Event::Message(usize::from(to), node as u16, text));
                     }
                 }
                 Command::UpdateEndpoints { .. } | Command::Event(_) => {}
--- a/crates/discovery/tests/support/simulated_discovery/node.rs
+++ b/crates/discovery/tests/support/simulated_discovery/node.rs
@@ -18,7 +18,7 @@
     fn keep_alive(&mut self, now: Millis, request: RequestId);
     fn bytes(&mut self, now: Millis, request: RequestId, mid_update: bool);
     fn request_end(&mut self, now: Millis, request: RequestId, end: RequestEnd);
-    fn message(&mut self, now: Millis, from: u32, text: &str);
+    fn message(&mut self, now: Millis, from: u16, text: &str);
     fn handle_timeout(&mut self, now: Millis);
     fn next_timeout(&self) -> Millis;
     fn poll_command(&mut self) -> Option<Command>;
@@ -49,7 +49,7 @@
     fn request_end(&mut self, now: Millis, request: RequestId, end: RequestEnd) {
         self.handle_request_end(now, request, end);
     }
-    fn message(&mut self, now: Millis, from: u32, text: &str) {
+    fn message(&mut self, now: Millis, from: u16, text: &str) {
         EndpointDirectory::handle_message(self, now, from, text);
     }
     fn handle_timeout(&mut self, now: Millis) {
@@ -63,7 +63,7 @@
     }
 }
 
-pub fn directory(now: Millis, ordinal: u32, schedulers: u32, messages: bool) -> EndpointDirectory {
+pub fn directory(now: Millis, ordinal: u16, schedulers: u16, messages: bool) -> EndpointDirectory {
     EndpointDirectory::new(
         now,
         DiscoverySettings {
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -68,8 +68,8 @@
     },
     /// [`Action::SendMessage`] to one scheduler.
     SendMessage {
-        /// The receiver's number.
-        to: u32,
+        /// The receiver's ordinal.
+        to: u16,
         /// The text.
         text: String,
     },
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -187,8 +187,8 @@
     }
 
     /// A message came from another scheduler.
-    pub fn handle_message(&mut self, from: u32, text: String) {
-        self.events.push_back(Event::PeerMessage { from, text });
+    pub fn handle_message(&mut self, from: u16, text: String) {
+        self.events.push_back(Event::PeerMessage { from: u32::from(from), text });
     }
 
     /// Sets each zone's route cost, in latency objectives; empty: there is no traffic plan.
@@ -247,7 +247,11 @@
             Action::WatchEndpoints { on } => Command::WatchEndpoints { on },
             Action::PollEndpoints => Command::PollEndpoints,
             Action::HealthCheck { worker } => Command::HealthCheck { worker },
-            Action::SendMessage { to: Some(to), text } => Command::SendMessage { to, text },
+            Action::SendMessage { to: Some(to), text } => match u16::try_from(to) {
+                Ok(to) => Command::SendMessage { to, text },
+                // No scheduler has such an ordinal.
+                Err(_) => return,
+            },
             Action::SendMessage { to: None, text } => Command::Broadcast { text },
             Action::CloseIdleConnections { worker } => Command::CloseIdleConnections { worker },
             Action::Log(text) => Command::Log(text),
