Logs: requests to discovery, freshness of the list, learned gossip, and attempts

Cause: the incident's questions (which request was open and when the next was due, how far the list could be relied on, what gossip brought and from whom, whether an attempt's endpoint was ready) could not be answered from the log; a request that was given up was not logged at all. No decision changes.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -66,6 +66,27 @@
     /// The operators' file (TOML): admin endpoint, drain, cluster, failover, zone routing
     #[arg(long, env = "PROXY_OPERATIONS", value_name = "FILE")]
     operations: Option<PathBuf>,
+    /// The least severe log lines that are written; `debug` adds lines on each attempt
+    #[arg(long, env = "PROXY_LOG_LEVEL", value_name = "LEVEL", default_value = "info")]
+    log_level: LogLevel,
+}
+
+/// The least severe log lines that are written.
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum LogLevel {
+    Warning,
+    Info,
+    Debug,
+}
+
+impl From<LogLevel> for slog::Level {
+    fn from(level: LogLevel) -> Self {
+        match level {
+            LogLevel::Warning => slog::Level::Warning,
+            LogLevel::Info => slog::Level::Info,
+            LogLevel::Debug => slog::Level::Debug,
+        }
+    }
 }
 
 impl Options {
@@ -99,7 +120,7 @@
 /// standard error slowly never holds up the event loop.
 const LOG_QUEUE: usize = 1_024;
 
-fn logger() -> (Logger, slog_async::AsyncGuard) {
+fn logger(level: LogLevel) -> (Logger, slog_async::AsyncGuard) {
     // By lines: standard error itself would take each field of a line by several writes.
     let decorator = slog_term::PlainDecorator::new(std::io::LineWriter::new(std::io::stderr()));
     let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().ignore_res();
@@ -107,7 +128,7 @@
         .chan_size(LOG_QUEUE)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
-    (Logger::root(drain.fuse(), o!()), guard)
+    (Logger::root(drain.filter_level(level.into()).fuse(), o!()), guard)
 }
 
 /// Makes a call at a scheduler's admin endpoint and prints the rows of its reply, as columns or as objects.
@@ -135,7 +156,7 @@
         Command::Serve(options) => {
             let config = options.load()?;
             let operations = options.operations(&config)?;
-            let (log, _guard) = logger();
+            let (log, _guard) = logger(options.log_level);
             let reload = || options.load();
             Ok(net::serve(config, operations, &reload, log)?)
         }
--- a/crates/daemon/src/net/backend/connection.rs
+++ b/crates/daemon/src/net/backend/connection.rs
@@ -8,6 +8,7 @@
 use brackenledge_policy::{LoadReport, Outcome, WorkerId};
 use brackenledge_protocol::http::{MAX_BODY_BYTES, MAX_HEAD_BYTES, ResponseHead};
 use mio::net::TcpStream;
+use slog::debug;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -132,7 +133,9 @@
     pub(super) fn end_task(&mut self, outcome: Outcome, report: Option<LoadReport>, cx: &mut Context) {
         self.report_if_sent(cx);
         match self.task.take() {
-            Some(Task::Attempt { id, .. }) => {
+            Some(Task::Attempt { id, request, .. }) => {
+                debug!(cx.log, "attempt_ended"; "reused_connection" => self.is_reused, "outcome" => ?outcome,
+                    "attempt" => id.attempt, "endpoint" => cx.endpoints.name(self.worker), "request" => &request.id);
                 if let Some(signal) = self.endpoint_signal(outcome, report) {
                     cx.endpoints.handle_signal(cx.now, self.worker, signal);
                 }
--- a/crates/daemon/src/net/backend/mod.rs
+++ b/crates/daemon/src/net/backend/mod.rs
@@ -23,6 +23,7 @@
 use brackenledge_engine::{AttemptDeadlines, AttemptId, Request};
 use brackenledge_policy::{Outcome, WorkerId};
 use slab::Slab;
+use slog::debug;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -67,7 +68,10 @@
     /// Starts an attempt. It ends once, whatever happens.
     pub fn start_attempt(&mut self, attempt: Attempt, cx: &mut Context) {
         let Attempt { id, worker, request, deadlines } = attempt;
-        if !cx.endpoints.is_ready(worker) || cx.now >= deadlines.write_deadline {
+        let is_ready = cx.endpoints.is_ready(worker);
+        debug!(cx.log, "attempt_started"; "endpoint_ready" => is_ready, "attempt" => id.attempt,
+            "endpoint" => cx.endpoints.name(worker), "request" => &request.id);
+        if !is_ready || cx.now >= deadlines.write_deadline {
             cx.engine.attempt_ended(id, Outcome::NeverSent, None);
             return;
         }
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -5,7 +5,9 @@
 use super::buffered_stream::BufferedStream;
 use super::connector::connect;
 use super::event_loop::{Alarm, Connection, Flow, Millis, Owner, drive};
-use brackenledge_discovery::{EndpointRecord, Event, RequestEnd, RequestId, RequestKind, readiness_name};
+use brackenledge_discovery::{
+    EndpointRecord, Event, RequestEnd, RequestEvent, RequestId, RequestKind, readiness_name,
+};
 use brackenledge_policy::Readiness;
 use brackenledge_protocol::config::Endpoint;
 use brackenledge_protocol::http::{MAX_HEAD_BYTES, ResponseHead};
@@ -265,8 +267,12 @@
             "revision" => summary.revision,
             "source" => summary.source.map_or("mixed".to_owned(), |source| source.to_string()),
             "to_gone" => summary.to_gone, "to_draining" => summary.to_draining, "to_ready" => summary.to_ready),
-        Event::RequestFailed(failure) => info!(log, "discovery_request_failed";
-            "retry_after_ms" => failure.retry_after.round() as u64, "cause" => %failure.cause, "kind" => %failure.kind),
+        Event::FreshnessChanged { from, to, revision } => info!(log, "discovery_freshness_changed";
+            "revision" => revision, "to" => %to, "from" => %from),
+        Event::ChangesLearned { from, revision, changes, withdrawn, held_revision } => {
+            info!(log, "gossip_changes_learned"; "held_revision" => held_revision, "withdrawn" => withdrawn,
+                "changes" => changes, "revision" => revision, "peer" => from);
+        }
         Event::OutdatedListIgnored { revision } => {
             info!(log, "discovery_outdated_list_ignored"; "revision" => revision);
         }
@@ -276,5 +282,22 @@
         Event::RevisionMissing { revision } => {
             info!(log, "discovery_revision_missing"; "revision" => revision);
         }
+        Event::Request(event) => log_request_event(log, event),
+    }
+}
+
+fn log_request_event(log: &Logger, event: RequestEvent) {
+    match event {
+        RequestEvent::Opened { request, kind, reason, since_revision } => {
+            info!(log, "discovery_request_opened";
+            "since_revision" => since_revision, "reason" => %reason, "kind" => %kind, "request" => %request)
+        }
+        RequestEvent::Late { request, phase } => info!(log, "discovery_request_late";
+            "phase" => %phase, "request" => %request),
+        RequestEvent::GivenUp { request, phase, retry_after } => info!(log, "discovery_request_given_up";
+            "retry_after_ms" => retry_after.round() as u64, "phase" => %phase, "request" => %request),
+        RequestEvent::Failed(failure) => info!(log, "discovery_request_failed";
+            "retry_after_ms" => failure.retry_after.round() as u64, "cause" => %failure.cause,
+            "kind" => %failure.kind, "request" => %failure.request),
     }
 }
--- a/crates/discovery/src/client.rs
+++ b/crates/discovery/src/client.rs
@@ -21,16 +21,17 @@
 mod timing;
 
 pub use freshness::Freshness;
-pub use request::{RequestEnd, RequestId, RequestKind};
+pub use request::{OpenReason, RequestEnd, RequestId, RequestKind};
+pub use timing::RequestPhase;
 
-use crate::event::RequestFailure;
+use crate::event::{RequestEvent, RequestFailure};
 use crate::settings::DiscoverySettings;
 use crate::token_bucket::TokenBucket;
 use brackenledge_policy::Millis;
 use fastrand::Rng;
 use request::Request;
 use std::collections::VecDeque;
-use timing::{Backoff, ClientTiming, MAX_RESPONSE_LATE, RequestPhase};
+use timing::{Backoff, ClientTiming, MAX_RESPONSE_LATE};
 
 /// Without a keep-alive, update or list for so long the table is stale.
 const STALE_AFTER: Millis = 5_000.0;
@@ -48,17 +49,19 @@
 const REQUEST_COST_WITH_TOLERANCE: f64 = REQUEST_COST - 1e-6;
 
 /// What the client asks of its owner.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) enum ClientCommand {
     Open {
         request: RequestId,
         kind: RequestKind,
+        reason: OpenReason,
         /// It is a watch beside another one.
         is_second_watch: bool,
     },
     Cancel {
         request: RequestId,
     },
+    Event(RequestEvent),
 }
 
 /// The state machine of watches and polls.
@@ -67,8 +70,8 @@
     watching: bool,
     /// A poll is to be made.
     poll_requested: bool,
-    /// A watch is to be opened beside the one that is open.
-    second_watch_requested: bool,
+    /// A watch is to be opened beside the one that is open, for this reason.
+    second_watch_requested: Option<OpenReason>,
     requests: Vec<Request>,
     last_id: u64,
     consecutive_failures: u32,
@@ -94,7 +97,7 @@
         DiscoveryClient {
             watching: settings.push_mode,
             poll_requested: false,
-            second_watch_requested: false,
+            second_watch_requested: None,
             requests: Vec::new(),
             last_id: 0,
             consecutive_failures: 0,
@@ -137,7 +140,7 @@
         self.cancel_watches(|request| !request.is_streaming());
         self.consecutive_failures = 0;
         self.retry_at = now;
-        self.second_watch_requested = true;
+        self.second_watch_requested = Some(OpenReason::AddressChanged);
         self.budget.raise_to(REQUESTS_AFTER_MOVE);
         self.forced_request_at = now;
     }
@@ -147,7 +150,7 @@
         for request in self.requests.iter_mut().filter(|request| request.is_streaming()) {
             request.suspected = true;
         }
-        self.second_watch_requested = true;
+        self.second_watch_requested = Some(OpenReason::RevisionMissing);
     }
 
     pub(crate) fn is_watch(&self, id: RequestId) -> bool {
@@ -203,7 +206,7 @@
             return;
         }
         self.confirmed_at = now;
-        self.second_watch_requested = false;
+        self.second_watch_requested = None;
         self.consecutive_failures = 0;
         self.forced_request_at = Millis::INFINITY;
         self.silent_since = None;
@@ -247,7 +250,7 @@
             // Discovery counts what it has written to the watch as received, so that updates may have been missed.
             self.forced_request_at = self.retry_at;
         }
-        Some(RequestFailure { kind: request.kind, cause, retry_after })
+        Some(RequestFailure { request: id, kind: request.kind, cause, retry_after })
     }
 
     /// Sets the time of the next request after a failure; gives the pause until then.
@@ -309,7 +312,7 @@
         let open = self.open_watches();
         let replaces_suspects =
             !self.requests.iter().any(Request::is_unsuspected_watch) && open < MAX_WATCHES;
-        let checks_the_first = self.second_watch_requested && open < 2;
+        let checks_the_first = self.second_watch_requested.is_some() && open < 2;
         self.watching && (open == 0 || replaces_suspects || checks_the_first)
     }
 
@@ -324,7 +327,9 @@
         }
         if now >= self.rotate_watch_at {
             self.schedule_watch_rotation(now);
-            self.second_watch_requested |= self.watching;
+            if self.watching {
+                self.second_watch_requested.get_or_insert(OpenReason::Rotation);
+            }
         }
         self.budget.refill(now);
         while self.wants_request() && now >= self.retry_at && self.may_open_request(now) {
@@ -348,6 +353,8 @@
                 given_up.push(request.id);
             } else if now >= request.late_at(&self.timing) && !request.late {
                 request.late = true;
+                let late = RequestEvent::Late { request: request.id, phase: request.phase };
+                self.commands.push_back(ClientCommand::Event(late));
                 let unanswered = request.phase == RequestPhase::AwaitingResponse && silent_if_unanswered;
                 if request.proven || unanswered {
                     // The next request can't wait for a token.
@@ -360,23 +367,37 @@
     }
 
     fn give_up(&mut self, now: Millis, id: RequestId) {
-        self.poll_requested |= !self.is_watch(id);
-        self.requests.retain(|request| request.id != id);
+        let Some(at) = self.requests.iter().position(|request| request.id == id) else { return };
+        let request = self.requests.remove(at);
+        self.poll_requested |= !request.is_watch();
         self.commands.push_back(ClientCommand::Cancel { request: id });
-        self.schedule_retry(now, self.timing.retry);
+        let retry_after = self.schedule_retry(now, self.timing.retry);
+        let given_up = RequestEvent::GivenUp { request: id, phase: request.phase, retry_after };
+        self.commands.push_back(ClientCommand::Event(given_up));
     }
 
     fn open_request(&mut self, now: Millis) {
         self.last_id += 1;
         let id = RequestId(self.last_id);
         let kind = if self.wants_poll() { RequestKind::Poll } else { RequestKind::Watch };
+        let reason = self.open_reason(kind);
         match kind {
             RequestKind::Poll => self.poll_requested = false,
-            RequestKind::Watch => self.second_watch_requested = false,
+            RequestKind::Watch => self.second_watch_requested = None,
         }
         let is_second_watch = kind == RequestKind::Watch && self.open_watches() > 0;
         self.requests.push(Request::new(now, id, kind));
-        self.commands.push_back(ClientCommand::Open { request: id, kind, is_second_watch });
+        self.commands.push_back(ClientCommand::Open { request: id, kind, reason, is_second_watch });
+    }
+
+    /// Why the next request, of this kind, is made.
+    fn open_reason(&self, kind: RequestKind) -> OpenReason {
+        match self.second_watch_requested {
+            _ if kind == RequestKind::Poll => OpenReason::PollRequested,
+            _ if self.open_watches() == 0 => OpenReason::NoWatch,
+            Some(reason) => reason,
+            None => OpenReason::WatchesSuspected,
+        }
     }
 
     fn cancel_watches(&mut self, which: impl Fn(&Request) -> bool) {
--- a/crates/discovery/src/client/freshness.rs
+++ b/crates/discovery/src/client/freshness.rs
@@ -1,5 +1,7 @@
 //! How far the list held can be relied on.
 
+use std::fmt;
+
 /// How far discovery's list can be relied on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Freshness {
@@ -10,3 +12,13 @@
     /// Nothing has been confirmed for five seconds.
     Stale,
 }
+
+impl fmt::Display for Freshness {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Freshness::Fresh => "fresh",
+            Freshness::Late => "late",
+            Freshness::Stale => "stale",
+        })
+    }
+}
--- a/crates/discovery/src/client/request.rs
+++ b/crates/discovery/src/client/request.rs
@@ -9,6 +9,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -27,6 +33,36 @@
     }
 }
 
+/// Why a request is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenReason {
+    /// The list is polled.
+    PollRequested,
+    /// No watch is open.
+    NoWatch,
+    /// All open watches are late or suspected.
+    WatchesSuspected,
+    /// The open watch is replaced from time to time.
+    Rotation,
+    /// A peer holds a revision that the open watch has not brought.
+    RevisionMissing,
+    /// Discovery has a new address.
+    AddressChanged,
+}
+
+impl fmt::Display for OpenReason {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            OpenReason::PollRequested => "poll_requested",
+            OpenReason::NoWatch => "no_watch",
+            OpenReason::WatchesSuspected => "watches_suspected",
+            OpenReason::Rotation => "rotation",
+            OpenReason::RevisionMissing => "revision_missing",
+            OpenReason::AddressChanged => "address_changed",
+        })
+    }
+}
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestEnd {
--- a/crates/discovery/src/client/timing.rs
+++ b/crates/discovery/src/client/timing.rs
@@ -2,6 +2,7 @@
 
 use crate::settings::DiscoverySettings;
 use brackenledge_policy::Millis;
+use std::fmt;
 
 /// Between the empty lines of a watch, by the protocol.
 const KEEP_ALIVE_INTERVAL: Millis = 2_000.0;
@@ -64,13 +65,27 @@
 
 /// How far a request has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum RequestPhase {
+pub enum RequestPhase {
     /// Its connection is not up.
     Connecting,
     /// Its connection is up, and no response has begun.
     AwaitingResponse,
-    /// Its response has begun; `mid_update`: the last bytes ended within an update.
-    Streaming { mid_update: bool },
+    /// Its response has begun.
+    Streaming {
+        /// The last bytes ended within an update.
+        mid_update: bool,
+    },
+}
+
+impl fmt::Display for RequestPhase {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            RequestPhase::Connecting => "connecting",
+            RequestPhase::AwaitingResponse => "awaiting_response",
+            RequestPhase::Streaming { mid_update: true } => "within_update",
+            RequestPhase::Streaming { mid_update: false } => "between_updates",
+        })
+    }
 }
 
 /// For how long a request may be silent.
--- a/crates/discovery/src/directory.rs
+++ b/crates/discovery/src/directory.rs
@@ -1,10 +1,12 @@
 //! The endpoint directory: ties the discovery client, the endpoint table and gossip together.
 
-use crate::client::{ClientCommand, DiscoveryClient, Freshness, RequestEnd, RequestId, RequestKind};
+use crate::client::{
+    ClientCommand, DiscoveryClient, Freshness, OpenReason, RequestEnd, RequestId, RequestKind,
+};
 use crate::command::{Command, WorkerUpdate};
 use crate::counts::Counts;
 use crate::endpoint::{EndpointRecord, EndpointStatus, StatusSource};
-use crate::event::Event;
+use crate::event::{Event, RequestEvent};
 use crate::gossip::{EndpointChange, Gossip, is_gossip};
 use crate::revision_gap::RevisionGap;
 use crate::settings::DiscoverySettings;
@@ -255,7 +257,7 @@
         self.partial_updates.remove(&request);
         if let Some(failure) = self.client.handle_end(now, request, end) {
             self.counts.failed_requests += 1;
-            self.event(Event::RequestFailed(failure));
+            self.event(Event::Request(RequestEvent::Failed(failure)));
         }
         self.advance(now);
     }
@@ -271,9 +273,20 @@
         let held = self.table.revision().unwrap_or(0);
         let Some(gossip) = &mut self.gossip else { return true };
         let Ok(received) = gossip.handle_message(now, from, text, held) else { return true };
+        let withdrawn_before = self.counts.first_reported_by_peer;
         for change in received.changes {
             self.apply_gossip(now, from, change);
         }
+        if received.new_changes > 0 {
+            let withdrawn = self.counts.first_reported_by_peer - withdrawn_before;
+            self.event(Event::ChangesLearned {
+                from,
+                revision: received.known_revision,
+                changes: received.new_changes,
+                withdrawn,
+                held_revision: held,
+            });
+        }
         if self.list_received {
             self.revision_gap.on_claim(now, received.held_revision, held, &mut self.rng);
         }
@@ -337,6 +350,8 @@
         }
         let freshness = self.client.freshness(now);
         if freshness != self.freshness {
+            let (from, revision) = (self.freshness, self.table.revision().unwrap_or(0));
+            self.event(Event::FreshnessChanged { from, to: freshness, revision });
             self.freshness = freshness;
             self.fresh_since = (freshness == Freshness::Fresh).then_some(now);
             self.table.review(now, freshness);
@@ -347,9 +362,11 @@
 
     fn execute_client_command(&mut self, now: Millis, command: ClientCommand) {
         match command {
-            ClientCommand::Open { request, kind, is_second_watch } => {
-                self.open_request(now, request, kind, is_second_watch);
+            ClientCommand::Open { request, kind, reason, is_second_watch } => {
+                self.open_request(now, request, kind, reason);
+                self.counts.second_watches += u64::from(is_second_watch);
             }
+            ClientCommand::Event(event) => self.event(Event::Request(event)),
             ClientCommand::Cancel { request } => {
                 self.partial_updates.remove(&request);
                 self.commands.push_back(Command::CancelRequest { request });
@@ -357,11 +374,12 @@
         }
     }
 
-    fn open_request(&mut self, now: Millis, request: RequestId, kind: RequestKind, is_second_watch: bool) {
+    fn open_request(&mut self, now: Millis, request: RequestId, kind: RequestKind, reason: OpenReason) {
         self.counts.requests += 1;
-        self.counts.second_watches += u64::from(is_second_watch);
         self.partial_updates.insert(request, PartialUpdate { requested_at: now, records: Vec::new() });
         let since_revision = self.table.revision().unwrap_or(0);
+        let opened = RequestEvent::Opened { request, kind, reason, since_revision };
+        self.event(Event::Request(opened));
         self.commands.push_back(Command::OpenRequest { request, kind, since_revision });
     }
 
--- a/crates/discovery/src/event.rs
+++ b/crates/discovery/src/event.rs
@@ -1,6 +1,6 @@
 //! Events for the log: typed, so that the driver writes them as a stable name with fields.
 
-use crate::client::RequestKind;
+use crate::client::{Freshness, OpenReason, RequestId, RequestKind, RequestPhase};
 use crate::endpoint::StatusSource;
 use brackenledge_policy::{Millis, Readiness};
 use std::fmt;
@@ -12,8 +12,30 @@
     EndpointStatusChanged(StatusChange),
     /// The status of more than 20 endpoints has changed at one time.
     EndpointStatusChangedMany(StatusChangeSummary),
-    /// A request to discovery has failed.
-    RequestFailed(RequestFailure),
+    /// A request to discovery was made, is late, was given up, or has failed.
+    Request(RequestEvent),
+    /// Discovery's list can be relied on more, or less, than before.
+    FreshnessChanged {
+        /// Before.
+        from: Freshness,
+        /// Now.
+        to: Freshness,
+        /// The revision held; 0: none.
+        revision: u64,
+    },
+    /// A peer has reported changes that are newer than the list held and were not known yet.
+    ChangesLearned {
+        /// The peer's ordinal.
+        from: u16,
+        /// The newest revision of the message.
+        revision: u64,
+        /// Changes in it that were not known.
+        changes: usize,
+        /// Endpoints that it has taken out of use.
+        withdrawn: u64,
+        /// The revision held; 0: none.
+        held_revision: u64,
+    },
     /// A polled list was ignored, since a newer one came after it had been asked for.
     OutdatedListIgnored {
         /// The ignored list's revision.
@@ -31,6 +53,40 @@
     },
 }
 
+/// What has happened to a request to discovery.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RequestEvent {
+    /// It is made.
+    Opened {
+        /// The request.
+        request: RequestId,
+        /// A watch or a poll.
+        kind: RequestKind,
+        /// Why it is made.
+        reason: OpenReason,
+        /// The revision held, after which changes are asked for.
+        since_revision: u64,
+    },
+    /// It has been silent for longer than its phase allows, and stays open for now.
+    Late {
+        /// The request.
+        request: RequestId,
+        /// How far it has come.
+        phase: RequestPhase,
+    },
+    /// It was silent for so long that it is closed.
+    GivenUp {
+        /// The request.
+        request: RequestId,
+        /// How far it had come.
+        phase: RequestPhase,
+        /// When the next request may be made at the earliest, in milliseconds from now.
+        retry_after: Millis,
+    },
+    /// It has failed.
+    Failed(RequestFailure),
+}
+
 /// A change of one endpoint's status.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StatusChange {
@@ -85,6 +141,8 @@
 /// A request to discovery that failed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RequestFailure {
+    /// The request.
+    pub request: RequestId,
     /// A watch or a poll.
     pub kind: RequestKind,
     /// Why it failed.
--- a/crates/discovery/src/gossip.rs
+++ b/crates/discovery/src/gossip.rs
@@ -47,8 +47,12 @@
 /// What a peer's message says.
 pub(crate) struct ReceivedGossip {
     pub(crate) changes: Vec<EndpointChange>,
+    /// How many of them were not known, and newer than the list held.
+    pub(crate) new_changes: usize,
     /// The revision that the peer holds.
     pub(crate) held_revision: u64,
+    /// The newest revision that the peer knows of.
+    pub(crate) known_revision: u64,
 }
 
 /// A message to send.
@@ -136,18 +140,20 @@
             return Err(MessageError::OwnMessage);
         }
         self.peer_revisions.insert(from, message.held_revision.max(message.known_revision));
-        self.learn_changes(now, &message.changes, held_revision);
+        let new_changes = self.learn_changes(now, &message.changes, held_revision);
         // Any message ends the pulls after a start.
         self.pulls_sent = PULL_INTERVALS.len();
         self.schedule_reply(from, message.purpose);
-        Ok(ReceivedGossip { changes: message.changes, held_revision: message.held_revision })
+        let Message { held_revision, known_revision, changes, .. } = message;
+        Ok(ReceivedGossip { changes, new_changes, held_revision, known_revision })
     }
 
-    /// Remembers a peer's changes if one of them is newer than any known, and in a large cluster passes them on.
-    fn learn_changes(&mut self, now: Millis, changes: &[EndpointChange], held_revision: u64) {
+    /// Remembers a peer's changes if one of them is newer than any known, and in a large cluster passes them on. Gives the
+    /// number of those that were new.
+    fn learn_changes(&mut self, now: Millis, changes: &[EndpointChange], held_revision: u64) -> usize {
         let newest = changes.iter().map(|change| change.revision).max().unwrap_or(0);
         if newest <= self.known_revision {
-            return;
+            return 0;
         }
         let is_new = |change: &EndpointChange| change.revision > held_revision;
         let new_changes: Vec<EndpointChange> = changes.iter().copied().filter(is_new).collect();
@@ -156,6 +162,7 @@
         if self.schedulers as usize > FANOUT + 1 {
             self.spread(now, newest, &new_changes);
         }
+        new_changes.len()
     }
 
     /// Schedules the reply that a message of this purpose asks for. The one to a pull, which brings the recent changes,
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -43,13 +43,13 @@
 mod table;
 mod token_bucket;
 
-pub use client::{Freshness, RequestEnd, RequestId, RequestKind};
+pub use client::{Freshness, OpenReason, RequestEnd, RequestId, RequestKind, RequestPhase};
 pub use command::{Command, WorkerUpdate};
 pub use counts::Counts;
 pub use directory::EndpointDirectory;
 pub use endpoint::{EndpointRecord, EndpointStatus, StatusSource};
 pub use event::{
-    Event, FailureCause, RequestFailure, StatusChange, StatusChangeSource, StatusChangeSummary,
+    Event, FailureCause, RequestEvent, RequestFailure, StatusChange, StatusChangeSource, StatusChangeSummary,
     readiness_name,
 };
 pub use settings::DiscoverySettings;
