Discovery: schedulers pull from one another what gossip has not brought them

Cause: a peer that had heard of a revision counted as knowing all its changes, though these may fill several messages (26 changes each); it was not sent the rest, and did not pass the rest on. And a rumour that nobody received within 1.9 s was never sent again nor asked for. The byte budget passed over the receivers with the highest ordinals, and a set of more than 104 changes was cut off. Change: news is judged by change, not by revision; anti-entropy pulls with a digest, more often without a working watch and soon after a revision is heard of; recent changes are kept for 10 minutes. Gossip's texts are unchanged (golden tests). Also: a removal of an endpoint that was not known or not ready yet was forgotten, and an older own update then made it ready. The virtual discovery of the tests let updates through to schedulers that it counts as deaf; it does not any more.

--- a/crates/discovery/src/directory.rs
+++ b/crates/discovery/src/directory.rs
@@ -1,5 +1,6 @@
 //! The endpoint directory: ties the discovery client, the endpoint table and gossip together.
 
+use crate::anti_entropy::{AntiEntropy, PullFrom};
 use crate::client::{
     ClientCommand, DiscoveryClient, Freshness, OpenReason, RequestEnd, RequestId, RequestKind,
 };
@@ -7,7 +8,7 @@
 use crate::counts::Counts;
 use crate::endpoint::{EndpointRecord, EndpointStatus, StatusSource};
 use crate::event::{Event, RequestEvent};
-use crate::gossip::{EndpointChange, Gossip, is_gossip};
+use crate::gossip::{EndpointChange, Gossip, ReceivedGossip, ReportedChange, is_gossip};
 use crate::revision_gap::RevisionGap;
 use crate::settings::DiscoverySettings;
 use crate::signals::EndpointSignal;
@@ -19,6 +20,7 @@
 
 /// Keeps the random numbers apart from those of other parts that are given the same seed.
 const SEED_MASK: u64 = 0x05ea_5011;
+const ANTI_ENTROPY_SEED_MASK: u64 = 0x0a17_e217;
 
 /// What a request has brought of an update that is not complete yet.
 struct PartialUpdate {
@@ -32,8 +34,10 @@
     table: EndpointTable,
     client: DiscoveryClient,
     gossip: Option<Gossip>,
+    anti_entropy: AntiEntropy,
     revision_gap: RevisionGap,
     rng: Rng,
+    anti_entropy_rng: Rng,
     partial_updates: BTreeMap<RequestId, PartialUpdate>,
     /// Discovery has sent a list since the start.
     list_received: bool,
@@ -48,14 +52,18 @@
     /// A directory without endpoints.
     pub fn new(now: Millis, settings: DiscoverySettings) -> Self {
         let mut rng = Rng::with_seed(settings.seed ^ SEED_MASK);
+        // Its own, so that the other parts draw the same numbers whether there are pulls or not.
+        let mut anti_entropy_rng = Rng::with_seed(settings.seed ^ ANTI_ENTROPY_SEED_MASK);
         let gossip = (settings.gossip && settings.schedulers > 1)
             .then(|| Gossip::new(now, settings.ordinal, settings.schedulers));
         EndpointDirectory {
             table: EndpointTable::default(),
             client: DiscoveryClient::new(now, &settings, rng.u64(..)),
             gossip,
+            anti_entropy: AntiEntropy::new(now, &mut anti_entropy_rng),
             revision_gap: RevisionGap::new(settings.schedulers),
             rng,
+            anti_entropy_rng,
             partial_updates: BTreeMap::new(),
             list_received: false,
             freshness: Freshness::Stale,
@@ -232,6 +240,7 @@
         if held != Some(revision) || !changes.is_empty() {
             self.spread(now, revision, &changes);
         }
+        self.reapply_gossip(now, revision, &changes);
         self.revision_gap.on_update(revision);
         self.publish_entries(ListKind::Delta);
         self.advance(now);
@@ -241,11 +250,27 @@
     fn restart_revisions(&mut self, now: Millis, update: &ListUpdate) {
         self.event(Event::RevisionsRestarted { revision: update.revision });
         self.table.restart_revisions();
+        self.anti_entropy.restart_revisions();
+        if let Some(gossip) = &mut self.gossip {
+            gossip.restart_revisions();
+        }
         if !update.is_snapshot {
             self.client.request_poll(now);
         }
     }
 
+    /// A peer may have reported a newer change of an endpoint that this update makes ready: of one that was not known, or was
+    /// out of use already, so that the report was of no use then.
+    fn reapply_gossip(&mut self, now: Millis, held: u64, changes: &[EndpointChange]) {
+        let made_ready = changes.iter().filter(|change| change.readiness == Readiness::Ready);
+        let Some(gossip) = &self.gossip else { return };
+        let newer: Vec<ReportedChange> =
+            made_ready.filter_map(|change| gossip.change_beyond(held, change.tag)).collect();
+        for ReportedChange { reporter, change } in newer {
+            self.apply_gossip(now, reporter, change);
+        }
+    }
+
     fn spread(&mut self, now: Millis, revision: u64, changes: &[EndpointChange]) {
         if let Some(gossip) = &mut self.gossip {
             gossip.on_list_change(now, revision, changes);
@@ -273,20 +298,9 @@
         let held = self.table.revision().unwrap_or(0);
         let Some(gossip) = &mut self.gossip else { return true };
         let Ok(received) = gossip.handle_message(now, from, text, held) else { return true };
-        let withdrawn_before = self.counts.first_reported_by_peer;
-        for change in received.changes {
-            self.apply_gossip(now, from, change);
-        }
-        if received.new_changes > 0 {
-            let withdrawn = self.counts.first_reported_by_peer - withdrawn_before;
-            self.event(Event::ChangesLearned {
-                from,
-                revision: received.known_revision,
-                changes: received.new_changes,
-                withdrawn,
-                held_revision: held,
-            });
-        }
+        let known = received.known_revision;
+        self.anti_entropy.on_revision_heard_of(now, from, known, held, &mut self.anti_entropy_rng);
+        self.take_in_gossip(now, from, &received);
         if self.list_received {
             self.revision_gap.on_claim(now, received.held_revision, held, &mut self.rng);
         }
@@ -295,6 +309,23 @@
         true
     }
 
+    fn take_in_gossip(&mut self, now: Millis, from: u16, received: &ReceivedGossip) {
+        if received.news.is_empty() {
+            return;
+        }
+        let reported_before = self.counts.first_reported_by_peer;
+        for &change in &received.news {
+            self.apply_gossip(now, from, change);
+        }
+        self.event(Event::ChangesLearned {
+            from,
+            revision: received.known_revision,
+            changes: received.news.len(),
+            withdrawn: self.counts.first_reported_by_peer - reported_before,
+            held_revision: self.table.revision().unwrap_or(0),
+        });
+    }
+
     fn apply_gossip(&mut self, now: Millis, from: u16, change: EndpointChange) {
         let Some(id) = self.table.find_by_tag(change.tag) else { return };
         let source = StatusSource::Peer(from);
@@ -316,7 +347,10 @@
 
     /// When [`EndpointDirectory::handle_timeout`] is to be called next.
     pub fn next_timeout(&self) -> Millis {
-        let gossip = self.gossip.as_ref().map_or(Millis::INFINITY, Gossip::next_timeout);
+        let gossip = self
+            .gossip
+            .as_ref()
+            .map_or(Millis::INFINITY, |gossip| gossip.next_timeout().min(self.anti_entropy.next_timeout()));
         let gap = self.revision_gap.next_timeout();
         self.client.next_timeout().min(gossip).min(gap).min(self.table.next_timeout())
     }
@@ -353,6 +387,7 @@
             let (from, revision) = (self.freshness, self.table.revision().unwrap_or(0));
             self.event(Event::FreshnessChanged { from, to: freshness, revision });
             self.freshness = freshness;
+            self.anti_entropy.on_freshness(now, freshness, &mut self.anti_entropy_rng);
             self.fresh_since = (freshness == Freshness::Fresh).then_some(now);
             self.table.review(now, freshness);
             self.publish_entries(ListKind::Delta);
@@ -386,6 +421,12 @@
     fn send_gossip(&mut self, now: Millis) {
         let Some(gossip) = &mut self.gossip else { return };
         let held = self.table.revision().unwrap_or(0);
+        let rng = &mut self.anti_entropy_rng;
+        match self.anti_entropy.take_due(now, self.freshness, held, rng) {
+            Some(PullFrom::Peer(peer)) => gossip.pull_from(peer),
+            Some(PullFrom::Random(count)) => gossip.pull_from_random(count, rng),
+            None => {}
+        }
         for message in gossip.due_messages(now, held, &mut self.rng) {
             self.counts.messages_sent += 1;
             self.counts.message_bytes_sent += message.text.len() as u64;
--- a/crates/discovery/src/gossip.rs
+++ b/crates/discovery/src/gossip.rs
@@ -2,30 +2,35 @@
 //!
 //! In a small cluster a scheduler sends each change to all others. In a larger one, each scheduler to which a change is
 //! new passes it on to a few others at random (rumour mongering, Demers et al., "Epidemic algorithms for replicated
-//! database maintenance", 1987). A peer whose reply shows that it knows the revision gets no further message; others are
-//! sent the rumour again, a few times, within a budget of bytes. A scheduler that has just started pulls the recent
-//! changes from its peers.
+//! database maintenance", 1987). A peer whose reply shows that it has heard of the revision gets no further message;
+//! others are sent the rumour again, a few times, within a budget of bytes.
 //!
-//! Messages may be lost, late or repeated. None makes an endpoint known or ready: the endpoint table sees to that.
+//! Messages may be lost, late, overtaken or repeated, and a peer that has heard of a revision may lack a part of it: its
+//! changes may fill several messages. So a rumour promises nothing. What it has not brought is pulled: after a start, and
+//! whenever [`crate::anti_entropy`] says so. No message makes an endpoint known or ready: the endpoint table sees to that.
 //!
 //! | message | sent | answered by |
 //! | --- | --- | --- |
-//! | push | a change, again until the receiver is known to have it | reply |
-//! | pull | after a start, again until any message comes | reply with the recent changes |
-//! | reply | revisions held and known | nothing |
+//! | push | a change, a few times until the receiver has heard of its revision | reply |
+//! | pull | with a digest of what is known beside the own list | reply, with the recent changes if the digests differ |
+//! | reply | revisions held and heard of | nothing |
 
 mod message;
+mod recent_changes;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use message::{EndpointChange, MessageError, is_gossip, name_tag};
+pub(crate) use recent_changes::ReportedChange;
 
 use crate::token_bucket::TokenBucket;
 use brackenledge_policy::{Millis, Readiness};
 use fastrand::Rng;
 use message::{MAX_CHANGES, Message, Purpose};
+use recent_changes::{Novelty, RecentChanges};
+
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// Most peers that one scheduler sends a change to. In a cluster of one scheduler more all are reached directly.
 const FANOUT: usize = 8;
@@ -33,25 +38,24 @@
 const PUSH_RETRY_INTERVALS: [Millis; 4] = [120.0, 250.0, 500.0, 1_000.0];
 /// Pauses before the pulls after a start, until a message of any peer comes.
 const PULL_INTERVALS: [Millis; 3] = [0.0, 300.0, 1_200.0];
-/// For how long a change is remembered for schedulers that have just started and pull.
-const RECENT_CHANGE_RETENTION: Millis = 60_000.0;
-/// Most changes that are remembered, and most changes in one rumour.
-const MAX_RECENT_CHANGES: usize = 4 * MAX_CHANGES;
-/// Refill rate of the byte budget.
-const BYTES_PER_MILLI: f64 = 0.256;
+/// Messages of one rumour that are sent at a time: it goes to fewer peers the more messages it fills, as long as it goes to
+/// [`MIN_FANOUT`]. The others pull it.
+const MAX_RUMOUR_MESSAGES: usize = 32;
+const MIN_FANOUT: usize = 2;
+/// Refill rate of the byte budget. It bounds what a fault can cost, and is far above what is usual.
+const BYTES_PER_MILLI: f64 = 4.096;
 /// Capacity of the byte budget.
-const MAX_SAVED_BYTES: f64 = 4_096.0;
+const MAX_SAVED_BYTES: f64 = 32_768.0;
 /// The pause before a rumour is sent again varies by this much to both sides.
 const RETRY_JITTER: f64 = 0.25;
 
 /// What a peer's message says.
 pub(crate) struct ReceivedGossip {
-    pub(crate) changes: Vec<EndpointChange>,
-    /// How many of them were not known, and newer than the list held.
-    pub(crate) new_changes: usize,
+    /// Its changes that were not known, and are newer than the list held.
+    pub(crate) news: Vec<EndpointChange>,
     /// The revision that the peer holds.
     pub(crate) held_revision: u64,
-    /// The newest revision that the peer knows of.
+    /// The newest revision that the peer has heard of.
     pub(crate) known_revision: u64,
 }
 
@@ -70,10 +74,30 @@
     receivers: Vec<u16>,
 }
 
-/// A change that is still given to a scheduler that has just started.
-struct RecentChange {
-    learned_at: Millis,
-    change: EndpointChange,
+/// The newest revisions that a peer has stated.
+#[derive(Clone, Copy)]
+struct PeerRevisions {
+    /// Its own list has it.
+    held: u64,
+    /// It has heard of it; of its changes it may lack some.
+    known: u64,
+}
+
+/// What a peer that pulls has stated of its knowledge.
+#[derive(Clone, Copy)]
+struct PullState {
+    /// The revision of its own list.
+    held: u64,
+    /// A digest of the changes beyond it that it knows.
+    digest: u64,
+}
+
+/// A reply that is due.
+enum Reply {
+    /// States the revisions.
+    Acknowledgement,
+    /// Brings the recent changes too, if the peer does not know them.
+    RecentChanges(PullState),
 }
 
 /// What goes to one receiver, before it is split into messages.
@@ -86,14 +110,15 @@
 pub(crate) struct Gossip {
     ordinal: u16,
     schedulers: u16,
-    /// The newest revision that each peer is known to have, from its list or by gossip.
-    peer_revisions: BTreeMap<u16, u64>,
-    /// The newest revision known here, from the list or by gossip.
+    peer_revisions: BTreeMap<u16, PeerRevisions>,
+    /// The newest revision heard of here, from the list or by gossip.
     known_revision: u64,
     rumours: Vec<Rumour>,
-    recent: VecDeque<RecentChange>,
-    /// Replies that are due, by receiver: the purpose of the message that is replied to.
-    replies: BTreeMap<u16, Purpose>,
+    recent: RecentChanges,
+    /// Replies that are due, by receiver.
+    replies: BTreeMap<u16, Reply>,
+    /// Peers to pull from.
+    pulls: Vec<u16>,
     pulls_sent: usize,
     next_pull_at: Millis,
     byte_budget: TokenBucket,
@@ -107,8 +132,9 @@
             peer_revisions: BTreeMap::new(),
             known_revision: 0,
             rumours: Vec::new(),
-            recent: VecDeque::new(),
+            recent: RecentChanges::default(),
             replies: BTreeMap::new(),
+            pulls: Vec::new(),
             pulls_sent: 0,
             next_pull_at: now,
             byte_budget: TokenBucket::new(now, MAX_SAVED_BYTES, BYTES_PER_MILLI),
@@ -117,16 +143,21 @@
 
     /// The list held has changed, or another revision of it has been confirmed.
     pub(crate) fn on_list_change(&mut self, now: Millis, revision: u64, changes: &[EndpointChange]) {
-        if revision < self.known_revision {
-            // Discovery may have restarted its count: what is known of the old one says nothing any more.
-            self.known_revision = revision;
-            self.peer_revisions = BTreeMap::new();
-        }
         self.known_revision = self.known_revision.max(revision);
-        self.remember(now, changes);
+        for &change in changes {
+            self.recent.remember(now, ReportedChange { reporter: self.ordinal, change });
+        }
+        self.recent.expire(now);
         self.spread(now, revision, changes);
     }
 
+    /// Discovery has restarted its count of revisions: what is known of the old one says nothing any more.
+    pub(crate) fn restart_revisions(&mut self) {
+        self.known_revision = 0;
+        self.peer_revisions = BTreeMap::new();
+        self.recent.clear();
+    }
+
     /// Takes a message of a peer in; `held_revision` is the one held here.
     pub(crate) fn handle_message(
         &mut self,
@@ -135,50 +166,78 @@
         text: &str,
         held_revision: u64,
     ) -> Result<ReceivedGossip, MessageError> {
-        let message = Message::decode(text)?;
+        let mut message = Message::decode(text)?;
         if from == self.ordinal {
             return Err(MessageError::OwnMessage);
         }
-        self.peer_revisions.insert(from, message.held_revision.max(message.known_revision));
-        let new_changes = self.learn_changes(now, &message.changes, held_revision);
+        let Message { purpose, held_revision: peer_held, known_revision: peer_known, .. } = message;
+        let known = peer_held.max(peer_known);
+        self.peer_revisions.insert(from, PeerRevisions { held: peer_held, known });
+        let digest = message.take_digest();
+        let news = self.learn_changes(now, from, &message, held_revision);
         // Any message ends the pulls after a start.
         self.pulls_sent = PULL_INTERVALS.len();
-        self.schedule_reply(from, message.purpose);
-        let Message { held_revision, known_revision, changes, .. } = message;
-        Ok(ReceivedGossip { changes, new_changes, held_revision, known_revision })
+        self.schedule_reply(from, purpose, PullState { held: peer_held, digest });
+        Ok(ReceivedGossip { news, held_revision: peer_held, known_revision: known })
     }
 
-    /// Remembers a peer's changes if one of them is newer than any known, and in a large cluster passes them on. Gives the
-    /// number of those that were new.
-    fn learn_changes(&mut self, now: Millis, changes: &[EndpointChange], held_revision: u64) -> usize {
-        let newest = changes.iter().map(|change| change.revision).max().unwrap_or(0);
-        if newest <= self.known_revision {
-            return 0;
+    /// Remembers those of a peer's changes that the own list does not hold, and in a large cluster passes on what is news.
+    /// Each change is judged by itself: of the messages with one revision's changes some may be lost or come late. What
+    /// was pulled is not passed on, for others can pull it too. Gives what is news.
+    fn learn_changes(
+        &mut self,
+        now: Millis,
+        from: u16,
+        message: &Message,
+        held_revision: u64,
+    ) -> Vec<EndpointChange> {
+        let mut news = Vec::new();
+        for &change in message.changes.iter().filter(|change| change.revision > held_revision) {
+            if self.recent.remember(now, ReportedChange { reporter: from, change }) == Novelty::News {
+                news.push(change);
+            }
         }
-        let is_new = |change: &EndpointChange| change.revision > held_revision;
-        let new_changes: Vec<EndpointChange> = changes.iter().copied().filter(is_new).collect();
-        self.known_revision = newest;
-        self.remember(now, &new_changes);
-        if self.schedulers as usize > FANOUT + 1 {
-            self.spread(now, newest, &new_changes);
+        self.recent.expire(now);
+        let newest = news.iter().map(|change| change.revision).max().unwrap_or(0);
+        self.known_revision = self.known_revision.max(newest);
+        if message.purpose == Purpose::Push && self.schedulers as usize > FANOUT + 1 {
+            self.spread(now, newest, &news);
         }
-        new_changes.len()
+        news
     }
 
-    /// Schedules the reply that a message of this purpose asks for. The one to a pull, which brings the recent changes,
-    /// serves as the one to a push too.
-    fn schedule_reply(&mut self, to: u16, purpose: Purpose) {
+    /// Schedules the reply that a message of this purpose asks for. The one to a pull serves as the one to a push too.
+    fn schedule_reply(&mut self, to: u16, purpose: Purpose, state: PullState) {
         match purpose {
             Purpose::Push => {
-                self.replies.entry(to).or_insert(Purpose::Push);
+                self.replies.entry(to).or_insert(Reply::Acknowledgement);
             }
             Purpose::Pull => {
-                self.replies.insert(to, Purpose::Pull);
+                self.replies.insert(to, Reply::RecentChanges(state));
             }
             Purpose::Reply => {}
         }
     }
 
+    /// Pulls from this peer with the next messages.
+    pub(crate) fn pull_from(&mut self, peer: u16) {
+        if peer < self.schedulers && peer != self.ordinal && !self.pulls.contains(&peer) {
+            self.pulls.push(peer);
+        }
+    }
+
+    /// Pulls from so many peers at random with the next messages.
+    pub(crate) fn pull_from_random(&mut self, count: usize, rng: &mut Rng) {
+        for peer in self.random_peers(count, rng) {
+            self.pull_from(peer);
+        }
+    }
+
+    /// The newest change known of an endpoint, if the list of revision `held` does not hold it.
+    pub(crate) fn change_beyond(&self, held: u64, tag: u64) -> Option<ReportedChange> {
+        self.recent.get(tag).filter(|reported| reported.change.revision > held)
+    }
+
     pub(crate) fn next_timeout(&self) -> Millis {
         let pulling = self.pulls_sent < PULL_INTERVALS.len();
         let next_pull = if pulling { self.next_pull_at } else { Millis::INFINITY };
@@ -193,24 +252,13 @@
         rng: &mut Rng,
     ) -> Vec<OutgoingMessage> {
         self.byte_budget.refill(now);
+        self.schedule_start_pulls(now, rng);
         let mut drafts: BTreeMap<u16, Draft> = BTreeMap::new();
-        self.draft_pulls(now, rng, &mut drafts);
         self.draft_replies(&mut drafts);
         self.draft_pushes(now, rng, &mut drafts);
-        self.encode_within_budget(drafts, held_revision)
-    }
-
-    fn remember(&mut self, now: Millis, changes: &[EndpointChange]) {
-        for &change in changes {
-            self.recent.retain(|recent| recent.change.tag != change.tag);
-            self.recent.push_back(RecentChange { learned_at: now, change });
-        }
-        let oldest = now - RECENT_CHANGE_RETENTION;
-        while self.recent.len() > MAX_RECENT_CHANGES
-            || self.recent.front().is_some_and(|recent| recent.learned_at < oldest)
-        {
-            self.recent.pop_front();
-        }
+        let mut messages = self.encode_pulls(held_revision);
+        messages.extend(self.encode_drafts(drafts, held_revision));
+        self.keep_within_budget(messages)
     }
 
     /// Starts a rumour. A revision that changed nothing needs none: the next message states that it is held.
@@ -218,50 +266,66 @@
         if changes.is_empty() {
             return;
         }
-        let changes = changes.iter().copied().take(MAX_RECENT_CHANGES).collect();
         self.rumours.push(Rumour {
             revision,
-            changes,
+            changes: changes.to_vec(),
             times_sent: 0,
             next_send_at: now,
             receivers: Vec::new(),
         });
     }
 
-    fn draft_pulls(&mut self, now: Millis, rng: &mut Rng, drafts: &mut BTreeMap<u16, Draft>) {
+    /// The pulls after a start, until a message of any peer comes.
+    fn schedule_start_pulls(&mut self, now: Millis, rng: &mut Rng) {
         if self.pulls_sent >= PULL_INTERVALS.len() || now < self.next_pull_at {
             return;
         }
         self.pulls_sent += 1;
         self.next_pull_at = now + PULL_INTERVALS.get(self.pulls_sent).copied().unwrap_or(0.0);
-        for to in self.random_peers(rng) {
-            add_draft(drafts, to, Purpose::Pull, []);
+        self.pull_from_random(FANOUT, rng);
+    }
+
+    /// The messages of all pulls that are due. They state a digest of what is known beside the own list.
+    fn encode_pulls(&mut self, held_revision: u64) -> Vec<OutgoingMessage> {
+        let pulls = std::mem::take(&mut self.pulls);
+        if pulls.is_empty() {
+            return Vec::new();
         }
+        let digest = self.recent.digest(held_revision);
+        let text = Message::pull(held_revision, self.known_revision, digest).encode();
+        pulls.into_iter().map(|to| OutgoingMessage { to, text: text.clone() }).collect()
     }
 
     fn draft_replies(&mut self, drafts: &mut BTreeMap<u16, Draft>) {
-        for (to, received) in std::mem::take(&mut self.replies) {
-            if received == Purpose::Pull {
-                let recent = self.recent.iter().rev().map(|recent| recent.change);
-                add_draft(drafts, to, Purpose::Reply, recent);
-            } else {
-                add_draft(drafts, to, Purpose::Reply, []);
-            }
+        for (to, reply) in std::mem::take(&mut self.replies) {
+            let changes: Vec<EndpointChange> = match reply {
+                Reply::RecentChanges(PullState { held, digest }) if digest != self.recent.digest(held) => {
+                    self.recent.newer_than(held).collect()
+                }
+                Reply::RecentChanges(_) | Reply::Acknowledgement => Vec::new(),
+            };
+            add_draft(drafts, to, Purpose::Reply, changes);
         }
     }
 
     fn draft_pushes(&mut self, now: Millis, rng: &mut Rng, drafts: &mut BTreeMap<u16, Draft>) {
         let mut rumours = std::mem::take(&mut self.rumours);
         for rumour in rumours.iter_mut().filter(|rumour| now >= rumour.next_send_at) {
-            if rumour.times_sent == 0 {
-                rumour.receivers = self.random_peers(rng);
+            let is_first_time = rumour.times_sent == 0;
+            if is_first_time {
+                rumour.receivers = self.random_peers(fanout(rumour.changes.len()), rng);
             }
             rumour.next_send_at = match PUSH_RETRY_INTERVALS.get(rumour.times_sent) {
                 Some(pause) => now + pause * (1.0 - RETRY_JITTER + 2.0 * RETRY_JITTER * rng.f64()),
                 None => Millis::INFINITY,
             };
             rumour.times_sent += 1;
-            for &to in rumour.receivers.iter().filter(|&&to| self.lacks(to, rumour.revision)) {
+            // Who has heard of the revision may lack a part of it, so all but those whose own lists hold it get it once.
+            let may_lack = |to| match is_first_time {
+                true => !self.holds(to, rumour.revision),
+                false => !self.has_heard_of(to, rumour.revision),
+            };
+            for &to in rumour.receivers.iter().filter(|&&to| may_lack(to)) {
                 add_draft(drafts, to, Purpose::Push, rumour.changes.iter().copied());
             }
         }
@@ -271,32 +335,45 @@
 
     /// Whether a rumour is to be sent again: it was not sent for the last time, and not all its receivers know it.
     fn is_pending(&self, rumour: &Rumour) -> bool {
-        let is_unconfirmed = rumour.receivers.iter().any(|&to| self.lacks(to, rumour.revision));
+        let is_unconfirmed = rumour.receivers.iter().any(|&to| !self.has_heard_of(to, rumour.revision));
         rumour.next_send_at.is_finite() && (rumour.times_sent == 0 || is_unconfirmed)
     }
 
-    /// Whether a peer is not known to have this revision.
-    fn lacks(&self, peer: u16, revision: u64) -> bool {
-        self.peer_revisions.get(&peer).is_none_or(|&known| known < revision)
+    /// Whether a peer's own list is known to have this revision.
+    fn holds(&self, peer: u16, revision: u64) -> bool {
+        self.peer_revisions.get(&peer).is_some_and(|known| known.held >= revision)
     }
 
-    /// Encodes as many of the drafts as the byte budget pays for.
-    fn encode_within_budget(
-        &mut self,
-        drafts: BTreeMap<u16, Draft>,
-        held_revision: u64,
-    ) -> Vec<OutgoingMessage> {
+    /// Whether a peer is known to have heard of this revision.
+    fn has_heard_of(&self, peer: u16, revision: u64) -> bool {
+        self.peer_revisions.get(&peer).is_some_and(|known| known.known >= revision)
+    }
+
+    /// Encodes the drafts. All receivers' first messages come first, and of receivers those whose ordinals follow the own
+    /// one: the byte budget may not pay for all, and must not pass over the same schedulers each time.
+    fn encode_drafts(&self, drafts: BTreeMap<u16, Draft>, held_revision: u64) -> Vec<OutgoingMessage> {
         let mut messages = Vec::new();
         for (to, draft) in drafts {
-            for text in self.encode_draft(draft, held_revision) {
-                let bytes = text.len() as f64;
-                if self.byte_budget.tokens() >= bytes {
-                    self.byte_budget.take(bytes);
-                    messages.push(OutgoingMessage { to, text });
-                }
+            let distance = (to + self.schedulers - self.ordinal) % self.schedulers;
+            for (part, text) in self.encode_draft(draft, held_revision).into_iter().enumerate() {
+                messages.push(((part, distance), OutgoingMessage { to, text }));
             }
         }
-        messages
+        messages.sort_by_key(|(order, _)| *order);
+        messages.into_iter().map(|(_, message)| message).collect()
+    }
+
+    /// Drops the messages that the byte budget does not pay for.
+    fn keep_within_budget(&mut self, messages: Vec<OutgoingMessage>) -> Vec<OutgoingMessage> {
+        let mut kept = Vec::new();
+        for message in messages {
+            let bytes = message.text.len() as f64;
+            if self.byte_budget.tokens() >= bytes {
+                self.byte_budget.take(bytes);
+                kept.push(message);
+            }
+        }
+        kept
     }
 
     /// Splits a draft into messages. Changes that take an endpoint out of use come first, and of each kind the newest,
@@ -313,17 +390,22 @@
         draft.changes.chunks(MAX_CHANGES).map(encode).collect()
     }
 
-    /// All peers, or some of them at random where they are many.
-    fn random_peers(&self, rng: &mut Rng) -> Vec<u16> {
+    /// So many peers at random, or all where there are no more than [`FANOUT`] and that many are asked for.
+    fn random_peers(&self, count: usize, rng: &mut Rng) -> Vec<u16> {
         let mut peers: Vec<u16> = (0..self.schedulers).filter(|&peer| peer != self.ordinal).collect();
-        if peers.len() > FANOUT {
+        if peers.len() > count {
             rng.shuffle(&mut peers);
-            peers.truncate(FANOUT);
+            peers.truncate(count);
         }
         peers
     }
 }
 
+/// To how many peers a rumour with so many changes goes.
+fn fanout(changes: usize) -> usize {
+    (MAX_RUMOUR_MESSAGES / changes.div_ceil(MAX_CHANGES).max(1)).clamp(MIN_FANOUT, FANOUT)
+}
+
 /// Adds to what goes to one receiver. A purpose that asks for an answer takes precedence over a reply.
 fn add_draft(
     drafts: &mut BTreeMap<u16, Draft>,
--- a/crates/discovery/src/gossip/message.rs
+++ b/crates/discovery/src/gossip/message.rs
@@ -101,6 +101,26 @@
 }
 
 impl Message {
+    /// A pull, with a digest of the changes that its sender knows beside its list; 0: it knows none. The digest travels as the
+    /// entry of a ready endpoint that nobody has, which builds without digests ignore.
+    pub(super) fn pull(held_revision: u64, known_revision: u64, digest: u64) -> Message {
+        let entry = EndpointChange { tag: digest, readiness: Readiness::Ready, revision: 0 };
+        let changes = if digest == 0 { Vec::new() } else { vec![entry] };
+        Message { purpose: Purpose::Pull, held_revision, known_revision, changes }
+    }
+
+    /// Takes the digest out of a pull; 0: it has none.
+    pub(super) fn take_digest(&mut self) -> u64 {
+        match (self.purpose, &self.changes[..]) {
+            (Purpose::Pull, [EndpointChange { tag, readiness: Readiness::Ready, .. }]) => {
+                let digest = *tag;
+                self.changes.clear();
+                digest
+            }
+            _ => 0,
+        }
+    }
+
     pub(super) fn encode(&self) -> String {
         let mut text = String::from(MARK);
         let symbol = PURPOSES.iter().find(|(purpose, _)| *purpose == self.purpose).map(|(_, symbol)| symbol);
--- a/crates/discovery/src/gossip/tests.rs
+++ b/crates/discovery/src/gossip/tests.rs
@@ -33,7 +33,7 @@
     let sent = gossip.due_messages(10.0, 7, &mut rng);
     assert_eq!(sent.iter().map(|message| message.to).collect::<Vec<_>>(), [1, 2]);
     let received = other.handle_message(11.0, 0, &sent[0].text, 3).expect("a message");
-    assert_eq!((received.held_revision, received.changes), (7, vec![change(5, Readiness::Draining, 7)]));
+    assert_eq!((received.held_revision, received.news), (7, vec![change(5, Readiness::Draining, 7)]));
     let replies = other.due_messages(11.0, 3, &mut rng);
     let reply = replies.iter().find(|message| message.to == 0).expect("a reply");
     gossip.handle_message(12.0, 1, &reply.text, 7).expect("a message");
@@ -58,6 +58,6 @@
     old.handle_message(5_001.0, 1, &pulls[0].text, 7).expect("a message");
     let replies = old.due_messages(5_001.0, 7, &mut rng);
     let received = new.handle_message(5_002.0, 0, &replies[0].text, 0).expect("a message");
-    assert_eq!(received.changes, [change(5, Readiness::Draining, 7)]);
+    assert_eq!(received.news, [change(5, Readiness::Draining, 7)]);
     assert_eq!(new.next_timeout(), f64::INFINITY, "it has been answered");
 }
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -29,6 +29,7 @@
 //!
 //! It does not select workers for jobs: the policy crate does, from the entries in [`Command::UpdateEndpoints`].
 
+mod anti_entropy;
 mod client;
 mod command;
 mod counts;
--- a/crates/discovery/tests/support/simulated_discovery/mod.rs
+++ b/crates/discovery/tests/support/simulated_discovery/mod.rs
@@ -57,6 +57,8 @@
     pub faults: Vec<Fault>,
     /// Discovery is down: it rejects requests, and its watches have ended.
     pub down: bool,
+    /// Schedulers that are cut off from all others: no message leaves or reaches them.
+    pub cut_off: Vec<bool>,
     /// The part of the messages between schedulers that is lost.
     pub message_loss: f64,
     /// What discovery takes to serve a request.
@@ -78,8 +80,9 @@
     last_event: u64,
     armed: Vec<Millis>,
     pub rng: Rng,
-    /// Messages between schedulers.
+    /// Messages between schedulers, and their bytes.
     pub messages_sent: u64,
+    pub message_bytes_sent: u64,
 }
 
 impl<N: Node> World<N> {
@@ -90,6 +93,7 @@
             nodes,
             faults: vec![Fault::None; count],
             down: false,
+            cut_off: vec![false; count],
             message_loss: 0.0,
             service_time: SERVICE_TIME,
             max_update_delay: 120.0,
@@ -107,6 +111,7 @@
             armed: vec![f64::INFINITY; count],
             rng: Rng::with_seed(seed),
             messages_sent: 0,
+            message_bytes_sent: 0,
         }
     }
 
@@ -225,7 +230,9 @@
                 Command::SendMessage { to, text } => {
                     assert!(text.len() <= 256);
                     self.messages_sent += 1;
-                    if self.rng.f64() >= self.message_loss {
+                    self.message_bytes_sent += text.len() as u64;
+                    let is_cut_off = self.cut_off[node] || self.cut_off[usize::from(to)];
+                    if !is_cut_off && self.rng.f64() >= self.message_loss {
                         let delay = 3.2 + 18.8 * self.rng.f64();
                         self.schedule(delay, Event::Message(usize::from(to), node as u16, text));
                     }
--- a/crates/discovery/tests/support/simulated_discovery/service.rs
+++ b/crates/discovery/tests/support/simulated_discovery/service.rs
@@ -117,6 +117,9 @@
 
     /// Discovery writes what has changed since it last did on this request.
     fn send_update(&mut self, node: usize, request: RequestId) {
+        if self.is_deaf(node) {
+            return;
+        }
         let (now, revision) = (self.now, self.revision);
         let Some(open) = self.open[node].get_mut(&request) else { return };
         let sent_revision = open.sent_revision.unwrap_or(0);
