Gossip: two peers get a change, six more its revision only, and pull what they lack

Change: in a large cluster the change goes to two peers and the revision to six (lazy push); who lacks it pulls it 0.3 s later.

--- a/crates/discovery/src/gossip.rs
+++ b/crates/discovery/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Gossip between schedulers on changes of the endpoint list, so that one scheduler's open watch serves all.
 //!
 //! In a small cluster a scheduler sends each change to all others. In a larger one, each scheduler to which a change is
-//! new passes it on to a few others at random (rumour mongering, Demers et al., "Epidemic algorithms for replicated
+//! new passes it on to two others at random, and its revision to six more (rumour mongering, Demers et al., "Epidemic algorithms for replicated
 //! database maintenance", 1987). A peer whose reply shows that it has heard of the revision gets no further message;
 //! others are sent the rumour again, a few times, within a budget of bytes.
 //!
@@ -13,7 +13,7 @@
 //! | --- | --- | --- |
 //! | push | a change, a few times until the receiver has heard of its revision | reply |
 //! | pull | with a digest of what is known beside the own list | reply, with the recent changes if the digests differ |
-//! | reply | revisions held and heard of | nothing |
+//! | reply | revisions held and heard of; also unasked, where a change is news in a large cluster | nothing |
 
 mod message;
 mod recent_changes;
@@ -38,10 +38,9 @@
 const PUSH_RETRY_INTERVALS: [Millis; 4] = [120.0, 250.0, 500.0, 1_000.0];
 /// Pauses before the pulls after a start, until a message of any peer comes.
 const PULL_INTERVALS: [Millis; 3] = [0.0, 300.0, 1_200.0];
-/// Messages of one rumour that are sent at a time: it goes to fewer peers the more messages it fills, as long as it goes to
-/// [`MIN_FANOUT`]. The others pull it.
-const MAX_RUMOUR_MESSAGES: usize = 32;
-const MIN_FANOUT: usize = 2;
+/// To how many of these a large cluster's schedulers send the change itself. The others are sent the revision alone, and pull
+/// the change unless it reaches them otherwise (lazy push, as in Leitao et al., "Epidemic broadcast trees", 2007).
+const EAGER_FANOUT: usize = 2;
 /// Refill rate of the byte budget. It bounds what a fault can cost, and is far above what is usual.
 const BYTES_PER_MILLI: f64 = 4.096;
 /// Capacity of the byte budget.
@@ -200,7 +199,7 @@
         self.recent.expire(now);
         let newest = news.iter().map(|change| change.revision).max().unwrap_or(0);
         self.known_revision = self.known_revision.max(newest);
-        if message.purpose == Purpose::Push && self.schedulers as usize > FANOUT + 1 {
+        if message.purpose == Purpose::Push && self.is_large_cluster() {
             self.spread(now, newest, &news);
         }
         news
@@ -313,7 +312,8 @@
         for rumour in rumours.iter_mut().filter(|rumour| now >= rumour.next_send_at) {
             let is_first_time = rumour.times_sent == 0;
             if is_first_time {
-                rumour.receivers = self.random_peers(fanout(rumour.changes.len()), rng);
+                rumour.receivers = self.random_peers(FANOUT, rng);
+                self.announce(rumour, drafts);
             }
             rumour.next_send_at = match PUSH_RETRY_INTERVALS.get(rumour.times_sent) {
                 Some(pause) => now + pause * (1.0 - RETRY_JITTER + 2.0 * RETRY_JITTER * rng.f64()),
@@ -333,6 +333,24 @@
         self.rumours = rumours;
     }
 
+    /// In a large cluster, leaves a rumour few receivers, and sends the others its revision alone.
+    fn announce(&self, rumour: &mut Rumour, drafts: &mut BTreeMap<u16, Draft>) {
+        if !self.is_large_cluster() {
+            return;
+        }
+        let mut receivers = rumour.receivers.iter().copied();
+        let eager = receivers.by_ref().take(EAGER_FANOUT).collect();
+        for to in receivers.filter(|&to| !self.holds(to, rumour.revision)) {
+            add_draft(drafts, to, Purpose::Reply, []);
+        }
+        rumour.receivers = eager;
+    }
+
+    /// Whether there are more peers than one scheduler sends a change to.
+    fn is_large_cluster(&self) -> bool {
+        usize::from(self.schedulers) > FANOUT + 1
+    }
+
     /// Whether a rumour is to be sent again: it was not sent for the last time, and not all its receivers know it.
     fn is_pending(&self, rumour: &Rumour) -> bool {
         let is_unconfirmed = rumour.receivers.iter().any(|&to| !self.has_heard_of(to, rumour.revision));
@@ -401,11 +419,6 @@
     }
 }
 
-/// To how many peers a rumour with so many changes goes.
-fn fanout(changes: usize) -> usize {
-    (MAX_RUMOUR_MESSAGES / changes.div_ceil(MAX_CHANGES).max(1)).clamp(MIN_FANOUT, FANOUT)
-}
-
 /// Adds to what goes to one receiver. A purpose that asks for an answer takes precedence over a reply.
 fn add_draft(
     drafts: &mut BTreeMap<u16, Draft>,
