Test cluster: silent watches, overloaded discovery, and drains that have to be known

Cause: the checker judged drains by what discovery had written to a scheduler, so that a drain which never arrived could not be violated; and no fault silenced watches or made discovery slow. Change: faults silent-watches and discovery-overload; the rule counts a drain as known 6 s after discovery listed it, without the time in which it could not be reached; a history that violates it.

--- a/crates/daemon/tests/cluster.rs
+++ b/crates/daemon/tests/cluster.rs
@@ -128,6 +128,7 @@
     crash_in_flight "crash-in-flight"
     discovery_outage_with_crash "discovery-outage-with-crash"
     duplicate_lease_holders "duplicate-lease-holders"
+    drain_with_silent_watches "drain-with-silent-watches"
     duplicate_process "duplicate-process"
     failover_capacity_exceeded "failover-capacity-exceeded"
     failover_clients_reset "failover-clients-reset"
--- a/crates/test-cluster/src/checker/mod.rs
+++ b/crates/test-cluster/src/checker/mod.rs
@@ -5,6 +5,7 @@
 //! because their client sent a second request to another scheduler.
 
 mod availability;
+mod drains;
 mod exemption;
 mod fault_windows;
 mod observations;
@@ -47,7 +48,7 @@
 fn violations(history: &[HistoryEvent], observations: &Observations, scenario: &Scenario) -> Vec<Violation> {
     let mut violations = rules::answers(observations);
     violations.extend(rules::retries(observations, scenario));
-    violations.extend(rules::drains(history, observations));
+    violations.extend(drains::drains(history, observations));
     violations.extend(rules::slow_start(history, scenario));
     violations.extend(rules::messages(history));
     violations.extend(rules::fencing(history));
--- a/crates/test-cluster/src/checker/rules.rs
+++ b/crates/test-cluster/src/checker/rules.rs
@@ -1,18 +1,15 @@
 //! One function for each rule in [`crate::rules`], each gives the rule's violations.
 
 use super::Violation;
-use super::fault_windows::FaultWindow;
 use super::observations::{Attempt, Observations, Request};
 use super::request_outcome::{RequestOutcome, request_outcome};
 use crate::Millis;
 use crate::history::{HistoryEvent, RequestEnd};
-use crate::rules::{ANSWERS, DRAINS, FENCING, MESSAGES, RETRIES, SLOW_START};
+use crate::rules::{ANSWERS, FENCING, MESSAGES, RETRIES, SLOW_START};
 use crate::scenario::{COIN_BUY, DEDUPLICATION_WINDOW, FARM_VIEW, MARKET_SALE, Scenario};
 use brackenledge_leases::{Role, Term};
 use std::collections::{BTreeMap, HashMap};
 
-/// Time until a drain must be respected: 250 ms, the platform's 50 ms, and 200 ms for the machine.
-const DRAIN_TOLERANCE: Millis = 250.0 + 50.0 + 200.0;
 /// The load of a worker that warms up is summed over this time, and may be so many times its capacity.
 const SLOW_START_SPAN: Millis = 3_000.0;
 const SLOW_START_MULTIPLE: f64 = 4.0;
@@ -90,44 +87,6 @@
     }
 }
 
-/// No scheduler sends anything new to a worker that it knows to be draining.
-pub fn drains(history: &[HistoryEvent], observations: &Observations) -> Vec<Violation> {
-    let mut violations = Vec::new();
-    // By scheduler and worker, since when.
-    let mut announced: HashMap<(usize, usize), Millis> = HashMap::new();
-    for event in history {
-        match event {
-            HistoryEvent::DrainAnnounced { at, scheduler, worker } => {
-                announced.entry((*scheduler, *worker)).or_insert(*at);
-            }
-            HistoryEvent::WorkerReady { worker, .. } | HistoryEvent::WorkerStarted { worker, .. } => {
-                announced.retain(|key, _| key.1 != *worker);
-            }
-            HistoryEvent::AttemptReceived { at, sent_at, request, scheduler, worker, .. } => {
-                let Some(&since) = announced.get(&(*scheduler, *worker)) else { continue };
-                let known = known_since(&observations.fault_windows[*scheduler], since, *sent_at);
-                if *sent_at > known + DRAIN_TOLERANCE {
-                    let description = format!(
-                        "scheduler {scheduler} sent {request} to worker {worker} {:.0} ms after its drain was announced",
-                        sent_at - known
-                    );
-                    violations.push(Violation { rule: DRAINS, at: *at, description });
-                }
-            }
-            _ => {}
-        }
-    }
-    violations
-}
-
-/// Since when a scheduler can know of a drain: one that was paused or down at the time learns of it on its return.
-fn known_since(windows: &[FaultWindow], announced: Millis, now: Millis) -> Millis {
-    let missed = windows
-        .iter()
-        .filter(|window| window.is_process_fault() && window.from <= now && announced <= window.until);
-    missed.map(|window| window.until).fold(announced, f64::max)
-}
-
 /// Attempts that have reached a worker since its start.
 struct WarmUp {
     started_at: Millis,
--- a/crates/test-cluster/src/cluster/event_loop.rs
+++ b/crates/test-cluster/src/cluster/event_loop.rs
@@ -220,6 +220,7 @@
             Timer::Arrival(id) => context.network.advance(&mut context.runtime, id),
             Timer::Datagram { from, to, bytes } => context.deliver_datagram(from, to, &bytes),
             Timer::WorkerProgress => self.workers.handle_timeout(context),
+            Timer::DiscoveryRequest => self.discovery.serve_next(context),
             Timer::EndpointChange => self.discovery.handle_timeout(context),
             Timer::WatchKeepAlive => self.discovery.send_keep_alives(context),
             Timer::NextJob => self.clients.create_job(context),
--- a/crates/test-cluster/src/cluster/fault_injector.rs
+++ b/crates/test-cluster/src/cluster/fault_injector.rs
@@ -67,12 +67,17 @@
             | FaultAction::Restart(nodes)
             | FaultAction::Slow(nodes, _)
             | FaultAction::Failing(nodes, _) => self.apply_to_workers(action, nodes, phase),
-            FaultAction::DiscoveryOutage => self.apply_discovery_outage(phase),
+            FaultAction::DiscoveryOutage => self.apply_discovery_outage(number, phase),
+            FaultAction::SilentWatches if phase == Phase::Begin => self.discovery.silence_watches(),
+            FaultAction::SilentWatches => {}
+            FaultAction::DiscoveryOverload(requests_per_s) => {
+                self.discovery.set_capacity(&mut self.context, phase.select(Some(*requests_per_s), None));
+            }
             FaultAction::DiscoveryDelay(delay) => self.discovery.list.delay = phase.select(*delay, 0.0),
             FaultAction::StaleEndpointList => {
                 self.discovery.list.set_stale(phase == Phase::Begin);
                 if phase == Phase::End {
-                    self.discovery.send_updates(&mut self.context);
+                    self.discovery.announce_list(&mut self.context);
                 }
             }
             FaultAction::ClockSkew(offset) => self.discovery.list.clock_skew = phase.select(*offset, 0.0),
@@ -93,6 +98,7 @@
         if phase == Phase::Begin {
             let until = self.context.scenario.faults[number].until.unwrap_or(f64::INFINITY);
             self.record_cut_off_clients(links, until);
+            self.record_cut_off_from_discovery(links, until);
         }
     }
 
@@ -139,6 +145,21 @@
         }
     }
 
+    /// What discovery can't send on these links is not held against their schedulers meanwhile.
+    fn record_cut_off_from_discovery(&mut self, links: &[Link], until: Millis) {
+        let scheduler = |link: &Link| match (link.from, link.to) {
+            (Node::Discovery, Node::Scheduler(number)) | (Node::Scheduler(number), Node::Discovery) => {
+                Some(number)
+            }
+            _ => None,
+        };
+        let schedulers: BTreeSet<usize> = links.iter().filter_map(scheduler).collect();
+        let at = self.context.runtime.clock.since_start();
+        for scheduler in schedulers {
+            self.context.runtime.record(HistoryEvent::DiscoveryUnreachable { at, until, scheduler });
+        }
+    }
+
     // Processes.
 
     fn apply_to_node(&mut self, action: &FaultAction, node: Node, phase: Phase) {
@@ -192,8 +213,15 @@
     // Discovery.
 
     /// Discovery refuses connections and resets those that it has.
-    fn apply_discovery_outage(&mut self, phase: Phase) {
+    fn apply_discovery_outage(&mut self, number: usize, phase: Phase) {
         self.discovery.is_down = phase == Phase::Begin;
+        if phase == Phase::Begin {
+            let until = self.context.scenario.faults[number].until.unwrap_or(f64::INFINITY);
+            let at = self.context.runtime.clock.since_start();
+            for scheduler in 0..self.context.scenario.schedulers {
+                self.context.runtime.record(HistoryEvent::DiscoveryUnreachable { at, until, scheduler });
+            }
+        }
         self.update_listeners();
         if phase == Phase::Begin {
             self.reset_connections_of(Node::Discovery);
--- a/crates/test-cluster/src/cluster/timers.rs
+++ b/crates/test-cluster/src/cluster/timers.rs
@@ -20,6 +20,8 @@
     },
     /// A worker ends an execution.
     WorkerProgress,
+    /// Overloaded discovery answers its next request.
+    DiscoveryRequest,
     /// Discovery announces a change.
     EndpointChange,
     /// Watches get an empty line.
--- a/crates/test-cluster/src/history.rs
+++ b/crates/test-cluster/src/history.rs
@@ -79,6 +79,10 @@
     AttemptFinished { at: Millis, request: String, worker: usize, result: String },
     /// Discovery has written to a scheduler that a worker accepts nothing new.
     DrainAnnounced { at: Millis, scheduler: usize, worker: usize },
+    /// Discovery's list says from now on that a worker accepts nothing new.
+    DrainListed { at: Millis, worker: usize },
+    /// A scheduler could not reach discovery in this time.
+    DiscoveryUnreachable { at: Millis, until: Millis, scheduler: usize },
     /// The worker accepts work again.
     WorkerReady { at: Millis, worker: usize },
     /// A worker has started and is warming up.
--- a/crates/test-cluster/src/scenario/document.rs
+++ b/crates/test-cluster/src/scenario/document.rs
@@ -98,6 +98,7 @@
     pub duplicate: Option<Spanned<f64>>,
     pub reorder: Option<Spanned<f64>>,
     pub bytes_per_s: Option<Spanned<f64>>,
+    pub requests_per_s: Option<Spanned<f64>>,
     pub cut_at_byte: Option<Spanned<u64>>,
     #[serde(alias = "times")]
     pub factor: Option<Spanned<f64>>,
--- a/crates/test-cluster/src/scenario/faults.rs
+++ b/crates/test-cluster/src/scenario/faults.rs
@@ -28,6 +28,10 @@
     HalfClose(Vec<Link>),
     /// Discovery is down.
     DiscoveryOutage,
+    /// Open watches fall silent for good, once; their connections stay open.
+    SilentWatches,
+    /// Discovery answers only so many requests a second, one after another, and rejects those that have waited for long.
+    DiscoveryOverload(f64),
     /// Discovery announces changes this much later.
     DiscoveryDelay(Millis),
     /// Discovery serves its list as it was when the fault began.
@@ -143,6 +147,7 @@
     factor: f64,
     fraction: f64,
     offset: Millis,
+    requests_per_s: f64,
 }
 
 impl Amounts {
@@ -164,6 +169,7 @@
             conditions,
             factor: number("factor", &document.factor, 1.0, 0.01, 100.0),
             fraction: number("fraction", &document.fraction, 0.0, 0.0, 1.0),
+            requests_per_s: number("requests-per-s", &document.requests_per_s, 1.0, 0.01, 1_000.0),
             offset: number("offset-ms", &document.offset_ms, 0.0, -1e9, 1e9),
         }
     }
@@ -171,8 +177,8 @@
 
 const UNTIL: &str = "give until, a time in seconds";
 const UNKNOWN_KIND: &str = "no such kind: give kill, terminate, pause, duplicate-process, network, reset, half-close, \
-                            discovery-outage, discovery-delay, stale-endpoint-list, drain, restart, slow, failing, \
-                            clock-skew or burst";
+                            discovery-outage, discovery-overload, discovery-delay, silent-watches, \
+                            stale-endpoint-list, drain, restart, slow, failing, clock-skew or burst";
 
 /// What has been read of a fault, before it is checked for completeness.
 struct FaultReader<'a> {
@@ -244,6 +250,12 @@
         let document = self.document;
         match kind {
             "discovery-outage" | "outage" => self.require_until(FaultAction::DiscoveryOutage),
+            "silent-watches" => Ok(FaultAction::SilentWatches),
+            "discovery-overload" if document.requests_per_s.is_none() => Err("give requests-per-s"),
+            "discovery-overload" => {
+                let overload = FaultAction::DiscoveryOverload(self.amounts.requests_per_s);
+                self.require_until(overload)
+            }
             "stale-endpoint-list" | "stale" => self.require_until(FaultAction::StaleEndpointList),
             "discovery-delay" | "lag" if document.delay_ms.is_none() => Err("give delay-ms"),
             "discovery-delay" | "lag" => Ok(FaultAction::DiscoveryDelay(self.amounts.conditions.delay)),
--- a/crates/test-cluster/src/stand_ins/discovery.rs
+++ b/crates/test-cluster/src/stand_ins/discovery.rs
@@ -123,6 +123,12 @@
         self.stale.as_ref().unwrap_or(&self.current)
     }
 
+    /// Workers that accept nothing new by the list that is served now.
+    pub fn closed_workers(&self) -> impl Iterator<Item = usize> + '_ {
+        let entries = self.served().entries.iter().enumerate();
+        entries.filter(|(_, entry)| entry.status != EndpointStatus::Ready).map(|(worker, _)| worker)
+    }
+
     /// The revision that is served now.
     pub fn revision(&self) -> u64 {
         self.served().revision
--- a/crates/test-cluster/src/stand_ins/http.rs
+++ b/crates/test-cluster/src/stand_ins/http.rs
@@ -18,6 +18,8 @@
 /// The response to an attempt that is returned without being executed.
 pub const NEVER_RAN: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
+/// The response of overloaded discovery.
+pub const UNAVAILABLE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 /// The response to an attempt that fails before anything was sent of its result.
 pub const SERVER_ERROR: &[u8] = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
 /// The front proxy's health check.
--- a/crates/test-cluster/tests/checker.rs
+++ b/crates/test-cluster/tests/checker.rs
@@ -291,6 +291,32 @@
     assert_eq!(violated(&again), [""; 0], "it takes work again");
 }
 
+#[test]
+fn a_drain_that_discovery_lists_counts_as_known_after_6_s_though_it_was_never_announced() {
+    let listed = HistoryEvent::DrainListed { at: 0.0, worker: 1 };
+    let sent_at = |at| {
+        join(vec![
+            vec![listed.clone()],
+            sent(VIEW, 0, "a", at),
+            executed("a", 1, at),
+            vec![served("a", 1, at + 110.0)],
+        ])
+    };
+    assert_eq!(violated(&sent_at(6_400.0)), [""; 0]);
+    assert_eq!(violated(&sent_at(6_600.0)), ["drains"]);
+    let with = |event: HistoryEvent| {
+        let mut history = sent_at(6_600.0);
+        history.insert(1, event);
+        violated(&history)
+    };
+    let unreachable = |at, until| HistoryEvent::DiscoveryUnreachable { at, until, scheduler: 0 };
+    assert_eq!(with(unreachable(0.0, 1_000.0)), [""; 0], "it counts from discovery's return on");
+    assert_eq!(with(unreachable(0.0, 50.0)), ["drains"]);
+    let of_another = HistoryEvent::DiscoveryUnreachable { at: 0.0, until: 5_000.0, scheduler: 1 };
+    assert_eq!(with(of_another), ["drains"]);
+    assert_eq!(with(HistoryEvent::WorkerReady { at: 10.0, worker: 1 }), [""; 0], "it takes work again");
+}
+
 #[test]
 fn an_overload_of_a_worker_that_warms_up_is_a_violation() {
     let overload = |every: f64| {
