Gossip: one announcement for each revision, no news of new endpoints, delta replies

Cause: announcements went out once for each message of a revision, pulls of schedulers that lack a little brought everything, and in large clusters half of each rumour told of new endpoints, which no scheduler may use before its own list names them. Pulls also brought withdrawals of the former count of revisions after discovery had restarted it; a test failed for it on the way. A pull or its reply may be lost: a pull for a revision heard of is repeated until it is answered. Change: as the title says; messages of the former count are ignored for 30 s.

--- a/crates/discovery/src/anti_entropy.rs
+++ b/crates/discovery/src/anti_entropy.rs
@@ -10,23 +10,22 @@
 use fastrand::Rng;
 
 /// Between two pulls while no watch works. Several fit into the 6 s after which a change counts as received.
-const PULL_INTERVAL_WITHOUT_WATCH: Millis = 1_000.0;
+const PULL_INTERVAL_WITHOUT_WATCH: Millis = 700.0;
 /// The same while a watch works.
 const PULL_INTERVAL: Millis = 4_000.0;
 /// Between hearing of a revision and the pull for it: the own watch, or the rest of the rumour, may bring it meanwhile.
 const PULL_DELAY: Millis = 300.0;
+/// Pulls for one revision at most: the peer may be gone.
+const MAX_PULLS: u32 = 15;
 /// Times vary by this much to both sides, lest all schedulers pull at once.
 const JITTER: f64 = 0.25;
-/// Peers that are asked at a time while no watch works: one may have just restarted, and know nothing.
-const PEERS_WITHOUT_WATCH: usize = 2;
-
 /// Whom to ask.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PullFrom {
     /// This peer.
     Peer(u16),
-    /// So many peers at random.
-    Random(usize),
+    /// Any other scheduler.
+    Any,
 }
 
 /// A revision that a peer has mentioned and the own list does not hold.
@@ -34,6 +33,8 @@
     peer: u16,
     revision: u64,
     pull_at: Millis,
+    /// Pulls from the peer so far: a pull or its reply may be lost.
+    pulls: u32,
 }
 
 /// One scheduler's schedule of pulls.
@@ -70,7 +71,15 @@
         }
         // A further revision does not put the pull off.
         let pull_at = self.heard_of.as_ref().map_or(now + PULL_DELAY * jitter(rng), |heard| heard.pull_at);
-        self.heard_of = Some(HeardOf { peer, revision, pull_at });
+        self.heard_of = Some(HeardOf { peer, revision, pull_at, pulls: 0 });
+    }
+
+    /// A peer has replied, and has heard of this revision.
+    pub(crate) fn on_reply(&mut self, peer: u16, known: u64) {
+        let answered = |heard: &mut HeardOf| heard.peer == peer && heard.pulls > 0 && known >= heard.revision;
+        if let Some(heard) = self.heard_of.take_if(answered) {
+            self.pulled_revision = heard.revision;
+        }
     }
 
     /// Discovery has restarted its count of revisions: what was heard of before says nothing any more.
@@ -90,17 +99,20 @@
         held: u64,
         rng: &mut Rng,
     ) -> Option<PullFrom> {
-        if let Some(heard) = self.heard_of.take_if(|heard| now >= heard.pull_at) {
+        if let Some(heard) = self.heard_of.take_if(|heard| heard.revision <= held || heard.pulls >= MAX_PULLS)
+        {
             self.pulled_revision = heard.revision;
-            if heard.revision > held {
-                return Some(PullFrom::Peer(heard.peer));
-            }
+        }
+        if let Some(heard) = self.heard_of.as_mut().filter(|heard| now >= heard.pull_at) {
+            heard.pulls += 1;
+            heard.pull_at = now + PULL_DELAY * jitter(rng);
+            return Some(PullFrom::Peer(heard.peer));
         }
         if now < self.next_pull_at {
             return None;
         }
         self.next_pull_at = now + interval(freshness) * jitter(rng);
-        Some(PullFrom::Random(if freshness == Freshness::Fresh { 1 } else { PEERS_WITHOUT_WATCH }))
+        Some(PullFrom::Any)
     }
 }
 
--- a/crates/discovery/src/directory.rs
+++ b/crates/discovery/src/directory.rs
@@ -248,11 +248,12 @@
 
     /// Discovery has restarted and counts its revisions from anew.
     fn restart_revisions(&mut self, now: Millis, update: &ListUpdate) {
+        let held = self.table.revision().unwrap_or(0);
         self.event(Event::RevisionsRestarted { revision: update.revision });
         self.table.restart_revisions();
         self.anti_entropy.restart_revisions();
         if let Some(gossip) = &mut self.gossip {
-            gossip.restart_revisions();
+            gossip.restart_revisions(now, held);
         }
         if !update.is_snapshot {
             self.client.request_poll(now);
@@ -299,6 +300,9 @@
         let Some(gossip) = &mut self.gossip else { return true };
         let Ok(received) = gossip.handle_message(now, from, text, held) else { return true };
         let known = received.known_revision;
+        if received.is_reply {
+            self.anti_entropy.on_reply(from, known);
+        }
         self.anti_entropy.on_revision_heard_of(now, from, known, held, &mut self.anti_entropy_rng);
         self.take_in_gossip(now, from, &received);
         if self.list_received {
@@ -424,7 +428,7 @@
         let rng = &mut self.anti_entropy_rng;
         match self.anti_entropy.take_due(now, self.freshness, held, rng) {
             Some(PullFrom::Peer(peer)) => gossip.pull_from(peer),
-            Some(PullFrom::Random(count)) => gossip.pull_from_random(count, rng),
+            Some(PullFrom::Any) => gossip.pull_from_random(1, rng),
             None => {}
         }
         for message in gossip.due_messages(now, held, &mut self.rng) {
--- a/crates/discovery/src/gossip.rs
+++ b/crates/discovery/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Gossip between schedulers on changes of the endpoint list, so that one scheduler's open watch serves all.
 //!
 //! In a small cluster a scheduler sends each change to all others. In a larger one, each scheduler to which a change is
-//! new passes it on to two others at random, and its revision to six more (rumour mongering, Demers et al., "Epidemic algorithms for replicated
+//! new passes it on to two others at random, and its revision to three more (rumour mongering, Demers et al., "Epidemic algorithms for replicated
 //! database maintenance", 1987). A peer whose reply shows that it has heard of the revision gets no further message;
 //! others are sent the rumour again, a few times, within a budget of bytes.
 //!
@@ -38,13 +38,16 @@
 const PUSH_RETRY_INTERVALS: [Millis; 4] = [120.0, 250.0, 500.0, 1_000.0];
 /// Pauses before the pulls after a start, until a message of any peer comes.
 const PULL_INTERVALS: [Millis; 3] = [0.0, 300.0, 1_200.0];
-/// To how many of these a large cluster's schedulers send the change itself. The others are sent the revision alone, and pull
-/// the change unless it reaches them otherwise (lazy push, as in Leitao et al., "Epidemic broadcast trees", 2007).
+/// In a large cluster a change is sent to so many peers, and its revision alone to so many more, who pull the change unless it
+/// reaches them otherwise (lazy push, as in Leitao et al., "Epidemic broadcast trees", 2007).
 const EAGER_FANOUT: usize = 2;
+const LAZY_FANOUT: usize = 3;
+/// After discovery has restarted its count of revisions, some peers go on by the old count for a while.
+const FORMER_COUNT_TIMEOUT: Millis = 30_000.0;
 /// Refill rate of the byte budget. It bounds what a fault can cost, and is far above what is usual.
-const BYTES_PER_MILLI: f64 = 4.096;
+const BYTES_PER_MILLI: f64 = 16.384;
 /// Capacity of the byte budget.
-const MAX_SAVED_BYTES: f64 = 32_768.0;
+const MAX_SAVED_BYTES: f64 = 65_536.0;
 /// The pause before a rumour is sent again varies by this much to both sides.
 const RETRY_JITTER: f64 = 0.25;
 
@@ -52,6 +55,8 @@
 pub(crate) struct ReceivedGossip {
     /// Its changes that were not known, and are newer than the list held.
     pub(crate) news: Vec<EndpointChange>,
+    /// It is a reply.
+    pub(crate) is_reply: bool,
     /// The revision that the peer holds.
     pub(crate) held_revision: u64,
     /// The newest revision that the peer has heard of.
@@ -82,11 +87,22 @@
     known: u64,
 }
 
+/// The count of revisions before discovery restarted it.
+#[derive(Clone, Copy)]
+struct FormerCount {
+    /// The revision held then: what names it or a newer one goes by the old count.
+    revision: u64,
+    /// Until when that is assumed.
+    until: Millis,
+}
+
 /// What a peer that pulls has stated of its knowledge.
 #[derive(Clone, Copy)]
 struct PullState {
     /// The revision of its own list.
     held: u64,
+    /// The newest revision that it has heard of.
+    known: u64,
     /// A digest of the changes beyond it that it knows.
     digest: u64,
 }
@@ -113,6 +129,9 @@
     /// The newest revision heard of here, from the list or by gossip.
     known_revision: u64,
     rumours: Vec<Rumour>,
+    /// The newest revision that was announced to some peers.
+    announced_revision: u64,
+    former_count: Option<FormerCount>,
     recent: RecentChanges,
     /// Replies that are due, by receiver.
     replies: BTreeMap<u16, Reply>,
@@ -131,6 +150,8 @@
             peer_revisions: BTreeMap::new(),
             known_revision: 0,
             rumours: Vec::new(),
+            announced_revision: 0,
+            former_count: None,
             recent: RecentChanges::default(),
             replies: BTreeMap::new(),
             pulls: Vec::new(),
@@ -143,16 +164,22 @@
     /// The list held has changed, or another revision of it has been confirmed.
     pub(crate) fn on_list_change(&mut self, now: Millis, revision: u64, changes: &[EndpointChange]) {
         self.known_revision = self.known_revision.max(revision);
-        for &change in changes {
+        let told: Vec<EndpointChange> =
+            changes.iter().copied().filter(|change| self.is_worth_telling(change)).collect();
+        for &change in &told {
             self.recent.remember(now, ReportedChange { reporter: self.ordinal, change });
         }
         self.recent.expire(now);
-        self.spread(now, revision, changes);
+        if !changes.is_empty() {
+            self.spread(now, revision, told);
+        }
     }
 
     /// Discovery has restarted its count of revisions: what is known of the old one says nothing any more.
-    pub(crate) fn restart_revisions(&mut self) {
-        self.known_revision = 0;
+    pub(crate) fn restart_revisions(&mut self, now: Millis, former_revision: u64) {
+        let until = now + FORMER_COUNT_TIMEOUT;
+        self.former_count = Some(FormerCount { revision: former_revision, until });
+        (self.known_revision, self.announced_revision) = (0, 0);
         self.peer_revisions = BTreeMap::new();
         self.recent.clear();
     }
@@ -171,13 +198,20 @@
         }
         let Message { purpose, held_revision: peer_held, known_revision: peer_known, .. } = message;
         let known = peer_held.max(peer_known);
+        let is_of_former_count = |former: FormerCount| {
+            now < former.until && held_revision < former.revision && known >= former.revision
+        };
+        if self.former_count.is_some_and(is_of_former_count) {
+            return Err(MessageError::FormerCount);
+        }
         self.peer_revisions.insert(from, PeerRevisions { held: peer_held, known });
         let digest = message.take_digest();
         let news = self.learn_changes(now, from, &message, held_revision);
         // Any message ends the pulls after a start.
         self.pulls_sent = PULL_INTERVALS.len();
-        self.schedule_reply(from, purpose, PullState { held: peer_held, digest });
-        Ok(ReceivedGossip { news, held_revision: peer_held, known_revision: known })
+        self.schedule_reply(from, purpose, PullState { held: peer_held, known, digest });
+        let is_reply = purpose == Purpose::Reply;
+        Ok(ReceivedGossip { news, is_reply, held_revision: peer_held, known_revision: known })
     }
 
     /// Remembers those of a peer's changes that the own list does not hold, and in a large cluster passes on what is news.
@@ -191,8 +225,11 @@
         held_revision: u64,
     ) -> Vec<EndpointChange> {
         let mut news = Vec::new();
-        for &change in message.changes.iter().filter(|change| change.revision > held_revision) {
-            if self.recent.remember(now, ReportedChange { reporter: from, change }) == Novelty::News {
+        let newer = message.changes.iter().filter(|change| change.revision > held_revision);
+        for &change in newer {
+            if self.is_worth_telling(&change)
+                && self.recent.remember(now, ReportedChange { reporter: from, change }) == Novelty::News
+            {
                 news.push(change);
             }
         }
@@ -200,11 +237,20 @@
         let newest = news.iter().map(|change| change.revision).max().unwrap_or(0);
         self.known_revision = self.known_revision.max(newest);
         if message.purpose == Purpose::Push && self.is_large_cluster() {
-            self.spread(now, newest, &news);
+            self.spread(now, newest, news.clone());
         }
         news
     }
 
+    /// Whether other schedulers have any use for a change. That an endpoint is ready they learn from their own lists only. It
+    /// matters where it supersedes a withdrawal; and in a small cluster, where it costs little, it brings the revision.
+    fn is_worth_telling(&self, change: &EndpointChange) -> bool {
+        let is_withdrawn = |known: ReportedChange| known.change.readiness != Readiness::Ready;
+        !self.is_large_cluster()
+            || change.readiness != Readiness::Ready
+            || self.recent.get(change.tag).is_some_and(is_withdrawn)
+    }
+
     /// Schedules the reply that a message of this purpose asks for. The one to a pull serves as the one to a push too.
     fn schedule_reply(&mut self, to: u16, purpose: Purpose, state: PullState) {
         match purpose {
@@ -260,14 +306,14 @@
         self.keep_within_budget(messages)
     }
 
-    /// Starts a rumour. A revision that changed nothing needs none: the next message states that it is held.
-    fn spread(&mut self, now: Millis, revision: u64, changes: &[EndpointChange]) {
-        if changes.is_empty() {
+    /// Starts a rumour. One without changes brings the revision alone.
+    fn spread(&mut self, now: Millis, revision: u64, changes: Vec<EndpointChange>) {
+        if changes.is_empty() && !self.is_large_cluster() {
             return;
         }
         self.rumours.push(Rumour {
             revision,
-            changes: changes.to_vec(),
+            changes,
             times_sent: 0,
             next_send_at: now,
             receivers: Vec::new(),
@@ -298,15 +344,23 @@
     fn draft_replies(&mut self, drafts: &mut BTreeMap<u16, Draft>) {
         for (to, reply) in std::mem::take(&mut self.replies) {
             let changes: Vec<EndpointChange> = match reply {
-                Reply::RecentChanges(PullState { held, digest }) if digest != self.recent.digest(held) => {
-                    self.recent.newer_than(held).collect()
-                }
-                Reply::RecentChanges(_) | Reply::Acknowledgement => Vec::new(),
+                Reply::RecentChanges(state) => self.changes_for(state),
+                Reply::Acknowledgement => Vec::new(),
             };
             add_draft(drafts, to, Purpose::Reply, changes);
         }
     }
 
+    /// The changes that a peer in this state may lack. If it has not heard of our newest revision, it is sent what it has not
+    /// heard of; whether it lacks some of the rest shows in its next pull.
+    fn changes_for(&self, PullState { held, known, digest }: PullState) -> Vec<EndpointChange> {
+        if digest == self.recent.digest(held) {
+            return Vec::new();
+        }
+        let since = if known < self.known_revision { known } else { held };
+        self.recent.newer_than(since).collect()
+    }
+
     fn draft_pushes(&mut self, now: Millis, rng: &mut Rng, drafts: &mut BTreeMap<u16, Draft>) {
         let mut rumours = std::mem::take(&mut self.rumours);
         for rumour in rumours.iter_mut().filter(|rumour| now >= rumour.next_send_at) {
@@ -333,17 +387,20 @@
         self.rumours = rumours;
     }
 
-    /// In a large cluster, leaves a rumour few receivers, and sends the others its revision alone.
-    fn announce(&self, rumour: &mut Rumour, drafts: &mut BTreeMap<u16, Draft>) {
+    /// In a large cluster, leaves a rumour few receivers, and sends a few others its revision alone, once for each revision.
+    fn announce(&mut self, rumour: &mut Rumour, drafts: &mut BTreeMap<u16, Draft>) {
         if !self.is_large_cluster() {
             return;
         }
-        let mut receivers = rumour.receivers.iter().copied();
-        let eager = receivers.by_ref().take(EAGER_FANOUT).collect();
-        for to in receivers.filter(|&to| !self.holds(to, rumour.revision)) {
+        let eager = if rumour.changes.is_empty() { 0 } else { EAGER_FANOUT };
+        let lazy = rumour.receivers.split_off(eager);
+        if rumour.revision <= self.announced_revision {
+            return;
+        }
+        self.announced_revision = rumour.revision;
+        for to in lazy.into_iter().take(LAZY_FANOUT).filter(|&to| !self.holds(to, rumour.revision)) {
             add_draft(drafts, to, Purpose::Reply, []);
         }
-        rumour.receivers = eager;
     }
 
     /// Whether there are more peers than one scheduler sends a change to.
--- a/crates/discovery/src/gossip/message.rs
+++ b/crates/discovery/src/gossip/message.rs
@@ -87,6 +87,8 @@
     Revision,
     #[error("it names this scheduler as its sender")]
     OwnMessage,
+    #[error("it goes by the revisions of before discovery's restart")]
+    FormerCount,
 }
 
 /// A gossip message.
