--- a/crates/discovery/src/gossip.rs
+++ b/crates/discovery/src/gossip.rs
@@ -16,6 +16,7 @@
 //! | reply | revisions held and heard of; also unasked, where a change is news in a large cluster | nothing |
 
 mod message;
+mod outbox;
 mod recent_changes;
 #[cfg(test)]
 mod tests;
@@ -23,13 +24,12 @@
 pub(crate) use message::{EndpointChange, MessageError, is_gossip, name_tag};
 pub(crate) use recent_changes::ReportedChange;
 
-use crate::token_bucket::TokenBucket;
 use brackenledge_policy::{Millis, Readiness};
 use fastrand::Rng;
-use message::{MAX_CHANGES, Message, Purpose};
+use message::{Message, Purpose};
+use outbox::{ByteBudget, Drafts, OutgoingMessage, StatedRevisions};
 use recent_changes::{Novelty, RecentChanges};
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 /// Most peers that one scheduler sends a change to. In a cluster of one scheduler more all are reached directly.
@@ -44,10 +44,6 @@
 const LAZY_FANOUT: usize = 3;
 /// After discovery has restarted its count of revisions, some peers go on by the old count for a while.
 const FORMER_COUNT_TIMEOUT: Millis = 30_000.0;
-/// Refill rate of the byte budget. It bounds what a fault can cost, and is far above what is usual.
-const BYTES_PER_MILLI: f64 = 16.384;
-/// Capacity of the byte budget.
-const MAX_SAVED_BYTES: f64 = 65_536.0;
 /// The pause before a rumour is sent again varies by this much to both sides.
 const RETRY_JITTER: f64 = 0.25;
 
@@ -63,12 +59,6 @@
     pub(crate) known_revision: u64,
 }
 
-/// A message to send.
-pub(crate) struct OutgoingMessage {
-    pub(crate) to: u16,
-    pub(crate) text: String,
-}
-
 /// Changes of one revision that are being spread.
 struct Rumour {
     revision: u64,
@@ -115,12 +105,6 @@
     RecentChanges(PullState),
 }
 
-/// What goes to one receiver, before it is split into messages.
-struct Draft {
-    purpose: Purpose,
-    changes: Vec<EndpointChange>,
-}
-
 /// One scheduler's part in the gossip.
 pub(crate) struct Gossip {
     ordinal: u16,
@@ -139,7 +123,7 @@
     pulls: Vec<u16>,
     pulls_sent: usize,
     next_pull_at: Millis,
-    byte_budget: TokenBucket,
+    byte_budget: ByteBudget,
 }
 
 impl Gossip {
@@ -157,7 +141,7 @@
             pulls: Vec::new(),
             pulls_sent: 0,
             next_pull_at: now,
-            byte_budget: TokenBucket::new(now, MAX_SAVED_BYTES, BYTES_PER_MILLI),
+            byte_budget: ByteBudget::new(now),
         }
     }
 
@@ -296,14 +280,14 @@
         held_revision: u64,
         rng: &mut Rng,
     ) -> Vec<OutgoingMessage> {
-        self.byte_budget.refill(now);
         self.schedule_start_pulls(now, rng);
-        let mut drafts: BTreeMap<u16, Draft> = BTreeMap::new();
+        let mut drafts = Drafts::default();
         self.draft_replies(&mut drafts);
         self.draft_pushes(now, rng, &mut drafts);
         let mut messages = self.encode_pulls(held_revision);
-        messages.extend(self.encode_drafts(drafts, held_revision));
-        self.keep_within_budget(messages)
+        let revisions = StatedRevisions { held: held_revision, known: self.known_revision };
+        messages.extend(drafts.encode(self.ordinal, revisions));
+        self.byte_budget.limit(now, messages)
     }
 
     /// Starts a rumour. One without changes brings the revision alone.
@@ -341,13 +325,13 @@
         pulls.into_iter().map(|to| OutgoingMessage { to, text: text.clone() }).collect()
     }
 
-    fn draft_replies(&mut self, drafts: &mut BTreeMap<u16, Draft>) {
+    fn draft_replies(&mut self, drafts: &mut Drafts) {
         for (to, reply) in std::mem::take(&mut self.replies) {
             let changes: Vec<EndpointChange> = match reply {
                 Reply::RecentChanges(state) => self.changes_for(state),
                 Reply::Acknowledgement => Vec::new(),
             };
-            add_draft(drafts, to, Purpose::Reply, changes);
+            drafts.add(to, Purpose::Reply, changes);
         }
     }
 
@@ -361,7 +345,7 @@
         self.recent.newer_than(since).collect()
     }
 
-    fn draft_pushes(&mut self, now: Millis, rng: &mut Rng, drafts: &mut BTreeMap<u16, Draft>) {
+    fn draft_pushes(&mut self, now: Millis, rng: &mut Rng, drafts: &mut Drafts) {
         let mut rumours = std::mem::take(&mut self.rumours);
         for rumour in rumours.iter_mut().filter(|rumour| now >= rumour.next_send_at) {
             let is_first_time = rumour.times_sent == 0;
@@ -380,7 +364,7 @@
                 false => !self.has_heard_of(to, rumour.revision),
             };
             for &to in rumour.receivers.iter().filter(|&&to| may_lack(to)) {
-                add_draft(drafts, to, Purpose::Push, rumour.changes.iter().copied());
+                drafts.add(to, Purpose::Push, rumour.changes.iter().copied());
             }
         }
         rumours.retain(|rumour| self.is_pending(rumour));
@@ -388,7 +372,7 @@
     }
 
     /// In a large cluster, leaves a rumour few receivers, and sends a few others its revision alone, once for each revision.
-    fn announce(&mut self, rumour: &mut Rumour, drafts: &mut BTreeMap<u16, Draft>) {
+    fn announce(&mut self, rumour: &mut Rumour, drafts: &mut Drafts) {
         if !self.is_large_cluster() {
             return;
         }
@@ -399,7 +383,7 @@
         }
         self.announced_revision = rumour.revision;
         for to in lazy.into_iter().take(LAZY_FANOUT).filter(|&to| !self.holds(to, rumour.revision)) {
-            add_draft(drafts, to, Purpose::Reply, []);
+            drafts.add(to, Purpose::Reply, []);
         }
     }
 
@@ -424,47 +408,6 @@
         self.peer_revisions.get(&peer).is_some_and(|known| known.known >= revision)
     }
 
-    /// Encodes the drafts. All receivers' first messages come first, and of receivers those whose ordinals follow the own
-    /// one: the byte budget may not pay for all, and must not pass over the same schedulers each time.
-    fn encode_drafts(&self, drafts: BTreeMap<u16, Draft>, held_revision: u64) -> Vec<OutgoingMessage> {
-        let mut messages = Vec::new();
-        for (to, draft) in drafts {
-            let distance = (to + self.schedulers - self.ordinal) % self.schedulers;
-            for (part, text) in self.encode_draft(draft, held_revision).into_iter().enumerate() {
-                messages.push(((part, distance), OutgoingMessage { to, text }));
-            }
-        }
-        messages.sort_by_key(|(order, _)| *order);
-        messages.into_iter().map(|(_, message)| message).collect()
-    }
-
-    /// Drops the messages that the byte budget does not pay for.
-    fn keep_within_budget(&mut self, messages: Vec<OutgoingMessage>) -> Vec<OutgoingMessage> {
-        let mut kept = Vec::new();
-        for message in messages {
-            let bytes = message.text.len() as f64;
-            if self.byte_budget.tokens() >= bytes {
-                self.byte_budget.take(bytes);
-                kept.push(message);
-            }
-        }
-        kept
-    }
-
-    /// Splits a draft into messages. Changes that take an endpoint out of use come first, and of each kind the newest,
-    /// since the byte budget may not pay for all messages.
-    fn encode_draft(&self, mut draft: Draft, held_revision: u64) -> Vec<String> {
-        draft.changes.sort_by_key(|change| (change.readiness == Readiness::Ready, Reverse(change.revision)));
-        let encode = |changes: &[EndpointChange]| {
-            let (purpose, known_revision) = (draft.purpose, self.known_revision);
-            Message { purpose, held_revision, known_revision, changes: changes.to_vec() }.encode()
-        };
-        if draft.changes.is_empty() {
-            return vec![encode(&[])];
-        }
-        draft.changes.chunks(MAX_CHANGES).map(encode).collect()
-    }
-
     /// So many peers at random, or all where there are no more than [`FANOUT`] and that many are asked for.
     fn random_peers(&self, count: usize, rng: &mut Rng) -> Vec<u16> {
         let mut peers: Vec<u16> = (0..self.schedulers).filter(|&peer| peer != self.ordinal).collect();
@@ -475,17 +418,3 @@
         peers
     }
 }
-
-/// Adds to what goes to one receiver. A purpose that asks for an answer takes precedence over a reply.
-fn add_draft(
-    drafts: &mut BTreeMap<u16, Draft>,
-    to: u16,
-    purpose: Purpose,
-    changes: impl IntoIterator<Item = EndpointChange>,
-) {
-    let draft = drafts.entry(to).or_insert(Draft { purpose, changes: Vec::new() });
-    if purpose != Purpose::Reply {
-        draft.purpose = purpose;
-    }
-    draft.changes.extend(changes);
-}
--- a/crates/discovery/src/gossip/tests.rs
+++ b/crates/discovery/src/gossip/tests.rs
@@ -1,4 +1,4 @@
-use super::message::MAX_MESSAGE_BYTES;
+use super::message::{MAX_CHANGES, MAX_MESSAGE_BYTES};
 use super::*;
 
 fn change(tag: u64, readiness: Readiness, revision: u64) -> EndpointChange {
