--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -408,12 +408,14 @@
 /// A client's connection to one scheduler.
 pub struct Client {
     pub address: SocketAddr,
+    /// Whether the last job was sent once more, as its connection had ended.
+    pub resent: bool,
     stream: Option<BufReader<TcpStream>>,
 }
 
 impl Client {
     pub fn new(address: SocketAddr) -> Client {
-        Client { address, stream: None }
+        Client { address, resent: false, stream: None }
     }
 
     /// Writes a request on the kept connection or a new one.
@@ -462,6 +464,7 @@
     /// Sends a job and waits for its answer. If a kept connection ends without an answer, as a close may cross
     /// the request, the request is sent once more on a new connection.
     pub fn ask(&mut self, ask: &Ask) -> Answer {
+        self.resent = false;
         let kept = match self.send(ask) {
             Ok(kept) => kept,
             Err(_) if self.stream.is_some() => {
@@ -480,6 +483,7 @@
             }
         }
         rec(format!("client sends id={} once more", ask.id));
+        self.resent = true;
         match self.send(ask) {
             Ok(_) => self.receive(ask.id),
             Err(_) => Answer::Lost,
