--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -245,6 +245,16 @@
     Break(u64),
 }
 
+/// Names of workers that hang: they start and end nothing, and answer nothing, while they are listed here.
+pub static HANGING: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+fn hangs(name: &str) -> bool {
+    HANGING.lock().unwrap().iter().any(|other| other == name)
+}
+
+/// The jobs that workers have run: when, and where.
+pub static RAN: Mutex<Vec<(String, f64, String)>> = Mutex::new(Vec::new());
+
 pub struct Job {
     pub id: String,
     pub class: String,
@@ -350,7 +360,7 @@
         // It waits for a free slot, and is dropped if its connection ends meanwhile.
         let mut running = state.running.lock().unwrap();
         let mut dropped = false;
-        while *running >= state.slots && !dropped {
+        while (*running >= state.slots || hangs(&state.name)) && !dropped {
             running = state.freed.wait_timeout(running, ms(20)).unwrap().0;
             dropped = is_closed(&output);
         }
@@ -363,11 +373,15 @@
         *running += 1;
         drop(running);
         rec(format!("worker {name} ran id={id} class={class} key={key}"));
+        RAN.lock().unwrap().push((id.clone(), now(), name.clone()));
         let line = |text: String| chunk(&format!("{{\"id\":\"{id}\",\"from\":\"{name}\",{text}}}\n"));
         write!(output, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         write!(output, "{}", line(r#""state":"started""#.into()))?;
         let (Deed::Run(time) | Deed::Lose(time) | Deed::Break(time)) = deed else { unreachable!() };
         sleep(ms(time));
+        while hangs(&state.name) && !over() {
+            sleep(ms(5));
+        }
         *state.running.lock().unwrap() -= 1;
         state.freed.notify_all();
         let held = state.held.fetch_sub(1, Ordering::SeqCst) - 1;
