Review cases 6 and 9: show that what gets no answer was read

Cause: a close that crosses unread requests is allowed, so the cases have to tell the two apart. Change: the kernel's table is asked for unread bytes at the scheduler's end; requests that are unread don't count.

--- a/review/stand-ins-2/stand_ins.rs
+++ b/review/stand-ins-2/stand_ins.rs
@@ -402,6 +402,8 @@
     deed: Arc<dyn Fn(&Request) -> Deed + Send + Sync>,
     held: Arc<AtomicU64>,
     slots: u64,
+    stopped: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Worker {
@@ -420,17 +422,33 @@
             deed: Arc::new(deed),
             held: Arc::default(),
             slots,
+            stopped: Arc::default(),
+            streams: Arc::default(),
         };
         let shared = worker.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if shared.stopped.load(Ordering::SeqCst) {
+                    return;
+                }
                 let shared = shared.clone();
+                shared.streams.lock().unwrap().extend(stream.try_clone());
                 thread::spawn(move || shared.serve(stream));
             }
         });
         worker
     }
 
+    /// Ends the worker: its connections end, and new ones are refused.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        self.record.line(&format!("worker {} has ended", self.name));
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Some(head) = read_head(&mut stream) {
@@ -566,6 +584,13 @@
         self.stream.write_all(bytes).is_ok()
     }
 
+    /// Whether the scheduler has read all that was sent to it, as far as the kernel knows of the connection.
+    pub fn is_all_read(&self, scheduler: SocketAddr, record: &Record) -> bool {
+        let unread = self.stream.local_addr().ok().and_then(|own| unread_bytes(scheduler, own));
+        record.line(&format!("bytes that the scheduler has not read on this connection: {unread:?}"));
+        unread.is_none_or(|bytes| bytes == 0)
+    }
+
     /// Reads the next answer.
     pub fn read_answer(&mut self, within: Duration) -> End {
         let until = Instant::now() + within;
@@ -605,6 +630,23 @@
     }
 }
 
+/// How many bytes the process behind `server` has not read yet on its connection with `client`, by the kernel's
+/// table; `None` if the connection is gone.
+pub fn unread_bytes(server: SocketAddr, client: SocketAddr) -> Option<u64> {
+    let text = |address: SocketAddr| match address {
+        SocketAddr::V4(v4) => format!("{:08X}:{:04X}", u32::from_le_bytes(v4.ip().octets()), v4.port()),
+        SocketAddr::V6(_) => String::new(),
+    };
+    let (local, remote) = (text(server), text(client));
+    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    table.lines().find_map(|line| {
+        let mut fields = line.split_whitespace().skip(1);
+        let is_it = fields.next() == Some(&local) && fields.next() == Some(&remote);
+        let queues = fields.nth(1).filter(|_| is_it)?;
+        u64::from_str_radix(queues.split(':').nth(1)?, 16).ok()
+    })
+}
+
 /// A job's request, with a body of this length.
 pub fn job(class: &str, id: &str, expires_in: u64, body: usize) -> Vec<u8> {
     let key = if class == "coin-buy" { format!("Idempotency-Key: key-{id}\r\n") } else { String::new() };
