--- a/review/stand-ins-2/stand_ins.rs
+++ b/review/stand-ins-2/stand_ins.rs
@@ -647,12 +647,17 @@
     })
 }
 
-/// A job's request, with a body of this length.
+/// A job's request at the first deployment, with a body of this length.
 pub fn job(class: &str, id: &str, expires_in: u64, body: usize) -> Vec<u8> {
+    job_of("karoo-play", class, id, expires_in, body)
+}
+
+/// A tenant's request, with a body of this length.
+pub fn job_of(tenant: &str, class: &str, id: &str, expires_in: u64, body: usize) -> Vec<u8> {
     let key = if class == "coin-buy" { format!("Idempotency-Key: key-{id}\r\n") } else { String::new() };
     let mut request = format!(
         "POST /{class}/{id} HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\n\
-         X-Customer: karoo-play\r\nX-Expires-In-Ms: {expires_in}\r\n{key}Content-Length: {body}\r\n\r\n"
+         X-Customer: {tenant}\r\nX-Expires-In-Ms: {expires_in}\r\n{key}Content-Length: {body}\r\n\r\n"
     )
     .into_bytes();
     request.extend(std::iter::repeat(b'x').take(body));
@@ -706,6 +711,28 @@
     )
 }
 
+/// A scheduler's configuration at the second deployment: no messages between schedulers, reports by probes only.
+pub fn configuration_without_peers(listen: SocketAddr, control: SocketAddr, discovery: SocketAddr) -> String {
+    format!(
+        r#"{{"name":"s0","listen":"{listen}","discovery":"{discovery}","control":"{control}","seed":"8c1f30d27a5be964",
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+"settings":{{"balancers":2,"ordinal":0,"tier":0,"zone":0,"zones":["jkt-cikarang","jkt-cibitung"],"shapes":["besar","kecil","lama"],
+"stages":["push-workers"],"workload":"jobs","weights":"live","value-by":"work","discovery":"on_request",
+"classes":[
+{{"name":"badge-sync","effect":"pure","group":"all","window":5000.0,"goal-time":120.0,"hard-limit":5000.0,"importance":1.0,"late-value":0.0,"streamed":false}},
+{{"name":"token-refresh","effect":"pure","group":"all","window":5000.0,"goal-time":120.0,"hard-limit":5000.0,"importance":1.0,"late-value":0.0,"streamed":false}},
+{{"name":"broadcast","effect":"side_effect","group":"all","window":5000.0,"goal-time":750.0,"hard-limit":10000.0,"importance":2.0,"late-value":0.0,"streamed":false}},
+{{"name":"otp-send","effect":"side_effect","group":"all","window":5000.0,"goal-time":120.0,"hard-limit":5000.0,"importance":5.0,"late-value":0.0,"streamed":false}}],
+"tenants":[{{"name":"pasar-kita","fraction":0.24,"quota-per-s":30.0}},{{"name":"ojek-lancar","fraction":0.21,"quota-per-s":26.0}},{{"name":"bank-tani","fraction":0.19,"quota-per-s":24.0}}],
+"client-habits":{{"marks-retry":true}},"over-share-worth":0.1,
+"report":{{"source":"probe","fields":["err_ps","depth","x0","x1"]}},
+"specifics":{{"class-kind":[-1,-1,-1,0],"class-priority":[0,0,0,1],"class-stretch":[2.5,2.0,1.75,2.0],"progress":1000.0,"queue-order":"fifo","tells-start":false}},
+"limits":{{"cancelling":true,"conn-idle":60000.0,"connect-timeout":120.0,"cpu-us-per-s":15000,"max-attempts":6,"max-retry-after":2000.0,"most-held":20000,"peer-messages":false,"probes":true,"retry-after":true,"second-copies":false,"streams-per-conn":1}},
+"obligations":{{"answer-slack":8.0,"ask-within":10000.0,"cold-share":0.12,"drain-grace":500.0,"fall-multiple":3.0,"overload-for":2000.0,"warm-within":24000.0}}}}}}
+"#
+    )
+}
+
 /// A private folder for this run, removed when dropped.
 pub struct Folder(pub PathBuf);
 
