--- a/review/stand-ins-2/stand_ins.rs
+++ b/review/stand-ins-2/stand_ins.rs
@@ -155,7 +155,8 @@
         command.args(["-c", &run_command()]).env("PROXY_CONFIG", &path).env("TMPDIR", dir);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         die_with_this_process(&mut command);
-        let child = command.spawn().unwrap_or_else(|error| stop(&format!("the scheduler does not start: {error}")));
+        let child =
+            command.spawn().unwrap_or_else(|error| stop(&format!("the scheduler does not start: {error}")));
         STARTED.lock().unwrap().push(child.id());
         Scheduler { child, listen, control, config: path }
     }
@@ -238,8 +239,6 @@
     pub address: SocketAddr,
     list: Arc<(Mutex<List>, Condvar)>,
     record: Record,
-    /// Watches fall silent, and new calls are not answered.
-    pub silent: Arc<AtomicBool>,
     /// Calls so far.
     pub calls: Arc<AtomicU64>,
     /// How long a watch waits for its turn, in milliseconds, after its head and before its first object.
@@ -254,7 +253,6 @@
             address: listener.local_addr().unwrap(),
             list: Arc::new((Mutex::new(list), Condvar::new())),
             record: record.clone(),
-            silent: Arc::default(),
             calls: Arc::default(),
             wait_ms: Arc::default(),
         };
@@ -269,7 +267,15 @@
     }
 
     /// Adds or changes an entry. Returns when the change counts as made.
-    pub fn set(&self, name: &str, address: SocketAddr, zone: &str, kind: &str, status: &'static str, since_ms: u64) {
+    pub fn set(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        zone: &str,
+        kind: &str,
+        status: &'static str,
+        since_ms: u64,
+    ) {
         let (list, changed) = &*self.list;
         let mut list = list.lock().unwrap();
         list.index += 1;
@@ -327,9 +333,6 @@
             return;
         }
         let since = target.split("since=").nth(1).and_then(|text| text.split('&').next()?.parse().ok());
-        while self.silent.load(Ordering::SeqCst) {
-            sleep_ms(20);
-        }
         if stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_err() {
             return;
         }
@@ -345,11 +348,6 @@
             let (guard, _) = changed.wait_timeout_while(guard, wait, |list| list.index == told).unwrap();
             let is_new = guard.index != told;
             drop(guard);
-            if self.silent.load(Ordering::SeqCst) {
-                // A watch that has fallen silent stays open and quiet.
-                sleep_ms(120_000);
-                return;
-            }
             let text = if is_new { self.document(Some(told)) } else { (told, String::new()) };
             told = text.0;
             if !self.tell(&mut stream, &text.1) {
@@ -385,8 +383,6 @@
 pub enum Deed {
     /// Runs it for so many milliseconds and answers with the result `made-for-ID`.
     Run(u64),
-    /// Takes it, and never answers.
-    Hang,
     /// Hands it back unstarted.
     Return,
 }
@@ -488,37 +484,25 @@
     /// Answers a job. Returns whether the connection stays open.
     fn answer(&self, stream: &mut TcpStream, request: &Request) -> bool {
         let (name, id) = (&self.name, &request.id);
-        let deed = (self.deed)(request);
-        if let Deed::Return = deed {
+        let Deed::Run(run_ms) = (self.deed)(request) else {
             let answer = "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
             self.record.line(&format!("worker {name} returns {id} unstarted"));
             return stream.write_all(answer.as_bytes()).is_ok();
-        }
+        };
         let held = self.held.fetch_add(1, Ordering::SeqCst) + 1;
         let line = |text: String| format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
         let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
         let started = line(format!("{{\"id\":\"{id}\",\"from\":\"{name}\",\"state\":\"started\"}}"));
         let mut open = stream.write_all((head + &started).as_bytes()).is_ok();
-        match deed {
-            Deed::Run(ms) => {
-                sleep_ms(ms);
-                let others = held.saturating_sub(1);
-                let free = self.slots.saturating_sub(others);
-                let done = line(format!(
-                    "{{\"id\":\"{id}\",\"from\":\"{name}\",\"state\":\"done\",\"result\":\"made-for-{id}\",\
-                     \"load\":{{\"x0\":{free},\"x1\":{free},\"inflight\":{others}}}}}"
-                ));
-                self.record.line(&format!("worker {name} has run {id}"));
-                open &= stream.write_all((done + "0\r\n\r\n").as_bytes()).is_ok();
-            }
-            _ => {
-                // Until the scheduler gives up the attempt by closing.
-                let _ = stream.set_read_timeout(Some(Duration::from_secs(100)));
-                let _ = stream.read(&mut [0; 1]);
-                self.record.line(&format!("worker {name}: the attempt of {id} was given up"));
-                open = false;
-            }
-        }
+        sleep_ms(run_ms);
+        let others = held.saturating_sub(1);
+        let free = self.slots.saturating_sub(others);
+        let done = line(format!(
+            "{{\"id\":\"{id}\",\"from\":\"{name}\",\"state\":\"done\",\"result\":\"made-for-{id}\",\
+             \"load\":{{\"x0\":{free},\"x1\":{free},\"inflight\":{others}}}}}"
+        ));
+        self.record.line(&format!("worker {name} has run {id}"));
+        open &= stream.write_all((done + "0\r\n\r\n").as_bytes()).is_ok();
         self.held.fetch_sub(1, Ordering::SeqCst);
         open
     }
