--- a/review/stand-ins-2/stand_ins.rs
+++ b/review/stand-ins-2/stand_ins.rs
@@ -241,6 +241,8 @@
     record: Record,
     /// Calls so far.
     pub calls: Arc<AtomicU64>,
+    /// How long a call takes before its answer begins, in milliseconds.
+    pub call_ms: Arc<AtomicU64>,
     /// How long a watch waits for its turn, in milliseconds, after its head and before its first object.
     pub wait_ms: Arc<AtomicU64>,
 }
@@ -254,6 +256,7 @@
             list: Arc::new((Mutex::new(list), Condvar::new())),
             record: record.clone(),
             calls: Arc::default(),
+            call_ms: Arc::default(),
             wait_ms: Arc::default(),
         };
         let shared = discovery.clone();
@@ -326,6 +329,7 @@
         let target = head.split(' ').nth(1).unwrap_or_default().to_owned();
         self.record.line(&format!("discovery {}: GET {target}", self.address.port()));
         self.calls.fetch_add(1, Ordering::SeqCst);
+        sleep_ms(self.call_ms.load(Ordering::SeqCst));
         if !target.contains("follow=1") {
             let (_, text) = self.document(None);
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
