--- a/review/stand-ins-2/stand_ins.rs
+++ b/review/stand-ins-2/stand_ins.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -53,6 +53,8 @@
 
 /// The processes that this case has started and that may still run.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// The folder of this run, which is removed at its end.
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
 
 /// Ends all processes that this case has started, and then the case.
 pub fn finish(code: i32) -> ! {
@@ -60,6 +62,10 @@
     for pid in started {
         signal(pid, "KILL");
     }
+    let folder = FOLDER.lock().ok().and_then(|mut folder| folder.take());
+    if let (Some(folder), Err(_)) = (folder, std::env::var("KEEP")) {
+        let _ = std::fs::remove_dir_all(folder);
+    }
     std::process::exit(code);
 }
 
@@ -110,7 +116,7 @@
 
 /// A listener on a free loopback port.
 pub fn listen() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| stop(&format!("no port: {error}")))
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap_or_else(|error| stop(&format!("no port: {error}")))
 }
 
 /// A loopback port that is free now.
@@ -572,11 +578,11 @@
         self.stream.write_all(bytes).is_ok()
     }
 
-    /// Whether the scheduler has read all that was sent to it, as far as the kernel knows of the connection.
+    /// Whether the kernel's table shows that the scheduler has read all that was sent on this connection.
     pub fn is_all_read(&self, scheduler: SocketAddr, record: &Record) -> bool {
         let unread = self.stream.local_addr().ok().and_then(|own| unread_bytes(scheduler, own));
         record.line(&format!("bytes that the scheduler has not read on this connection: {unread:?}"));
-        unread.is_none_or(|bytes| bytes == 0)
+        unread == Some(0)
     }
 
     /// Reads the next answer.
@@ -721,21 +727,14 @@
     )
 }
 
-/// A private folder for this run, removed when dropped.
+/// A private folder for this run; [`finish`] removes it.
 pub struct Folder(pub PathBuf);
 
 impl Folder {
     pub fn new(case: &str) -> Folder {
         let path = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
         std::fs::create_dir_all(&path).unwrap_or_else(|error| stop(&format!("{}: {error}", path.display())));
+        *FOLDER.lock().unwrap() = Some(path.clone());
         Folder(path)
     }
 }
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        if std::env::var("KEEP").is_err() {
-            let _ = std::fs::remove_dir_all(&self.0);
-        }
-    }
-}
